The interface to the platform's object service moves to store

The users' platform speaks a protocol of its own, and a folder of its own, platform/, is to hold the adapter to it. What stands there today is ours: the interface, its stand-in and the stand-in's HTTP form.

--- a/cmd/clovertrail-entry/main.go
+++ b/cmd/clovertrail-entry/main.go
@@ -11,7 +11,7 @@
 	"clovertrail.dev/cmd/internal/daemon"
 	"clovertrail.dev/entry"
 	"clovertrail.dev/operator"
-	"clovertrail.dev/platform/remote"
+	"clovertrail.dev/store/remote"
 	"clovertrail.dev/telemetry"
 	"clovertrail.dev/wire"
 )
--- a/cmd/clovertrail-standin/main.go
+++ b/cmd/clovertrail-standin/main.go
@@ -17,8 +17,8 @@
 	"clovertrail.dev/cmd/internal/daemon"
 	"clovertrail.dev/core/domain"
 	engine "clovertrail.dev/engine/standin"
-	"clovertrail.dev/platform/remote"
-	platform "clovertrail.dev/platform/standin"
+	"clovertrail.dev/store/remote"
+	storestandin "clovertrail.dev/store/standin"
 )
 
 const stopWithin = 5 * time.Second
@@ -53,16 +53,16 @@
 }
 
 func servePlatform(ctx context.Context, c *cli.Command) error {
-	store := platform.New(platform.Limits{WritesPerSecond: c.Float("writes"), ReadsPerSecond: c.Float("reads")})
+	objects := storestandin.New(storestandin.Limits{WritesPerSecond: c.Float("writes"), ReadsPerSecond: c.Float("reads")})
 	if file := c.String("boxes"); file != "" {
-		if err := loadBoxes(file, store); err != nil {
+		if err := loadBoxes(file, objects); err != nil {
 			return err
 		}
 	}
-	return serve(ctx, c.String("listen"), remote.Handler(store))
+	return serve(ctx, c.String("listen"), remote.Handler(objects))
 }
 
-func loadBoxes(file string, store *platform.Store) error {
+func loadBoxes(file string, objects *storestandin.Store) error {
 	raw, err := os.ReadFile(file)
 	if err != nil {
 		return err
@@ -75,7 +75,7 @@
 		return fmt.Errorf("%s: %w", file, err)
 	}
 	for _, b := range boxes {
-		store.SetBox(b)
+		objects.SetBox(b)
 	}
 	return nil
 }
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -11,7 +11,7 @@
 	"clovertrail.dev/config"
 	"clovertrail.dev/core/domain"
 	"clovertrail.dev/core/fault"
-	"clovertrail.dev/platform"
+	"clovertrail.dev/store"
 	"clovertrail.dev/testkit"
 )
 
@@ -27,15 +27,15 @@
 	return o
 }
 
-// store keeps the head and checkpoints as the platform would, for one writer
+// record keeps the head and checkpoints as the platform would, for one writer
 // after another.
-type store struct {
+type record struct {
 	objects map[string][]byte
-	version platform.Version
+	version store.Version
 }
 
 // propose drives the operation against the store and the replica.
-func (s *store) propose(op config.Operation, r *config.Replica) (config.Outcome, error) {
+func (s *record) propose(op config.Operation, r *config.Replica) (config.Outcome, error) {
 	p := config.NewProposal(op, start.Add(time.Hour))
 	for cmd := p.Start(); ; {
 		switch c := cmd.(type) {
@@ -57,7 +57,7 @@
 }
 
 // head is the head; the zero one before the first write.
-func (s *store) head() config.Head {
+func (s *record) head() config.Head {
 	h, err := config.DecodeHead(s.objects[config.HeadKey])
 	if err != nil {
 		return config.Head{}
@@ -66,7 +66,7 @@
 }
 
 // catchUp brings the replica to the head, through the checkpoint if need be.
-func (s *store) catchUp(r *config.Replica) {
+func (s *record) catchUp(r *config.Replica) {
 	h := s.head()
 	if errors.Is(r.Apply(h.Changes()), config.ErrGap) {
 		snap, err := config.DecodeSnapshot(s.objects[config.CheckpointKey(h.Checkpoint())])
@@ -78,7 +78,7 @@
 }
 
 func TestReplicaThatSleptCatchesUp(t *testing.T) {
-	s := &store{objects: map[string][]byte{}}
+	s := &record{objects: map[string][]byte{}}
 	writer, sleeper := config.NewReplica(), config.NewReplica()
 	for i := range 400 {
 		op := config.Write(config.OperationID(fmt.Sprintf("op-%d", i)), org(t, fmt.Sprintf("org-%d", i%50), float64(i)))
@@ -99,7 +99,7 @@
 }
 
 func TestProposal(t *testing.T) {
-	s := &store{objects: map[string][]byte{}}
+	s := &record{objects: map[string][]byte{}}
 	r := config.NewReplica()
 	league := config.NewKey(domain.KindOrganisation, "league")
 	steps := []struct {
@@ -141,7 +141,7 @@
 	}
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
-			s := &store{objects: map[string][]byte{}}
+			s := &record{objects: map[string][]byte{}}
 			r := config.NewReplica()
 			p := config.NewProposal(config.Write("1", org(t, "league", 1)), start.Add(time.Second))
 			now, writes := start, 0
@@ -155,7 +155,7 @@
 					writes++
 					err := error(nil)
 					if writes == 1 {
-						err = platform.ErrUnknownOutcome
+						err = store.ErrUnknownOutcome
 					}
 					if writes > 1 || tc.landed {
 						s.version++
@@ -178,7 +178,7 @@
 
 // TestReplicasOnlyMoveForward offers changes and snapshots in any order.
 func TestReplicasOnlyMoveForward(t *testing.T) {
-	s := &store{objects: map[string][]byte{}}
+	s := &record{objects: map[string][]byte{}}
 	w := config.NewReplica()
 	var all []config.Change
 	snaps := []config.Snapshot{w.Snapshot()}
@@ -246,7 +246,7 @@
 	for i := range 40 {
 		f := config.NewFollower(domain.BoxID(fmt.Sprintf("e-%d", i)), "h", config.DefaultPace())
 		for range 5 {
-			f.PlatformAnswered(start, platform.ErrUnavailable)
+			f.PlatformAnswered(start, store.ErrUnavailable)
 		}
 		if r, ok := f.Next(start).(config.Rest); ok {
 			times[r.Until.Truncate(100*time.Millisecond)]++
--- a/config/example_test.go
+++ b/config/example_test.go
@@ -8,7 +8,7 @@
 )
 
 func ExampleReplica() {
-	s := &store{objects: map[string][]byte{}}
+	s := &record{objects: map[string][]byte{}}
 	r := config.NewReplica()
 	o, _ := domain.NewOrganisation("league", 10)
 	out, err := s.propose(config.Write("op-1", o).IfVersion(0), r)
--- a/config/follower.go
+++ b/config/follower.go
@@ -7,11 +7,11 @@
 	"github.com/cespare/xxhash/v2"
 
 	"clovertrail.dev/core/domain"
-	"clovertrail.dev/platform"
+	"clovertrail.dev/store"
 )
 
-func isConflict(err error) bool { return errors.Is(err, platform.ErrConflict) }
-func isUnknown(err error) bool  { return errors.Is(err, platform.ErrUnknownOutcome) }
+func isConflict(err error) bool { return errors.Is(err, store.ErrConflict) }
+func isUnknown(err error) bool  { return errors.Is(err, store.ErrUnknownOutcome) }
 
 // Pace holds the times of a Follower.
 type Pace struct {
--- a/config/proposal.go
+++ b/config/proposal.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"clovertrail.dev/core/fault"
-	"clovertrail.dev/platform"
+	"clovertrail.dev/store"
 )
 
 // Command is what a proposal's owner must do next. The set is closed: ReadHead,
@@ -23,7 +23,7 @@
 // WriteHead asks to put the head; answer with HeadWritten.
 type WriteHead struct {
 	Value  []byte
-	Expect platform.Version
+	Expect store.Version
 }
 
 // Finish ends the proposal. Err is a *fault.Error; its table row tells the truth
@@ -45,7 +45,7 @@
 	op       Operation
 	deadline time.Time
 	head     Head
-	version  platform.Version
+	version  store.Version
 	maybe    bool // a write was sent whose answer did not come
 }
 
@@ -59,7 +59,7 @@
 
 // HeadRead takes the head, its version, and a replica that has caught up with
 // it. A missing head is the zero Head with version zero.
-func (p *Proposal) HeadRead(now time.Time, h Head, v platform.Version, r *Replica, err error) Command {
+func (p *Proposal) HeadRead(now time.Time, h Head, v store.Version, r *Replica, err error) Command {
 	if err != nil {
 		return p.again(now, err)
 	}
--- a/demo/faults.go
+++ b/demo/faults.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"clovertrail.dev/local"
-	"clovertrail.dev/platform/standin"
+	"clovertrail.dev/store/standin"
 )
 
 // fault is something that goes wrong and is mended again.
--- a/entry/claim_duty.go
+++ b/entry/claim_duty.go
@@ -8,7 +8,7 @@
 	"clovertrail.dev/core/domain"
 	"clovertrail.dev/lease"
 	"clovertrail.dev/once"
-	"clovertrail.dev/platform"
+	"clovertrail.dev/store"
 )
 
 const (
@@ -77,7 +77,7 @@
 	defer cancel()
 	o, err := e.store.Get(ctx, once.TableKey)
 	e.countPlatform("claims_read", err)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		e.createClaimTable(ctx)
 		return
 	}
@@ -99,7 +99,7 @@
 	e.writeClaimTable(ctx, once.First(live), 0)
 }
 
-func (e *Entry) writeClaimTable(ctx context.Context, t once.Table, expect platform.Version) {
+func (e *Entry) writeClaimTable(ctx context.Context, t once.Table, expect store.Version) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	v, err := e.store.Put(ctx, once.TableKey, t.Encode(), expect)
@@ -185,7 +185,7 @@
 	defer cancel()
 	o, err := e.store.Get(ctx, boxLeaseKey(m))
 	e.countPlatform("lease_look", err)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, store.ErrNotFound) {
 		return false
 	}
 	t := e.claims
--- a/entry/claims.go
+++ b/entry/claims.go
@@ -13,7 +13,7 @@
 	"clovertrail.dev/core/fault"
 	"clovertrail.dev/lease"
 	"clovertrail.dev/once"
-	"clovertrail.dev/platform"
+	"clovertrail.dev/store"
 	"clovertrail.dev/telemetry"
 	"clovertrail.dev/wire"
 	"clovertrail.dev/wire/wirepb"
@@ -26,7 +26,7 @@
 	mu       sync.Mutex
 	holder   *once.Holder
 	lease    *lease.Lease
-	newest   platform.Version // of the table, as far as heard
+	newest   store.Version // of the table, as far as heard
 	watching map[once.Member]*lease.Observer
 }
 
@@ -51,13 +51,13 @@
 	f(t.holder)
 }
 
-func (t *claimTable) version() platform.Version {
+func (t *claimTable) version() store.Version {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.holder.Table().Version()
 }
 
-func (t *claimTable) heardVersion(v platform.Version) {
+func (t *claimTable) heardVersion(v store.Version) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.newest = max(t.newest, v)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -13,7 +13,7 @@
 	"clovertrail.dev/config"
 	"clovertrail.dev/core/domain"
 	"clovertrail.dev/membership"
-	"clovertrail.dev/platform"
+	"clovertrail.dev/store"
 	"clovertrail.dev/retry"
 	"clovertrail.dev/routing"
 	"clovertrail.dev/telemetry"
@@ -31,7 +31,7 @@
 
 	common      telemetry.Common
 	settings    Settings
-	store       platform.Store
+	store       store.Store
 	incarnation domain.Incarnation
 	conns       *connections
 	config      *configTable
@@ -50,7 +50,7 @@
 
 // New returns the entry box of the incarnation, with the platform behind store
 // and other processes behind dial.
-func New(c telemetry.Common, s Settings, store platform.Store, dial wire.Dialer, inc domain.Incarnation) *Entry {
+func New(c telemetry.Common, s Settings, store store.Store, dial wire.Dialer, inc domain.Incarnation) *Entry {
 	rnd := rand.New(rand.NewPCG(uint64(inc), uint64(len(s.Box))))
 	return &Entry{
 		common:      c,
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -9,7 +9,7 @@
 	"clovertrail.dev/core/domain"
 	"clovertrail.dev/membership"
 	"clovertrail.dev/once"
-	"clovertrail.dev/platform"
+	"clovertrail.dev/store"
 	"clovertrail.dev/wire/wirepb"
 )
 
@@ -211,7 +211,7 @@
 	if ahead {
 		e.config.nudge()
 	}
-	e.claims.heardVersion(platform.Version(n.GetClaimsVersion()))
+	e.claims.heardVersion(store.Version(n.GetClaimsVersion()))
 }
 
 // readBoxes reads the platform's list until ctx ends.
@@ -233,7 +233,7 @@
 	e.tookBoxes(boxes)
 }
 
-func (e *Entry) tookBoxes(boxes platform.Boxes) {
+func (e *Entry) tookBoxes(boxes store.Boxes) {
 	now := time.Now()
 	self := domain.BoxID(e.settings.Box)
 	e.peers.listed(now, self, boxes.All())
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -9,7 +9,7 @@
 	"clovertrail.dev/config"
 	"clovertrail.dev/core/domain"
 	"clovertrail.dev/core/fault"
-	"clovertrail.dev/platform"
+	"clovertrail.dev/store"
 	"clovertrail.dev/telemetry"
 	"clovertrail.dev/wire/wirepb"
 )
@@ -18,7 +18,7 @@
 
 // followConfig does what the follower says until ctx ends.
 func (e *Entry) followConfig(ctx context.Context) {
-	var version platform.Version
+	var version store.Version
 	for ctx.Err() == nil {
 		var src config.Source
 		e.config.follow(func(f *config.Follower) { src = f.Next(time.Now()) })
@@ -36,7 +36,7 @@
 }
 
 // watchHead waits for a new head, and reads it when the watch says nothing.
-func (e *Entry) watchHead(ctx context.Context, until time.Time, since platform.Version) platform.Version {
+func (e *Entry) watchHead(ctx context.Context, until time.Time, since store.Version) store.Version {
 	if e.unconfirmed() {
 		return e.confirmHead(ctx, since)
 	}
@@ -67,7 +67,7 @@
 	return u
 }
 
-func (e *Entry) readHead(ctx context.Context, since platform.Version) platform.Version {
+func (e *Entry) readHead(ctx context.Context, since store.Version) store.Version {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	o, err := e.store.Get(ctx, config.HeadKey)
@@ -76,13 +76,13 @@
 
 // confirmHead proves with a conditional write of the unchanged head that the
 // read was not stale, so that a box that starts again never falls back.
-func (e *Entry) confirmHead(ctx context.Context, since platform.Version) platform.Version {
+func (e *Entry) confirmHead(ctx context.Context, since store.Version) store.Version {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	o, err := e.store.Get(ctx, config.HeadKey)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		raw, _ := config.Head{}.Encode() // an empty head always has a form
-		o, err = platform.NewObject(config.HeadKey, raw, 0), nil
+		o, err = store.NewObject(config.HeadKey, raw, 0), nil
 	}
 	if err != nil {
 		return e.tookHead(ctx, o, err, since)
@@ -93,15 +93,15 @@
 		e.config.follow(func(f *config.Follower) { f.PlatformAnswered(time.Now(), err) })
 		return since
 	}
-	v = e.tookHead(ctx, platform.NewObject(config.HeadKey, o.Value(), v), nil, since)
+	v = e.tookHead(ctx, store.NewObject(config.HeadKey, o.Value(), v), nil, since)
 	e.config.follow(func(f *config.Follower) { f.Confirmed() })
 	return v
 }
 
 // tookHead applies a head that was read or watched. A head that does not exist
 // is as good as an empty one.
-func (e *Entry) tookHead(ctx context.Context, o platform.Object, err error, since platform.Version) platform.Version {
-	if errors.Is(err, platform.ErrNotFound) {
+func (e *Entry) tookHead(ctx context.Context, o store.Object, err error, since store.Version) store.Version {
+	if errors.Is(err, store.ErrNotFound) {
 		err = nil
 	}
 	if err == nil && o.Version() > since {
@@ -116,7 +116,7 @@
 }
 
 // applyHead brings the replica to the head, through the checkpoint if need be.
-func (e *Entry) applyHead(ctx context.Context, o platform.Object) (config.Head, error) {
+func (e *Entry) applyHead(ctx context.Context, o store.Object) (config.Head, error) {
 	if o.Version() == 0 {
 		return config.Head{}, nil
 	}
@@ -271,8 +271,8 @@
 
 func (e *Entry) proposeRead(ctx context.Context, p *config.Proposal) config.Command {
 	o, err := e.store.Get(ctx, config.HeadKey)
-	if errors.Is(err, platform.ErrNotFound) {
-		o, err = platform.Object{}, nil
+	if errors.Is(err, store.ErrNotFound) {
+		o, err = store.Object{}, nil
 	}
 	var h config.Head
 	if err == nil {
--- a/entry/groups.go
+++ b/entry/groups.go
@@ -11,7 +11,7 @@
 	"clovertrail.dev/lease"
 	"clovertrail.dev/membership"
 	"clovertrail.dev/once"
-	"clovertrail.dev/platform"
+	"clovertrail.dev/store"
 	"clovertrail.dev/wire/wirepb"
 )
 
@@ -185,7 +185,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	o, err := e.store.Get(ctx, key)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, store.ErrNotFound) {
 		return
 	}
 	_, err = e.store.Put(ctx, key, raw, o.Version())
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -24,7 +24,7 @@
 	"errors"
 	"time"
 
-	"clovertrail.dev/platform"
+	"clovertrail.dev/store"
 )
 
 // Fence is a fencing number. Orders with a lower one than was seen are refused.
@@ -67,7 +67,7 @@
 type Write struct {
 	Key    string
 	Record Record
-	Expect platform.Version
+	Expect store.Version
 }
 
 // Rest asks to do nothing until the time.
@@ -84,7 +84,7 @@
 	term     time.Duration
 	known    bool // the record and version below are the last read
 	record   Record
-	version  platform.Version
+	version  store.Version
 	watch    Observer
 	deadline time.Time // until which it is held
 	renewAt  time.Time
@@ -137,8 +137,8 @@
 }
 
 // WasRead takes the answer to Read, which was sent at the time.
-func (l *Lease) WasRead(now time.Time, raw []byte, v platform.Version, err error) {
-	if errors.Is(err, platform.ErrNotFound) {
+func (l *Lease) WasRead(now time.Time, raw []byte, v store.Version, err error) {
+	if errors.Is(err, store.ErrNotFound) {
 		raw, v, err = nil, 0, nil
 	}
 	if err != nil {
@@ -152,9 +152,9 @@
 // WasWritten takes the answer to Write, which was sent at the time. After a lost
 // answer or a conflict the record is read again; a lease that may have been won
 // counts only once that has been seen and renewed.
-func (l *Lease) WasWritten(sentAt, now time.Time, v platform.Version, err error) {
+func (l *Lease) WasWritten(sentAt, now time.Time, v store.Version, err error) {
 	if err != nil {
-		l.known = !errors.Is(err, platform.ErrConflict) && !errors.Is(err, platform.ErrUnknownOutcome)
+		l.known = !errors.Is(err, store.ErrConflict) && !errors.Is(err, store.ErrUnknownOutcome)
 		l.renewAt = now.Add(l.term / renewals / renewals)
 		return
 	}
@@ -168,7 +168,7 @@
 // Observer tells from outside when another's lease has lapsed.
 type Observer struct {
 	term    time.Duration
-	version platform.Version
+	version store.Version
 	since   time.Time
 }
 
@@ -176,7 +176,7 @@
 func NewObserver(term time.Duration) Observer { return Observer{term: term} }
 
 // Saw takes the version that the record had now.
-func (o *Observer) Saw(now time.Time, v platform.Version) {
+func (o *Observer) Saw(now time.Time, v store.Version) {
 	if o.since.IsZero() || v != o.version {
 		o.version, o.since = v, now
 	}
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -8,7 +8,7 @@
 	"pgregory.net/rapid"
 
 	"clovertrail.dev/lease"
-	"clovertrail.dev/platform"
+	"clovertrail.dev/store"
 	"clovertrail.dev/testkit"
 )
 
@@ -16,10 +16,10 @@
 
 const term = 30 * time.Second
 
-// store is the platform as two holders see it: one record.
-type store struct {
+// record is the platform as two holders see it: one record.
+type record struct {
 	record  lease.Record
-	version platform.Version
+	version store.Version
 }
 
 // TestNeverTwoHolders lets two holders act at drawn times with drawn pauses and
@@ -27,7 +27,7 @@
 func TestNeverTwoHolders(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		now := time.Unix(1_800_000_000, 0)
-		s := &store{}
+		s := &record{}
 		holders := []*lease.Lease{lease.New("k", "a", term), lease.New("k", "b", term)}
 		held := 0
 		for range 200 {
@@ -40,14 +40,14 @@
 				l.WasRead(now, s.record.Encode(), s.version, nil)
 			case lease.Write:
 				if c.Expect != s.version {
-					l.WasWritten(sentAt, now.Add(pause), 0, platform.ErrConflict)
+					l.WasWritten(sentAt, now.Add(pause), 0, store.ErrConflict)
 					break
 				}
 				s.version++
 				s.record = c.Record
 				var err error
 				if rapid.Bool().Draw(rt, "answer lost") {
-					err = platform.ErrUnknownOutcome
+					err = store.ErrUnknownOutcome
 				}
 				now = now.Add(pause)
 				l.WasWritten(sentAt, now, s.version, err)
@@ -70,7 +70,7 @@
 func ExampleLease() {
 	now := time.Unix(1_800_000_000, 0)
 	l := lease.New("lease/g1", "entry-1", term)
-	l.WasRead(now, nil, 0, platform.ErrNotFound)
+	l.WasRead(now, nil, 0, store.ErrNotFound)
 	c := l.Next(now).(lease.Write)
 	l.WasWritten(now, now, 1, nil)
 	_, held := l.Held(now.Add(20 * time.Second))
--- a/local/scenario_test.go
+++ b/local/scenario_test.go
@@ -17,7 +17,7 @@
 	"clovertrail.dev/engine/standin"
 	"clovertrail.dev/entry"
 	"clovertrail.dev/local"
-	platform "clovertrail.dev/platform/standin"
+	platform "clovertrail.dev/store/standin"
 )
 
 // trouble is something that goes wrong at a time and is mended after another.
--- a/local/system.go
+++ b/local/system.go
@@ -17,8 +17,8 @@
 	"clovertrail.dev/engine/standin"
 	"clovertrail.dev/entry"
 	"clovertrail.dev/operator"
-	"clovertrail.dev/platform"
-	platformstandin "clovertrail.dev/platform/standin"
+	"clovertrail.dev/store"
+	platformstandin "clovertrail.dev/store/standin"
 	"clovertrail.dev/telemetry"
 	"clovertrail.dev/wire"
 )
@@ -231,7 +231,7 @@
 func (s *System) Halls() []domain.HallName { return s.layout.Halls }
 
 // Store is the platform as seen from the data hall.
-func (s *System) Store(hall domain.HallName) platform.Store { return s.stores[hall] }
+func (s *System) Store(hall domain.HallName) store.Store { return s.stores[hall] }
 
 // CutPlatform cuts the data hall off from the platform, or joins it again.
 func (s *System) CutPlatform(hall domain.HallName, cut bool) { s.stores[hall].set(cut) }
--- a/once/holder_test.go
+++ b/once/holder_test.go
@@ -8,7 +8,7 @@
 
 	"clovertrail.dev/core/fault"
 	"clovertrail.dev/once"
-	"clovertrail.dev/platform"
+	"clovertrail.dev/store"
 )
 
 func alone(t *testing.T, now time.Time) *once.Holder {
@@ -149,7 +149,7 @@
 	}
 	table = once.First([]once.Live{a}).WithVersion(1)
 	for v := 2; v <= epoch; v++ {
-		table = table.Forget(time.Time{}, a, []once.Live{a, b}, all).WithVersion(platform.Version(v))
+		table = table.Forget(time.Time{}, a, []once.Live{a, b}, all).WithVersion(store.Version(v))
 	}
 	return a, b, table
 }
--- a/once/model_test.go
+++ b/once/model_test.go
@@ -10,7 +10,7 @@
 
 	"clovertrail.dev/core/domain"
 	"clovertrail.dev/once"
-	"clovertrail.dev/platform"
+	"clovertrail.dev/store"
 	"clovertrail.dev/testkit"
 )
 
@@ -28,7 +28,7 @@
 	now     time.Time
 	table   once.Table
 	nextInc domain.Incarnation
-	nextVer platform.Version
+	nextVer store.Version
 	boxes   [boxes]*process
 	copies  []flying            // copies under way
 	granted map[once.Key]string // the request that may run, if it was not released
--- a/once/table.go
+++ b/once/table.go
@@ -9,7 +9,7 @@
 
 	"clovertrail.dev/core/domain"
 	"clovertrail.dev/core/fault"
-	"clovertrail.dev/platform"
+	"clovertrail.dev/store"
 )
 
 // TableKey is the key of the table in the platform.
@@ -42,12 +42,12 @@
 
 // Table says who holds each shard.
 type Table struct {
-	version platform.Version
+	version store.Version
 	shards  []Assignment
 }
 
 // DecodeTable reads the stored form, which has the version.
-func DecodeTable(raw []byte, v platform.Version) (Table, error) {
+func DecodeTable(raw []byte, v store.Version) (Table, error) {
 	var shards []Assignment
 	if err := json.Unmarshal(raw, &shards); err != nil {
 		return Table{}, fault.New(fault.InvalidObject, "%s: %v", TableKey, err)
@@ -65,10 +65,10 @@
 }
 
 // Version is the platform's version of the table.
-func (t Table) Version() platform.Version { return t.version }
+func (t Table) Version() store.Version { return t.version }
 
 // WithVersion returns the table as it was stored at the version.
-func (t Table) WithVersion(v platform.Version) Table {
+func (t Table) WithVersion(v store.Version) Table {
 	t.version = v
 	return t
 }
--- a/platform/remote/client.go
+++ b/store/remote/client.go
@@ -12,10 +12,10 @@
 	"syscall"
 
 	"clovertrail.dev/core/domain"
-	"clovertrail.dev/platform"
+	"clovertrail.dev/store"
 )
 
-// Client is a platform.Store behind HTTP.
+// Client is a store.Store behind HTTP.
 type Client struct {
 	base string
 	http *http.Client
@@ -27,50 +27,50 @@
 	return &Client{base: base, http: c}
 }
 
-// Get implements platform.Reader.
-func (c *Client) Get(ctx context.Context, key string) (platform.Object, error) {
+// Get implements store.Reader.
+func (c *Client) Get(ctx context.Context, key string) (store.Object, error) {
 	var o wireObject
 	err := c.read(ctx, objectPath, url.Values{keyParam: {key}}, &o)
 	return o.object(), err
 }
 
-// Watch implements platform.Reader.
-func (c *Client) Watch(ctx context.Context, key string, since platform.Version) (platform.Object, error) {
+// Watch implements store.Reader.
+func (c *Client) Watch(ctx context.Context, key string, since store.Version) (store.Object, error) {
 	var o wireObject
 	err := c.read(ctx, watchPath, url.Values{keyParam: {key}, sinceParam: {formatVersion(since)}}, &o)
 	return o.object(), err
 }
 
-// List implements platform.Reader.
-func (c *Client) List(ctx context.Context, prefix string) ([]platform.Object, error) {
+// List implements store.Reader.
+func (c *Client) List(ctx context.Context, prefix string) ([]store.Object, error) {
 	var wire []wireObject
 	if err := c.read(ctx, listPath, url.Values{prefixParam: {prefix}}, &wire); err != nil {
 		return nil, err
 	}
-	list := make([]platform.Object, 0, len(wire))
+	list := make([]store.Object, 0, len(wire))
 	for _, o := range wire {
 		list = append(list, o.object())
 	}
 	return list, nil
 }
 
-// Boxes implements platform.BoxLister.
-func (c *Client) Boxes(ctx context.Context) (platform.Boxes, error) {
+// Boxes implements store.BoxLister.
+func (c *Client) Boxes(ctx context.Context) (store.Boxes, error) {
 	var b wireBoxes
 	err := c.read(ctx, boxesPath, nil, &b)
-	return platform.NewBoxes(b.Version, b.Boxes), err
+	return store.NewBoxes(b.Version, b.Boxes), err
 }
 
-// Put implements platform.Writer.
-func (c *Client) Put(ctx context.Context, key string, value []byte, expect platform.Version) (platform.Version, error) {
+// Put implements store.Writer.
+func (c *Client) Put(ctx context.Context, key string, value []byte, expect store.Version) (store.Version, error) {
 	var o wireObject
 	q := url.Values{keyParam: {key}, expectParam: {formatVersion(expect)}}
 	err := c.write(ctx, http.MethodPut, objectPath, q, value, &o)
 	return o.Version, err
 }
 
-// Delete implements platform.Writer.
-func (c *Client) Delete(ctx context.Context, key string, expect platform.Version) error {
+// Delete implements store.Writer.
+func (c *Client) Delete(ctx context.Context, key string, expect store.Version) error {
 	q := url.Values{keyParam: {key}, expectParam: {formatVersion(expect)}}
 	return c.write(ctx, http.MethodDelete, objectPath, q, nil, &wireObject{})
 }
@@ -89,11 +89,11 @@
 	return c.write(ctx, http.MethodDelete, boxesPath, url.Values{"id": {string(id)}}, nil, &wireObject{})
 }
 
-func (o wireObject) object() platform.Object {
-	return platform.NewObject(o.Key, o.Value, o.Version)
+func (o wireObject) object() store.Object {
+	return store.NewObject(o.Key, o.Value, o.Version)
 }
 
-func formatVersion(v platform.Version) string {
+func formatVersion(v store.Version) string {
 	return strconv.FormatUint(uint64(v), 10)
 }
 
@@ -102,7 +102,7 @@
 func (c *Client) read(ctx context.Context, path string, q url.Values, into any) error {
 	err := c.call(ctx, http.MethodGet, path, q, nil, into)
 	if err != nil && !isStoreError(err) && ctx.Err() == nil {
-		return platform.ErrUnavailable
+		return store.ErrUnavailable
 	}
 	return err
 }
@@ -115,9 +115,9 @@
 	case err == nil || isStoreError(err):
 		return err
 	case errors.Is(err, syscall.ECONNREFUSED):
-		return platform.ErrUnavailable
+		return store.ErrUnavailable
 	default:
-		return platform.ErrUnknownOutcome
+		return store.ErrUnknownOutcome
 	}
 }
 
--- a/platform/remote/handler.go
+++ b/store/remote/handler.go
@@ -7,7 +7,7 @@
 	"strconv"
 
 	"clovertrail.dev/core/domain"
-	"clovertrail.dev/platform"
+	"clovertrail.dev/store"
 )
 
 // BoxSetter takes changes of the list of boxes; the stand-in is one.
@@ -17,11 +17,11 @@
 }
 
 // handler serves a store.
-type handler struct{ store platform.Store }
+type handler struct{ store store.Store }
 
 // Handler serves the store. If it is also a BoxSetter, boxes can be put on and
 // taken off the list, as the platform itself would do.
-func Handler(s platform.Store) http.Handler {
+func Handler(s store.Store) http.Handler {
 	h := handler{store: s}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+objectPath, h.get)
@@ -57,9 +57,9 @@
 }
 
 func (h handler) put(w http.ResponseWriter, r *http.Request) {
-	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, platform.MaxValueBytes+1))
+	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, store.MaxValueBytes+1))
 	if err != nil {
-		reply(w, nil, platform.ErrTooLarge)
+		reply(w, nil, store.ErrTooLarge)
 		return
 	}
 	v, err := h.store.Put(r.Context(), r.URL.Query().Get(keyParam), value, versionParam(r, expectParam))
@@ -95,12 +95,12 @@
 	}
 }
 
-func versionParam(r *http.Request, name string) platform.Version {
+func versionParam(r *http.Request, name string) store.Version {
 	v, _ := strconv.ParseUint(r.URL.Query().Get(name), 10, 64)
-	return platform.Version(v)
+	return store.Version(v)
 }
 
-func wireOf(o platform.Object) wireObject {
+func wireOf(o store.Object) wireObject {
 	return wireObject{Key: o.Key(), Value: o.Value(), Version: o.Version()}
 }
 
--- a/platform/remote/wire.go
+++ b/store/remote/wire.go
@@ -1,4 +1,4 @@
-// Package remote carries platform.Store over HTTP, so that the programs can run
+// Package remote carries store.Store over HTTP, so that the programs can run
 // as separate processes against one stand-in. It is thin: each call is one
 // request, and each error of the interface is one status.
 //
@@ -13,7 +13,7 @@
 	"net/http"
 
 	"clovertrail.dev/core/domain"
-	"clovertrail.dev/platform"
+	"clovertrail.dev/store"
 )
 
 // The paths and parameters of the protocol.
@@ -33,12 +33,12 @@
 type wireObject struct {
 	Key     string           `json:"key"`
 	Value   []byte           `json:"value"`
-	Version platform.Version `json:"version"`
+	Version store.Version `json:"version"`
 }
 
 // wireBoxes is a list of boxes on the wire.
 type wireBoxes struct {
-	Version platform.Version `json:"version"`
+	Version store.Version `json:"version"`
 	Boxes   []domain.Box     `json:"boxes"`
 }
 
@@ -47,12 +47,12 @@
 	err    error
 	status int
 }{
-	{platform.ErrNotFound, http.StatusNotFound},
-	{platform.ErrConflict, http.StatusPreconditionFailed},
-	{platform.ErrUnavailable, http.StatusServiceUnavailable},
-	{platform.ErrRateLimited, http.StatusTooManyRequests},
-	{platform.ErrUnknownOutcome, http.StatusGatewayTimeout},
-	{platform.ErrTooLarge, http.StatusRequestEntityTooLarge},
+	{store.ErrNotFound, http.StatusNotFound},
+	{store.ErrConflict, http.StatusPreconditionFailed},
+	{store.ErrUnavailable, http.StatusServiceUnavailable},
+	{store.ErrRateLimited, http.StatusTooManyRequests},
+	{store.ErrUnknownOutcome, http.StatusGatewayTimeout},
+	{store.ErrTooLarge, http.StatusRequestEntityTooLarge},
 }
 
 func statusOf(err error) int {
@@ -70,5 +70,5 @@
 			return row.err
 		}
 	}
-	return platform.ErrUnknownOutcome
+	return store.ErrUnknownOutcome
 }
--- a/platform/standin/admit.go
+++ b/store/standin/admit.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"clovertrail.dev/platform"
+	"clovertrail.dev/store"
 )
 
 // bucket is a token bucket holding at most one second's worth of calls.
@@ -54,11 +54,11 @@
 	defer s.mu.Unlock()
 	if s.faults.Down {
 		s.counts.Refused++
-		return platform.ErrUnavailable
+		return store.ErrUnavailable
 	}
 	if !b.take(time.Now()) {
 		s.counts.Refused++
-		return platform.ErrRateLimited
+		return store.ErrRateLimited
 	}
 	return nil
 }
--- a/platform/standin/standin_test.go
+++ b/store/standin/standin_test.go
@@ -10,19 +10,19 @@
 	"time"
 
 	"clovertrail.dev/core/domain"
-	"clovertrail.dev/platform"
-	"clovertrail.dev/platform/remote"
-	"clovertrail.dev/platform/standin"
+	"clovertrail.dev/store"
+	"clovertrail.dev/store/remote"
+	"clovertrail.dev/store/standin"
 )
 
 // stores gives the stand-in itself and the same behind HTTP.
-func stores(t *testing.T) map[string]func() (platform.Store, *standin.Store) {
-	return map[string]func() (platform.Store, *standin.Store){
-		"direct": func() (platform.Store, *standin.Store) {
+func stores(t *testing.T) map[string]func() (store.Store, *standin.Store) {
+	return map[string]func() (store.Store, *standin.Store){
+		"direct": func() (store.Store, *standin.Store) {
 			s := standin.New(standin.Limits{})
 			return s, s
 		},
-		"remote": func() (platform.Store, *standin.Store) {
+		"remote": func() (store.Store, *standin.Store) {
 			s := standin.New(standin.Limits{})
 			srv := httptest.NewServer(remote.Handler(s))
 			t.Cleanup(srv.Close)
@@ -35,29 +35,29 @@
 	for name, open := range stores(t) {
 		t.Run(name, func(t *testing.T) {
 			ctx := context.Background()
-			store, _ := open()
-			v1, err := store.Put(ctx, "a/1", []byte("one"), 0)
+			s, _ := open()
+			v1, err := s.Put(ctx, "a/1", []byte("one"), 0)
 			if err != nil {
 				t.Fatal(err)
 			}
-			if _, err := store.Put(ctx, "a/1", []byte("two"), 0); !errors.Is(err, platform.ErrConflict) {
+			if _, err := s.Put(ctx, "a/1", []byte("two"), 0); !errors.Is(err, store.ErrConflict) {
 				t.Errorf("second create: %v", err)
 			}
-			v2, err := store.Put(ctx, "a/1", []byte("two"), v1)
+			v2, err := s.Put(ctx, "a/1", []byte("two"), v1)
 			if err != nil || v2 <= v1 {
 				t.Errorf("update: %d after %d, %v", v2, v1, err)
 			}
-			list, err := store.List(ctx, "a/")
+			list, err := s.List(ctx, "a/")
 			if err != nil || len(list) != 1 || string(list[0].Value()) != "two" {
 				t.Errorf("list: %v, %v", list, err)
 			}
-			if err := store.Delete(ctx, "a/1", v2); err != nil {
+			if err := s.Delete(ctx, "a/1", v2); err != nil {
 				t.Error(err)
 			}
-			if _, err := store.Get(ctx, "a/1"); !errors.Is(err, platform.ErrNotFound) {
+			if _, err := s.Get(ctx, "a/1"); !errors.Is(err, store.ErrNotFound) {
 				t.Errorf("get after delete: %v", err)
 			}
-			if v4, err := store.Put(ctx, "a/1", []byte("again"), 0); err != nil || v4 <= v2 {
+			if v4, err := s.Put(ctx, "a/1", []byte("again"), 0); err != nil || v4 <= v2 {
 				t.Errorf("create after delete: %d, %v", v4, err)
 			}
 		})
@@ -68,16 +68,16 @@
 	for name, open := range stores(t) {
 		t.Run(name, func(t *testing.T) {
 			ctx := context.Background()
-			store, faults := open()
+			s, faults := open()
 			faults.SetFaults(standin.Faults{LoseAnswerEvery: 1})
-			if _, err := store.Put(ctx, "k", []byte("v"), 0); !errors.Is(err, platform.ErrUnknownOutcome) {
+			if _, err := s.Put(ctx, "k", []byte("v"), 0); !errors.Is(err, store.ErrUnknownOutcome) {
 				t.Fatalf("put: %v", err)
 			}
-			if o, err := store.Get(ctx, "k"); err != nil || string(o.Value()) != "v" {
+			if o, err := s.Get(ctx, "k"); err != nil || string(o.Value()) != "v" {
 				t.Errorf("the write was not made: %v", err)
 			}
 			faults.SetFaults(standin.Faults{Down: true})
-			if _, err := store.Put(ctx, "k2", nil, 0); !errors.Is(err, platform.ErrUnavailable) {
+			if _, err := s.Put(ctx, "k2", nil, 0); !errors.Is(err, store.ErrUnavailable) {
 				t.Errorf("put while down: %v", err)
 			}
 		})
@@ -110,7 +110,7 @@
 		s := standin.New(standin.Limits{ReadsPerSecond: 10})
 		refused := 0
 		for range 30 {
-			if _, err := s.List(t.Context(), ""); errors.Is(err, platform.ErrRateLimited) {
+			if _, err := s.List(t.Context(), ""); errors.Is(err, store.ErrRateLimited) {
 				refused++
 			}
 		}
--- a/platform/standin/store.go
+++ b/store/standin/store.go
@@ -1,4 +1,4 @@
-// Package standin is an implementation of platform.Store in memory, for tests,
+// Package standin is an implementation of store.Store in memory, for tests,
 // the demonstration and the embedded system. It is not the platform: it keeps
 // nothing after its process ends.
 //
@@ -20,7 +20,7 @@
 	"time"
 
 	"clovertrail.dev/core/domain"
-	"clovertrail.dev/platform"
+	"clovertrail.dev/store"
 )
 
 // Limits are the platform's rates; zero means no limit.
@@ -57,11 +57,11 @@
 	mu        sync.Mutex
 	objects   map[string]versioned
 	previous  map[string]versioned
-	version   platform.Version
+	version   store.Version
 	changed   chan struct{} // closed and replaced at every write
 	boxes     map[domain.BoxID]domain.Box
-	boxesVer  platform.Version
-	frozen    platform.Boxes
+	boxesVer  store.Version
+	frozen    store.Boxes
 	faults    Faults
 	counts    Counts
 	reads     bucket
@@ -71,7 +71,7 @@
 
 type versioned struct {
 	value   []byte
-	version platform.Version
+	version store.Version
 	deleted bool
 }
 
@@ -120,10 +120,10 @@
 	s.boxesVer++
 }
 
-// Boxes implements platform.BoxLister.
-func (s *Store) Boxes(ctx context.Context) (platform.Boxes, error) {
+// Boxes implements store.BoxLister.
+func (s *Store) Boxes(ctx context.Context) (store.Boxes, error) {
 	if err := s.admitRead(ctx); err != nil {
-		return platform.Boxes{}, err
+		return store.Boxes{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -133,19 +133,19 @@
 	return s.boxList(), nil
 }
 
-func (s *Store) boxList() platform.Boxes {
+func (s *Store) boxList() store.Boxes {
 	list := make([]domain.Box, 0, len(s.boxes))
 	for _, b := range s.boxes {
 		list = append(list, b)
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i].ID() < list[j].ID() })
-	return platform.NewBoxes(s.boxesVer, list)
+	return store.NewBoxes(s.boxesVer, list)
 }
 
-// Get implements platform.Reader.
-func (s *Store) Get(ctx context.Context, key string) (platform.Object, error) {
+// Get implements store.Reader.
+func (s *Store) Get(ctx context.Context, key string) (store.Object, error) {
 	if err := s.admitRead(ctx); err != nil {
-		return platform.Object{}, err
+		return store.Object{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -155,34 +155,34 @@
 	return found(key, s.objects[key])
 }
 
-func found(key string, v versioned) (platform.Object, error) {
+func found(key string, v versioned) (store.Object, error) {
 	if v.version == 0 || v.deleted {
-		return platform.Object{}, platform.ErrNotFound
+		return store.Object{}, store.ErrNotFound
 	}
-	return platform.NewObject(key, v.value, v.version), nil
+	return store.NewObject(key, v.value, v.version), nil
 }
 
-// List implements platform.Reader.
-func (s *Store) List(ctx context.Context, prefix string) ([]platform.Object, error) {
+// List implements store.Reader.
+func (s *Store) List(ctx context.Context, prefix string) ([]store.Object, error) {
 	if err := s.admitRead(ctx); err != nil {
 		return nil, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var list []platform.Object
+	var list []store.Object
 	for k, v := range s.objects {
 		if strings.HasPrefix(k, prefix) && !v.deleted {
-			list = append(list, platform.NewObject(k, v.value, v.version))
+			list = append(list, store.NewObject(k, v.value, v.version))
 		}
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i].Key() < list[j].Key() })
 	return list, nil
 }
 
-// Watch implements platform.Reader.
-func (s *Store) Watch(ctx context.Context, key string, since platform.Version) (platform.Object, error) {
+// Watch implements store.Reader.
+func (s *Store) Watch(ctx context.Context, key string, since store.Version) (store.Object, error) {
 	if err := s.admitRead(ctx); err != nil {
-		return platform.Object{}, err
+		return store.Object{}, err
 	}
 	s.mu.Lock()
 	s.counts.Watches++
@@ -192,34 +192,34 @@
 		v, changed, f := s.objects[key], s.changed, s.faults
 		s.mu.Unlock()
 		if f.Down {
-			return platform.Object{}, platform.ErrUnavailable
+			return store.Object{}, store.ErrUnavailable
 		}
 		if v.version > since && !f.DeafWatches {
 			return found(key, v)
 		}
 		select {
 		case <-ctx.Done():
-			return platform.Object{}, ctx.Err()
+			return store.Object{}, ctx.Err()
 		case <-changed:
 		}
 	}
 }
 
-// Put implements platform.Writer.
-func (s *Store) Put(ctx context.Context, key string, value []byte, expect platform.Version) (platform.Version, error) {
-	if len(value) > platform.MaxValueBytes {
-		return 0, platform.ErrTooLarge
+// Put implements store.Writer.
+func (s *Store) Put(ctx context.Context, key string, value []byte, expect store.Version) (store.Version, error) {
+	if len(value) > store.MaxValueBytes {
+		return 0, store.ErrTooLarge
 	}
 	return s.write(ctx, key, versioned{value: append([]byte(nil), value...)}, expect)
 }
 
-// Delete implements platform.Writer.
-func (s *Store) Delete(ctx context.Context, key string, expect platform.Version) error {
+// Delete implements store.Writer.
+func (s *Store) Delete(ctx context.Context, key string, expect store.Version) error {
 	_, err := s.write(ctx, key, versioned{deleted: true}, expect)
 	return err
 }
 
-func (s *Store) write(ctx context.Context, key string, v versioned, expect platform.Version) (platform.Version, error) {
+func (s *Store) write(ctx context.Context, key string, v versioned, expect store.Version) (store.Version, error) {
 	if err := s.admitWrite(ctx); err != nil {
 		return 0, err
 	}
@@ -231,7 +231,7 @@
 		current = 0
 	}
 	if current != expect {
-		return 0, platform.ErrConflict
+		return 0, store.ErrConflict
 	}
 	s.version++
 	v.version = s.version
@@ -241,7 +241,7 @@
 	s.changed = make(chan struct{})
 	s.writeSeen++
 	if n := s.faults.LoseAnswerEvery; n > 0 && s.writeSeen%n == 0 {
-		return 0, platform.ErrUnknownOutcome
+		return 0, store.ErrUnknownOutcome
 	}
 	return v.version, nil
 }
--- a/platform/platform.go
+++ b/store/store.go
@@ -1,4 +1,4 @@
-// Package platform is the narrow interface through which clovertrail uses the
+// Package store is the narrow interface through which clovertrail uses the
 // platform's object service and its list of boxes.
 //
 // The service keeps versioned values of up to a megabyte, changes them
@@ -16,10 +16,10 @@
 //	obj, err := store.Get(ctx, "config/head")
 //	version, err := store.Put(ctx, "config/head", value, obj.Version())
 //	switch {
-//	case errors.Is(err, platform.ErrConflict): // somebody was faster
-//	case errors.Is(err, platform.ErrUnknownOutcome): // read again to find out
+//	case errors.Is(err, store.ErrConflict): // somebody was faster
+//	case errors.Is(err, store.ErrUnknownOutcome): // read again to find out
 //	}
-package platform
+package store
 
 import (
 	"context"
