--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -104,6 +104,9 @@
 // Leave makes every further answer tell its caller that the connection ends.
 func (g *Gateway) Leave() { g.leaving.Store(true) }
 
+// Leaving tells whether Leave was called.
+func (g *Gateway) Leaving() bool { return g.leaving.Load() }
+
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.inFlight.Add(1)
--- /dev/null
+++ b/membership/boxes.go
@@ -0,0 +1,187 @@
+package membership
+
+import (
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"clovertrail.dev/core/domain"
+	"clovertrail.dev/store"
+)
+
+// Contact is how an entry box is reached.
+type Contact struct {
+	Box         domain.BoxID
+	Address     string
+	Incarnation domain.Incarnation
+}
+
+// Level is how far a box knows what the store holds.
+type Level struct {
+	Config  store.Revision // of the configuration in force there
+	Targets store.Revision // of the last change of a target that it knows
+}
+
+// Boxes are the other entry boxes as one of them sees them: whom to tell news, whom
+// to ask for news, and how many share what is bounded for all. It is not safe for
+// concurrent use.
+type Boxes struct {
+	self  domain.BoxID
+	rand  *rand.Rand
+	boxes map[domain.BoxID]*peer
+}
+
+type peer struct {
+	contact  Contact
+	level    Level
+	leaving  bool
+	directAt time.Time // its own last word
+	heardAt  time.Time // the last word of it, from whomever
+	askedAt  time.Time // it was last asked for news
+}
+
+// Times of Boxes.
+const (
+	// ShareFor is how long after its last word a box still counts among those that
+	// share a bound. It is long: a box that is cut off goes on spending its share.
+	ShareFor = 20 * time.Second
+	// TouchFor is how long after its own last word a box is in touch: a few rounds of
+	// adverts.
+	TouchFor = 2 * time.Second
+	// ForgetBox is how long a box that nobody hears is still tried.
+	ForgetBox = time.Minute
+	// AskAfter is how long a box that learns from a peer that it is behind waits for
+	// the store to tell it the same: a few of the store's usual answers.
+	AskAfter = 100 * time.Millisecond
+	// askAgain is the pause between two questions to the same peer.
+	askAgain = 200 * time.Millisecond
+)
+
+// NewBoxes returns the table of a box that knows no other.
+func NewBoxes(self domain.BoxID, rnd *rand.Rand) *Boxes {
+	return &Boxes{self: self, rand: rnd, boxes: map[domain.BoxID]*peer{}}
+}
+
+// Heard takes a box's own word.
+func (b *Boxes) Heard(now time.Time, c Contact, l Level, leaving bool) {
+	p := b.peer(c)
+	if p == nil || c.Incarnation < p.contact.Incarnation {
+		return
+	}
+	if c.Incarnation > p.contact.Incarnation {
+		p.level = Level{}
+	}
+	p.contact, p.leaving = c, leaving
+	p.level = Level{Config: max(p.level.Config, l.Config), Targets: max(p.level.Targets, l.Targets)}
+	p.directAt, p.heardAt = now, now
+}
+
+// HeardOf takes another box's word that a box was heard so long ago.
+func (b *Boxes) HeardOf(now time.Time, c Contact, ago time.Duration) {
+	p := b.peer(c)
+	if p == nil || ago < 0 || c.Incarnation < p.contact.Incarnation {
+		return
+	}
+	if c.Incarnation > p.contact.Incarnation {
+		*p = peer{contact: c}
+	}
+	if at := now.Add(-ago); at.After(p.heardAt) {
+		p.heardAt = at
+	}
+}
+
+// peer finds or adds a box; nil for this box itself.
+func (b *Boxes) peer(c Contact) *peer {
+	if c.Box == b.self || c.Box == "" {
+		return nil
+	}
+	p, ok := b.boxes[c.Box]
+	if !ok {
+		p = &peer{contact: c}
+		b.boxes[c.Box] = p
+	}
+	return p
+}
+
+// Sharing is how many boxes share what is bounded for all, this one included.
+func (b *Boxes) Sharing(now time.Time) int {
+	n := 1
+	for _, p := range b.boxes {
+		if now.Sub(p.heardAt) < ShareFor {
+			n++
+		}
+	}
+	return n
+}
+
+// InTouch is how many boxes, this one included, have lately spoken for themselves.
+func (b *Boxes) InTouch(now time.Time) int {
+	n := 1
+	for _, p := range b.boxes {
+		if !p.leaving && now.Sub(p.directAt) < TouchFor {
+			n++
+		}
+	}
+	return n
+}
+
+// Tell chooses so many boxes to tell news to, and forgets those long unheard.
+func (b *Boxes) Tell(now time.Time, most int) []Contact {
+	list := make([]Contact, 0, len(b.boxes))
+	for id, p := range b.boxes {
+		if now.Sub(p.heardAt) > ForgetBox {
+			delete(b.boxes, id)
+			continue
+		}
+		list = append(list, p.contact)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Box < list[j].Box })
+	b.rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list[:min(most, len(list))]
+}
+
+// Known are the boxes heard lately, with how long ago, for passing on.
+func (b *Boxes) Known(now time.Time, most int) map[Contact]time.Duration {
+	list := map[Contact]time.Duration{}
+	for _, c := range b.Tell(now, len(b.boxes)) {
+		ago := now.Sub(b.boxes[c.Box].heardAt)
+		if ago < ShareFor && len(list) < most {
+			list[c] = ago
+		}
+	}
+	return list
+}
+
+// Ask chooses a box that knows more than own, if this box should no longer wait for
+// the store. behind is since when it knows that it is behind.
+func (b *Boxes) Ask(now time.Time, own Level, behind time.Time) (Contact, bool) {
+	if behind.IsZero() || now.Sub(behind) < AskAfter {
+		return Contact{}, false
+	}
+	var best *peer
+	for _, p := range b.boxes {
+		if !p.level.ahead(own) || now.Sub(p.askedAt) < askAgain {
+			continue
+		}
+		if best == nil || p.directAt.After(best.directAt) {
+			best = p
+		}
+	}
+	if best == nil {
+		return Contact{}, false
+	}
+	best.askedAt = now
+	return best.contact, true
+}
+
+// Behind tells whether any box knows more than own.
+func (b *Boxes) Behind(own Level) bool {
+	for _, p := range b.boxes {
+		if p.level.ahead(own) {
+			return true
+		}
+	}
+	return false
+}
+
+func (l Level) ahead(own Level) bool { return l.Config > own.Config || l.Targets > own.Targets }
--- a/membership/roster.go
+++ b/membership/roster.go
@@ -93,7 +93,8 @@
 // it comes. It is not safe for concurrent use.
 type Roster struct {
 	policy    RosterPolicy
-	at        store.Revision
+	at        store.Revision // up to which the list is known
+	newest    store.Revision // of the last change in it
 	entries   map[domain.InstanceID]*entry
 	byService map[domain.ServiceName]*health
 	storeBack time.Time // when the store last came back, or now while it is away
@@ -111,6 +112,9 @@
 // At is the revision up to which the list is known.
 func (r *Roster) At() store.Revision { return r.at }
 
+// Newest is the revision of the last change that is known.
+func (r *Roster) Newest() store.Revision { return r.newest }
+
 // StoreTroubled tells that the store is away, or was until now.
 func (r *Roster) StoreTroubled(now time.Time) { r.storeBack = now }
 
@@ -155,7 +159,7 @@
 		r.entries[n.ID] = e
 	}
 	e.revision = n.Revision
-	r.at = max(r.at, n.Revision)
+	r.at, r.newest = max(r.at, n.Revision), max(r.newest, n.Revision)
 	if n.Target == nil {
 		r.vanish(now, e)
 		return []News{n}
--- a/mesh/messages.go
+++ b/mesh/messages.go
@@ -39,7 +39,8 @@
 	Self    Contact         `json:"self"`
 	Hall    domain.HallName `json:"hall"`
 	Leaving bool            `json:"leaving,omitempty"`
-	// Config and Targets are the revisions up to which it knows them.
+	// Config is the revision of its configuration; Targets that of the last change of
+	// a target that it knows.
 	Config  store.Revision `json:"config"`
 	Targets store.Revision `json:"targets"`
 	// Known are other boxes that it has heard of lately.
@@ -121,13 +122,13 @@
 
 // RankReport is how a rank does.
 type RankReport struct {
-	Group    domain.GroupName  `json:"group"`
-	Rank     int               `json:"rank"`
-	Size     int               `json:"size"`
-	State    orders.State      `json:"state"`
-	Running  int               `json:"running"`
-	Waiting  int               `json:"waiting"`
-	Pace     float64           `json:"pace"`
+	Group   domain.GroupName `json:"group"`
+	Rank    int              `json:"rank"`
+	Size    int              `json:"size"`
+	State   orders.State     `json:"state"`
+	Running int              `json:"running"`
+	Waiting int              `json:"waiting"`
+	Pace    float64          `json:"pace"`
 	// Counts are how often each expert was chosen by this rank's requests since the
 	// rank's start, layer by layer; only in answers to Read.
 	Counts []uint64 `json:"counts,omitempty"`
@@ -147,13 +148,13 @@
 // OrderCall is an order for the engine beside the agent. Exactly one of the orders
 // is set.
 type OrderCall struct {
-	Epoch    orders.Epoch      `json:"epoch"`
-	Fence    orders.Fence      `json:"fence"`
-	Prepare  *orders.Prepare   `json:"prepare,omitempty"`
-	Arm      *orders.Arm       `json:"arm,omitempty"`
-	Disarm   *orders.Disarm    `json:"disarm,omitempty"`
-	Hold     *orders.Hold      `json:"hold,omitempty"`
-	Release  *orders.Release   `json:"release,omitempty"`
+	Epoch   orders.Epoch    `json:"epoch"`
+	Fence   orders.Fence    `json:"fence"`
+	Prepare *orders.Prepare `json:"prepare,omitempty"`
+	Arm     *orders.Arm     `json:"arm,omitempty"`
+	Disarm  *orders.Disarm  `json:"disarm,omitempty"`
+	Hold    *orders.Hold    `json:"hold,omitempty"`
+	Release *orders.Release `json:"release,omitempty"`
 }
 
 // CallOf wraps an order for the wire.
--- a/node/belief.go
+++ b/node/belief.go
@@ -20,6 +20,7 @@
 	common telemetry.Common
 	fleet  *fleet
 	adopt  func(*catalog.Catalog) // called with each newer configuration
+	moved  func()                 // called after news of any kind
 
 	mu     sync.Mutex
 	holder catalog.Holder
@@ -40,6 +41,7 @@
 		b.common.Metrics.Set(telemetry.ConfigSeq, "", float64(c.Version()))
 		b.common.Log.Info("configuration in force", "version", c.Version(), "revision", rev, "source", source, "before", before)
 		b.adopt(c)
+		b.moved()
 	}
 }
 
@@ -72,6 +74,9 @@
 }
 
 func (b *belief) logNews(fresh []membership.News, source string) {
+	if len(fresh) > 0 {
+		b.moved()
+	}
 	for _, n := range fresh {
 		if n.Target == nil {
 			b.common.Log.Info("target gone", "target", n.ID, "revision", n.Revision, "source", source)
--- a/node/entry.go
+++ b/node/entry.go
@@ -42,6 +42,7 @@
 	gateway  *gateway.Gateway
 	ready    *readiness
 	mesh     *mesh.Client
+	peering  *peering
 }
 
 // NewEntry returns the process with the settings.
@@ -54,7 +55,8 @@
 	e.gateway = gateway.New(gateway.Parts{
 		Common: c, Speech: platform.Speech{}, Fleet: e.fleet, Pool: e.pool, Purse: e.budgets.purse,
 	})
-	e.belief = &belief{common: c, fleet: e.fleet, adopt: e.adopt}
+	e.peering = newPeering(e)
+	e.belief = &belief{common: c, fleet: e.fleet, adopt: e.adopt, moved: e.peering.tell}
 	return e
 }
 
@@ -82,6 +84,10 @@
 	if err != nil {
 		return err
 	}
+	if err := e.peering.serve(ctx, failed); err != nil {
+		return err
+	}
+	go e.peering.run(ctx)
 	e.common.Log.Info("started", "hall", e.settings.Hall, "callers", e.settings.Callers, "peers", e.settings.Peers, "store", e.settings.Store)
 	e.follow(ctx, platform.NewStore(e.settings.Store, storeClient()))
 	go e.sweep(ctx)
--- a/node/following.go
+++ b/node/following.go
@@ -22,15 +22,20 @@
 	follower *follow.Follower
 	listed   func(store.Listing)
 	changed  func(store.Changes)
-	lost     func() // called while the store does not answer
+	lost     func()     // called while the store does not answer
+	among    func() int // boxes that tell each other what they learn
 	wasLost  bool
 }
 
-// pace fits the bounds: a watch that was silently lost while the store was away is
-// noticed before the bounds hold again.
+// mostWait is under the longest wait that the store takes, 30 s.
+const mostWait = 25 * time.Second
+
+// pace fits the bounds: a watch that was silently lost while the store was in
+// trouble is noticed before the bounds hold again.
 func pace(b Bounds) follow.Pace {
 	return follow.Pace{
-		Wait:       b.Contact.Std() + b.ConfigApply.Std()/2,
+		Wait:       b.Contact.Std() / 2,
+		MostWait:   mostWait,
 		FirstPause: 100 * time.Millisecond,
 		MostPause:  min(time.Second, b.ConfigApply.Std()/4),
 	}
@@ -39,6 +44,7 @@
 // run follows until ctx ends.
 func (f *following) run(ctx context.Context) {
 	for ctx.Err() == nil {
+		f.follower.Among(f.among())
 		switch c := f.follower.Next(time.Now()).(type) {
 		case follow.List:
 			f.list(ctx)
@@ -142,7 +148,10 @@
 
 func (e *Entry) following(feed store.Feed, kind store.Kind) *following {
 	rnd := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	return &following{common: e.common, feed: feed, kind: kind, follower: follow.New(pace(e.settings.Bounds), rnd)}
+	return &following{
+		common: e.common, feed: feed, kind: kind, among: e.peering.inTouch,
+		follower: follow.New(pace(e.settings.Bounds), rnd),
+	}
 }
 
 func targetID(r store.Record) domain.InstanceID { return domain.InstanceID(r.Name) }
--- a/node/leave.go
+++ b/node/leave.go
@@ -11,13 +11,12 @@
 	noticed = 3 * time.Second
 	// stopMargin is how long before the platform kills the process it ends by itself.
 	stopMargin = 500 * time.Millisecond
-	// idleCheck is the time between two looks whether anything is in flight.
-	idleCheck = 20 * time.Millisecond
 )
 
-// leave is a planned stop: the box says that it is not ready, goes on serving
-// callers that still come, and ends once nothing is in flight, or at the latest
-// shortly before it would be killed.
+// leave is a planned stop: the box says that it is not ready and goes on serving
+// callers that still come until the platform has noticed. Then it takes no new
+// connection, closes those that rest, and ends once nothing is in flight, or at the
+// latest shortly before it would be killed.
 func (e *Entry) leave(s *servers) error {
 	began := time.Now()
 	end := began.Add(e.settings.Bounds.Stop.Std() - stopMargin)
@@ -27,9 +26,6 @@
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	sleepUntil(ctx, began.Add(min(noticed, time.Until(end)/2)))
-	for ctx.Err() == nil && e.gateway.InFlight() > 0 {
-		sleepUntil(ctx, time.Now().Add(idleCheck))
-	}
 	err := s.callers.Shutdown(ctx)
 	e.common.Log.Info("stopped", "in_flight", e.gateway.InFlight(), "after", time.Since(began))
 	return err
--- /dev/null
+++ b/node/peering.go
@@ -0,0 +1,277 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"clovertrail.dev/core/domain"
+	"clovertrail.dev/membership"
+	"clovertrail.dev/mesh"
+	"clovertrail.dev/routing"
+)
+
+// The times and sizes of peering.
+const (
+	// meetEvery is the time between two rounds of adverts. News is told at once; the
+	// rounds are for boxes that missed it.
+	meetEvery = 500 * time.Millisecond
+	// kickGap gathers news that comes in quick succession into one round.
+	kickGap = 30 * time.Millisecond
+	// meetWithin bounds a call to another box.
+	meetWithin = 700 * time.Millisecond
+	// meetMost is how many boxes are told in a round. With more boxes than that news
+	// spreads over a few rounds; each box sends the same whatever their number.
+	meetMost = 8
+	// passOnMost is how many other boxes an advert names.
+	passOnMost = 16
+	// seedEvery is the time between two looks at a seed by a box that knows others: it
+	// joins parts of the system that lost each other.
+	seedEvery = 5 * time.Second
+)
+
+// peering tells other entry boxes what this one knows, and asks them for what it
+// does not: so a box that the store turns away still learns the news.
+//
+// Lock order: mu, then the locks of belief and fleet.
+type peering struct {
+	entry *Entry
+	self  membership.Contact
+	kick  chan struct{}
+
+	mu      sync.Mutex
+	boxes   *membership.Boxes
+	calling map[string]bool
+	behind  time.Time
+	seedAt  time.Time
+	shared  int
+}
+
+func newPeering(e *Entry) *peering {
+	s := e.settings
+	return &peering{
+		entry: e,
+		self: membership.Contact{
+			Box: domain.BoxID(s.Box), Address: s.Peers, Incarnation: domain.Incarnation(time.Now().UnixNano()),
+		},
+		kick:    make(chan struct{}, 1),
+		boxes:   membership.NewBoxes(domain.BoxID(s.Box), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		calling: map[string]bool{},
+		shared:  1,
+	}
+}
+
+// inTouch is how many boxes tell each other news now, this one included.
+func (p *peering) inTouch() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.boxes.InTouch(time.Now())
+}
+
+// tell makes the next round come at once.
+func (p *peering) tell() {
+	select {
+	case p.kick <- struct{}{}:
+	default: // a round is due already
+	}
+}
+
+// serve answers other boxes at the addresses of the settings.
+func (p *peering) serve(ctx context.Context, failed chan<- error) error {
+	mux := mesh.NewMux()
+	mesh.Handle(mux, mesh.Meet, p.meet)
+	mesh.Handle(mux, mesh.Pull, p.pull)
+	for _, address := range []string{p.entry.settings.Peers, p.entry.settings.Meeting} {
+		if address == "" {
+			continue
+		}
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			return err
+		}
+		go func() { failed <- mesh.Serve(ctx, l, mux) }()
+	}
+	return nil
+}
+
+// run makes rounds until ctx ends.
+func (p *peering) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		p.round(ctx)
+		select {
+		case <-ctx.Done():
+		case <-p.kick:
+			sleepUntil(ctx, time.Now().Add(kickGap))
+		case <-time.After(meetEvery):
+		}
+	}
+}
+
+// round tells some boxes, and asks one of them if this box is behind.
+func (p *peering) round(ctx context.Context) {
+	now := time.Now()
+	p.mu.Lock()
+	var addresses []string
+	for _, c := range p.boxes.Tell(now, meetMost) {
+		addresses = append(addresses, c.Address)
+	}
+	if seeds := p.entry.settings.Seeds; len(seeds) > 0 && (len(addresses) == 0 || now.Sub(p.seedAt) > seedEvery) {
+		p.seedAt = now
+		addresses = append(addresses, seeds...)
+	}
+	if n := p.boxes.Sharing(now); n != p.shared {
+		p.entry.common.Log.Info("boxes share bounds", "boxes", n, "before", p.shared)
+		p.shared = n
+		p.entry.budgets.setBoxes(n)
+	}
+	p.mu.Unlock()
+	for _, a := range addresses {
+		p.start(a, func() { p.call(ctx, a) })
+	}
+	p.catchUp(ctx)
+}
+
+// start runs a call to the address unless one is under way.
+func (p *peering) start(address string, call func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.calling[address] {
+		return
+	}
+	p.calling[address] = true
+	go func() {
+		call()
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		delete(p.calling, address)
+	}()
+}
+
+// call exchanges adverts with the box at the address. One that does not answer is
+// tried again in a later round.
+func (p *peering) call(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, meetWithin)
+	defer cancel()
+	reply, err := mesh.Call[mesh.Advert, mesh.Advert](ctx, p.entry.mesh, address, mesh.Meet, p.advert())
+	if err == nil {
+		p.heard(reply)
+	}
+}
+
+// advert is what this box tells.
+func (p *peering) advert() *mesh.Advert {
+	now := time.Now()
+	own := p.level()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	a := &mesh.Advert{
+		Self: contactOf(p.self, 0), Hall: domain.HallName(p.entry.settings.Hall), Leaving: p.entry.gateway.Leaving(),
+		Config: own.Config, Targets: own.Targets,
+	}
+	for c, ago := range p.boxes.Known(now, passOnMost) {
+		a.Known = append(a.Known, contactOf(c, ago))
+	}
+	return a
+}
+
+func contactOf(c membership.Contact, ago time.Duration) mesh.Contact {
+	return mesh.Contact{Box: c.Box, Address: c.Address, Incarnation: c.Incarnation, Ago: ago}
+}
+
+func contactFrom(c mesh.Contact) membership.Contact {
+	return membership.Contact{Box: c.Box, Address: c.Address, Incarnation: c.Incarnation}
+}
+
+// level is how far this box knows what the store holds.
+func (p *peering) level() membership.Level {
+	_, config := p.entry.belief.document()
+	l := membership.Level{Config: config}
+	p.entry.fleet.with(func(r *membership.Roster, _ *routing.Balancer) { l.Targets = r.Newest() })
+	return l
+}
+
+// meet implements mesh.Meet.
+func (p *peering) meet(_ context.Context, a *mesh.Advert) (*mesh.Advert, error) {
+	p.heard(a)
+	return p.advert(), nil
+}
+
+// heard takes an advert. If it shows that this box is behind, a round follows in
+// which it asks.
+func (p *peering) heard(a *mesh.Advert) {
+	now := time.Now()
+	own := p.level()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.boxes.Heard(now, contactFrom(a.Self), membership.Level{Config: a.Config, Targets: a.Targets}, a.Leaving)
+	for _, c := range a.Known {
+		p.boxes.HeardOf(now, contactFrom(c), c.Ago)
+	}
+	p.noteBehind(now, own)
+}
+
+// noteBehind keeps since when this box is behind; mu is held.
+func (p *peering) noteBehind(now time.Time, own membership.Level) {
+	switch behind := p.boxes.Behind(own); {
+	case !behind:
+		p.behind = time.Time{}
+	case p.behind.IsZero():
+		p.behind = now
+		time.AfterFunc(membership.AskAfter, p.tell)
+	}
+}
+
+// catchUp asks a box that knows more.
+func (p *peering) catchUp(ctx context.Context) {
+	now := time.Now()
+	own := p.level()
+	p.mu.Lock()
+	p.noteBehind(now, own)
+	c, ok := p.boxes.Ask(now, own, p.behind)
+	p.mu.Unlock()
+	if ok {
+		p.start("pull "+c.Address, func() { p.ask(ctx, c, own) })
+	}
+}
+
+// ask takes what the other box has that this one has not.
+func (p *peering) ask(ctx context.Context, c membership.Contact, own membership.Level) {
+	ctx, cancel := context.WithTimeout(ctx, meetWithin)
+	defer cancel()
+	q := &mesh.PullQuery{Config: own.Config, Targets: own.Targets}
+	got, err := mesh.Call[mesh.PullQuery, mesh.Pulled](ctx, p.entry.mesh, c.Address, mesh.Pull, q)
+	if err != nil {
+		p.entry.common.Log.Warn("peer gave no news", "peer", c.Box, "err", err)
+		p.tell()
+		return
+	}
+	source := "peer " + string(c.Box)
+	if got.Config != nil {
+		p.entry.belief.configuration(got.Config.Raw, got.Config.Revision, source)
+	}
+	if got.At == 0 {
+		return
+	}
+	news, err := got.News()
+	if err != nil {
+		p.entry.common.Log.Error("peer's targets not taken", "peer", c.Box, "err", err)
+		return
+	}
+	p.entry.belief.targets(got.At, news, source)
+}
+
+// pull implements mesh.Pull.
+func (p *peering) pull(_ context.Context, q *mesh.PullQuery) (*mesh.Pulled, error) {
+	out := &mesh.Pulled{}
+	if raw, rev := p.entry.belief.document(); rev > q.Config {
+		out.Config = &mesh.Document{Revision: rev, Raw: raw}
+	}
+	p.entry.fleet.with(func(r *membership.Roster, _ *routing.Balancer) {
+		if r.Newest() > q.Targets {
+			out.At, out.Targets = r.Newest(), mesh.ListOf(r.All())
+		}
+	})
+	return out, nil
+}
--- a/store/follow/follower.go
+++ b/store/follow/follower.go
@@ -10,8 +10,11 @@
 
 // Pace holds the times of a Follower.
 type Pace struct {
-	// Wait is how long a watch waits for a change.
+	// Wait is how long a watch of a box that is alone waits for a change. A watch that
+	// the store has silently dropped goes unnoticed for so long.
 	Wait time.Duration
+	// MostWait bounds the wait of a box among many.
+	MostWait time.Duration
 	// FirstPause is the pause after a first failure; each further one doubles it, up
 	// to MostPause. Each pause is spread by half of itself either way.
 	FirstPause, MostPause time.Duration
@@ -41,6 +44,7 @@
 type Follower struct {
 	pace     Pace
 	rand     *rand.Rand
+	boxes    int // that tell each other what they learn, this one included
 	listed   bool
 	at       store.Revision
 	failures int
@@ -50,7 +54,7 @@
 }
 
 // New returns a follower that has seen nothing.
-func New(p Pace, rnd *rand.Rand) *Follower { return &Follower{pace: p, rand: rnd} }
+func New(p Pace, rnd *rand.Rand) *Follower { return &Follower{pace: p, rand: rnd, boxes: 1} }
 
 // At is the revision up to which the kind is known.
 func (f *Follower) At() store.Revision { return f.at }
@@ -69,10 +73,27 @@
 	case !f.listed:
 		return List{}
 	default:
-		return Watch{Since: f.at, Wait: f.pace.Wait}
+		return Watch{Since: f.at, Wait: f.wait()}
 	}
 }
 
+// Among tells how many boxes tell each other what they learn.
+func (f *Follower) Among(boxes int) { f.boxes = max(boxes, 1) }
+
+// sharers is how many boxes' watches stand in for one of a box that is alone. Their
+// ends are spread by chance, and with four of them in the time of one wait it is
+// rare that none ends for as long as that.
+const sharers = 4
+
+// wait grows with the number of boxes, so that all together ask the store equally
+// often however many they are: one of them notices a dropped watch and tells the
+// others.
+func (f *Follower) wait() time.Duration {
+	w := f.pace.Wait * time.Duration(f.boxes) / sharers
+	w = min(max(w, f.pace.Wait), max(f.pace.MostWait, f.pace.Wait))
+	return w - time.Duration(f.rand.Int64N(int64(w)/sharers+1))
+}
+
 // Listed takes the end of a List.
 func (f *Follower) Listed(now time.Time, at store.Revision, err error) {
 	if err != nil {
