--- /dev/null
+++ b/admission/gate.go
@@ -0,0 +1,76 @@
+package admission
+
+import "time"
+
+// Gate decides at an entry box whether a request is sent on or refused at once. A
+// request that would wait longer than an answer in time allows only makes others
+// wait too; refused at once, its caller can come back when there is room.
+//
+// A caller that comes back after a refusal has less time left than one that comes
+// for the first time, and goes first: callers that come for the first time leave
+// part of the waiting time to those.
+type Gate struct {
+	longest map[string]time.Duration // by route: the most time that a caller had
+}
+
+// Ask is what a Gate goes by.
+type Ask struct {
+	Route string
+	Left  time.Duration // that the caller has
+	Aim   time.Duration // within which the answer must begin to be in time; 0 for none
+	// Begins is after how long an answer is expected to begin, Wait how much of it the
+	// request would wait for a slot.
+	Begins, Wait time.Duration
+}
+
+const (
+	// firstShare is the part of the waiting time that callers use that come for the
+	// first time.
+	firstShare = 0.6
+	// cameBack is the share of the most time that callers of a route have below which
+	// one must have come before.
+	cameBack = 0.9
+	// heed is the share of its time within which a caller heeds when to come back.
+	heed = 1.0 / 3
+	// leastRest is the least time that a refused caller is sent away for.
+	leastRest = 100 * time.Millisecond
+)
+
+// NewGate returns a gate that has seen no request.
+func NewGate() *Gate { return &Gate{longest: map[string]time.Duration{}} }
+
+// Admit tells whether the request is sent on; if not, after how long its caller
+// should come back. spread is from 0 up to 1 and keeps callers that were refused
+// together from coming back together.
+func (g *Gate) Admit(a Ask, spread float64) (bool, time.Duration) {
+	again := g.returned(a)
+	if a.Aim == 0 || a.Wait == 0 {
+		return true, 0
+	}
+	room := a.Aim - (a.Begins - a.Wait)
+	if !again {
+		room = time.Duration(float64(room) * firstShare)
+	}
+	if a.Wait <= room {
+		return true, 0
+	}
+	return false, Rest(a.Left, spread)
+}
+
+// Rest is after how long a refused caller should come back: as late as it heeds, so
+// that there is the most time for room to come, and spread over the latter half.
+func Rest(left time.Duration, spread float64) time.Duration {
+	most := float64(left) * heed
+	return max(time.Duration(most*(1+spread)/2), leastRest)
+}
+
+// returned tells a caller that came before by the time that it has left.
+func (g *Gate) returned(a Ask) bool {
+	if a.Left > g.longest[a.Route] {
+		g.longest[a.Route] = a.Left
+	}
+	return float64(a.Left) < cameBack*float64(g.longest[a.Route])
+}
+
+// Forget drops what is known of routes, as when the configuration changes.
+func (g *Gate) Forget() { clear(g.longest) }
--- a/gateway/delivery.go
+++ b/gateway/delivery.go
@@ -27,8 +27,10 @@
 	began  bool   // the head went to the caller
 	after  string // the last event that the caller has
 	events int
-	first  time.Time // when the caller got the first byte
-	held   *answer   // a failed answer that may have to be passed on
+	first  time.Time     // when the caller got the first byte
+	last   time.Time     // when the caller got the last events
+	pause  time.Duration // the longest between events
+	held   *answer       // a failed answer that may have to be passed on
 }
 
 // serve drives the order's machine to its end.
@@ -68,7 +70,10 @@
 // try makes one attempt and returns what to do after it.
 func (d *delivery) try(ctx context.Context, t retry.Try) retry.Command {
 	now := time.Now()
-	lease, err := d.g.parts.Fleet.Acquire(now, Query{Service: d.o.service, Tried: d.tried})
+	lease, err := d.g.parts.Fleet.Acquire(now, Query{
+		Service: d.o.service, Tried: d.tried, First: len(d.tried) == 0,
+		Route: d.o.route.Name(), Aim: d.o.route.Aim(), Deadline: d.o.deadline,
+	})
 	if err != nil {
 		f := fault.Find(err)
 		if f == nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -29,6 +29,14 @@
 	Service domain.ServiceName
 	// Tried are instances that had an attempt of the request.
 	Tried []domain.InstanceID
+	// First tells that this is the first attempt; a further one is not refused for
+	// want of room.
+	First bool
+	Route string
+	// Aim is the time within which an answer must begin to be in time.
+	Aim time.Duration
+	// Deadline is when the caller stops waiting.
+	Deadline time.Time
 }
 
 // Lease is a place at a target for one attempt. One of its methods is called last,
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -32,7 +32,7 @@
 func (g *Gateway) delivered(o *order, d *delivery) {
 	g.parts.Common.Metrics.Count(telemetry.Answers, "ok", 1)
 	g.parts.Common.Log.Info("request answered", "request", o.ID(), "route", o.route.Name(), "organisation", o.org.Name,
-		"target", d.tried[len(d.tried)-1], "attempts", d.course.Attempts(), "events", d.events,
+		"target", d.tried[len(d.tried)-1], "attempts", d.course.Attempts(), "events", d.events, "pause", d.pause,
 		"first", d.first.Sub(o.arrived), "after", time.Since(o.arrived))
 }
 
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -66,13 +66,22 @@
 func (a *attempt) passEvents(resp *http.Response, whole []byte) {
 	a.beginOnce(resp)
 	d := a.d
-	d.events += bytes.Count(whole, eventEnd)
+	d.noteEvents(time.Now(), bytes.Count(whole, eventEnd))
 	if id := lastID(whole); id != nil {
 		d.after = string(id)
 	}
 	_, _ = d.w.Write(whole) // a caller that is gone is noticed when it is flushed
 }
 
+// noteEvents counts events that came now.
+func (d *delivery) noteEvents(now time.Time, n int) {
+	if d.events > 0 {
+		d.pause = max(d.pause, now.Sub(d.last))
+	}
+	d.events += n
+	d.last = now
+}
+
 // beginOnce writes the head unless the caller has one already.
 func (a *attempt) beginOnce(resp *http.Response) {
 	a.began()
--- a/membership/boxes.go
+++ b/membership/boxes.go
@@ -33,6 +33,7 @@
 
 type peer struct {
 	contact  Contact
+	hall     domain.HallName // empty until it spoke for itself
 	level    Level
 	leaving  bool
 	directAt time.Time // its own last word
@@ -63,7 +64,7 @@
 }
 
 // Heard takes a box's own word.
-func (b *Boxes) Heard(now time.Time, c Contact, l Level, leaving bool) {
+func (b *Boxes) Heard(now time.Time, c Contact, hall domain.HallName, l Level, leaving bool) {
 	p := b.peer(c)
 	if p == nil || c.Incarnation < p.contact.Incarnation {
 		return
@@ -71,7 +72,7 @@
 	if c.Incarnation > p.contact.Incarnation {
 		p.level = Level{}
 	}
-	p.contact, p.leaving = c, leaving
+	p.contact, p.hall, p.leaving = c, hall, leaving
 	p.level = Level{Config: max(p.level.Config, l.Config), Targets: max(p.level.Targets, l.Targets)}
 	p.directAt, p.heardAt = now, now
 }
@@ -125,6 +126,21 @@
 	return n
 }
 
+// Elsewhere tells whether boxes of other data halls are known, and when one of them
+// last spoke for itself.
+func (b *Boxes) Elsewhere(now time.Time, hall domain.HallName) (known bool, last time.Time) {
+	for _, p := range b.boxes {
+		if p.hall == "" || p.hall == hall || now.Sub(p.directAt) > ShareFor {
+			continue
+		}
+		known = true
+		if p.directAt.After(last) {
+			last = p.directAt
+		}
+	}
+	return known, last
+}
+
 // Tell chooses so many boxes to tell news to, and forgets those long unheard.
 func (b *Boxes) Tell(now time.Time, most int) []Contact {
 	list := make([]Contact, 0, len(b.boxes))
--- a/membership/health.go
+++ b/membership/health.go
@@ -8,7 +8,11 @@
 	samples   int
 	ejections int
 	ejectedTo time.Time
-	unreached bool // the last ejection was because it could not be reached
+
+	misses    int       // times in a row that it could not be reached
+	missedAt  time.Time // the last of them
+	missingTo time.Time // until when it is not tried
+	reachedAt time.Time // its last sign of life
 }
 
 const (
@@ -27,8 +31,8 @@
 	h.failShare += weight * (sample - h.failShare)
 }
 
-func (h *health) succeeded() {
-	h.unreached = false
+func (h *health) succeeded(now time.Time) {
+	h.reached(now)
 	if h.failShare < healthSmoothing {
 		h.ejections = 0
 	}
@@ -47,7 +51,29 @@
 	h.ejections++
 	h.ejectedTo = now.Add(d)
 	h.samples, h.failShare = 0, 0
-	h.unreached = false
 }
 
 func (h *health) ejected(now time.Time) bool { return now.Before(h.ejectedTo) }
+
+// unreach takes that no connection could be made.
+func (h *health) unreach(now time.Time, p RosterPolicy) {
+	if h.unreachable(now) {
+		return
+	}
+	d := min(p.EjectFor<<min(h.misses, maxEjections), p.MissMost)
+	h.misses++
+	h.missedAt, h.missingTo = now, now.Add(d)
+}
+
+// reached takes a sign of life.
+func (h *health) reached(now time.Time) { h.misses, h.missingTo, h.reachedAt = 0, time.Time{}, now }
+
+func (h *health) unreachable(now time.Time) bool { return now.Before(h.missingTo) }
+
+// missingAt is when it was last found out of reach; zero if that is over.
+func (h *health) missingAt(now time.Time) time.Time {
+	if h.unreachable(now) {
+		return h.missedAt
+	}
+	return time.Time{}
+}
--- a/membership/roster.go
+++ b/membership/roster.go
@@ -19,6 +19,8 @@
 	// EjectFor is the first ejection of a failing target; each further one doubles
 	// it, up to EjectMost.
 	EjectFor, EjectMost time.Duration
+	// MissMost bounds how long a target that could not be reached is not tried.
+	MissMost time.Duration
 	// FailShare is the share of failures, above that of the service as a whole, from
 	// which a target is ejected.
 	FailShare float64
@@ -27,6 +29,9 @@
 	// ReportFresh is for how long a target's own word of its group goes before the
 	// list's, which lags.
 	ReportFresh time.Duration
+	// StallAfter is how long a group with work may stand at one step before it is
+	// suspect: several times the longest step.
+	StallAfter time.Duration
 	// ForgetAfter is how long a target that is gone is remembered, so that older news
 	// does not bring it back.
 	ForgetAfter time.Duration
@@ -39,9 +44,11 @@
 		Trouble:     3 * time.Second,
 		EjectFor:    time.Second,
 		EjectMost:   8 * time.Second,
+		MissMost:    4 * time.Second,
 		FailShare:   0.25,
 		Floor:       0.5,
 		ReportFresh: time.Second,
+		StallAfter:  500 * time.Millisecond,
 		ForgetAfter: time.Minute,
 	}
 }
@@ -57,6 +64,8 @@
 	Suspect
 	// Lapsed: its entry vanished while the store was in trouble; it may live.
 	Lapsed
+	// Unreachable: no connection to it could be made a moment ago.
+	Unreachable
 	// Unfit: its group does not step.
 	Unfit
 	// Leaving: it is leaving or gone, and gets nothing.
@@ -65,11 +74,14 @@
 
 // String gives the name of the standing.
 func (s Standing) String() string {
-	return [...]string{"good", "suspect", "lapsed", "unfit", "leaving"}[s]
+	return [...]string{"good", "suspect", "lapsed", "unreachable", "unfit", "leaving"}[s]
 }
 
-// Usable is a target that may get new work, with its standing.
-type Usable struct {
+// Usable tells whether a target of the standing may get new work.
+func (s Standing) Usable() bool { return s < Unreachable }
+
+// Ranked is a target with its standing.
+type Ranked struct {
 	Target   domain.Target
 	Standing Standing
 }
@@ -84,6 +96,32 @@
 	health   health
 	own      domain.Rank // its own word of its group
 	ownAt    time.Time
+	progress progress
+}
+
+// progress is how far a rank says that its group has stepped.
+type progress struct {
+	step    uint64
+	at      time.Time // since when it has stood at the step with work to do
+	movedAt time.Time // when it was last seen to step
+}
+
+// stalled tells that the group has not stepped for longer than a step takes.
+func (p progress) stalled(now time.Time, after time.Duration) bool {
+	return !p.at.IsZero() && now.Sub(p.at) > after
+}
+
+func (p *progress) take(now time.Time, step uint64, working bool) {
+	if step > p.step {
+		p.movedAt = now
+	}
+	switch {
+	case !working:
+		p.at = time.Time{}
+	case step != p.step || p.at.IsZero():
+		p.at = now
+	}
+	p.step = step
 }
 
 // Roster is the set of targets as one entry box sees it, each named by its
@@ -183,10 +221,13 @@
 // CaughtUp tells that all changes up to the revision have been taken.
 func (r *Roster) CaughtUp(at store.Revision) { r.at = max(r.at, at) }
 
-// Reported takes a target's own word of its place in a group.
-func (r *Roster) Reported(now time.Time, id domain.InstanceID, own domain.Rank) {
+// Reported takes a target's own word of its place in a group, of the last step that
+// the group has begun, and of whether it has requests to work on.
+func (r *Roster) Reported(now time.Time, id domain.InstanceID, own domain.Rank, step uint64, working bool) {
 	if e, ok := r.entries[id]; ok {
 		e.own, e.ownAt = own, now
+		e.progress.take(now, step, working)
+		e.health.reached(now)
 	}
 }
 
@@ -198,7 +239,7 @@
 }
 
 // Succeeded takes an attempt that the target served.
-func (r *Roster) Succeeded(id domain.InstanceID) { r.ended(time.Time{}, id, false) }
+func (r *Roster) Succeeded(now time.Time, id domain.InstanceID) { r.ended(now, id, false) }
 
 // Failed takes an attempt that the target let down although it could be reached.
 func (r *Roster) Failed(now time.Time, id domain.InstanceID) { r.ended(now, id, true) }
@@ -216,7 +257,7 @@
 	all.add(failed)
 	e.health.add(failed)
 	if !failed {
-		e.health.succeeded()
+		e.health.succeeded(now)
 		return
 	}
 	if e.health.worse(all, r.policy.FailShare) {
@@ -227,8 +268,7 @@
 // Unreachable takes an attempt that could not reach the target at all.
 func (r *Roster) Unreachable(now time.Time, id domain.InstanceID) {
 	if e, ok := r.entries[id]; ok {
-		e.health.eject(now, r.policy)
-		e.health.unreached = true
+		e.health.unreach(now, r.policy)
 	}
 }
 
@@ -254,21 +294,25 @@
 	return list
 }
 
-// Usable returns the targets of the service that may get new work, the best
-// standing first, and within one in order of id.
-func (r *Roster) Usable(now time.Time, svc domain.ServiceName) []Usable {
-	broken, suspect := r.groups(now, svc)
-	var list []Usable
+// Ranked returns the targets of the service that are not leaving, the best standing
+// first, and within one in order of id.
+func (r *Roster) Ranked(now time.Time, svc domain.ServiceName) []Ranked {
+	groups := r.groups(now, svc)
+	halls := r.halls(now)
+	var list []Ranked
 	for _, e := range r.entries {
 		if e.target.Service() != svc {
 			continue
 		}
 		s := r.standing(now, e)
 		if g, ok := e.target.Rank(); ok && s < Leaving {
-			s = max(s, groupStanding(broken[g.Group], suspect[g.Group]))
+			s = max(s, groups[g.Group].standing())
+		}
+		if halls[e.target.Hall()].cut() {
+			s = max(s, Suspect)
 		}
 		if s < Leaving {
-			list = append(list, Usable{Target: e.target, Standing: s})
+			list = append(list, Ranked{Target: e.target, Standing: s})
 		}
 	}
 	sort.Slice(list, func(i, j int) bool {
@@ -290,6 +334,8 @@
 			return Lapsed
 		}
 		return Leaving
+	case e.health.unreachable(now):
+		return Unreachable
 	case e.health.ejected(now):
 		return Suspect
 	default:
@@ -297,36 +343,88 @@
 	}
 }
 
-func groupStanding(broken, suspect bool) Standing {
+// groupView is what the ranks of a group say of it together.
+type groupView struct {
+	broken    bool
+	stalled   bool
+	movedAt   time.Time // a rank was last seen to step
+	missingAt time.Time // a rank was last found out of reach
+}
+
+// standing: a group of which a rank is out of reach may have lost that rank, until
+// it is seen to go on without a pause.
+func (g *groupView) standing() Standing {
 	switch {
-	case broken:
+	case g == nil:
+		return Good
+	case g.broken:
 		return Unfit
-	case suspect:
+	case g.stalled || g.missingAt.After(g.movedAt):
 		return Suspect
 	default:
 		return Good
 	}
 }
 
-// groups tells which groups of the service do not step, and which have a rank that
-// cannot be reached and so may not.
-func (r *Roster) groups(now time.Time, svc domain.ServiceName) (broken, suspect map[domain.GroupName]bool) {
+// groups puts together what is known of the groups of the service.
+func (r *Roster) groups(now time.Time, svc domain.ServiceName) map[domain.GroupName]*groupView {
+	views := map[domain.GroupName]*groupView{}
 	for _, e := range r.entries {
 		g, ok := e.target.Rank()
 		if !ok || e.target.Service() != svc || !e.goneAt.IsZero() {
 			continue
 		}
-		if broken == nil {
-			broken, suspect = map[domain.GroupName]bool{}, map[domain.GroupName]bool{}
+		v, ok := views[g.Group]
+		if !ok {
+			v = &groupView{}
+			views[g.Group] = v
+		}
+		v.broken = v.broken || !r.open(now, e, g)
+		v.stalled = v.stalled || e.progress.stalled(now, r.policy.StallAfter)
+		if e.progress.movedAt.After(v.movedAt) {
+			v.movedAt = e.progress.movedAt
+		}
+		if at := e.health.missingAt(now); at.After(v.missingAt) {
+			v.missingAt = at
+		}
+	}
+	return views
+}
+
+// hallView is what is known of the way to a data hall.
+type hallView struct {
+	missing   int       // targets that are out of reach
+	missedAt  time.Time // the first of them
+	reachedAt time.Time // any target of the hall
+}
+
+// cutBy is how many targets of a data hall must be out of reach for the hall to be.
+const cutBy = 2
+
+// cut tells that the hall itself seems to be out of reach.
+func (h *hallView) cut() bool {
+	return h != nil && h.missing >= cutBy && h.missedAt.After(h.reachedAt)
+}
+
+func (r *Roster) halls(now time.Time) map[domain.HallName]*hallView {
+	views := map[domain.HallName]*hallView{}
+	for _, e := range r.entries {
+		v, ok := views[e.target.Hall()]
+		if !ok {
+			v = &hallView{}
+			views[e.target.Hall()] = v
 		}
-		if !r.open(now, e, g) {
-			broken[g.Group] = true
+		if e.health.reachedAt.After(v.reachedAt) {
+			v.reachedAt = e.health.reachedAt
 		}
-		if e.health.unreached && e.health.ejected(now) {
-			suspect[g.Group] = true
+		if at := e.health.missingAt(now); !at.IsZero() {
+			if v.missing == 0 || at.Before(v.missedAt) {
+				v.missedAt = at
+			}
+			v.missing++
 		}
 	}
-	return broken, suspect
+	return views
 }
 
 func (r *Roster) open(now time.Time, e *entry, listed domain.Rank) bool {
@@ -338,7 +436,7 @@
 
 // restore lets enough suspect targets count as good that ejections leave a set
 // share in use: many that fail at once are more likely one trouble on the way.
-func (r *Roster) restore(list []Usable) []Usable {
+func (r *Roster) restore(list []Ranked) []Ranked {
 	good, known := 0, 0
 	for _, u := range list {
 		switch u.Standing {
--- a/node/agent.go
+++ b/node/agent.go
@@ -158,6 +158,10 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if before := a.report; before.Rank.Epoch != r.Rank.Epoch || before.Rank.Open != r.Rank.Open {
+		a.common.Log.Info("group changed", "group", r.Rank.Group, "rank", r.Rank.Number, "epoch", r.Rank.Epoch, "open", r.Rank.Open,
+			"epoch_before", before.Rank.Epoch, "open_before", before.Rank.Open, "step", r.State.Step)
+	}
 	a.report, a.readAt = r, time.Now()
 	return r, nil
 }
--- a/node/entry.go
+++ b/node/entry.go
@@ -63,7 +63,7 @@
 // adopt puts a configuration in force.
 func (e *Entry) adopt(c *catalog.Catalog) {
 	e.gateway.Configure(c)
-	e.ready.set(true)
+	e.ready.configured.Store(true)
 }
 
 // storeClient keeps a connection for each of the waiting calls.
@@ -91,6 +91,7 @@
 	e.common.Log.Info("started", "hall", e.settings.Hall, "callers", e.settings.Callers, "peers", e.settings.Peers, "store", e.settings.Store)
 	e.follow(ctx, platform.NewStore(e.settings.Store, storeClient()))
 	go e.sweep(ctx)
+	go e.judge(ctx)
 	if e.settings.AgentPort > 0 {
 		w := &watching{entry: e, mesh: e.mesh, agents: map[domain.InstanceID]context.CancelFunc{}}
 		go w.run(ctx)
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"clovertrail.dev/admission"
 	"clovertrail.dev/core/call"
 	"clovertrail.dev/core/domain"
 	"clovertrail.dev/core/fault"
@@ -14,10 +15,6 @@
 	"clovertrail.dev/routing"
 )
 
-// comeBack is when a caller is asked to come again if a service has no target: the
-// time that a lost group takes to notice and form anew is of this order.
-const comeBack = time.Second
-
 // fleet guards what the box knows of targets, and chooses among them. It implements
 // gateway.Fleet.
 //
@@ -27,6 +24,8 @@
 	hall     domain.HallName
 	roster   *membership.Roster
 	balancer *routing.Balancer
+	gate     *admission.Gate
+	askedAt  map[domain.ServiceName]time.Time // when a target of the service was last asked for
 }
 
 func newFleet(hall domain.HallName, p membership.RosterPolicy) *fleet {
@@ -34,6 +33,8 @@
 		hall:     hall,
 		roster:   membership.NewRoster(p),
 		balancer: routing.NewBalancer(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		gate:     admission.NewGate(),
+		askedAt:  map[domain.ServiceName]time.Time{},
 	}
 }
 
@@ -48,21 +49,60 @@
 func (f *fleet) Acquire(now time.Time, q gateway.Query) (gateway.Lease, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.askedAt[q.Service] = now
+	options := f.options(now, q.Service, q.Tried)
+	chosen, ok := f.balancer.Pick(now, f.hall, options)
+	left := q.Deadline.Sub(now)
+	if !ok {
+		rest := admission.Rest(left, rand.Float64())
+		return nil, fault.New(fault.NoTarget, "service %s has no target that takes requests", q.Service).RetryAt(now.Add(rest))
+	}
+	if err := f.admit(now, q, chosen, left); err != nil {
+		return nil, err
+	}
+	t, _ := f.roster.Get(chosen.ID) // it was listed a moment ago
+	return &place{fleet: f, target: t, ticket: f.balancer.Sent(now, chosen)}, nil
+}
+
+// options are the targets of the service that may get new work; mu is held.
+func (f *fleet) options(now time.Time, svc domain.ServiceName, tried []domain.InstanceID) []routing.Option {
 	var options []routing.Option
-	for _, u := range f.roster.Usable(now, q.Service) {
-		if u.Standing < membership.Unfit && !slices.Contains(q.Tried, u.Target.ID()) {
+	for _, u := range f.roster.Ranked(now, svc) {
+		if u.Standing.Usable() && !slices.Contains(tried, u.Target.ID()) {
 			options = append(options, optionOf(u))
 		}
 	}
-	chosen, ok := f.balancer.Pick(now, f.hall, options)
-	if !ok {
-		return nil, fault.New(fault.NoTarget, "service %s has no target that takes requests", q.Service).RetryAt(now.Add(comeBack))
+	return options
+}
+
+// wantedFor is how long after a request a service counts as asked for.
+const wantedFor = 15 * time.Second
+
+// wanting tells whether a service that is asked for has no target to be used.
+func (f *fleet) wanting(now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for svc, at := range f.askedAt {
+		if now.Sub(at) < wantedFor && len(f.options(now, svc, nil)) == 0 {
+			return true
+		}
 	}
-	t, _ := f.roster.Get(chosen.ID) // it was listed a moment ago
-	return &place{fleet: f, target: t, ticket: f.balancer.Sent(now, chosen.ID)}, nil
+	return false
 }
 
-func optionOf(u membership.Usable) routing.Option {
+// admit refuses a request that would wait too long for a slot; mu is held.
+func (f *fleet) admit(now time.Time, q gateway.Query, o routing.Option, left time.Duration) error {
+	begins, wait := f.balancer.Begins(now, o)
+	ask := admission.Ask{Route: q.Route, Left: left, Aim: q.Aim, Begins: begins, Wait: wait}
+	ok, rest := f.gate.Admit(ask, rand.Float64())
+	if ok || !q.First {
+		return nil
+	}
+	return fault.New(fault.Overloaded, "an answer would begin after %v, %v of it waiting; it should within %v", begins, wait, q.Aim).
+		RetryAt(now.Add(rest))
+}
+
+func optionOf(u membership.Ranked) routing.Option {
 	o := routing.Option{ID: u.Target.ID(), Hall: u.Target.Hall(), Slots: u.Target.Slots(), Tier: int(u.Standing)}
 	if r, ok := u.Target.Rank(); ok {
 		o.Group = r.Group
@@ -93,7 +133,9 @@
 }
 
 // Began implements gateway.Lease.
-func (p *place) Began() {}
+func (p *place) Began() {
+	p.fleet.with(func(_ *membership.Roster, b *routing.Balancer) { b.Began(time.Now(), p.ticket) })
+}
 
 // End implements gateway.Lease.
 func (p *place) End(v gateway.Verdict) {
@@ -102,7 +144,7 @@
 		b.Ended(now, p.ticket)
 		switch v {
 		case gateway.Good:
-			r.Succeeded(p.target.ID())
+			r.Succeeded(now, p.target.ID())
 		case gateway.Bad:
 			r.Failed(now, p.target.ID())
 		case gateway.Unreachable:
--- a/node/groupduty.go
+++ b/node/groupduty.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"clovertrail.dev/experts"
 	"clovertrail.dev/experts/rebalance"
 	"clovertrail.dev/mapswitch/orders"
 	"clovertrail.dev/mesh"
@@ -27,6 +26,9 @@
 	readWithin = 400 * time.Millisecond
 	// orderWithin bounds an order to another rank; the coordinator gives it again.
 	orderWithin = 150 * time.Millisecond
+	// afterwards is how long after an attempt its ranks are read more often: until the
+	// armed step has begun, a few steps later.
+	afterwards = 250 * time.Millisecond
 	// slowdown is how much longer steps are while ranks copy, as the platform says.
 	slowdown = 0.15
 )
@@ -46,10 +48,11 @@
 	members  map[int]mesh.Member
 	shape    rebalance.Shape
 	counts   *counter
-	estimate *experts.Estimator
+	estimate *rebalance.Estimate
 	holds    map[int][][]int // of the map in use, by rank
 	holdsOf  orders.Version
 	readAt   time.Time
+	endedAt  time.Time // the last attempt
 	reading  map[int]bool
 	leading  bool
 
@@ -159,8 +162,11 @@
 	}
 }
 
-// busy tells that an attempt waits for something that only reads show.
-func (d *groupDuty) busy() bool { return d.coord != nil && !d.coord.Idle() }
+// busy tells that an attempt, or what follows one, waits for something that only
+// reads show.
+func (d *groupDuty) busy() bool {
+	return d.coord != nil && (!d.coord.Idle() || time.Since(d.endedAt) < afterwards)
+}
 
 // readPause is shorter while ranks copy, so that the switch follows at once.
 func (d *groupDuty) readPause() time.Duration {
@@ -198,13 +204,7 @@
 	d.counts = newCounter(shape)
 	d.holds, d.holdsOf = map[int][][]int{}, 0
 	clear(d.reading)
-	s, err := experts.NewShape(shape.Ranks, shape.Layers, shape.Experts, shape.Places, max(shape.Staging, 1), 0)
-	if err != nil {
-		d.agent.common.Log.Error("shape not usable", "group", d.group, "err", err)
-		d.coord = nil
-		return
-	}
-	d.estimate = experts.NewEstimator(s, experts.DefaultEstimatorTuning())
+	d.estimate = rebalance.NewEstimate(shape)
 }
 
 // readAll reads every rank that is not being read already.
@@ -242,9 +242,9 @@
 	if !d.counts.add(e.rank, e.report.Counts) {
 		return
 	}
-	load := d.estimate.Add(experts.Load(d.counts.take()))
+	d.estimate.Add(d.counts.take())
 	if d.leading && d.coord.Idle() && !d.isStopping() {
-		d.plan(now, load)
+		d.plan(now, d.estimate.Load())
 	}
 }
 
@@ -272,7 +272,7 @@
 }
 
 // plan proposes another map if that is worth it.
-func (d *groupDuty) plan(now time.Time, load experts.Load) {
+func (d *groupDuty) plan(now time.Time, load rebalance.Load) {
 	current, known := d.coord.Current()
 	if !known {
 		return
@@ -281,7 +281,7 @@
 	p := rebalance.Planner{
 		Shape: d.shape, Horizon: s.Horizon.Std(), Slowdown: slowdown, MostCopies: s.MostCopies, Least: s.LeastSaving,
 	}
-	plan := p.Plan(rebalance.Map(current), rebalance.Load(load))
+	plan := p.Plan(rebalance.Map(current), load)
 	d.agent.common.Metrics.Set(telemetry.StepSkew, d.group, plan.Before)
 	if !plan.Worth() {
 		return
@@ -299,6 +299,7 @@
 		go d.order(ctx, c, d.members[c.Rank])
 	}
 	for _, o := range d.coord.TakeEnded() {
+		d.endedAt = time.Now()
 		d.agent.common.Metrics.Count(telemetry.MapSwitches, string(o.End), 1)
 		held := time.Duration(0)
 		if !o.HeldFrom.IsZero() {
--- a/node/leave.go
+++ b/node/leave.go
@@ -20,7 +20,7 @@
 func (e *Entry) leave(s *servers) error {
 	began := time.Now()
 	end := began.Add(e.settings.Bounds.Stop.Std() - stopMargin)
-	e.ready.set(false)
+	e.ready.leaving.Store(true)
 	e.gateway.Leave()
 	e.common.Log.Info("leaving", "in_flight", e.gateway.InFlight(), "until", end)
 	ctx, cancel := context.WithDeadline(context.Background(), end)
--- a/node/peering.go
+++ b/node/peering.go
@@ -70,6 +70,14 @@
 	return p.boxes.InTouch(time.Now())
 }
 
+// isolated tells whether this box has lost the boxes of all other data halls.
+func (p *peering) isolated(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known, last := p.boxes.Elsewhere(now, domain.HallName(p.entry.settings.Hall))
+	return known && now.Sub(last) > membership.TouchFor
+}
+
 // tell makes the next round come at once.
 func (p *peering) tell() {
 	select {
@@ -205,7 +213,7 @@
 	own := p.level()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.boxes.Heard(now, contactFrom(a.Self), membership.Level{Config: a.Config, Targets: a.Targets}, a.Leaving)
+	p.boxes.Heard(now, contactFrom(a.Self), a.Hall, membership.Level{Config: a.Config, Targets: a.Targets}, a.Leaving)
 	for _, c := range a.Known {
 		p.boxes.HeardOf(now, contactFrom(c), c.Ago)
 	}
--- a/node/readiness.go
+++ b/node/readiness.go
@@ -1,18 +1,45 @@
 package node
 
 import (
+	"context"
 	"net/http"
 	"sync/atomic"
+	"time"
 )
 
-// readiness answers the platform's question whether the box takes callers.
-type readiness struct{ ready atomic.Bool }
+// readiness answers the platform's question whether the box takes callers. It does
+// once it has a configuration, until it leaves. While it is cut off from all other
+// data halls and has no target for a service that is asked for, it does not either:
+// callers are then sent to other halls, where such targets may be.
+type readiness struct {
+	configured atomic.Bool
+	leaving    atomic.Bool
+	stranded   atomic.Bool
+}
 
-func (r *readiness) set(ready bool) { r.ready.Store(ready) }
+func (r *readiness) ready() bool {
+	return r.configured.Load() && !r.leaving.Load() && !r.stranded.Load()
+}
 
 // ServeHTTP implements http.Handler.
 func (r *readiness) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
-	if !r.ready.Load() {
+	if !r.ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
+
+// judgeEvery is the time between two looks whether the box is stranded: a few in
+// each pause of the platform's questions, which come once a second.
+const judgeEvery = 200 * time.Millisecond
+
+// judge keeps the readiness until ctx ends.
+func (e *Entry) judge(ctx context.Context) {
+	for ctx.Err() == nil {
+		now := time.Now()
+		stranded := e.peering.isolated(now) && e.fleet.wanting(now)
+		if before := e.ready.stranded.Swap(stranded); before != stranded {
+			e.common.Log.Warn("cut off without targets", "stranded", stranded, "before", before)
+		}
+		sleepUntil(ctx, now.Add(judgeEvery))
+	}
+}
--- a/node/settings.go
+++ b/node/settings.go
@@ -84,7 +84,7 @@
 	Bounds Bounds `json:"bounds"`
 	// Horizon is for how long demand is taken to stay as it is when a map is planned.
 	Horizon settings.Duration `json:"horizon" min:"100ms" max:"1h"`
-	// MostCopies bounds the experts that a rank copies for one change of maps.
+	// MostCopies bounds the experts that a rank copies for one change of maps; after it the next is planned.
 	MostCopies int `json:"most_copies" min:"1" max:"1000"`
 	// LeastSaving is the share of the time within the horizon that a change of maps must save.
 	LeastSaving float64 `json:"least_saving" min:"0" max:"1"`
@@ -96,7 +96,7 @@
 	return AgentSettings{
 		Bounds:      DefaultBounds(),
 		Horizon:     settings.Duration(2 * time.Second),
-		MostCopies:  3,
-		LeastSaving: 0.01,
+		MostCopies:  1,
+		LeastSaving: 0.08,
 	}
 }
--- a/node/watching.go
+++ b/node/watching.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"strconv"
 	"time"
@@ -21,7 +22,7 @@
 	// watchWithin bounds a question to an agent.
 	watchWithin = 400 * time.Millisecond
 	// watchPauseMost bounds the pause after questions that were not answered.
-	watchPauseMost = 2 * time.Second
+	watchPauseMost = time.Second
 )
 
 // watching asks the agents of model engines how these do, and tells them who else
@@ -85,12 +86,22 @@
 	defer cancel()
 	report, err := mesh.Call[mesh.WatchQuery, mesh.RankReport](ctx, w.mesh, address, mesh.Watch, q)
 	if err != nil {
+		if boxSilent(err) {
+			w.entry.fleet.with(func(r *membership.Roster, _ *routing.Balancer) { r.Unreachable(time.Now(), id) })
+		}
 		return err
 	}
 	w.take(id, report)
 	return nil
 }
 
+// boxSilent tells that nothing at all came back from the box: not even a refusal of
+// the connection, as from a box on which only the agent is down.
+func boxSilent(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial" && op.Timeout()
+}
+
 // query is the question to the agent, with the members of its group if all are
 // listed in one epoch.
 func (w *watching) query(id domain.InstanceID) (string, *mesh.WatchQuery, bool) {
@@ -149,7 +160,7 @@
 	now := time.Now()
 	own := domain.Rank{Group: r.Group, Epoch: uint64(r.State.Epoch), Number: r.Rank, Size: r.Size, Open: r.State.Open}
 	w.entry.fleet.with(func(ros *membership.Roster, b *routing.Balancer) {
-		ros.Reported(now, id, own)
+		ros.Reported(now, id, own, uint64(r.State.Step), r.Running > 0)
 		b.Report(now, id, routing.Report{Running: r.Running, Waiting: r.Waiting, Pace: r.Pace})
 	})
 }
--- a/routing/balancer.go
+++ b/routing/balancer.go
@@ -26,8 +26,9 @@
 }
 
 const (
-	meanSmoothing = 0.1         // weight of a new sample in a mean time
-	firstUse      = time.Second // time of a request before any sample
+	meanSmoothing = 0.1                    // weight of a new sample in a mean time
+	firstUse      = time.Second            // time of a request before any sample
+	firstBegin    = 100 * time.Millisecond // time until an answer begins before any sample
 	leastFade     = 200 * time.Millisecond
 	// nearShare is how much more load a target of the same data hall may have and
 	// still be taken: less than one request of the smallest target in use.
@@ -58,20 +59,22 @@
 	at     time.Time
 	pace   float64
 	use    time.Duration // mean time of a request of this box
-	left   time.Time     // when the last request of this box ended
+	first  time.Duration // mean time until its answer begins, once it has a slot
 }
 
 // Ticket is one request of this box at a target. Its methods belong to the
 // balancer's owner, as the balancer's own do.
 type Ticket struct {
-	load *load
-	at   time.Time
+	load  *load
+	at    time.Time
+	wait  time.Duration // that was expected
+	began bool
 }
 
 func (b *Balancer) load(id domain.InstanceID) *load {
 	l, ok := b.targets[id]
 	if !ok {
-		l = &load{pace: 1, use: firstUse}
+		l = &load{pace: 1, use: firstUse, first: firstBegin}
 		b.targets[id] = l
 	}
 	return l
@@ -87,11 +90,22 @@
 	}
 }
 
-// Sent counts a request that is sent to the target now.
-func (b *Balancer) Sent(now time.Time, id domain.InstanceID) *Ticket {
-	l := b.load(id)
+// Sent counts a request that is sent to the option now.
+func (b *Balancer) Sent(now time.Time, o Option) *Ticket {
+	_, wait := b.Begins(now, o)
+	l := b.load(o.ID)
 	l.open++
-	return &Ticket{load: l, at: now}
+	return &Ticket{load: l, at: now, wait: wait}
+}
+
+// Began tells that the answer to the request of the ticket has begun.
+func (b *Balancer) Began(now time.Time, t *Ticket) {
+	if t.load == nil || t.began {
+		return
+	}
+	t.began = true
+	served := max(now.Sub(t.at)-t.wait, 0)
+	t.load.first += time.Duration(meanSmoothing * float64(served-t.load.first))
 }
 
 // Ended tells that the request of the ticket is over. It is counted once.
@@ -100,11 +114,21 @@
 		return
 	}
 	t.load.open--
-	t.load.left = now
 	t.load.use += time.Duration(meanSmoothing * float64(now.Sub(t.at)-t.load.use))
 	t.load = nil
 }
 
+// Begins is after how long an answer from the option is expected to begin, and how
+// much of that the request would wait for a slot.
+func (b *Balancer) Begins(now time.Time, o Option) (total, wait time.Duration) {
+	l := b.load(o.ID)
+	over := l.work(now) + 1 - float64(o.Slots)
+	if over > 0 && o.Slots > 0 {
+		wait = time.Duration(over / float64(o.Slots) * float64(l.use))
+	}
+	return wait + l.first, wait
+}
+
 // Open is how many requests of this box are at the target.
 func (b *Balancer) Open(id domain.InstanceID) int { return b.load(id).open }
 
