No group stays held: holds are given through another group, and left ones are settled

Ruled out: settling by another rank's agent alone (it took over after 0.5 s, and could not reach the engine either).

--- a/mapswitch/orders/coordinator.go
+++ b/mapswitch/orders/coordinator.go
@@ -8,18 +8,33 @@
 const (
 	// ResendAfter is how long an order may stay unanswered before it is given again:
 	// several times the way between data halls of a region and back.
-	ResendAfter = 30 * time.Millisecond
+	ResendAfter = 20 * time.Millisecond
 	// prepareWithin bounds the wait for copies beside what they are worked out to
 	// take: orders that are lost are given again within it.
 	prepareWithin = 3 * time.Second
-	// orphanAfter is how long a hold that is not this coordinator's own is left alone:
-	// another's attempt takes a few ways between ranks.
-	orphanAfter = 400 * time.Millisecond
+	// ownOrphanAfter is how long a hold at the own rank that no attempt of this
+	// coordinator asked for is left alone: it may belong to a process before this one
+	// while another rank's coordinator settles it already.
+	ownOrphanAfter = 400 * time.Millisecond
+	// orphanAfter is the same for a hold at another rank. Whoever coordinates has not
+	// heard that rank's coordinator for long.
+	orphanAfter = 100 * time.Millisecond
 )
 
-// lead is how many steps ahead the hold is. Arming takes a few milliseconds, a step
-// some tens, and the step that is running may end at any moment.
-const lead = 3
+const (
+	// lead is how many steps ahead the hold is. Arming takes a few milliseconds, a
+	// step some tens, and the step that is running may end at any moment.
+	lead = 3
+	// lossWeight is the weight of one more order in the share that is lost.
+	lossWeight = 0.05
+	// mostCopies is how often an order is given at once when many are lost.
+	mostCopies = 3
+	// copyLoss is the share of lost orders for which one more copy is given: with it
+	// the group of eight ranks usually has all orders at the first try.
+	copyLoss = 0.08
+	// copyLead is how many steps more the hold is ahead for each further copy.
+	copyLead = 2
+)
 
 // phase is where an attempt stands.
 type phase int
@@ -78,9 +93,10 @@
 
 // rank is what is known of one rank.
 type rank struct {
-	state State
-	known bool
-	job   job
+	state  State
+	known  bool
+	orphan time.Time // since when it is seen to hold for no attempt of this coordinator
+	job    job
 }
 
 // Coordinator changes the maps of one group in one epoch. It is not safe for
@@ -96,13 +112,14 @@
 	attempt  Outcome
 	fenceNow Fence
 	goal     Placement
-	current  Placement // nil until it is known
-	step     Step      // that is held
-	copies   time.Duration
+	current  Placement     // nil until it is known
+	step     Step          // that is held
+	copying  time.Duration // that the goal is worked out to take
 	jobs     uint64
 	floor    Version // the highest version that was ever asked for
 	lastHeld Step
-	orphan   time.Time // since when the own rank holds for nobody
+	adopting bool    // the attempt settles what another left behind
+	loss     float64 // share of orders that are not answered in time
 	ended    []Outcome
 }
 
@@ -152,9 +169,7 @@
 	for _, v := range []Version{s.Map, s.Prepared, armedVersion(s)} {
 		c.floor = max(c.floor, v)
 	}
-	if r == c.self {
-		c.watchHold(now, s)
-	}
+	c.watchHold(now, k)
 	return true
 }
 
@@ -165,25 +180,24 @@
 	return s.Armed.Version
 }
 
-// watchHold notes since when the own rank holds without an attempt of this
-// coordinator.
-func (c *Coordinator) watchHold(now time.Time, s State) {
+// watchHold notes since when a rank holds for no attempt of this coordinator.
+func (c *Coordinator) watchHold(now time.Time, k *rank) {
 	switch {
-	case s.Held == nil || c.phase >= holding:
-		c.orphan = time.Time{}
-	case c.orphan.IsZero():
-		c.orphan = now
+	case k.state.Held == nil || c.phase >= holding:
+		k.orphan = time.Time{}
+	case k.orphan.IsZero():
+		k.orphan = now
 	}
 }
 
 // Propose starts an attempt to go over to the map, which takes so long to copy. It
 // is false if one is under way or something is left to settle first.
-func (c *Coordinator) Propose(now time.Time, p Placement, copies time.Duration) bool {
+func (c *Coordinator) Propose(now time.Time, p Placement, copying time.Duration) bool {
 	if c.phase != idle || !c.settled() {
 		return false
 	}
 	c.begin(now, preparing)
-	c.goal, c.copies = p, copies
+	c.goal, c.copying = p, copying
 	c.floor++
 	c.attempt.Version = c.floor
 	c.ask(func(int) Order { return Prepare{Version: c.attempt.Version, Map: p} })
@@ -235,12 +249,26 @@
 		if c.phase == idle || j.done || !j.sentAt.IsZero() && now.Sub(j.sentAt) < ResendAfter {
 			continue
 		}
+		c.noteLoss(!j.sentAt.IsZero())
 		j.sentAt = now
-		calls = append(calls, Call{Rank: r, Epoch: c.epoch, Fence: c.fenceNow, Order: j.order, id: j.id})
+		for range c.copies() {
+			calls = append(calls, Call{Rank: r, Epoch: c.epoch, Fence: c.fenceNow, Order: j.order, id: j.id})
+		}
 	}
 	return calls
 }
 
+func (c *Coordinator) noteLoss(lost bool) {
+	sample := 0.0
+	if lost {
+		sample = 1
+	}
+	c.loss += lossWeight * (sample - c.loss)
+}
+
+// copies is how often each order is given at once. To give one twice does no harm.
+func (c *Coordinator) copies() int { return min(1+int(c.loss/copyLoss), mostCopies) }
+
 // Answered takes what became of a call.
 func (c *Coordinator) Answered(now time.Time, call Call, res Result) {
 	j := &c.ranks[call.Rank].job
@@ -253,7 +281,7 @@
 	case Refused:
 		c.refused(now, call.Rank)
 	case Outranked:
-		c.outranked(now, call.Rank)
+		c.outranked(call.Rank)
 	case Lost: // it is given again
 	}
 }
@@ -277,10 +305,7 @@
 		c.prepared(now)
 	case holding:
 		if c.done() {
-			c.attempt.HeldFrom = now
-			c.lastHeld = c.step
-			c.enter(now, arming)
-			c.ask(func(int) Order { return Arm{Version: c.attempt.Version, Step: c.step} })
+			c.held(now)
 		}
 	case arming:
 		if c.done() {
@@ -308,7 +333,7 @@
 func (c *Coordinator) prepared(now time.Time) {
 	for r := range c.ranks {
 		if c.ranks[r].state.Prepared != c.attempt.Version {
-			if now.Sub(c.entered) > c.copies*2+prepareWithin {
+			if now.Sub(c.entered) > c.copying*2+prepareWithin {
 				c.attempt.Rank = r
 				c.end(NotPrepared)
 			}
@@ -323,7 +348,7 @@
 // of an earlier hold must not let it go.
 func (c *Coordinator) hold(now time.Time) {
 	c.enter(now, holding)
-	c.step = max(c.farthest()+lead, c.lastHeld+1)
+	c.step = max(c.farthest()+lead+Step(c.copies()-1)*copyLead, c.lastHeld+1)
 	c.askSelf(Hold{Step: c.step})
 }
 
@@ -335,10 +360,32 @@
 	return s
 }
 
-// release lets the hold go.
+// held goes on once the own rank holds.
+func (c *Coordinator) held(now time.Time) {
+	c.attempt.HeldFrom = now
+	c.lastHeld = max(c.lastHeld, c.step)
+	if c.adopting {
+		c.settle(now)
+		return
+	}
+	c.enter(now, arming)
+	c.ask(func(int) Order { return Arm{Version: c.attempt.Version, Step: c.step} })
+}
+
+// release lets the hold go, and with it what others left behind.
 func (c *Coordinator) release(now time.Time) {
 	c.enter(now, releasing)
-	c.askSelf(Release{Step: c.step})
+	c.ask(func(r int) Order {
+		h := c.ranks[r].state.Held
+		switch {
+		case r == c.self:
+			return Release{Step: c.step}
+		case c.adopting && h != nil:
+			return Release{Step: *h}
+		default:
+			return nil
+		}
+	})
 }
 
 // released ends the attempt once the own rank is seen to hold no more.
@@ -361,9 +408,9 @@
 	c.ended = append(c.ended, c.attempt)
 	c.phase = idle
 	c.goal = nil
-	c.orphan = time.Time{}
+	c.adopting = false
 	for r := range c.ranks {
-		c.ranks[r].known = false // to be read again before another attempt
+		c.ranks[r].known, c.ranks[r].orphan = false, time.Time{} // to be read again before another attempt
 	}
 }
 
@@ -408,40 +455,57 @@
 	c.ask(func(int) Order { return Disarm{Version: c.attempt.Version} })
 }
 
-// outranked: another coordinator is at work. Before the hold this one gives way;
-// after it, it goes on with a higher fence, since only it can let its hold go.
-func (c *Coordinator) outranked(now time.Time, r int) {
-	if c.phase < arming {
-		c.attempt.Rank = r
-		c.end(Overruled)
-		return
-	}
-	c.fenceNow = c.fence()
-	c.ranks[r].job.sentAt = now // not again at once
+// outranked: another coordinator has taken over. This one stands down; if its hold
+// is left behind, it is found as one that nobody wants.
+func (c *Coordinator) outranked(r int) {
+	c.attempt.Rank = r
+	c.end(Overruled)
 }
 
-// settleOrphan takes care of a hold that a lost process left at the own rank. If
-// every rank has the same map prepared or armed, the switch is finished; else it is
-// called off.
+// settleOrphan takes care of a hold that a lost process left behind. Before it
+// changes anything it holds the same step at its own rank, so that its word counts
+// until the end whatever happens to the other hold.
 func (c *Coordinator) settleOrphan(now time.Time) {
-	own := c.ranks[c.self]
-	if c.orphan.IsZero() || now.Sub(c.orphan) < orphanAfter || own.state.Held == nil || !c.allKnown() {
+	step, found := c.orphanStep(now)
+	if !found || !c.allKnown() {
 		return
 	}
-	held := *own.state.Held
-	version, step, same := c.left(held)
-	if !same && c.current == nil {
+	if _, _, same := c.left(step); !same && c.current == nil {
 		return // calling off needs a map to prepare
 	}
-	c.begin(now, arming)
-	c.attempt.HeldFrom = now
-	c.attempt.Version, c.step, c.lastHeld = version, held, max(held, c.lastHeld)
-	c.goal = nil
-	if same {
-		c.ask(func(int) Order { return Arm{Version: version, Step: step} })
+	c.begin(now, holding)
+	c.adopting, c.step = true, step
+	c.askSelf(Hold{Step: step})
+}
+
+// orphanStep is the lowest step that a rank holds for nobody.
+func (c *Coordinator) orphanStep(now time.Time) (step Step, found bool) {
+	for r, k := range c.ranks {
+		after := orphanAfter
+		if r == c.self {
+			after = ownOrphanAfter
+		}
+		if k.orphan.IsZero() || now.Sub(k.orphan) < after || k.state.Held == nil {
+			continue
+		}
+		if !found || *k.state.Held < step {
+			step, found = *k.state.Held, true
+		}
+	}
+	return step, found
+}
+
+// settle: if every rank has the same map prepared or armed, the switch is finished;
+// else it is called off.
+func (c *Coordinator) settle(now time.Time) {
+	version, step, same := c.left(c.step)
+	c.attempt.Version = version
+	if !same {
+		c.callOff(now, NotArmed)
 		return
 	}
-	c.callOff(now, NotArmed)
+	c.enter(now, arming)
+	c.ask(func(int) Order { return Arm{Version: version, Step: step} })
 }
 
 func (c *Coordinator) allKnown() bool {
--- a/mesh/messages.go
+++ b/mesh/messages.go
@@ -118,6 +118,8 @@
 	Epoch   orders.Epoch     `json:"epoch"`
 	Members []Member         `json:"members,omitempty"` // of its group in that epoch
 	Shape   *rebalance.Shape `json:"shape,omitempty"`   // of the group's maps
+	// Others are the addresses of some agents of other groups.
+	Others []string `json:"others,omitempty"`
 }
 
 // RankReport is how a rank does.
@@ -145,9 +147,11 @@
 	Holds bool           `json:"holds,omitempty"`
 }
 
-// OrderCall is an order for the engine beside the agent. Exactly one of the orders
-// is set.
+// OrderCall is an order for an engine. Exactly one of the orders is set.
 type OrderCall struct {
+	// Engine is the address of the engine that is meant; empty for the one beside the
+	// agent.
+	Engine  string          `json:"engine,omitempty"`
 	Epoch   orders.Epoch    `json:"epoch"`
 	Fence   orders.Fence    `json:"fence"`
 	Prepare *orders.Prepare `json:"prepare,omitempty"`
--- a/node/agent.go
+++ b/node/agent.go
@@ -41,6 +41,7 @@
 	members map[int]mesh.Member // of the own group, by rank
 	epoch   orders.Epoch        // of the members
 	shape   *rebalance.Shape
+	others  []string          // addresses of agents of other groups
 	askedBy map[int]time.Time // ranks that read this one, as a coordinator does
 	lost    bool              // the engine does not answer
 }
@@ -134,7 +135,7 @@
 	if q.Epoch > a.epoch || a.members == nil {
 		a.common.Log.Info("group learnt", "epoch", q.Epoch, "ranks", len(q.Members), "before", a.epoch)
 	}
-	a.epoch, a.shape = q.Epoch, q.Shape
+	a.epoch, a.shape, a.others = q.Epoch, q.Shape, q.Others
 	a.members = make(map[int]mesh.Member, len(q.Members))
 	for _, m := range q.Members {
 		a.members[m.Rank] = m
@@ -217,13 +218,30 @@
 	return out, nil
 }
 
-// command gives the engine an order.
+// engineAt is the engine of another rank, for when its agent does not answer.
+func (a *Agent) engineAt(m mesh.Member) *platform.Engine { return platform.NewEngine(m.Target, a.http) }
+
+// readFar reads another rank's engine itself, without its counts. What it says is a
+// little old; the orders that follow are not given on its word alone.
+func (a *Agent) readFar(ctx context.Context, m mesh.Member) (*mesh.RankReport, error) {
+	r, err := a.engineAt(m).Report(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return reportOf(r), nil
+}
+
+// command gives an order to the engine, or to another that the call names.
 func (a *Agent) command(ctx context.Context, c *mesh.OrderCall) (*mesh.OrderReply, error) {
 	o := c.Order()
 	if o == nil {
 		return nil, fault.New(fault.BadRequest, "a call without an order")
 	}
-	res, err := a.give(ctx, a.engine, orders.Call{Epoch: c.Epoch, Fence: c.Fence, Order: o})
+	engine := a.engine
+	if c.Engine != "" {
+		engine = platform.NewEngine(c.Engine, a.http)
+	}
+	res, err := a.give(ctx, engine, orders.Call{Epoch: c.Epoch, Fence: c.Fence, Order: o})
 	if err != nil {
 		return nil, err
 	}
@@ -240,6 +258,13 @@
 	return res, err
 }
 
+// helpers are the addresses of agents of other groups.
+func (a *Agent) helpers() []string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.others
+}
+
 // leads tells whether this rank is to coordinate: none below it does.
 func (a *Agent) leads(now time.Time, rank int) bool {
 	a.mu.Lock()
--- a/node/counter.go
+++ b/node/counter.go
@@ -25,11 +25,12 @@
 	clear(c.fresh)
 }
 
-// add takes the counts of a rank, and tells whether all ranks have reported since
-// the last take.
+// add takes the counts of a rank, or none if they could not be had, and tells
+// whether all ranks have reported since the last take.
 func (c *counter) add(rank int, counts []uint64) bool {
+	c.fresh[rank] = true
 	if len(counts) != c.shape.Layers*c.shape.Experts {
-		return false
+		return len(c.fresh) == c.shape.Ranks
 	}
 	if last, ok := c.last[rank]; ok {
 		for i, n := range counts {
@@ -39,7 +40,6 @@
 		}
 	}
 	c.last[rank] = counts
-	c.fresh[rank] = true
 	return len(c.fresh) == c.shape.Ranks
 }
 
--- a/node/groupduty.go
+++ b/node/groupduty.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"clovertrail.dev/experts/rebalance"
@@ -18,14 +19,17 @@
 	dutyTick = 20 * time.Millisecond
 	// leaderSilence is how long the coordinator of a group may be silent before the
 	// next rank takes its place: several times the pause between its reads.
-	leaderSilence = 700 * time.Millisecond
+	leaderSilence = 500 * time.Millisecond
 	// settleIn is how long a process that started waits before it coordinates, so that
 	// a lower rank that does can be heard.
 	settleIn = leaderSilence
 	// readWithin bounds a read of another rank.
-	readWithin = 400 * time.Millisecond
+	readWithin = 250 * time.Millisecond
 	// orderWithin bounds an order to another rank; the coordinator gives it again.
 	orderWithin = 150 * time.Millisecond
+	// muteFor is how long an agent that did not answer is passed by: its engine is
+	// asked itself, which the platform charges for.
+	muteFor = time.Second
 	// afterwards is how long after an attempt its ranks are read more often: until the
 	// armed step has begun, a few steps later.
 	afterwards = 250 * time.Millisecond
@@ -55,6 +59,10 @@
 	endedAt  time.Time // the last attempt
 	reading  map[int]bool
 	leading  bool
+	mute     *muteRanks
+	unread   map[int]bool // ranks whose last read failed
+
+	helped atomic.Uint32 // orders given through helpers
 
 	mu       sync.Mutex
 	stopping bool
@@ -82,7 +90,7 @@
 
 func newGroupDuty(a *Agent) *groupDuty {
 	now := time.Now()
-	return &groupDuty{agent: a, started: now, fenceBase: now, results: make(chan event, 64), reading: map[int]bool{}}
+	return &groupDuty{agent: a, started: now, fenceBase: now, results: make(chan event, 64), reading: map[int]bool{}, mute: newMuteRanks(), unread: map[int]bool{}}
 }
 
 // stop makes run return once no attempt is under way.
@@ -131,6 +139,7 @@
 	switch e := e.(type) {
 	case readDone:
 		d.reading[e.rank] = false
+		d.noteRead(e)
 		if e.err == nil && d.coord != nil && e.epoch == d.coord.Epoch() {
 			d.took(now, e)
 		}
@@ -142,6 +151,14 @@
 	}
 }
 
+// noteRead logs when a rank is lost or answers again.
+func (d *groupDuty) noteRead(e readDone) {
+	if failed := e.err != nil; failed != d.unread[e.rank] {
+		d.unread[e.rank] = failed
+		d.log("rank read", "of", e.rank, "lost", failed, "err", e.err)
+	}
+}
+
 // tick looks at the own engine, decides whether to coordinate, and reads the ranks.
 func (d *groupDuty) tick(ctx context.Context) {
 	now := time.Now()
@@ -204,6 +221,7 @@
 	d.counts = newCounter(shape)
 	d.holds, d.holdsOf = map[int][][]int{}, 0
 	clear(d.reading)
+	d.mute.reset()
 	d.estimate = rebalance.NewEstimate(shape)
 }
 
@@ -223,10 +241,14 @@
 	ctx, cancel := context.WithTimeout(ctx, readWithin)
 	defer cancel()
 	done := readDone{rank: r, epoch: e}
-	if r == q.From {
+	switch {
+	case r == q.From:
 		done.report, done.err = d.agent.readOwn(ctx, q)
-	} else {
+	case d.mute.is(r):
+		done.report, done.err = d.agent.readFar(ctx, m)
+	default:
 		done.report, done.err = mesh.Call[mesh.ReadQuery, mesh.RankReport](ctx, d.agent.mesh, m.Agent, mesh.Read, q)
+		d.mute.note(r, done.err)
 	}
 	d.results <- done
 }
@@ -240,7 +262,7 @@
 		d.tookHolds(e)
 	}
 	if !d.counts.add(e.rank, e.report.Counts) {
-		return
+		return // not all ranks have reported yet
 	}
 	d.estimate.Add(d.counts.take())
 	if d.leading && d.coord.Idle() && !d.isStopping() {
@@ -316,9 +338,14 @@
 	ctx, cancel := context.WithTimeout(ctx, orderWithin)
 	defer cancel()
 	done := orderDone{call: c}
-	if c.Rank == d.rank {
+	switch {
+	case c.Rank == d.rank && isHold(c.Order):
+		done.result, done.err = d.agent.holdThrough(ctx, d.helper(), m, c)
+	case c.Rank == d.rank:
 		done.result, done.err = d.agent.give(ctx, d.agent.engine, c)
-	} else {
+	case d.mute.is(c.Rank):
+		done.result, done.err = d.agent.give(ctx, d.agent.engineAt(m), c)
+	default:
 		var reply *mesh.OrderReply
 		reply, done.err = mesh.Call[mesh.OrderCall, mesh.OrderReply](ctx, d.agent.mesh, m.Agent, mesh.Command, mesh.CallOf(c))
 		if done.err == nil {
@@ -331,6 +358,21 @@
 	d.results <- done
 }
 
+func isHold(o orders.Order) bool {
+	_, ok := o.(orders.Hold)
+	return ok
+}
+
+// helper is the agent of a rank of another group, a different one each time; empty if
+// none is known.
+func (d *groupDuty) helper() string {
+	list := d.agent.helpers()
+	if len(list) == 0 {
+		return ""
+	}
+	return list[int(d.helped.Add(1))%len(list)]
+}
+
 func (d *groupDuty) logOrder(e orderDone) {
 	if e.result == orders.Done {
 		return
--- a/node/watching.go
+++ b/node/watching.go
@@ -21,6 +21,9 @@
 	watchEvery = 200 * time.Millisecond
 	// watchWithin bounds a question to an agent.
 	watchWithin = 400 * time.Millisecond
+	// othersMost is how many agents of other groups an agent is told: enough that one
+	// of them answers. They are of the highest ranks, since the lowest coordinate.
+	othersMost = 4
 	// watchPauseMost bounds the pause after questions that were not answered.
 	watchPauseMost = time.Second
 )
@@ -119,10 +122,14 @@
 	q := &mesh.WatchQuery{Epoch: orders.Epoch(own.Epoch), Shape: w.shape(target.Service())}
 	for _, n := range news {
 		r, ok := n.Target.Rank()
-		if ok && r.Group == own.Group && r.Epoch == own.Epoch && n.Target.Service() == target.Service() {
+		switch {
+		case !ok || n.Target.Service() != target.Service():
+		case r.Group == own.Group && r.Epoch == own.Epoch:
 			q.Members = append(q.Members, mesh.Member{
 				Rank: r.Number, Instance: n.ID, Target: n.Target.Address(), Agent: w.agentOf(*n.Target),
 			})
+		case r.Group != own.Group && r.Number >= r.Size-othersMost && len(q.Others) < othersMost:
+			q.Others = append(q.Others, w.agentOf(*n.Target))
 		}
 	}
 	if len(q.Members) != own.Size {
