--- a/mapswitch/orders/coordinator.go
+++ b/mapswitch/orders/coordinator.go
@@ -42,16 +42,16 @@
 const (
 	idle      phase = iota // no attempt
 	preparing              // ranks copy
+	yielding               // the own rank is asked to let a later hold go
 	holding                // the own rank is asked to hold
 	arming                 // held; ranks are asked to arm
-	disarming              // held; ranks are asked to disarm
-	voiding                // held; ranks are asked to prepare a higher version
+	clearing               // held; ranks are asked to disarm and to prepare a version that voids
 	releasing              // the hold is let go
 )
 
 // String gives the name of the phase.
 func (p phase) String() string {
-	return [...]string{"idle", "preparing", "holding", "arming", "disarming", "voiding", "releasing"}[p]
+	return [...]string{"idle", "preparing", "yielding", "holding", "arming", "clearing", "releasing"}[p]
 }
 
 // End is how an attempt ended.
@@ -97,6 +97,8 @@
 	known  bool
 	orphan time.Time // since when it is seen to hold for no attempt of this coordinator
 	job    job
+	// refusals counts the versions that were to void and were refused.
+	refusals int
 }
 
 // Coordinator changes the maps of one group in one epoch. It is not safe for
@@ -198,12 +200,25 @@
 	}
 	c.begin(now, preparing)
 	c.goal, c.copying = p, copying
-	c.floor++
-	c.attempt.Version = c.floor
+	c.attempt.Version = c.newVersion()
 	c.ask(func(int) Order { return Prepare{Version: c.attempt.Version, Map: p} })
 	return true
 }
 
+// newVersion gives a version that was never asked for in this epoch, by whomever:
+// not by another rank's coordinator, since it leaves another remainder, and not by a
+// process before this one, since fences are higher after a restart. A version that
+// stood for two maps would let ranks take different ones.
+func (c *Coordinator) newVersion() Version {
+	ranks, self := Version(len(c.ranks)), Version(c.self)
+	v := Version(c.fence())*ranks + self
+	if v <= c.floor {
+		v = (c.floor/ranks+1)*ranks + self
+	}
+	c.floor = v
+	return v
+}
+
 // settled tells that every rank is known, steps, and has nothing armed or held.
 func (c *Coordinator) settled() bool {
 	for _, r := range c.ranks {
@@ -277,7 +292,7 @@
 	}
 	switch res {
 	case Done:
-		j.done = true
+		c.took(call.Rank)
 	case Refused:
 		c.refused(now, call.Rank)
 	case Outranked:
@@ -286,6 +301,18 @@
 	}
 }
 
+// took notes that a rank took its order. A rank that has disarmed is then asked to
+// prepare.
+func (c *Coordinator) took(r int) {
+	k := &c.ranks[r]
+	if _, disarmed := k.job.order.(Disarm); disarmed && c.phase == clearing {
+		k.state.Armed = nil
+		c.voidRank(r)
+		return
+	}
+	k.job.done = true
+}
+
 // done tells that all jobs of the phase are.
 func (c *Coordinator) done() bool {
 	for _, r := range c.ranks {
@@ -303,6 +330,11 @@
 		c.settleOrphan(now)
 	case preparing:
 		c.prepared(now)
+	case yielding:
+		if c.done() {
+			c.enter(now, holding)
+			c.askSelf(Hold{Step: c.step})
+		}
 	case holding:
 		if c.done() {
 			c.held(now)
@@ -312,13 +344,7 @@
 			c.attempt.End = Committed
 			c.release(now)
 		}
-	case disarming:
-		if c.done() {
-			c.enter(now, voiding)
-			c.floor++
-			c.ask(func(int) Order { return Prepare{Version: c.floor, Map: c.goal} })
-		}
-	case voiding:
+	case clearing:
 		if c.done() {
 			c.release(now)
 		}
@@ -365,7 +391,7 @@
 	c.attempt.HeldFrom = now
 	c.lastHeld = max(c.lastHeld, c.step)
 	if c.adopting {
-		c.settle(now)
+		c.callOff(now)
 		return
 	}
 	c.enter(now, arming)
@@ -410,7 +436,8 @@
 	c.goal = nil
 	c.adopting = false
 	for r := range c.ranks {
-		c.ranks[r].known, c.ranks[r].orphan = false, time.Time{} // to be read again before another attempt
+		k := &c.ranks[r]
+		k.known, k.orphan, k.refusals = false, time.Time{}, 0 // to be read again before another attempt
 	}
 }
 
@@ -421,38 +448,70 @@
 	switch c.phase {
 	case preparing:
 		c.end(NotPrepared)
+	case yielding:
+		c.ranks[r].job.done = true // it holds for nobody
 	case holding:
 		c.end(NotHeld)
 	case arming:
-		c.callOff(now, NotArmed)
-	case disarming:
-		c.ranks[r].job.done = true // nothing of that version is armed there
-	case voiding:
-		c.voidRefused(now, r)
+		c.callOff(now)
+	case clearing:
+		c.clearRefused(r)
 	case releasing:
 		c.ranks[r].job.done = true // it holds for nobody
 	}
 }
 
-// callOff disarms all ranks before the hold is let go.
-func (c *Coordinator) callOff(now time.Time, why End) {
-	if c.goal == nil {
-		c.goal = c.current
+// callOff takes the attempt, and whatever else is armed, back at all ranks before
+// the hold is let go. A rank is clear once it has taken a Prepare of a new version:
+// it was not armed then, and no order for an earlier version arms it any more.
+func (c *Coordinator) callOff(now time.Time) {
+	c.attempt.End = NotArmed
+	c.enter(now, clearing)
+	c.ask(func(r int) Order {
+		switch a := c.ranks[r].state.Armed; {
+		case a != nil:
+			return Disarm{Version: a.Version}
+		case c.attempt.Version != 0:
+			return Disarm{Version: c.attempt.Version}
+		default:
+			return c.voiding(r)
+		}
+	})
+}
+
+// voiding is the Prepare that makes earlier versions void at a rank. Its map is one
+// that the rank is known to take: the goal, which it prepared before, or the one in
+// use, by turns if one of them is refused.
+func (c *Coordinator) voiding(r int) Order {
+	m := c.goal
+	if m == nil || c.current != nil && c.ranks[r].refusals%2 == 1 {
+		m = c.current
 	}
-	c.attempt.End = why
-	c.enter(now, disarming)
-	c.ask(func(int) Order { return Disarm{Version: c.attempt.Version} })
+	return Prepare{Version: c.newVersion(), Map: m}
+}
+
+// voidRank asks the rank to prepare a version that voids.
+func (c *Coordinator) voidRank(r int) {
+	c.jobs++
+	c.ranks[r].job = job{id: c.jobs, order: c.voiding(r)}
 }
 
-// voidRefused: the rank is armed after all, by an order that came late, or had a
-// higher version.
-func (c *Coordinator) voidRefused(now time.Time, r int) {
-	if a := c.ranks[r].state.Armed; a != nil {
-		c.attempt.Version = a.Version
+// clearRefused: a rank that refuses to disarm has the map in use and nothing armed;
+// one that refuses to prepare is armed after all, by an order that came late.
+func (c *Coordinator) clearRefused(r int) {
+	k := &c.ranks[r]
+	if _, disarming := k.job.order.(Disarm); disarming {
+		k.state.Armed = nil
+		c.voidRank(r)
+		return
 	}
-	c.floor++
-	c.enter(now, disarming)
-	c.ask(func(int) Order { return Disarm{Version: c.attempt.Version} })
+	k.refusals++
+	version := c.attempt.Version
+	if k.state.Armed != nil {
+		version = k.state.Armed.Version
+	}
+	c.jobs++
+	k.job = job{id: c.jobs, order: Disarm{Version: version}, sentAt: k.job.sentAt}
 }
 
 // outranked: another coordinator has taken over. This one stands down; if its hold
@@ -462,20 +521,29 @@
 	c.end(Overruled)
 }
 
-// settleOrphan takes care of a hold that a lost process left behind. Before it
-// changes anything it holds the same step at its own rank, so that its word counts
-// until the end whatever happens to the other hold.
+// settleOrphan takes care of a hold that a lost process left behind: it calls off
+// whatever was under way. Before it changes anything it holds the same step at its
+// own rank, so that its word counts until the end whatever happens to the other hold.
+// It does not finish a switch that another began, since that other may still be at
+// work on it.
 func (c *Coordinator) settleOrphan(now time.Time) {
 	step, found := c.orphanStep(now)
-	if !found || !c.allKnown() {
-		return
-	}
-	if _, _, same := c.left(step); !same && c.current == nil {
-		return // calling off needs a map to prepare
+	if !found || !c.allKnown() || c.current == nil {
+		return // calling off needs a map that all ranks take
 	}
 	c.begin(now, holding)
 	c.adopting, c.step = true, step
-	c.askSelf(Hold{Step: step})
+	own := c.ranks[c.self].state.Held
+	switch {
+	case own != nil && *own < step:
+		c.step = *own
+	case own != nil && *own > step:
+		// One rank holds one step. The lower hold elsewhere keeps the group meanwhile.
+		c.enter(now, yielding)
+		c.askSelf(Release{Step: *own})
+		return
+	}
+	c.askSelf(Hold{Step: c.step})
 }
 
 // orphanStep is the lowest step that a rank holds for nobody.
@@ -495,19 +563,6 @@
 	return step, found
 }
 
-// settle: if every rank has the same map prepared or armed, the switch is finished;
-// else it is called off.
-func (c *Coordinator) settle(now time.Time) {
-	version, step, same := c.left(c.step)
-	c.attempt.Version = version
-	if !same {
-		c.callOff(now, NotArmed)
-		return
-	}
-	c.enter(now, arming)
-	c.ask(func(int) Order { return Arm{Version: version, Step: step} })
-}
-
 func (c *Coordinator) allKnown() bool {
 	for _, r := range c.ranks {
 		if !r.known {
@@ -516,25 +571,3 @@
 	}
 	return true
 }
-
-// left is the version that a lost attempt left behind and the step from which it
-// was to count, and whether every rank can still go over to it.
-func (c *Coordinator) left(held Step) (Version, Step, bool) {
-	var version Version
-	step := held
-	for _, r := range c.ranks {
-		if a := r.state.Armed; a != nil && a.Version >= version {
-			version, step = a.Version, a.Step
-		}
-	}
-	for _, r := range c.ranks {
-		version = max(version, r.state.Prepared)
-	}
-	for _, r := range c.ranks {
-		a := r.state.Armed
-		if a == nil && r.state.Prepared != version || a != nil && *a != (Armed{Version: version, Step: step}) {
-			return version, step, false
-		}
-	}
-	return version, step, version > 0 && step >= held
-}
--- a/mapswitch/orders/doc.go
+++ b/mapswitch/orders/doc.go
@@ -6,26 +6,27 @@
 // the hold is let go. Orders may be lost, and a lost one may still be carried out
 // seconds later. So one coordinator, beside one of the ranks, does this:
 //
-//  1. Every rank prepares the map under a new version. A prepared map changes
-//     nothing.
+//  1. Every rank prepares the map under a new version, one that nobody ever used. A
+//     prepared map changes nothing.
 //  2. The coordinator's own rank holds a step a little ahead. From here on no rank
 //     can reach that step.
 //  3. Every rank arms the version for that step. Lost orders are repeated.
-//  4. Once all have said so, the hold is let go. If a rank refuses instead, all
-//     ranks disarm and then prepare a higher version, which makes every order of
-//     the failed attempt void wherever it may still be under way, and only then is
-//     the hold let go.
+//  4. Once all have said so, the hold is let go. If a rank refuses instead, every
+//     rank disarms and prepares one more new version, which makes all orders of the
+//     failed attempt void wherever they may still be under way, and only then is the
+//     hold let go.
 //
 // The hold stands at the coordinator's own rank on purpose. If the coordinator's
-// process ends, the next one on the same box finds the hold and finishes the
-// attempt or calls it off; if the box goes, the group is formed anew and nothing is
-// held. On the good path all ranks have armed before the group reaches the step, so
-// the hold is not felt.
+// process ends, the next one on the same box finds the hold; if the box goes, the
+// group is formed anew and nothing is held. Whoever coordinates and finds a hold that
+// nobody wants, at any rank, calls off what was under way as in point 4, under a hold
+// of its own, and lets both go. On the good path all ranks have armed before the group
+// reaches the step, so the hold is not felt.
 //
 // What makes a late order harmless: its epoch is over; its version is no longer the
-// prepared one; its step has begun; or, where engines check, its fence is lower
-// than one seen since. Nothing rests on clocks, on the store, or on there being
-// only one coordinator: two of them only spoil each other's attempts.
+// prepared one; its step has begun; or, where engines check, its fence is lower than
+// one seen since. Nothing rests on clocks, on the store, or on there being only one
+// coordinator: two of them only spoil each other's attempts.
 //
 // A Coordinator is a state machine without I/O.
 //
