--- /dev/null
+++ b/admission/gate_test.go
@@ -0,0 +1,63 @@
+package admission_test
+
+import (
+	"testing"
+	"time"
+
+	"clovertrail.dev/admission"
+)
+
+const (
+	whole = 8 * time.Second
+	aim   = 400 * time.Millisecond
+	first = 200 * time.Millisecond // until an answer begins without waiting
+)
+
+func ask(left, wait time.Duration) admission.Ask {
+	return admission.Ask{Route: "r", Left: left, Aim: aim, Begins: first + wait, Wait: wait}
+}
+
+func TestGateAdmitsWhatCanBeInTime(t *testing.T) {
+	tests := []struct {
+		name string
+		ask  admission.Ask
+		want bool
+	}{
+		{"no wait", ask(whole, 0), true},
+		{"a short wait", ask(whole, 100*time.Millisecond), true},
+		{"a wait that leaves nothing to others", ask(whole, 150*time.Millisecond), false},
+		{"the same for one that came back", ask(5*time.Second, 150*time.Millisecond), true},
+		{"too long for anyone", ask(5*time.Second, 250*time.Millisecond), false},
+		{"no aim", admission.Ask{Route: "r", Left: whole, Begins: time.Hour, Wait: time.Hour}, true},
+		{"late without waiting", admission.Ask{Route: "r", Left: whole, Aim: aim, Begins: time.Second}, true},
+	}
+	for _, tc := range tests {
+		g := admission.NewGate()
+		g.Admit(ask(whole, 0), 0) // shows how long callers of the route usually have
+		if got, _ := g.Admit(tc.ask, 0); got != tc.want {
+			t.Errorf("%s: admitted %v", tc.name, got)
+		}
+	}
+}
+
+func TestRefusedCallersComeBackWithinWhatTheyHeed(t *testing.T) {
+	g := admission.NewGate()
+	for _, spread := range []float64{0, 0.5, 0.99} {
+		ok, rest := g.Admit(ask(whole, time.Second), spread)
+		if ok || rest < whole/6 || rest > whole/3 {
+			t.Errorf("spread %v: admitted %v, back after %v", spread, ok, rest)
+		}
+	}
+	if rest := admission.Rest(10*time.Millisecond, 0); rest < 50*time.Millisecond {
+		t.Errorf("back after %v: that is at once", rest)
+	}
+}
+
+func TestForgottenRoutesStartOver(t *testing.T) {
+	g := admission.NewGate()
+	g.Admit(ask(whole, 0), 0)
+	g.Forget()
+	if ok, _ := g.Admit(ask(5*time.Second, 150*time.Millisecond), 0); ok {
+		t.Error("a first caller was taken for one that came back")
+	}
+}
--- /dev/null
+++ b/gateway/fake_test.go
@@ -0,0 +1,280 @@
+package gateway_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"clovertrail.dev/catalog"
+	"clovertrail.dev/core/call"
+	"clovertrail.dev/core/domain"
+	"clovertrail.dev/core/fault"
+	"clovertrail.dev/gateway"
+	"clovertrail.dev/retry"
+	"clovertrail.dev/telemetry"
+	"clovertrail.dev/transport"
+)
+
+// speech is a wire with plain names.
+type speech struct{}
+
+func (speech) Request(now time.Time, r *http.Request) (call.Request, error) {
+	f := call.Fields{ID: call.ID(r.Header.Get("Id")), Host: r.Host, Path: r.URL.Path, Key: r.Header.Get("Key"), After: r.Header.Get("After")}
+	if left, err := time.ParseDuration(r.Header.Get("Left")); err == nil {
+		f.Deadline = now.Add(left)
+	}
+	return call.NewRequest(f)
+}
+
+func (speech) Attempt(_ time.Time, h http.Header, a call.Attempt) {
+	h.Del("Key")
+	h.Set("Instance", string(a.Instance))
+	h.Set("Organisation", string(a.Organisation))
+	if a.After != "" {
+		h.Set("After", a.After)
+	}
+}
+
+func (speech) Answer(r *http.Response) call.Answer {
+	a := call.Answer{ID: call.ID(r.Header.Get("Id")), Status: r.StatusCode, Outcome: call.Served}
+	switch {
+	case r.Header.Get("Not-Run") != "":
+		a.Outcome = call.Declined
+	case r.StatusCode == http.StatusMisdirectedRequest:
+		a.Outcome = call.Elsewhere
+	case r.Header.Get("Signed") == "":
+		a.Outcome = call.Foreign
+	case r.StatusCode >= 500:
+		a.Outcome = call.Failed
+	}
+	return a
+}
+
+// target is a stand-in that answers each request with the next text of its script,
+// and then closes the connection if the text does not end as a whole answer does.
+type target struct {
+	name string
+	l    net.Listener
+
+	mu     sync.Mutex
+	script []string
+	got    []*http.Request
+	bodies []string
+}
+
+func newTarget(t *testing.T, name string, script ...string) *target {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	x := &target{name: name, l: l, script: script}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go x.serve(c)
+		}
+	}()
+	return x
+}
+
+// lineFeed stands in a text for a line feed that is not the end of a line of HTTP.
+const lineFeed = "\x00"
+
+var wire = strings.NewReplacer("\n", "\r\n", lineFeed, "\n")
+
+// How a text may end: without another word on an open connection, or by closing it.
+const (
+	hang   = "(hang)"
+	hangUp = "(hang up)"
+)
+
+func (x *target) serve(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	r := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		body, _ := io.ReadAll(req.Body)
+		text := x.next(req, string(body))
+		text, hangs := strings.CutSuffix(text, hang)
+		text, ends := strings.CutSuffix(text, hangUp)
+		_, _ = io.WriteString(c, wire.Replace(text))
+		if hangs {
+			_, _ = io.Copy(io.Discard, c)
+			return
+		}
+		if ends || !strings.Contains(text, "Content-Length") && !strings.HasSuffix(text, "0\n\n") {
+			return
+		}
+	}
+}
+
+func (x *target) next(r *http.Request, body string) string {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.got = append(x.got, r)
+	x.bodies = append(x.bodies, body)
+	if len(x.script) == 0 {
+		return ""
+	}
+	text := x.script[0]
+	x.script = x.script[1:]
+	return text
+}
+
+func (x *target) requests() []*http.Request {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.got
+}
+
+// fleet hands out targets in order, and notes what is said of them.
+type fleet struct {
+	mu       sync.Mutex
+	targets  []*target
+	verdicts []string
+}
+
+func (f *fleet) Acquire(_ time.Time, q gateway.Query) (gateway.Lease, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, x := range f.targets {
+		if !slices.Contains(q.Tried, domain.InstanceID(x.name)) {
+			return &lease{f: f, x: x}, nil
+		}
+	}
+	return nil, fault.New(fault.NoTarget, "none is left").RetryAt(time.Now().Add(2 * time.Second))
+}
+
+func (*fleet) Blame(domain.InstanceID) {}
+
+type lease struct {
+	f *fleet
+	x *target
+}
+
+func (l *lease) Target() domain.Target {
+	t, err := domain.NewTarget(domain.TargetFields{
+		ID: domain.InstanceID(l.x.name), Service: "s", Address: l.x.l.Addr().String(), State: domain.TargetReady,
+	})
+	if err != nil {
+		panic(err) // the fields are constant
+	}
+	return t
+}
+
+func (*lease) Load(call.Load) {}
+func (*lease) Began()         {}
+
+func (l *lease) End(v gateway.Verdict) {
+	names := map[gateway.Verdict]string{
+		gateway.Neutral: "neutral", gateway.Good: "good", gateway.Bad: "bad",
+		gateway.Unreachable: "unreachable", gateway.Replaced: "replaced",
+	}
+	l.f.mu.Lock()
+	defer l.f.mu.Unlock()
+	l.f.verdicts = append(l.f.verdicts, l.x.name+" "+names[v])
+}
+
+// purse pays for any number of retries.
+type purse struct{}
+
+func (purse) Request(time.Time)   {}
+func (purse) Take(time.Time) bool { return true }
+
+// rig is a gateway with routes of each kind before some targets.
+type rig struct {
+	t      *testing.T
+	g      *gateway.Gateway
+	fleet  *fleet
+	server *httptest.Server
+}
+
+func newRig(t *testing.T, targets ...*target) *rig {
+	t.Helper()
+	f := &fleet{targets: targets}
+	g := gateway.New(gateway.Parts{
+		Common: telemetry.Quiet(), Speech: speech{}, Fleet: f,
+		Pool:  transport.NewPool(transport.Dial(transport.Timing{Connect: time.Second, Unheard: time.Second}), transport.DefaultSettings()),
+		Purse: func(domain.ServiceName) retry.Purse { return purse{} },
+	})
+	g.Configure(routes(t))
+	s := httptest.NewServer(g)
+	s.Config.ErrorLog = nil
+	t.Cleanup(s.Close)
+	return &rig{t: t, g: g, fleet: f, server: s}
+}
+
+// routes has a route for each kind, and one with a short time-out.
+func routes(t *testing.T) *catalog.Catalog {
+	t.Helper()
+	fields := []catalog.RouteFields{
+		{Name: "once", Prefix: "/once/", Kind: catalog.Once, Timeout: 20 * time.Second},
+		{Name: "repeat", Prefix: "/repeat/", Kind: catalog.Repeatable, Timeout: 20 * time.Second},
+		{Name: "stream", Prefix: "/stream/", Kind: catalog.Stream, Resumable: true, Timeout: 20 * time.Second},
+		{Name: "stream-once", Prefix: "/stream-once/", Kind: catalog.Stream, Timeout: 20 * time.Second},
+		{Name: "short", Prefix: "/short/", Kind: catalog.Repeatable, Timeout: 50 * time.Millisecond},
+		{Name: "locked", Prefix: "/locked/", Kind: catalog.Repeatable, Timeout: 20 * time.Second},
+	}
+	d := catalog.Document{Version: 3, Limits: catalog.DefaultLimits(), Organisations: []catalog.Organisation{{Name: "league", Keys: []string{"k"}}}}
+	d.Limits.BodyBytes = 100
+	for _, f := range fields {
+		f.Host, f.Attempts, f.Open = "h", 2, f.Name != "locked"
+		f.Backends = []catalog.Backend{{Service: "s", Weight: 1}}
+		r, err := catalog.NewRoute(f)
+		if err != nil {
+			t.Fatal(err)
+		}
+		d.Routes = append(d.Routes, r)
+	}
+	c, err := catalog.New(d)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// answer is what a caller got.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	broken bool // it did not end as a whole answer does
+	closes bool // the connection ends with it
+}
+
+// ask makes a request with the header lines "Name: value".
+func (r *rig) ask(method, path, body string, headers ...string) answer {
+	r.t.Helper()
+	req, err := http.NewRequest(method, r.server.URL+path, strings.NewReader(body))
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	req.Host = "h"
+	req.Header.Set("Id", "1")
+	for _, h := range headers {
+		name, value, _ := strings.Cut(h, ": ")
+		req.Header.Set(name, value)
+	}
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		return answer{broken: true}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	raw, err := io.ReadAll(resp.Body)
+	return answer{status: resp.StatusCode, header: resp.Header, body: string(raw), broken: err != nil, closes: resp.Close}
+}
--- /dev/null
+++ b/membership/boxes_test.go
@@ -0,0 +1,107 @@
+package membership_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"clovertrail.dev/core/domain"
+	"clovertrail.dev/membership"
+)
+
+func newBoxes() *membership.Boxes {
+	return membership.NewBoxes("self", rand.New(rand.NewPCG(1, 2)))
+}
+
+func contact(name string, inc domain.Incarnation) membership.Contact {
+	return membership.Contact{Box: domain.BoxID(name), Address: name + ":1", Incarnation: inc}
+}
+
+func TestSharingCountsBoxesLongAfterTheyFellSilent(t *testing.T) {
+	b := newBoxes()
+	b.Heard(start, contact("a", 1), "near", membership.Level{}, false)
+	b.HeardOf(start, contact("b", 1), time.Second)
+	b.Heard(start, contact("self", 1), "near", membership.Level{}, false)
+	if n := b.Sharing(start.Add(10 * time.Second)); n != 3 {
+		t.Errorf("%d share after 10 s, want 3", n)
+	}
+	if n := b.Sharing(start.Add(time.Minute)); n != 1 {
+		t.Errorf("%d share after a minute, want 1", n)
+	}
+	if n := b.InTouch(start.Add(time.Second)); n != 2 {
+		t.Errorf("%d are in touch, want 2: one was only heard of", n)
+	}
+}
+
+func TestAskingWaitsForTheStoreAndThenAsksWhoKnowsMore(t *testing.T) {
+	b := newBoxes()
+	own := membership.Level{Config: 5, Targets: 7}
+	b.Heard(start, contact("level", 1), "near", own, false)
+	if b.Behind(own) {
+		t.Error("behind a box that knows as much")
+	}
+	b.Heard(start, contact("ahead", 1), "near", membership.Level{Config: 5, Targets: 8}, false)
+	if !b.Behind(own) {
+		t.Error("not behind")
+	}
+	if _, ok := b.Ask(start, own, start); ok {
+		t.Error("asked at once")
+	}
+	due := start.Add(membership.AskAfter)
+	if c, ok := b.Ask(due, own, start); !ok || c.Box != "ahead" {
+		t.Errorf("asks %v, %v", c, ok)
+	}
+	if _, ok := b.Ask(due, own, start); ok {
+		t.Error("asked the same box twice at once")
+	}
+}
+
+func TestARestartedBoxIsNotTakenForWhatItKnewBefore(t *testing.T) {
+	b := newBoxes()
+	own := membership.Level{Config: 5}
+	b.Heard(start, contact("a", 1), "near", membership.Level{Config: 9}, false)
+	b.Heard(start, contact("a", 2), "near", membership.Level{}, false)
+	if b.Behind(own) {
+		t.Error("still ahead after it started again")
+	}
+	b.Heard(start, contact("a", 1), "near", membership.Level{Config: 9}, false)
+	if b.Behind(own) {
+		t.Error("the word of its earlier start counts")
+	}
+}
+
+func TestTellingReachesAllInTimeAndForgetsTheDead(t *testing.T) {
+	b := newBoxes()
+	for i := range 30 {
+		b.Heard(start, contact(fmt.Sprint(i), 1), "near", membership.Level{}, false)
+	}
+	told := map[domain.BoxID]bool{}
+	for range 30 {
+		list := b.Tell(start, 4)
+		if len(list) != 4 {
+			t.Fatalf("told %d", len(list))
+		}
+		for _, c := range list {
+			told[c.Box] = true
+		}
+	}
+	if len(told) != 30 {
+		t.Errorf("%d of 30 told in 30 rounds of 4", len(told))
+	}
+	if list := b.Tell(start.Add(2*membership.ForgetBox), 4); len(list) != 0 {
+		t.Errorf("still tells %v", list)
+	}
+}
+
+func TestElsewhereLooksAtOtherHallsOnly(t *testing.T) {
+	b := newBoxes()
+	b.Heard(start, contact("a", 1), "near", membership.Level{}, false)
+	if known, _ := b.Elsewhere(start, "near"); known {
+		t.Error("a box of the own hall counts")
+	}
+	b.Heard(start, contact("b", 1), "far", membership.Level{}, false)
+	if known, last := b.Elsewhere(start, "near"); !known || !last.Equal(start) {
+		t.Errorf("got %v, %v", known, last)
+	}
+}
--- a/membership/roster.go
+++ b/membership/roster.go
@@ -297,31 +297,40 @@
 // Ranked returns the targets of the service that are not leaving, the best standing
 // first, and within one in order of id.
 func (r *Roster) Ranked(now time.Time, svc domain.ServiceName) []Ranked {
-	groups := r.groups(now, svc)
-	halls := r.halls(now)
 	var list []Ranked
 	for _, e := range r.entries {
 		if e.target.Service() != svc {
 			continue
 		}
-		s := r.standing(now, e)
-		if g, ok := e.target.Rank(); ok && s < Leaving {
-			s = max(s, groups[g.Group].standing())
-		}
-		if halls[e.target.Hall()].cut() {
-			s = max(s, Suspect)
-		}
-		if s < Leaving {
+		if s := r.standing(now, e); s < Leaving {
 			list = append(list, Ranked{Target: e.target, Standing: s})
 		}
 	}
-	sort.Slice(list, func(i, j int) bool {
-		if list[i].Standing != list[j].Standing {
-			return list[i].Standing < list[j].Standing
-		}
-		return list[i].Target.ID() < list[j].Target.ID()
-	})
-	return r.restore(list)
+	sort.Slice(list, func(i, j int) bool { return list[i].before(list[j]) })
+	r.restore(list)
+	groups, halls := r.groups(now, svc), r.halls(now)
+	for i := range list {
+		list[i].worsen(groups, halls)
+	}
+	sort.SliceStable(list, func(i, j int) bool { return list[i].before(list[j]) })
+	return list
+}
+
+func (x Ranked) before(y Ranked) bool {
+	if x.Standing != y.Standing {
+		return x.Standing < y.Standing
+	}
+	return x.Target.ID() < y.Target.ID()
+}
+
+// worsen lets what is known of the target's group and data hall speak against it.
+func (x *Ranked) worsen(groups map[domain.GroupName]*groupView, halls map[domain.HallName]*hallView) {
+	if g, ok := x.Target.Rank(); ok {
+		x.Standing = max(x.Standing, groups[g.Group].standing())
+	}
+	if halls[x.Target.Hall()].cut() {
+		x.Standing = max(x.Standing, Suspect)
+	}
 }
 
 // standing is that of the target by itself.
@@ -434,12 +443,12 @@
 	return listed.Open
 }
 
-// restore lets enough suspect targets count as good that ejections leave a set
-// share in use: many that fail at once are more likely one trouble on the way.
-func (r *Roster) restore(list []Ranked) []Ranked {
+// restore lets enough targets that failed attempts count as good that ejections leave
+// a set share in use: many that fail at once are more likely one trouble on the way.
+func (r *Roster) restore(list []Ranked) {
 	good, known := 0, 0
-	for _, u := range list {
-		switch u.Standing {
+	for _, x := range list {
+		switch x.Standing {
 		case Good:
 			good++
 			known++
@@ -454,7 +463,6 @@
 			good++
 		}
 	}
-	return list
 }
 
 // forget drops instances that have been gone for long.
--- /dev/null
+++ b/membership/roster_test.go
@@ -0,0 +1,308 @@
+package membership_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"clovertrail.dev/core/domain"
+	"clovertrail.dev/membership"
+	"clovertrail.dev/store"
+)
+
+const drain = 2 * time.Second
+
+func newRoster() *membership.Roster {
+	return membership.NewRoster(membership.DefaultRosterPolicy(drain))
+}
+
+// target is a ready target of the service "s".
+func target(id string, state domain.TargetState, rank *domain.Rank) *domain.Target {
+	t, err := domain.NewTarget(domain.TargetFields{
+		ID: domain.InstanceID(id), Service: "s", Address: "10.0.0.1:1", Hall: "near", State: state, Slots: 4, Rank: rank,
+	})
+	if err != nil {
+		panic(err) // the fields are constant
+	}
+	return &t
+}
+
+func ready(id string, rev store.Revision) membership.News {
+	return membership.News{ID: domain.InstanceID(id), Revision: rev, Target: target(id, domain.TargetReady, nil)}
+}
+
+func leaving(id string, rev store.Revision) membership.News {
+	return membership.News{ID: domain.InstanceID(id), Revision: rev, Target: target(id, domain.TargetLeaving, nil)}
+}
+
+func gone(id string, rev store.Revision) membership.News {
+	return membership.News{ID: domain.InstanceID(id), Revision: rev}
+}
+
+// standings are those of the service's targets, by id; leaving ones are left out.
+func standings(r *membership.Roster, now time.Time) map[domain.InstanceID]membership.Standing {
+	m := map[domain.InstanceID]membership.Standing{}
+	for _, x := range r.Ranked(now, "s") {
+		m[x.Target.ID()] = x.Standing
+	}
+	return m
+}
+
+func mayBeUsed(r *membership.Roster, now time.Time, id string) bool {
+	s, ok := standings(r, now)[domain.InstanceID(id)]
+	return ok && s.Usable()
+}
+
+func TestLeavingTargetsGetNothing(t *testing.T) {
+	tests := []struct {
+		name string
+		news []membership.News
+		want bool
+	}{
+		{"ready", []membership.News{ready("a", 1)}, true},
+		{"leaving", []membership.News{ready("a", 1), leaving("a", 2)}, false},
+		{"gone without a word", []membership.News{ready("a", 1), gone("a", 2)}, false},
+		{"older news of its leaving", []membership.News{ready("a", 5), leaving("a", 4)}, true},
+		{"older news of its being ready", []membership.News{leaving("a", 5), ready("a", 4)}, false},
+		{"back under the same id", []membership.News{ready("a", 1), gone("a", 2), ready("a", 3)}, true},
+		{"older news after it went", []membership.News{gone("a", 5), ready("a", 4)}, false},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newRoster()
+			for _, n := range tc.news {
+				r.Changed(start, n)
+			}
+			if got := mayBeUsed(r, start, "a"); got != tc.want {
+				t.Errorf("usable: %v", got)
+			}
+		})
+	}
+}
+
+func TestAListTakesAwayWhatIsNotInIt(t *testing.T) {
+	r := newRoster()
+	r.Listed(start, 10, []membership.News{ready("a", 1), ready("b", 2)})
+	fresh := r.Listed(start, 20, []membership.News{ready("b", 2), ready("c", 15)})
+	if len(fresh) != 2 { // c came, a went
+		t.Errorf("news: %+v", fresh)
+	}
+	if mayBeUsed(r, start, "a") || !mayBeUsed(r, start, "b") || !mayBeUsed(r, start, "c") {
+		t.Errorf("got %v", standings(r, start))
+	}
+	if r.Listed(start, 15, []membership.News{ready("a", 1)}) != nil {
+		t.Error("an older list brought news")
+	}
+	r.Changed(start, ready("d", 30)) // known from a peer, past the next list
+	r.Listed(start, 30, nil)
+	r.Listed(start, 25, nil)
+	if mayBeUsed(r, start, "b") {
+		t.Error("an empty list left a target")
+	}
+}
+
+func TestEntriesThatLapseWithTheStoreAreUsedForAWhile(t *testing.T) {
+	r := newRoster()
+	r.Changed(start, ready("a", 1))
+	r.Changed(start, leaving("b", 2))
+	r.StoreTroubled(start)
+	back := start.Add(time.Second)
+	r.Changed(back, gone("a", 3))
+	r.Changed(back, gone("b", 4))
+	if s := standings(r, back)["a"]; s != membership.Lapsed {
+		t.Errorf("a: %v", s)
+	}
+	if mayBeUsed(r, back, "b") {
+		t.Error("one that had said that it leaves is used")
+	}
+	if end := back.Add(drain - time.Millisecond); mayBeUsed(r, end, "a") {
+		t.Error("still used when the platform's bound ends")
+	}
+	r.Changed(back.Add(time.Second), ready("a", 9))
+	if s := standings(r, back.Add(drain))["a"]; s != membership.Good {
+		t.Errorf("listed again: %v", s)
+	}
+}
+
+func TestAnEntryThatGoesWhileTheStoreIsWellMeansLeaving(t *testing.T) {
+	r := newRoster()
+	r.Changed(start, ready("a", 1))
+	r.StoreTroubled(start)
+	later := start.Add(time.Minute)
+	r.Changed(later, gone("a", 2))
+	if mayBeUsed(r, later, "a") {
+		t.Error("used although the store has long been well")
+	}
+}
+
+func TestAnotherInstanceAtTheAddress(t *testing.T) {
+	r := newRoster()
+	r.Changed(start, ready("a", 1))
+	r.Replaced("a")
+	if mayBeUsed(r, start, "a") {
+		t.Error("still used")
+	}
+}
+
+func TestUnreachableTargetsAreNotTriedForAWhile(t *testing.T) {
+	r := newRoster()
+	r.Changed(start, ready("a", 1))
+	r.Unreachable(start, "a")
+	if mayBeUsed(r, start.Add(500*time.Millisecond), "a") {
+		t.Error("tried again after half a second")
+	}
+	if !mayBeUsed(r, start.Add(5*time.Second), "a") {
+		t.Error("never tried again")
+	}
+	r.Unreachable(start.Add(5*time.Second), "a")
+	r.Succeeded(start.Add(5*time.Second), "a")
+	if !mayBeUsed(r, start.Add(5*time.Second), "a") {
+		t.Error("a sign of life does not count")
+	}
+}
+
+func TestFailingTargetsAreSuspectButNeverMoreThanHalf(t *testing.T) {
+	r := newRoster()
+	ids := []domain.InstanceID{"a", "b", "c", "d"}
+	for i, id := range ids {
+		r.Changed(start, ready(string(id), store.Revision(i+1)))
+	}
+	for range 10 {
+		r.Failed(start, "a")
+		for _, id := range ids[1:] {
+			r.Succeeded(start, id)
+		}
+	}
+	got := standings(r, start)
+	if got["a"] != membership.Suspect || got["b"] != membership.Good {
+		t.Errorf("got %v", got)
+	}
+	for range 40 {
+		r.Failed(start, "b")
+		r.Failed(start, "c")
+		r.Succeeded(start, "d")
+	}
+	good := 0
+	for _, s := range standings(r, start) {
+		if s == membership.Good {
+			good++
+		}
+	}
+	if good < 2 {
+		t.Errorf("%d of 4 are left: %v", good, standings(r, start))
+	}
+}
+
+func TestAServiceThatFailsAltogetherSuspectsNobody(t *testing.T) {
+	r := newRoster()
+	for i, id := range []string{"a", "b"} {
+		r.Changed(start, ready(id, store.Revision(i+1)))
+	}
+	for range 20 {
+		r.Failed(start, "a")
+		r.Failed(start, "b")
+	}
+	for id, s := range standings(r, start) {
+		if s != membership.Good {
+			t.Errorf("%s is %v", id, s)
+		}
+	}
+}
+
+// group lists a group of two ranks.
+func group(r *membership.Roster, rev store.Revision, epoch uint64, open bool) {
+	for i, id := range []string{"r0", "r1"} {
+		rank := &domain.Rank{Group: "g", Epoch: epoch, Number: i, Size: 2, Open: open}
+		r.Changed(start, membership.News{ID: domain.InstanceID(id), Revision: rev + store.Revision(i), Target: target(id, domain.TargetReady, rank)})
+	}
+}
+
+func TestGroups(t *testing.T) {
+	open := domain.Rank{Group: "g", Epoch: 1, Size: 2, Open: true}
+	broken := open
+	broken.Open = false
+	second := start.Add(time.Second)
+	tests := []struct {
+		name string
+		do   func(*membership.Roster)
+		at   time.Time
+		want membership.Standing
+	}{
+		{"open", func(*membership.Roster) {}, start, membership.Good},
+		{"a rank says that it is broken", func(r *membership.Roster) { r.Reported(start, "r1", broken, 5, false) }, start, membership.Unfit},
+		{"that word is old", func(r *membership.Roster) { r.Reported(start, "r1", broken, 5, false) }, start.Add(2 * time.Second), membership.Good},
+		{"another rank cannot be reached", func(r *membership.Roster) { r.Unreachable(start, "r1") }, start.Add(100 * time.Millisecond), membership.Suspect},
+		{"but the group steps on", func(r *membership.Roster) {
+			r.Reported(start, "r0", open, 5, true)
+			r.Unreachable(start, "r1")
+			r.Reported(start.Add(100*time.Millisecond), "r0", open, 6, true)
+		}, start.Add(200 * time.Millisecond), membership.Good},
+		{"work and no step", func(r *membership.Roster) {
+			r.Reported(start, "r0", open, 5, true)
+			r.Reported(second, "r0", open, 5, true)
+		}, second, membership.Suspect},
+		{"no step and no work", func(r *membership.Roster) {
+			r.Reported(start, "r0", open, 5, false)
+			r.Reported(second, "r0", open, 5, false)
+		}, second, membership.Good},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newRoster()
+			group(r, 1, 1, true)
+			tc.do(r)
+			if got := standings(r, tc.at)["r0"]; got != tc.want {
+				t.Errorf("got %v, want %v", got, tc.want)
+			}
+		})
+	}
+}
+
+func TestTargetsOfAHallThatIsCutAreSuspect(t *testing.T) {
+	r := newRoster()
+	for i, id := range []string{"a", "b", "c"} {
+		r.Changed(start, ready(id, store.Revision(i+1)))
+	}
+	r.Unreachable(start, "a")
+	if s := standings(r, start)["c"]; s != membership.Good {
+		t.Errorf("after one: %v", s)
+	}
+	r.Unreachable(start, "b")
+	if s := standings(r, start)["c"]; s != membership.Suspect {
+		t.Errorf("after two: %v", s)
+	}
+	r.Succeeded(start.Add(time.Millisecond), "c")
+	if s := standings(r, start.Add(time.Millisecond))["c"]; s != membership.Good {
+		t.Errorf("after a sign of life: %v", s)
+	}
+}
+
+// TestOrderOfNewsDoesNotMatter gives the same changes to two boxes in different
+// orders, one of them with whole lists between: both end with the same targets.
+func TestOrderOfNewsDoesNotMatter(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		var history []membership.News
+		for rev := range 12 {
+			id := fmt.Sprint(rapid.IntRange(0, 2).Draw(rt, "id"))
+			kinds := []membership.News{ready(id, store.Revision(rev+1)), leaving(id, store.Revision(rev+1)), gone(id, store.Revision(rev+1))}
+			history = append(history, rapid.SampledFrom(kinds).Draw(rt, "news"))
+		}
+		inOrder, mixed := newRoster(), newRoster()
+		for _, n := range history {
+			inOrder.Changed(start, n)
+		}
+		for _, i := range rapid.Permutation([]int{0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11}).Draw(rt, "order") {
+			mixed.Changed(start, history[i])
+		}
+		if a, b := standings(inOrder, start), standings(mixed, start); fmt.Sprint(a) != fmt.Sprint(b) {
+			rt.Fatalf("in order %v, mixed %v", a, b)
+		}
+		late := newRoster()
+		late.Listed(start, inOrder.Newest(), inOrder.All())
+		if a, b := standings(inOrder, start), standings(late, start); fmt.Sprint(a) != fmt.Sprint(b) {
+			rt.Fatalf("in order %v, from the list of a peer %v", a, b)
+		}
+	})
+}
--- /dev/null
+++ b/mesh/mesh_test.go
@@ -0,0 +1,119 @@
+package mesh_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"reflect"
+	"testing"
+	"time"
+
+	"clovertrail.dev/core/domain"
+	"clovertrail.dev/mapswitch/orders"
+	"clovertrail.dev/membership"
+	"clovertrail.dev/mesh"
+)
+
+// serve runs a server with the handlers and gives its address.
+func serve(t *testing.T, m *mesh.Mux) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		_ = mesh.Serve(ctx, l, m)
+		close(done)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return l.Addr().String()
+}
+
+func newClient(t *testing.T) *mesh.Client {
+	c := mesh.NewClient(func(ctx context.Context, address string) (net.Conn, error) {
+		var d net.Dialer
+		return d.DialContext(ctx, "tcp", address)
+	})
+	t.Cleanup(func() { _ = c.Close() })
+	return c
+}
+
+func within(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func TestCalls(t *testing.T) {
+	m := mesh.NewMux()
+	mesh.Handle(m, mesh.Meet, func(_ context.Context, a *mesh.Advert) (*mesh.Advert, error) {
+		a.Hall += "!"
+		return a, nil
+	})
+	mesh.Handle(m, mesh.Pull, func(context.Context, *mesh.PullQuery) (*mesh.Pulled, error) {
+		return nil, errors.New("no")
+	})
+	address, client := serve(t, m), newClient(t)
+	for range 3 { // over a kept connection too
+		got, err := mesh.Call[mesh.Advert, mesh.Advert](within(t), client, address, mesh.Meet, &mesh.Advert{Hall: "near", Config: 7})
+		if err != nil || got.Hall != "near!" || got.Config != 7 {
+			t.Fatalf("got %+v, %v", got, err)
+		}
+	}
+	if _, err := mesh.Call[mesh.PullQuery, mesh.Pulled](within(t), client, address, mesh.Pull, &mesh.PullQuery{}); err == nil {
+		t.Error("the handler's error was lost")
+	}
+	if _, err := mesh.Call[mesh.ReadQuery, mesh.RankReport](within(t), client, address, mesh.Read, &mesh.ReadQuery{}); err == nil {
+		t.Error("a call without a handler was answered")
+	}
+	if _, err := mesh.Call[mesh.Advert, mesh.Advert](within(t), client, address, mesh.Meet, &mesh.Advert{}); err != nil {
+		t.Errorf("after errors: %v", err)
+	}
+}
+
+func TestOrdersGoThroughTheWire(t *testing.T) {
+	m := mesh.NewMux()
+	var got orders.Order
+	mesh.Handle(m, mesh.Command, func(_ context.Context, c *mesh.OrderCall) (*mesh.OrderReply, error) {
+		got = c.Order()
+		return &mesh.OrderReply{Result: orders.Refused}, nil
+	})
+	address, client := serve(t, m), newClient(t)
+	for _, o := range []orders.Order{
+		orders.Prepare{Version: 3, Map: orders.Placement{{{0, 1}, {1}}}}, orders.Arm{Version: 3, Step: 9},
+		orders.Disarm{Version: 3}, orders.Hold{Step: 9}, orders.Release{Step: 9},
+	} {
+		reply, err := mesh.Call[mesh.OrderCall, mesh.OrderReply](within(t), client, address, mesh.Command, mesh.CallOf(orders.Call{Epoch: 2, Order: o}))
+		if err != nil || reply.Result != orders.Refused || !reflect.DeepEqual(got, o) {
+			t.Errorf("%T arrived as %+v, answered %+v, %v", o, got, reply, err)
+		}
+	}
+	if (&mesh.OrderCall{}).Order() != nil {
+		t.Error("a call without an order has one")
+	}
+}
+
+func TestNewsGoesThroughTheWireAndIsChecked(t *testing.T) {
+	target, err := domain.NewTarget(domain.TargetFields{
+		ID: "i-1", Service: "s", Address: "10.0.0.1:80", Hall: "near", State: domain.TargetReady, Slots: 4,
+		Rank: &domain.Rank{Group: "g", Epoch: 2, Number: 1, Size: 2, Open: true},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	news := []membership.News{{ID: "i-1", Revision: 9, Target: &target}, {ID: "i-2", Revision: 10}}
+	p := &mesh.Pulled{At: 10, Targets: mesh.ListOf(news)}
+	back, err := p.News()
+	if err != nil || !reflect.DeepEqual(back, news) {
+		t.Errorf("got %+v, %v", back, err)
+	}
+	p.Targets[0].Target.Address = ""
+	if _, err := p.News(); err == nil {
+		t.Error("a target without an address was taken")
+	}
+}
--- /dev/null
+++ b/routing/balancer_test.go
@@ -0,0 +1,178 @@
+package routing_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"clovertrail.dev/core/domain"
+	"clovertrail.dev/routing"
+)
+
+func newBalancer() *routing.Balancer { return routing.NewBalancer(rand.New(rand.NewPCG(1, 2))) }
+
+func option(id, hall, group string) routing.Option {
+	return routing.Option{ID: domain.InstanceID(id), Hall: domain.HallName(hall), Group: domain.GroupName(group), Slots: 4}
+}
+
+func alone() []routing.Option {
+	return []routing.Option{option("a", "near", ""), option("b", "far", ""), option("c", "far", "")}
+}
+
+// spread sends so many requests and tells how many each target got.
+func spread(b *routing.Balancer, options []routing.Option, n int) map[domain.InstanceID]int {
+	got := map[domain.InstanceID]int{}
+	for range n {
+		o, ok := b.Pick(start, "near", options)
+		if !ok {
+			return got
+		}
+		b.Sent(start, o)
+		got[o.ID]++
+	}
+	return got
+}
+
+func TestRequestsGoToTheLeastLoaded(t *testing.T) {
+	got := spread(newBalancer(), alone(), 30)
+	for id, n := range got {
+		if n != 10 {
+			t.Errorf("%s got %d of 30", id, n)
+		}
+	}
+}
+
+func TestTheOwnHallGoesFirstWhileItIsAsFree(t *testing.T) {
+	b := newBalancer()
+	for range 20 {
+		if o, _ := b.Pick(start, "near", alone()); o.ID != "a" {
+			t.Fatalf("an idle target of the own hall was passed by for %s", o.ID)
+		}
+	}
+}
+
+func TestReportsOfOthersWorkCountAndFade(t *testing.T) {
+	b := newBalancer()
+	b.Report(start, "a", routing.Report{Running: 4, Waiting: 8})
+	if o, _ := b.Pick(start, "near", alone()); o.ID == "a" {
+		t.Error("a full target was chosen")
+	}
+	if o, _ := b.Pick(start.Add(20*time.Second), "near", alone()); o.ID != "a" {
+		t.Error("an old report still counts")
+	}
+}
+
+func TestOwnRequestsAreNotCountedTwice(t *testing.T) {
+	b := newBalancer()
+	o := option("a", "near", "")
+	for range 3 {
+		b.Sent(start, o)
+	}
+	b.Report(start, "a", routing.Report{Running: 3})
+	if fill := b.Fill(start, []routing.Option{o}); fill != 0.75 {
+		t.Errorf("filled to %v, want 0.75", fill)
+	}
+}
+
+func TestOnlyTheMostTrustedTierIsUsed(t *testing.T) {
+	options := alone()
+	options[0].Tier = 1
+	if got := spread(newBalancer(), options, 40); got["a"] != 0 {
+		t.Errorf("got %v", got)
+	}
+	options[1].Tier, options[2].Tier = 2, 2
+	if got := spread(newBalancer(), options, 40); got["a"] != 40 {
+		t.Errorf("got %v", got)
+	}
+}
+
+func TestGroupsAreLoadedAsWholes(t *testing.T) {
+	var options []routing.Option
+	for g := range 2 {
+		for r := range 4 {
+			options = append(options, option(fmt.Sprintf("g%d-%d", g, r), "near", fmt.Sprintf("g%d", g)))
+		}
+	}
+	b := newBalancer()
+	for r := range 4 { // the ranks of one group are busy but for one
+		if r > 0 {
+			b.Report(start, domain.InstanceID(fmt.Sprintf("g0-%d", r)), routing.Report{Running: 4})
+		}
+	}
+	for range 8 {
+		o, _ := b.Pick(start, "near", options)
+		if o.Group != "g1" {
+			t.Fatalf("the idle rank of the busy group was chosen: %s", o.ID)
+		}
+		b.Sent(start, o)
+	}
+}
+
+func TestASlowGroupGetsLess(t *testing.T) {
+	var options []routing.Option
+	for g := range 2 {
+		for r := range 4 {
+			options = append(options, option(fmt.Sprintf("g%d-%d", g, r), "near", fmt.Sprintf("g%d", g)))
+		}
+	}
+	b := newBalancer()
+	b.Report(start, "g0-2", routing.Report{Pace: 3})
+	n := 0
+	for id, k := range spread(b, options, 16) {
+		if id[:2] == "g0" {
+			n += k
+		}
+	}
+	if n < 2 || n > 6 {
+		t.Errorf("a group of a third of the pace got %d of 16", n)
+	}
+}
+
+func TestTheExpectedBeginningGrowsOnceSlotsAreFull(t *testing.T) {
+	b := newBalancer()
+	o := option("a", "near", "")
+	_, wait := b.Begins(start, o)
+	if wait != 0 {
+		t.Errorf("an idle target lets wait %v", wait)
+	}
+	for range 4 {
+		b.Sent(start, o)
+	}
+	total, wait := b.Begins(start, o)
+	if wait <= 0 || total <= wait {
+		t.Errorf("full: begins after %v, of it %v waiting", total, wait)
+	}
+}
+
+func TestBeginningsAreLearnt(t *testing.T) {
+	b := newBalancer()
+	o := option("a", "near", "")
+	for range 60 {
+		k := b.Sent(start, o)
+		b.Began(start.Add(400*time.Millisecond), k)
+		b.Began(start.Add(9*time.Second), k) // only the first counts
+		b.Ended(start.Add(500*time.Millisecond), k)
+		b.Ended(start.Add(500*time.Millisecond), k) // only once
+	}
+	if total, _ := b.Begins(start, o); total < 380*time.Millisecond || total > 420*time.Millisecond {
+		t.Errorf("begins after %v, want about 400ms", total)
+	}
+	if b.Open("a") != 0 {
+		t.Errorf("%d requests are left open", b.Open("a"))
+	}
+}
+
+func TestNothingToPickFrom(t *testing.T) {
+	if _, ok := newBalancer().Pick(start, "near", nil); ok {
+		t.Error("picked from nothing")
+	}
+}
+
+func ExampleBalancer() {
+	b := newBalancer()
+	b.Report(start, "busy", routing.Report{Running: 4, Waiting: 2})
+	o, _ := b.Pick(start, "near", []routing.Option{option("busy", "near", ""), option("idle", "far", "")})
+	fmt.Println(o.ID)
+	// Output: idle
+}
--- a/telemetry/lines.go
+++ b/telemetry/lines.go
@@ -19,7 +19,8 @@
 	pending []byte
 	left    int // of the bound, this second
 	filled  time.Time
-	dropped int
+	dropped int       // since a line told of it
+	toldAt  time.Time // the last such line
 	wake    chan struct{}
 }
 
@@ -45,6 +46,7 @@
 	l.refill(time.Now())
 	if len(line) > l.left {
 		l.dropped++
+		l.metrics.Count(LinesDropped, "full", 1)
 	} else {
 		l.left -= len(line)
 		l.pending = append(l.pending, line...)
@@ -71,6 +73,9 @@
 // flushEvery gathers lines into one write.
 const flushEvery = 100 * time.Millisecond
 
+// tellEvery is the time between two lines that tell of dropped ones.
+const tellEvery = time.Second
+
 // Run writes what is logged until stop is closed, and then what is left.
 func (l *Lines) Run(stop <-chan struct{}) {
 	for {
@@ -91,13 +96,13 @@
 // Flush writes what is pending now.
 func (l *Lines) Flush() {
 	l.mu.Lock()
-	out, dropped := l.pending, l.dropped
-	l.pending, l.dropped = nil, 0
-	l.mu.Unlock()
-	if dropped > 0 {
-		l.metrics.Count(LinesDropped, "full", dropped)
-		out = fmt.Appendf(out, "level=WARN msg=\"log lines dropped\" lines=%d\n", dropped)
+	out := l.pending
+	l.pending = nil
+	if now := time.Now(); l.dropped > 0 && now.Sub(l.toldAt) >= tellEvery {
+		out = fmt.Appendf(out, "level=WARN msg=\"log lines dropped\" lines=%d\n", l.dropped)
+		l.dropped, l.toldAt = 0, now
 	}
+	l.mu.Unlock()
 	if len(out) > 0 {
 		_, _ = l.out.Write(out) // there is nowhere to tell that the log cannot be written
 	}
--- /dev/null
+++ b/transport/transport_test.go
@@ -0,0 +1,293 @@
+package transport_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"clovertrail.dev/transport"
+)
+
+// peer answers each request on each connection with what script gives for its
+// number on that connection, from 0.
+type peer struct {
+	l     net.Listener
+	conns atomic.Int32
+}
+
+func newPeer(t *testing.T, script func(n int, w net.Conn, r *http.Request) (goOn bool)) *peer {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &peer{l: l}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			p.conns.Add(1)
+			go serveScript(c, script)
+		}
+	}()
+	return p
+}
+
+func serveScript(c net.Conn, script func(int, net.Conn, *http.Request) bool) {
+	defer func() { _ = c.Close() }()
+	r := bufio.NewReader(c)
+	for n := 0; ; n++ {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		if !script(n, c, req) {
+			return
+		}
+	}
+}
+
+func (p *peer) address() string { return p.l.Addr().String() }
+
+func write(w io.Writer, text string) {
+	_, _ = io.WriteString(w, strings.ReplaceAll(text, "\n", "\r\n"))
+}
+
+func newPool() *transport.Pool {
+	dial := transport.Dial(transport.Timing{Connect: time.Second, Unheard: time.Second})
+	return transport.NewPool(dial, transport.DefaultSettings())
+}
+
+func request() *http.Request {
+	return &http.Request{Method: "GET", URL: &url.URL{Path: "/x"}, Host: "h", Header: http.Header{}, ProtoMajor: 1, ProtoMinor: 1}
+}
+
+// get makes one request and returns the body of the answer that is mine.
+func get(t *testing.T, p *transport.Pool, address string, reuse transport.Reuse, id string) (string, error) {
+	t.Helper()
+	x, err := p.Open(context.Background(), address, reuse)
+	if err != nil {
+		return "", err
+	}
+	defer x.Close()
+	req := request()
+	if err := x.Send(req); err != nil {
+		return "", err
+	}
+	resp, err := x.Receive(req, func(r *http.Response) bool { return r.Header.Get("Id") == id })
+	if err != nil {
+		return "", err
+	}
+	body, err := io.ReadAll(resp.Body)
+	return string(body), err
+}
+
+func TestConnectionsAreKeptAndReused(t *testing.T) {
+	tests := []struct {
+		name   string
+		answer string
+		reuse  transport.Reuse
+		conns  int32
+	}{
+		{"kept", "HTTP/1.1 200 OK\nId: 1\nContent-Length: 2\n\nok", transport.Kept, 1},
+		{"fresh each time", "HTTP/1.1 200 OK\nId: 1\nContent-Length: 2\n\nok", transport.Fresh, 3},
+		{"closed by the target", "HTTP/1.1 200 OK\nId: 1\nConnection: close\nContent-Length: 2\n\nok", transport.Kept, 3},
+		{"kept for too short", "HTTP/1.1 200 OK\nId: 1\nKeep-Alive: timeout=1\nContent-Length: 2\n\nok", transport.Kept, 3},
+		{"more behind the answer", "HTTP/1.1 200 OK\nId: 1\nContent-Length: 2\n\nokHTTP/1.1 200 OK\nId: 0\nContent-Length: 0\n\n", transport.Kept, 3},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			peer := newPeer(t, func(_ int, w net.Conn, _ *http.Request) bool {
+				write(w, tc.answer)
+				return true
+			})
+			pool := newPool()
+			defer pool.Close()
+			for range 3 {
+				if body, err := get(t, pool, peer.address(), tc.reuse, "1"); body != "ok" || err != nil {
+					t.Fatalf("got %q, %v", body, err)
+				}
+			}
+			if n := peer.conns.Load(); n != tc.conns {
+				t.Errorf("%d connections, want %d", n, tc.conns)
+			}
+		})
+	}
+}
+
+func TestAnswersToOtherRequestsArePassedOver(t *testing.T) {
+	peer := newPeer(t, func(_ int, w net.Conn, _ *http.Request) bool {
+		write(w, "HTTP/1.1 200 OK\nId: late\nContent-Length: 5\n\nwrongHTTP/1.1 100 Continue\n\nHTTP/1.1 200 OK\nId: 1\nContent-Length: 5\n\nright")
+		return true
+	})
+	pool := newPool()
+	defer pool.Close()
+	if body, err := get(t, pool, peer.address(), transport.Kept, "1"); body != "right" || err != nil {
+		t.Errorf("got %q, %v", body, err)
+	}
+}
+
+func TestOnlyAnswersToOthers(t *testing.T) {
+	peer := newPeer(t, func(_ int, w net.Conn, _ *http.Request) bool {
+		write(w, strings.Repeat("HTTP/1.1 200 OK\nId: late\nContent-Length: 1\n\nx", 10))
+		return true
+	})
+	if body, err := get(t, newPool(), peer.address(), transport.Kept, "1"); err == nil {
+		t.Errorf("got %q", body)
+	}
+}
+
+func TestBrokenAnswersAreErrors(t *testing.T) {
+	tests := map[string]string{
+		"short body":      "HTTP/1.1 200 OK\nId: 1\nContent-Length: 9\n\nok",
+		"cut chunk":       "HTTP/1.1 200 OK\nId: 1\nTransfer-Encoding: chunked\n\n5\nok",
+		"no last chunk":   "HTTP/1.1 200 OK\nId: 1\nTransfer-Encoding: chunked\n\n2\nok\n",
+		"no answer":       "",
+		"not an answer":   "hello there\n\n",
+		"part of a head":  "HTTP/1.1 200 OK\nId:",
+		"garbage in head": "HTTP/1.1 200 OK\n: :\x00\n\n",
+	}
+	for name, answer := range tests {
+		t.Run(name, func(t *testing.T) {
+			peer := newPeer(t, func(_ int, w net.Conn, _ *http.Request) bool {
+				write(w, answer)
+				return false
+			})
+			if body, err := get(t, newPool(), peer.address(), transport.Kept, "1"); err == nil {
+				t.Errorf("got %q as whole", body)
+			}
+		})
+	}
+}
+
+func TestAnswerWithoutALengthEndsWithItsConnection(t *testing.T) {
+	peer := newPeer(t, func(_ int, w net.Conn, _ *http.Request) bool {
+		write(w, "HTTP/1.1 200 OK\nId: 1\n\nwhole")
+		return false
+	})
+	if body, err := get(t, newPool(), peer.address(), transport.Kept, "1"); body != "whole" || err != nil {
+		t.Errorf("got %q, %v", body, err)
+	}
+	reset := newPeer(t, func(_ int, w net.Conn, _ *http.Request) bool {
+		write(w, "HTTP/1.1 200 OK\nId: 1\n\nhal")
+		_ = w.(*net.TCPConn).SetLinger(0) // closing now resets
+		return false
+	})
+	if body, err := get(t, newPool(), reset.address(), transport.Kept, "1"); err == nil {
+		t.Errorf("got %q as whole although the connection was reset", body)
+	}
+}
+
+func TestSentTellsWhetherAByteMayHaveLeft(t *testing.T) {
+	pool := newPool()
+	peer := newPeer(t, func(int, net.Conn, *http.Request) bool { return false })
+	x, err := pool.Open(context.Background(), peer.address(), transport.Fresh)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if x.Sent() {
+		t.Error("sent before anything was written")
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	x.Bind(ctx)
+	cancel()
+	for x.Send(request()) == nil { // until the close is carried out
+	}
+	x.Close()
+
+	y, err := pool.Open(context.Background(), peer.address(), transport.Fresh)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := y.Send(request()); err != nil || !y.Sent() {
+		t.Errorf("sent %v, %v", y.Sent(), err)
+	}
+	y.Close()
+}
+
+func TestEndOfContextClosesTheConnection(t *testing.T) {
+	closed := make(chan error, 1)
+	peer := newPeer(t, func(_ int, w net.Conn, _ *http.Request) bool {
+		var b [1]byte
+		_, err := w.Read(b[:])
+		closed <- err
+		return false
+	})
+	x, err := newPool().Open(context.Background(), peer.address(), transport.Kept)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	x.Bind(ctx)
+	if err := x.Send(request()); err != nil {
+		t.Fatal(err)
+	}
+	cancel()
+	if _, err := x.Receive(request(), func(*http.Response) bool { return true }); err == nil {
+		t.Error("received from a closed connection")
+	}
+	if err := <-closed; err == nil {
+		t.Error("the target was not told")
+	}
+	x.Close()
+}
+
+func TestAConnectionThatTheTargetClosedIsNotUsed(t *testing.T) {
+	peer := newPeer(t, func(n int, w net.Conn, _ *http.Request) bool {
+		write(w, "HTTP/1.1 200 OK\nId: 1\nContent-Length: 2\n\nok")
+		return false // closes although it did not say so
+	})
+	pool := newPool()
+	defer pool.Close()
+	for range 3 {
+		if _, err := get(t, pool, peer.address(), transport.Kept, "1"); err != nil {
+			t.Fatal(err)
+		}
+		waitClosed(t, pool, peer.address())
+	}
+	if n := peer.conns.Load(); n < 3 {
+		t.Errorf("%d connections", n)
+	}
+}
+
+// waitClosed opens kept connections until none is left that the peer has closed.
+func waitClosed(t *testing.T, pool *transport.Pool, address string) {
+	t.Helper()
+	for {
+		x, err := pool.Open(context.Background(), address, transport.Kept)
+		if err != nil {
+			t.Fatal(err)
+		}
+		reused := x.Reused()
+		x.Close()
+		if !reused {
+			return
+		}
+	}
+}
+
+func TestNobodyListens(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := l.Addr().String()
+	_ = l.Close()
+	_, err = newPool().Open(context.Background(), address, transport.Kept)
+	var op *net.OpError
+	if !errors.As(err, &op) || op.Op != "dial" {
+		t.Errorf("got %v", err)
+	}
+}
