The linter passes again: long tests split, answers' bodies closed, checked writes in tests

The body of an answer is now closed by the path of a request; transport.Exchange owns the connection, so Close of that body does nothing.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -23,7 +23,6 @@
 	exchange   *transport.Exchange
 	answer     call.Answer
 	impatience *time.Timer
-	silent     bool // the patience ran out
 }
 
 var errImpatient = errors.New("the answer did not begin in time")
@@ -77,6 +76,7 @@
 	if err != nil {
 		return a.lost(ctx, err)
 	}
+	defer func() { _ = resp.Body.Close() }() // the exchange closes the connection
 	return a.answered(ctx, resp)
 }
 
--- a/mapswitch/orders/engine_test.go
+++ b/mapswitch/orders/engine_test.go
@@ -99,32 +99,11 @@
 	case orders.Prepare:
 		return r.prepare(o)
 	case orders.Arm:
-		if r.armed != nil && *r.armed == (orders.Armed{Version: o.Version, Step: o.Step}) {
-			return true
-		}
-		if r.prepared != o.Version || o.Step <= g.step {
-			return false
-		}
-		r.armed = &orders.Armed{Version: o.Version, Step: o.Step}
-		return true
+		return r.arm(o, g.step)
 	case orders.Disarm:
-		if r.inUse == o.Version && o.Version != 0 {
-			return false
-		}
-		if r.armed != nil && r.armed.Version == o.Version {
-			r.armed = nil
-		}
-		return true
+		return r.disarm(o)
 	case orders.Hold:
-		if r.held != nil {
-			return *r.held == o.Step
-		}
-		if o.Step <= g.step {
-			return false
-		}
-		s := o.Step
-		r.held = &s
-		return true
+		return r.hold(o, g.step)
 	case orders.Release:
 		if r.held != nil && *r.held == o.Step {
 			r.held = nil
@@ -135,6 +114,38 @@
 	}
 }
 
+func (r *rankEngine) arm(o orders.Arm, now orders.Step) bool {
+	if r.armed != nil && *r.armed == orders.Armed(o) {
+		return true
+	}
+	if r.prepared != o.Version || o.Step <= now {
+		return false
+	}
+	r.armed = &orders.Armed{Version: o.Version, Step: o.Step}
+	return true
+}
+
+func (r *rankEngine) disarm(o orders.Disarm) bool {
+	if r.inUse == o.Version && o.Version != 0 {
+		return false
+	}
+	if r.armed != nil && r.armed.Version == o.Version {
+		r.armed = nil
+	}
+	return true
+}
+
+func (r *rankEngine) hold(o orders.Hold, now orders.Step) bool {
+	if r.held != nil {
+		return *r.held == o.Step
+	}
+	if o.Step <= now {
+		return false
+	}
+	r.held = &o.Step
+	return true
+}
+
 func (r *rankEngine) prepare(o orders.Prepare) bool {
 	if o.Version == r.prepared || o.Version == r.copying {
 		return true
--- a/telemetry/lines_test.go
+++ b/telemetry/lines_test.go
@@ -34,10 +34,10 @@
 			close(done)
 		}()
 		for i := range 3 {
-			fmt.Fprintf(l, "line %d\n", i)
+			mustPrint(t, l, fmt.Sprintf("line %d\n", i))
 			time.Sleep(time.Second)
 		}
-		fmt.Fprint(l, "last\n")
+		mustPrint(t, l, "last\n")
 		close(stop)
 		<-done
 		if out.String() != "line 0\nline 1\nline 2\nlast\n" {
@@ -55,7 +55,7 @@
 		l := telemetry.NewLines(&out, m, bound)
 		line := strings.Repeat("x", 99) + "\n"
 		for range 100 * seconds {
-			fmt.Fprint(l, line)
+			mustPrint(t, l, line)
 			time.Sleep(10 * time.Millisecond)
 			l.Flush()
 		}
@@ -85,7 +85,7 @@
 		}()
 		began := time.Now()
 		for range 1000 {
-			fmt.Fprint(l, "a line that nobody reads\n")
+			mustPrint(t, l, "a line that nobody reads\n")
 		}
 		if d := time.Since(began); d != 0 {
 			t.Errorf("logging took %v", d)
@@ -111,3 +111,11 @@
 		}
 	}
 }
+
+// mustPrint logs a line; lines are dropped without an error.
+func mustPrint(t *testing.T, l *telemetry.Lines, line string) {
+	t.Helper()
+	if _, err := fmt.Fprint(l, line); err != nil {
+		t.Error(err)
+	}
+}
--- a/transport/exchange.go
+++ b/transport/exchange.go
@@ -108,6 +108,10 @@
 	return n, err
 }
 
+// Close does nothing: the connection is the exchange's to close. The body that
+// net/http gives would first read what is left, which on a stream may take long.
+func (b *wholeBody) Close() error { return nil }
+
 // Buffered tells how many bytes of the answer have come and are not read yet.
 func (x *Exchange) Buffered() int { return x.conn.read.Buffered() }
 
--- a/transport/pool.go
+++ b/transport/pool.go
@@ -35,7 +35,7 @@
 	Keep int
 }
 
-// DefaultSettings: targets commonly keep idle connections for five seconds or more,
+// DefaultSettings returns the usual settings: targets commonly keep idle connections for five seconds or more,
 // and a second covers clocks and the way there.
 func DefaultSettings() Settings {
 	return Settings{Idle: 4 * time.Second, Margin: time.Second, Keep: 16}
--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -74,8 +74,8 @@
 	return &http.Request{Method: "GET", URL: &url.URL{Path: "/x"}, Host: "h", Header: http.Header{}, ProtoMajor: 1, ProtoMinor: 1}
 }
 
-// get makes one request and returns the body of the answer that is mine.
-func get(t *testing.T, p *transport.Pool, address string, reuse transport.Reuse, id string) (string, error) {
+// get makes a request that is number 1 and returns the body of its answer.
+func get(t *testing.T, p *transport.Pool, address string, reuse transport.Reuse) (string, error) {
 	t.Helper()
 	x, err := p.Open(context.Background(), address, reuse)
 	if err != nil {
@@ -86,7 +86,7 @@
 	if err := x.Send(req); err != nil {
 		return "", err
 	}
-	resp, err := x.Receive(req, func(r *http.Response) bool { return r.Header.Get("Id") == id })
+	resp, err := x.Receive(req, func(r *http.Response) bool { return r.Header.Get("Id") == "1" })
 	if err != nil {
 		return "", err
 	}
@@ -116,7 +116,7 @@
 			pool := newPool()
 			defer pool.Close()
 			for range 3 {
-				if body, err := get(t, pool, peer.address(), tc.reuse, "1"); body != "ok" || err != nil {
+				if body, err := get(t, pool, peer.address(), tc.reuse); body != "ok" || err != nil {
 					t.Fatalf("got %q, %v", body, err)
 				}
 			}
@@ -134,7 +134,7 @@
 	})
 	pool := newPool()
 	defer pool.Close()
-	if body, err := get(t, pool, peer.address(), transport.Kept, "1"); body != "right" || err != nil {
+	if body, err := get(t, pool, peer.address(), transport.Kept); body != "right" || err != nil {
 		t.Errorf("got %q, %v", body, err)
 	}
 }
@@ -144,7 +144,7 @@
 		write(w, strings.Repeat("HTTP/1.1 200 OK\nId: late\nContent-Length: 1\n\nx", 10))
 		return true
 	})
-	if body, err := get(t, newPool(), peer.address(), transport.Kept, "1"); err == nil {
+	if body, err := get(t, newPool(), peer.address(), transport.Kept); err == nil {
 		t.Errorf("got %q", body)
 	}
 }
@@ -165,7 +165,7 @@
 				write(w, answer)
 				return false
 			})
-			if body, err := get(t, newPool(), peer.address(), transport.Kept, "1"); err == nil {
+			if body, err := get(t, newPool(), peer.address(), transport.Kept); err == nil {
 				t.Errorf("got %q as whole", body)
 			}
 		})
@@ -177,7 +177,7 @@
 		write(w, "HTTP/1.1 200 OK\nId: 1\n\nwhole")
 		return false
 	})
-	if body, err := get(t, newPool(), peer.address(), transport.Kept, "1"); body != "whole" || err != nil {
+	if body, err := get(t, newPool(), peer.address(), transport.Kept); body != "whole" || err != nil {
 		t.Errorf("got %q, %v", body, err)
 	}
 	reset := newPeer(t, func(_ int, w net.Conn, _ *http.Request) bool {
@@ -185,7 +185,7 @@
 		_ = w.(*net.TCPConn).SetLinger(0) // closing now resets
 		return false
 	})
-	if body, err := get(t, newPool(), reset.address(), transport.Kept, "1"); err == nil {
+	if body, err := get(t, newPool(), reset.address(), transport.Kept); err == nil {
 		t.Errorf("got %q as whole although the connection was reset", body)
 	}
 }
@@ -252,7 +252,7 @@
 	pool := newPool()
 	defer pool.Close()
 	for range 3 {
-		if _, err := get(t, pool, peer.address(), transport.Kept, "1"); err != nil {
+		if _, err := get(t, pool, peer.address(), transport.Kept); err != nil {
 			t.Fatal(err)
 		}
 		waitClosed(t, pool, peer.address())
