A stream cut off in the moment it began is resumed, not begun again

The patience with an answer ran out (24.938 s) in the same moments in which its first bytes came (24.941 s); the end of the attempt, which said that the caller had a part, was replaced by one that said that nothing had come. So the request could be sent again from its beginning, or be refused behind the head that had gone out.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -37,7 +37,7 @@
 	}
 	end, verdict := a.carry(ctx)
 	if errors.Is(context.Cause(ctx), errImpatient) {
-		end, verdict = a.impatient(end)
+		end, verdict = impatient(end, verdict)
 	}
 	if callerGone(ctx) && verdict != Good {
 		verdict = Neutral
@@ -46,15 +46,17 @@
 	return end
 }
 
-// impatient turns the end of an attempt that was cut off for its silence.
-func (a *attempt) impatient(end retry.End) (retry.End, Verdict) {
+// impatient gives the end of an attempt that was cut off for its silence.
+func impatient(end retry.End, v Verdict) (retry.End, Verdict) {
+	if _, never := end.(retry.Unreached); never {
+		return end, v
+	}
+	end = retry.CutShort(end)
 	switch end.(type) {
-	case retry.Answering, retry.Failed:
-		return end, Good // it came at the last moment
-	case retry.Unreached:
-		return end, Unreachable
+	case retry.Silent:
+		return end, Bad
 	default:
-		return retry.Silent{}, Bad
+		return end, Good // it came at the last moment
 	}
 }
 
--- a/retry/course.go
+++ b/retry/course.go
@@ -72,6 +72,21 @@
 func (Try) command()   {}
 func (Abort) command() {}
 
+// CutShort is the end of an attempt that was cut off for its silence and came to the
+// end e. An answer that began at the last moment counts; above all, one of which the
+// caller has a part must not be taken for one that never began.
+func CutShort(e End) End {
+	switch e := e.(type) {
+	case Answering, Failed:
+		return e
+	case Broken:
+		if e.Passed {
+			return e
+		}
+	}
+	return Silent{}
+}
+
 // Reach is how often a request looks for another target after one that it could
 // not reach at all. Such tries cost a target nothing.
 const reach = 3
--- a/retry/course_test.go
+++ b/retry/course_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -205,3 +206,30 @@
 		}
 	})
 }
+
+// TestWhatWasCutShortIsNotForgotten: an answer that begins in the moment in which the
+// patience with it ends. If part of it went to the caller, the request must not be
+// sent again from its beginning, nor end as if nothing had been said.
+func TestWhatWasCutShortIsNotForgotten(t *testing.T) {
+	for name, tc := range map[string]struct {
+		end  retry.End
+		want string // what follows for a request that may repeat and resume
+	}{
+		"nothing came":          {retry.Lost{Err: errLost}, "try"},
+		"a head came":           {retry.Broken{Err: errLost}, "try"},
+		"events were passed on": {retry.Broken{Err: errLost, Passed: true}, "resume"},
+		"all of it came":        {retry.Answering{}, "deliver"},
+	} {
+		c := retry.NewCourse(rules(resume), &coins{left: 1})
+		c.Start(begin)
+		if got := words(c.Ended(begin.Add(time.Second), retry.CutShort(tc.end))); got != tc.want {
+			t.Errorf("%s: %s, want %s", name, got, tc.want)
+		}
+	}
+	c := retry.NewCourse(rules(repeat), &coins{left: 1})
+	c.Start(begin)
+	got := words(c.Ended(begin.Add(time.Second), retry.CutShort(retry.Broken{Err: errLost, Passed: true})))
+	if !strings.HasPrefix(got, "abort") {
+		t.Errorf("an answer that cannot be taken up: %s", got)
+	}
+}
