Large groups: maps are told by what changed, counts in bytes, agents less often

A coordinator asked for 1,536 running counts of each rank ten times a second (7 KB each) and sent every rank the whole map (4 to 8 KB), again every 20 ms while it was still on its way; 30 entry boxes told each agent the members of its group five times a second. Ruled out: processor time of agents (0.11 of their 0.24 core at most), planning.

--- a/mapswitch/orders/coordinator.go
+++ b/mapswitch/orders/coordinator.go
@@ -120,8 +120,9 @@
 	jobs     uint64
 	floor    Version // the highest version that was ever asked for
 	lastHeld Step
-	adopting bool    // the attempt settles what another left behind
-	loss     float64 // share of orders that are not answered in time
+	adopting bool          // the attempt settles what another left behind
+	loss     float64       // share of orders that are not answered in time
+	telling  time.Duration // that a map takes to reach all ranks
 	ended    []Outcome
 }
 
@@ -153,6 +154,10 @@
 	}
 }
 
+// SetTelling tells how long a map takes to reach all ranks, beside what any order
+// takes: maps of large groups fill a narrow link for a while.
+func (c *Coordinator) SetTelling(d time.Duration) { c.telling = d }
+
 // TakeEnded returns the attempts that ended since the last call.
 func (c *Coordinator) TakeEnded() []Outcome {
 	list := c.ended
@@ -261,18 +266,26 @@
 	var calls []Call
 	for r := range c.ranks {
 		j := &c.ranks[r].job
-		if c.phase == idle || j.done || !j.sentAt.IsZero() && now.Sub(j.sentAt) < ResendAfter {
+		if c.phase == idle || j.done || !j.sentAt.IsZero() && now.Sub(j.sentAt) < c.resendAfter(j.order) {
 			continue
 		}
 		c.noteLoss(!j.sentAt.IsZero())
 		j.sentAt = now
-		for range c.copies() {
+		for range c.copiesOf(j.order) {
 			calls = append(calls, Call{Rank: r, Epoch: c.epoch, Fence: c.fenceNow, Order: j.order, id: j.id})
 		}
 	}
 	return calls
 }
 
+// resendAfter is how long the order may stay unanswered before it is given again.
+func (c *Coordinator) resendAfter(o Order) time.Duration {
+	if _, ok := o.(Prepare); ok {
+		return ResendAfter + 2*c.telling
+	}
+	return ResendAfter
+}
+
 func (c *Coordinator) noteLoss(lost bool) {
 	sample := 0.0
 	if lost {
@@ -284,6 +297,28 @@
 // copies is how often each order is given at once. To give one twice does no harm.
 func (c *Coordinator) copies() int { return min(1+int(c.loss/copyLoss), mostCopies) }
 
+// copiesOf is the same for the order. A map that takes long to send is sent once:
+// where it is late, more of them make it later.
+func (c *Coordinator) copiesOf(o Order) int {
+	if _, ok := o.(Prepare); ok && c.telling > ResendAfter/2 {
+		return 1
+	}
+	return c.copies()
+}
+
+// Awaits tells that the attempt goes on once the rank is seen to have taken a step:
+// to have copied, or to hold no more.
+func (c *Coordinator) Awaits(r int) bool {
+	switch c.phase {
+	case preparing:
+		return c.ranks[r].state.Prepared != c.attempt.Version
+	case releasing:
+		return r == c.self
+	default:
+		return false
+	}
+}
+
 // Answered takes what became of a call.
 func (c *Coordinator) Answered(now time.Time, call Call, res Result) {
 	j := &c.ranks[call.Rank].job
@@ -359,7 +394,7 @@
 func (c *Coordinator) prepared(now time.Time) {
 	for r := range c.ranks {
 		if c.ranks[r].state.Prepared != c.attempt.Version {
-			if now.Sub(c.entered) > c.copying*2+prepareWithin {
+			if now.Sub(c.entered) > (c.copying+c.telling)*2+prepareWithin {
 				c.attempt.Rank = r
 				c.end(NotPrepared)
 			}
--- /dev/null
+++ b/mapswitch/orders/rows.go
@@ -0,0 +1,48 @@
+package orders
+
+import "slices"
+
+// Row is what one rank holds of one layer. It is sent as a plain list, since there
+// are many in a message.
+type Row struct {
+	_       struct{} `cbor:",toarray"`
+	Layer   int      `json:"layer"`
+	Rank    int      `json:"rank"`
+	Experts []int    `json:"experts"`
+}
+
+// Since gives the rows of p that differ from those of base; false if the two are not
+// of one shape. Maps of large groups change in few rows, and are sent as these.
+func (p Placement) Since(base Placement) ([]Row, bool) {
+	if len(p) != len(base) {
+		return nil, false
+	}
+	rows := []Row{}
+	for l := range p {
+		if len(p[l]) != len(base[l]) {
+			return nil, false
+		}
+		for r := range p[l] {
+			if !slices.Equal(p[l][r], base[l][r]) {
+				rows = append(rows, Row{Layer: l, Rank: r, Experts: p[l][r]})
+			}
+		}
+	}
+	return rows, true
+}
+
+// With gives p with the rows changed; false if one of them is outside its shape. p
+// stays as it is.
+func (p Placement) With(rows []Row) (Placement, bool) {
+	out := make(Placement, len(p))
+	for l := range p {
+		out[l] = slices.Clone(p[l])
+	}
+	for _, row := range rows {
+		if row.Layer < 0 || row.Layer >= len(out) || row.Rank < 0 || row.Rank >= len(out[row.Layer]) {
+			return nil, false
+		}
+		out[row.Layer][row.Rank] = row.Experts
+	}
+	return out, true
+}
--- /dev/null
+++ b/mapswitch/orders/rows_test.go
@@ -0,0 +1,59 @@
+package orders_test
+
+import (
+	"reflect"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"clovertrail.dev/mapswitch/orders"
+)
+
+// TestRowsBringAMapToAnother draws maps of one shape and sends one as rows.
+func TestRowsBringAMapToAnother(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		layers, ranks := rapid.IntRange(1, 4).Draw(t, "layers"), rapid.IntRange(1, 5).Draw(t, "ranks")
+		base, next := drawMap(t, layers, ranks), drawMap(t, layers, ranks)
+		before, _ := base.With(nil)
+		rows, ok := next.Since(base)
+		if !ok {
+			t.Fatal("maps of one shape cannot be compared")
+		}
+		got, ok := base.With(rows)
+		if !ok || !reflect.DeepEqual(got, next) {
+			t.Fatalf("got %v, want %v", got, next)
+		}
+		if !reflect.DeepEqual(base, before) {
+			t.Fatal("the base was changed")
+		}
+		if rows, _ := next.Since(next); len(rows) != 0 {
+			t.Fatalf("a map differs from itself: %v", rows)
+		}
+	})
+}
+
+func drawMap(t *rapid.T, layers, ranks int) orders.Placement {
+	m := make(orders.Placement, layers)
+	for l := range m {
+		for range ranks {
+			m[l] = append(m[l], rapid.SliceOfN(rapid.IntRange(0, 9), 1, 3).Draw(t, "experts"))
+		}
+	}
+	return m
+}
+
+func TestRowsOutsideAMapAreRefused(t *testing.T) {
+	base := orders.Placement{{{0}, {1}}}
+	for name, row := range map[string]orders.Row{
+		"layer too high": {Layer: 1}, "layer below none": {Layer: -1}, "rank too high": {Rank: 2}, "rank below none": {Rank: -1},
+	} {
+		if _, ok := base.With([]orders.Row{row}); ok {
+			t.Errorf("%s: taken", name)
+		}
+	}
+	for name, other := range map[string]orders.Placement{"more layers": {{{0}, {1}}, {{0}, {1}}}, "more ranks": {{{0}, {1}, {2}}}} {
+		if _, ok := other.Since(base); ok {
+			t.Errorf("%s: compared", name)
+		}
+	}
+}
--- a/mesh/messages.go
+++ b/mesh/messages.go
@@ -112,8 +112,8 @@
 	Agent    string            `json:"agent"`  // address of the agent beside it
 }
 
-// WatchQuery asks an agent how its engine does, and tells it what an agent cannot
-// find out by itself.
+// WatchQuery asks an agent how its engine does, and tells it now and then what an
+// agent cannot find out by itself.
 type WatchQuery struct {
 	Epoch   orders.Epoch     `json:"epoch"`
 	Members []Member         `json:"members,omitempty"` // of its group in that epoch
@@ -131,20 +131,23 @@
 	Running int              `json:"running"`
 	Waiting int              `json:"waiting"`
 	Pace    float64          `json:"pace"`
-	// Counts are how often each expert was chosen by this rank's requests since the
-	// rank's start, layer by layer; only in answers to Read.
-	Counts []uint64 `json:"counts,omitempty"`
+	// Picked is how often each expert was chosen by this rank's requests since the
+	// asker asked last; only where Read asks, and missing if that is not known.
+	Picked *Picked `json:"picked,omitempty"`
+	// Knows is the epoch for which the agent knows who is in its group; only in answers
+	// to Watch.
+	Knows orders.Epoch `json:"knows,omitempty"`
 	// Holds are the experts of the map in use, by layer; only where Read asks.
 	Holds [][]int `json:"holds,omitempty"`
 }
 
-// ReadQuery asks for counts, and for the map in use if it is another than the one
-// that the asker knows.
+// ReadQuery asks for the state of a rank.
 type ReadQuery struct {
 	// From is the rank that asks.
-	From  int            `json:"from"`
-	Known orders.Version `json:"known"`
-	Holds bool           `json:"holds,omitempty"`
+	From int `json:"from"`
+	// Picked asks for what was chosen, Holds for the map in use.
+	Picked bool `json:"picked,omitempty"`
+	Holds  bool `json:"holds,omitempty"`
 }
 
 // OrderCall is an order for an engine. Exactly one of the orders is set.
@@ -155,6 +158,11 @@
 	Epoch   orders.Epoch    `json:"epoch"`
 	Fence   orders.Fence    `json:"fence"`
 	Prepare *orders.Prepare `json:"prepare,omitempty"`
+	// Base is the version of a map that the agent was told before, and Rows what is
+	// different in the one to prepare, which then comes without its map; 0 if the map
+	// comes whole.
+	Base    orders.Version  `json:"base,omitempty"`
+	Rows    []orders.Row    `json:"rows,omitempty"`
 	Arm     *orders.Arm     `json:"arm,omitempty"`
 	Disarm  *orders.Disarm  `json:"disarm,omitempty"`
 	Hold    *orders.Hold    `json:"hold,omitempty"`
--- a/mesh/server.go
+++ b/mesh/server.go
@@ -7,6 +7,8 @@
 	"storj.io/drpc"
 	"storj.io/drpc/drpcerr"
 	"storj.io/drpc/drpcserver"
+
+	"clovertrail.dev/mapswitch/orders"
 )
 
 // Method names a call.
@@ -35,8 +37,19 @@
 	}
 }
 
-// unknownMethod is the code of the error for a call that has no handler here.
-const unknownMethod = 1
+// Codes of errors that the caller tells apart.
+const (
+	unknownMethod = 1 // the call has no handler here
+	unknownBase   = 2 // a map was told from one that is not known here
+)
+
+// UnknownBase is the error for a map that is told from one that is not known here.
+func UnknownBase(base orders.Version) error {
+	return drpcerr.WithCode(drpc.Error.New("the map %d, from which another is told, is not known here", base), unknownBase)
+}
+
+// IsUnknownBase tells that the other process knows no map from which one was told.
+func IsUnknownBase(err error) bool { return drpcerr.Code(err) == unknownBase }
 
 // HandleRPC implements drpc.Handler.
 func (m *Mux) HandleRPC(s drpc.Stream, rpc string) error {
--- a/node/agent.go
+++ b/node/agent.go
@@ -11,6 +11,7 @@
 	"clovertrail.dev/experts/rebalance"
 	"clovertrail.dev/mapswitch/orders"
 	"clovertrail.dev/mesh"
+	"clovertrail.dev/node/telling"
 	"clovertrail.dev/platform"
 	"clovertrail.dev/telemetry"
 	"clovertrail.dev/transport"
@@ -43,7 +44,9 @@
 	shape   *rebalance.Shape
 	others  []string          // addresses of agents of other groups
 	askedBy map[int]time.Time // ranks that read this one, as a coordinator does
-	lost    bool              // the engine does not answer
+	picks   *telling.Picks
+	maps    *telling.Placements
+	lost    bool // the engine does not answer
 }
 
 // NewAgent returns the process with the settings.
@@ -58,6 +61,7 @@
 		engine:  platform.NewEngine(s.Engine, client),
 		mesh:    mesh.NewClient(mesh.Dialer(dial)),
 		askedBy: map[int]time.Time{},
+		picks:   telling.NewPicks(), maps: telling.NewPlacements(),
 	}
 }
 
@@ -122,7 +126,16 @@
 	if err != nil {
 		return nil, err
 	}
-	return reportOf(r), nil
+	out := reportOf(r)
+	out.Knows = a.knows()
+	return out, nil
+}
+
+// knows is the epoch for which the group's members are known.
+func (a *Agent) knows() orders.Epoch {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.epoch
 }
 
 // learn takes who the other ranks are.
@@ -205,8 +218,12 @@
 		return nil, err
 	}
 	out := reportOf(r)
-	if out.Counts, err = a.engine.Counts(ctx); err != nil {
-		return nil, err
+	if q.Picked {
+		counts, err := a.engine.Counts(ctx)
+		if err != nil {
+			return nil, err
+		}
+		out.Picked = a.picks.Since(time.Now(), r.Rank.Group, q.From, counts)
 	}
 	if q.Holds {
 		version, holds, err := a.engine.Holds(ctx)
@@ -233,6 +250,9 @@
 
 // command gives an order to the engine, or to another that the call names.
 func (a *Agent) command(ctx context.Context, c *mesh.OrderCall) (*mesh.OrderReply, error) {
+	if err := a.maps.Whole(c); err != nil {
+		return nil, err
+	}
 	o := c.Order()
 	if o == nil {
 		return nil, fault.New(fault.BadRequest, "a call without an order")
--- a/node/groupduty.go
+++ b/node/groupduty.go
@@ -9,6 +9,7 @@
 	"clovertrail.dev/experts/rebalance"
 	"clovertrail.dev/mapswitch/orders"
 	"clovertrail.dev/mesh"
+	"clovertrail.dev/node/telling"
 	"clovertrail.dev/platform"
 	"clovertrail.dev/telemetry"
 )
@@ -28,11 +29,24 @@
 	// orderWithin bounds an order to another rank; the coordinator gives it again.
 	orderWithin = 150 * time.Millisecond
 	// muteFor is how long an agent that did not answer is passed by: its engine is
-	// asked itself, which the platform charges for.
-	muteFor = time.Second
+	// asked itself, which the platform charges for. Together with a read that waits in
+	// vain it is shorter than leaderSilence: an agent that is only slow must not take
+	// the coordinator for lost.
+	muteFor = 200 * time.Millisecond
+	// tellingAtOnce is how long whole maps that are told at the same time may fill this
+	// box's link: what is sent behind them waits no longer.
+	tellingAtOnce = 25 * time.Millisecond
 	// afterwards is how long after an attempt its ranks are read more often: until the
 	// armed step has begun, a few steps later.
 	afterwards = 250 * time.Millisecond
+	// linkShare is the part of the box's link that reading and telling maps may take;
+	// the rest is the engine's and the requests'.
+	linkShare = 0.2
+	// placeBytes and pickBytes are what one place of a map and one count of chosen
+	// experts take on the wire, and reportBytes what the rest of a report does.
+	placeBytes, pickBytes, reportBytes = 2, 1, 300
+	// rowHead is how many places the head of a row takes as much as.
+	rowHead = 3
 	// slowdown is how much longer steps are while ranks copy, as the platform says.
 	slowdown = 0.15
 )
@@ -51,12 +65,17 @@
 	coord    *orders.Coordinator
 	members  map[int]mesh.Member
 	shape    rebalance.Shape
-	counts   *counter
+	counts   *telling.Counter
 	estimate *rebalance.Estimate
 	holds    map[int][][]int // of the map in use, by rank
 	holdsOf  orders.Version
-	readAt   time.Time
-	endedAt  time.Time // the last attempt
+	readAt   time.Time // all ranks
+	lookedAt time.Time // those that an attempt waits for
+	pickedAt time.Time // when all ranks were last asked what was chosen
+	told     *telling.Told
+	rows     int           // that the proposed map differs in from the one in use
+	tellers  chan struct{} // one for each whole map that may be on its way
+	endedAt  time.Time     // the last attempt
 	reading  map[int]bool
 	leading  bool
 	mute     *muteRanks
@@ -75,12 +94,14 @@
 type readDone struct {
 	rank   int
 	epoch  orders.Epoch // for which it was asked
+	picked bool         // it was asked what was chosen
 	report *mesh.RankReport
 	err    error
 }
 
 type orderDone struct {
 	call   orders.Call
+	agent  bool // it went through the agent of its rank
 	result orders.Result
 	err    error
 }
@@ -145,6 +166,7 @@
 		}
 	case orderDone:
 		d.logOrder(e)
+		d.noteTold(e)
 		if d.coord != nil && e.call.Epoch == d.coord.Epoch() {
 			d.coord.Answered(now, e.call, e.result)
 		}
@@ -173,9 +195,13 @@
 	if d.coord == nil || !d.leading {
 		return
 	}
-	if now.Sub(d.readAt) >= d.readPause() {
-		d.readAt = now
-		d.readAll(ctx)
+	switch since := now.Sub(d.readAt); {
+	case since >= readEvery:
+		d.readAt, d.lookedAt = now, now
+		d.readRanks(ctx, func(int) bool { return true })
+	case d.busy() && now.Sub(d.lookedAt) >= readEvery/2:
+		d.lookedAt = now
+		d.readRanks(ctx, func(r int) bool { return r == d.rank || d.coord.Awaits(r) })
 	}
 }
 
@@ -185,14 +211,6 @@
 	return d.coord != nil && (!d.coord.Idle() || time.Since(d.endedAt) < afterwards)
 }
 
-// readPause is shorter while ranks copy, so that the switch follows at once.
-func (d *groupDuty) readPause() time.Duration {
-	if d.busy() {
-		return readEvery / 2
-	}
-	return readEvery
-}
-
 // follow starts to coordinate, or stops, as the group and the other ranks want it.
 func (d *groupDuty) follow(now time.Time, own platform.Report) {
 	leading := now.Sub(d.started) > settleIn && d.agent.leads(now, own.Rank.Number) && own.State.Open
@@ -218,29 +236,43 @@
 	shape.Ranks = d.size
 	d.members, d.shape = members, shape
 	d.coord = orders.NewCoordinator(d.rank, d.size, own.State.Epoch, d.fence)
-	d.counts = newCounter(shape)
+	d.counts = telling.NewCounter(shape)
 	d.holds, d.holdsOf = map[int][][]int{}, 0
 	clear(d.reading)
 	d.mute.reset()
+	d.told = telling.NewTold()
+	d.tellers = make(chan struct{}, max(1, int(tellingAtOnce/max(d.tellingOne(), 1))))
 	d.estimate = rebalance.NewEstimate(shape)
 }
 
-// readAll reads every rank that is not being read already.
-func (d *groupDuty) readAll(ctx context.Context) {
+// noteTold notes whether the agent of a rank has a map. Calls of an earlier
+// formation tell nothing.
+func (d *groupDuty) noteTold(e orderDone) {
+	if p, ok := e.call.Order.(orders.Prepare); ok && e.agent && d.coord != nil && e.call.Epoch == d.coord.Epoch() {
+		d.told.Took(e.call.Rank, p, e.err)
+	}
+}
+
+// readRanks reads the ranks that are wanted and not being read already.
+func (d *groupDuty) readRanks(ctx context.Context, wanted func(rank int) bool) {
 	_, known := d.coord.Current()
+	picked := time.Since(d.pickedAt) >= d.pickPause()
+	if picked {
+		d.pickedAt = time.Now()
+	}
 	for r, m := range d.members {
-		if d.reading[r] {
+		if d.reading[r] || !wanted(r) {
 			continue
 		}
 		d.reading[r] = true
-		go d.readRank(ctx, r, m, &mesh.ReadQuery{From: d.rank, Holds: !known}, d.coord.Epoch())
+		go d.readRank(ctx, r, m, &mesh.ReadQuery{From: d.rank, Picked: picked, Holds: !known}, d.coord.Epoch())
 	}
 }
 
 func (d *groupDuty) readRank(ctx context.Context, r int, m mesh.Member, q *mesh.ReadQuery, e orders.Epoch) {
 	ctx, cancel := context.WithTimeout(ctx, readWithin)
 	defer cancel()
-	done := readDone{rank: r, epoch: e}
+	done := readDone{rank: r, epoch: e, picked: q.Picked}
 	switch {
 	case r == q.From:
 		done.report, done.err = d.agent.readOwn(ctx, q)
@@ -261,10 +293,10 @@
 	if e.report.Holds != nil {
 		d.tookHolds(e)
 	}
-	if !d.counts.add(e.rank, e.report.Counts) {
+	if !e.picked || !d.counts.Add(e.rank, e.report.Picked) {
 		return // not all ranks have reported yet
 	}
-	d.estimate.Add(d.counts.take())
+	d.estimate.Add(d.counts.Take())
 	if d.leading && d.coord.Idle() && !d.isStopping() {
 		d.plan(now, d.estimate.Load())
 	}
@@ -301,7 +333,7 @@
 	}
 	s := d.agent.settings
 	p := rebalance.Planner{
-		Shape: d.shape, Horizon: s.Horizon.Std(), Slowdown: slowdown, MostCopies: s.MostCopies, Least: s.LeastSaving,
+		Shape: d.shape, Horizon: s.Horizon.Std(), Slowdown: slowdown, MostCopies: s.copies(d.shape.Copy), Least: s.LeastSaving,
 	}
 	plan := p.Plan(rebalance.Map(current), load)
 	d.agent.common.Metrics.Set(telemetry.StepSkew, d.group, plan.Before)
@@ -312,13 +344,48 @@
 		return
 	}
 	d.agent.common.Metrics.Count(telemetry.MovedExperts, d.group, plan.Moves)
+	rows, _ := orders.Placement(plan.Map).Since(current)
+	d.rows = len(rows)
 	d.log("map proposed", "skew", plan.Before, "expected", plan.After, "moves", plan.Moves, "copying", plan.Copying)
 }
 
+// pickPause is the time between two questions what was chosen, such that the answers
+// fit into their share of the link.
+func (d *groupDuty) pickPause() time.Duration {
+	bytes := d.size * (d.shape.Layers*d.shape.Experts*pickBytes + reportBytes)
+	return max(readEvery, d.sending(bytes, linkShare)-dutyTick)
+}
+
+// sending is how long so many bytes take on a share of this box's link.
+func (d *groupDuty) sending(bytes int, share float64) time.Duration {
+	const bitsPerByte, mega = 8, 1e6
+	return time.Duration(float64(bytes*bitsPerByte) / (d.agent.settings.Link * mega * share) * float64(time.Second))
+}
+
+// telling is how long it takes to tell all ranks the map that is proposed: less where
+// they have one from which it can be told.
+func (d *groupDuty) telling() time.Duration {
+	if d.told.All(d.size) {
+		return d.sending(d.size*d.rows*(d.shape.Places+rowHead)*placeBytes, 1)
+	}
+	return d.tellingOne() * time.Duration(d.size)
+}
+
+// tellingOne is how long it takes to tell one rank a whole map.
+func (d *groupDuty) tellingOne() time.Duration {
+	return d.sending(d.shape.Layers*d.size*d.shape.Places*placeBytes, 1)
+}
+
 // next gives the orders that are due, and logs what ended.
 func (d *groupDuty) next(ctx context.Context) {
+	long := d.telling()
+	d.coord.SetTelling(long)
 	for _, c := range d.coord.Next(time.Now()) {
-		go d.order(ctx, c, d.members[c.Rank])
+		call := mesh.CallOf(c)
+		if c.Rank != d.rank && !d.mute.is(c.Rank) {
+			call = d.told.Shorten(c.Rank, call)
+		}
+		go d.order(ctx, c, call, d.members[c.Rank], orderWithin+long, d.tellers)
 	}
 	for _, o := range d.coord.TakeEnded() {
 		d.endedAt = time.Now()
@@ -334,8 +401,12 @@
 
 // order gives an order through the agent of its rank, or to the engine itself where
 // that agent cannot be reached.
-func (d *groupDuty) order(ctx context.Context, c orders.Call, m mesh.Member) {
-	ctx, cancel := context.WithTimeout(ctx, orderWithin)
+func (d *groupDuty) order(ctx context.Context, c orders.Call, call *mesh.OrderCall, m mesh.Member, within time.Duration, tellers chan struct{}) {
+	if p, ok := c.Order.(orders.Prepare); ok && c.Rank != d.rank && call.Base == 0 && p.Map != nil {
+		tellers <- struct{}{}
+		defer func() { <-tellers }()
+	}
+	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
 	done := orderDone{call: c}
 	switch {
@@ -347,7 +418,8 @@
 		done.result, done.err = d.agent.give(ctx, d.agent.engineAt(m), c)
 	default:
 		var reply *mesh.OrderReply
-		reply, done.err = mesh.Call[mesh.OrderCall, mesh.OrderReply](ctx, d.agent.mesh, m.Agent, mesh.Command, mesh.CallOf(c))
+		done.agent = true
+		reply, done.err = mesh.Call[mesh.OrderCall, mesh.OrderReply](ctx, d.agent.mesh, m.Agent, mesh.Command, call)
 		if done.err == nil {
 			done.result = reply.Result
 		}
--- a/node/settings.go
+++ b/node/settings.go
@@ -82,10 +82,12 @@
 	Metrics string `json:"metrics"`
 	// Bounds are what the platform holds the system to.
 	Bounds Bounds `json:"bounds"`
+	// Link is what this box's link carries, in Mbit/s.
+	Link float64 `json:"link_mbps" min:"0.1" max:"1000000"`
 	// Horizon is for how long demand is taken to stay as it is when a map is planned.
 	Horizon settings.Duration `json:"horizon" min:"100ms" max:"1h"`
-	// MostCopies bounds the experts that a rank copies for one change of maps; after it the next is planned.
-	MostCopies int `json:"most_copies" min:"1" max:"1000"`
+	// MostCopying bounds how long a rank copies experts for one change of maps; after it the next is planned. One expert is always copied.
+	MostCopying settings.Duration `json:"most_copying" min:"0s" max:"1m"`
 	// LeastSaving is the share of the time within the horizon that a change of maps must save.
 	LeastSaving float64 `json:"least_saving" min:"0" max:"1"`
 }
@@ -95,8 +97,18 @@
 func DefaultAgentSettings() AgentSettings {
 	return AgentSettings{
 		Bounds:      DefaultBounds(),
+		Link:        10,
 		Horizon:     settings.Duration(2 * time.Second),
-		MostCopies:  1,
+		MostCopying: settings.Duration(150 * time.Millisecond),
 		LeastSaving: 0.08,
 	}
 }
+
+// copies is how many experts a rank may copy for one change of maps if each takes so
+// long.
+func (s AgentSettings) copies(each time.Duration) int {
+	if each <= 0 {
+		return 1
+	}
+	return max(1, int(s.MostCopying.Std()/each))
+}
--- /dev/null
+++ b/node/telling/doc.go
@@ -0,0 +1,26 @@
+// Package telling keeps what the agents of a group tell each other short: a map as what
+// changed since one that was told before, and the counts of chosen experts as what came
+// since they were told last.
+//
+// A coordinator tells every rank each map and asks each rank what was chosen, several
+// times a second. Told whole, that fills the narrow links of target boxes from a few
+// dozen ranks on: 32 ranks with 12 layers of 128 experts came to three times what
+// 8 Mbit/s carry, orders came too late, and other ranks took the coordinator for lost.
+//
+// The package does no I/O.
+//
+// # Usage
+//
+//	told := telling.NewTold()                  // at the coordinator
+//	call = told.Shorten(rank, mesh.CallOf(order))
+//	told.Took(rank, prepare, err)              // as the rank's agent answered
+//
+//	maps := telling.NewPlacements()            // at every agent
+//	err := maps.Whole(call)                    // before the order goes to the engine
+//
+//	picks := telling.NewPicks()                // at every agent
+//	report.Picked = picks.Since(now, group, asker, counts)
+//
+//	counter := telling.NewCounter(shape)       // at the coordinator
+//	if counter.Add(rank, report.Picked) { load := counter.Take() }
+package telling
--- /dev/null
+++ b/node/telling/placements.go
@@ -0,0 +1,108 @@
+package telling
+
+import (
+	"sync"
+
+	"clovertrail.dev/mapswitch/orders"
+	"clovertrail.dev/mesh"
+)
+
+// placementsMost is how many maps an agent keeps: the one in use, the one that is
+// prepared, and one before them, from which the next may be told.
+const placementsMost = 3
+
+// Placements are the maps that the coordinator of the group told this agent lately.
+//
+// Lock order: mu is the only lock.
+type Placements struct {
+	mu    sync.Mutex
+	epoch orders.Epoch
+	order []orders.Version // the latest is last
+	known map[orders.Version]orders.Placement
+}
+
+// NewPlacements returns the maps of an agent that was told none.
+func NewPlacements() *Placements { return &Placements{known: map[orders.Version]orders.Placement{}} }
+
+// Whole gives the call with its map made whole.
+func (p *Placements) Whole(c *mesh.OrderCall) error {
+	if c.Prepare == nil {
+		return nil
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c.Epoch > p.epoch {
+		p.epoch, p.order = c.Epoch, nil
+		clear(p.known)
+	}
+	if c.Base != 0 {
+		base, ok := p.known[c.Base]
+		if ok && c.Epoch == p.epoch {
+			c.Prepare.Map, ok = base.With(c.Rows)
+		}
+		if !ok || c.Epoch != p.epoch {
+			return mesh.UnknownBase(c.Base)
+		}
+	}
+	p.keep(c.Prepare.Version, c.Prepare.Map)
+	return nil
+}
+
+// keep keeps a map; mu is held.
+func (p *Placements) keep(v orders.Version, m orders.Placement) {
+	if _, known := p.known[v]; known || m == nil {
+		return
+	}
+	p.known[v] = m
+	p.order = append(p.order, v)
+	if len(p.order) > placementsMost {
+		delete(p.known, p.order[0])
+		p.order = p.order[1:]
+	}
+}
+
+// Told are the maps that a coordinator knows other ranks' agents to have. One
+// goroutine owns it.
+type Told struct {
+	ranks map[int]toldMap
+}
+
+type toldMap struct {
+	version orders.Version
+	whole   orders.Placement
+}
+
+// NewTold returns what a coordinator knows that told no map yet.
+func NewTold() *Told { return &Told{ranks: map[int]toldMap{}} }
+
+// Shorten tells a map by what changed since one that the rank's agent has.
+func (t *Told) Shorten(rank int, c *mesh.OrderCall) *mesh.OrderCall {
+	if c.Prepare == nil {
+		return c
+	}
+	base, ok := t.ranks[rank]
+	if !ok {
+		return c
+	}
+	rows, ok := c.Prepare.Map.Since(base.whole)
+	if !ok {
+		return c
+	}
+	c.Base, c.Rows = base.version, rows
+	c.Prepare = &orders.Prepare{Version: c.Prepare.Version}
+	return c
+}
+
+// Took notes what a rank's agent answered to a map. One that did not answer still has
+// the map that it had.
+func (t *Told) Took(rank int, p orders.Prepare, err error) {
+	switch {
+	case err == nil:
+		t.ranks[rank] = toldMap{version: p.Version, whole: p.Map}
+	case mesh.IsUnknownBase(err):
+		delete(t.ranks, rank)
+	}
+}
+
+// All tells that the agents of so many other ranks have a map each.
+func (t *Told) All(ranks int) bool { return len(t.ranks) >= ranks-1 }
--- a/node/watching.go
+++ b/node/watching.go
@@ -12,6 +12,7 @@
 	"clovertrail.dev/mapswitch/orders"
 	"clovertrail.dev/membership"
 	"clovertrail.dev/mesh"
+	"clovertrail.dev/node/telling"
 	"clovertrail.dev/routing"
 )
 
@@ -19,6 +20,9 @@
 	// watchEvery is the time between two questions to an agent: a few steps, and less
 	// than a request takes, so that loads are known while they still hold.
 	watchEvery = 200 * time.Millisecond
+	// watchersUsual is how many boxes may ask an agent that often. Where more do, each
+	// asks less often, so that an agent has as many to answer.
+	watchersUsual = 12
 	// watchWithin bounds a question to an agent.
 	watchWithin = 400 * time.Millisecond
 	// othersMost is how many agents of other groups an agent is told: enough that one
@@ -69,22 +73,33 @@
 
 // watch asks the agent beside one target until ctx ends.
 func (w *watching) watch(ctx context.Context, id domain.InstanceID) {
+	lesson := &telling.Lesson{}
 	pause := watchEvery
 	for ctx.Err() == nil {
-		if err := w.ask(ctx, id); err != nil {
-			pause = min(pause*2, watchPauseMost)
+		usual := w.every()
+		if err := w.ask(ctx, id, lesson); err != nil {
+			pause = max(min(pause*2, watchPauseMost), usual)
 		} else {
-			pause = watchEvery
+			pause = usual
 		}
 		sleepUntil(ctx, time.Now().Add(pause))
 	}
 }
 
-func (w *watching) ask(ctx context.Context, id domain.InstanceID) error {
+// every is the time between two questions to an agent by this box.
+func (w *watching) every() time.Duration {
+	boxes := w.entry.peering.inTouch()
+	return watchEvery * time.Duration(max(boxes, watchersUsual)) / watchersUsual
+}
+
+func (w *watching) ask(ctx context.Context, id domain.InstanceID, l *telling.Lesson) error {
 	address, q, ok := w.query(id)
 	if !ok {
 		return nil
 	}
+	if !l.Due(time.Now(), q.Epoch) {
+		q = &mesh.WatchQuery{Epoch: q.Epoch}
+	}
 	ctx, cancel := context.WithTimeout(ctx, watchWithin)
 	defer cancel()
 	report, err := mesh.Call[mesh.WatchQuery, mesh.RankReport](ctx, w.mesh, address, mesh.Watch, q)
@@ -94,6 +109,7 @@
 		}
 		return err
 	}
+	l.Learnt(report.Knows)
 	w.take(id, report)
 	return nil
 }
