--- a/membership/roster.go
+++ b/membership/roster.go
@@ -138,6 +138,9 @@
 	storeBack time.Time // when the store last came back, or now while it is away
 }
 
+// SetPolicy changes the bounds from now on.
+func (r *Roster) SetPolicy(p RosterPolicy) { r.policy = p }
+
 // NewRoster returns an empty roster.
 func NewRoster(p RosterPolicy) *Roster {
 	return &Roster{
--- a/node/agent.go
+++ b/node/agent.go
@@ -31,7 +31,7 @@
 // Lock order: mu is the only lock, and no I/O is done under it.
 type Agent struct {
 	common   telemetry.Common
-	settings AgentSettings
+	settings func() AgentSettings // as they are now
 	engine   *platform.Engine
 	http     *http.Client
 	mesh     *mesh.Client
@@ -49,15 +49,16 @@
 	lost    bool // the engine does not answer
 }
 
-// NewAgent returns the process with the settings.
-func NewAgent(c telemetry.Common, s AgentSettings) *Agent {
+// NewAgent returns the process. now gives its settings as they are now.
+func NewAgent(c telemetry.Common, now func() AgentSettings) *Agent {
+	s := now()
 	dial := transport.Dial(transport.Timing{Connect: connectWithin, Unheard: unheardFor})
 	client := &http.Client{Transport: &http.Transport{
 		DialContext:        func(ctx context.Context, _, address string) (net.Conn, error) { return dial(ctx, address) },
 		DisableCompression: true,
 	}}
 	return &Agent{
-		common: c, settings: s, http: client,
+		common: c, settings: now, http: client,
 		engine:  platform.NewEngine(s.Engine, client),
 		mesh:    mesh.NewClient(mesh.Dialer(dial)),
 		askedBy: map[int]time.Time{},
@@ -69,16 +70,16 @@
 func (a *Agent) Run(leave <-chan struct{}) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	l, err := net.Listen("tcp", a.settings.Peers)
+	l, err := net.Listen("tcp", a.settings().Peers)
 	if err != nil {
 		return err
 	}
 	failed := make(chan error, 1)
 	go func() { failed <- mesh.Serve(ctx, l, a.mux()) }()
-	if err := serveMetrics(a.common, a.settings.Metrics, failed); err != nil {
+	if err := serveMetrics(a.common, a.settings().Metrics, failed); err != nil {
 		return err
 	}
-	a.common.Log.Info("started", "hall", a.settings.Hall, "engine", a.settings.Engine, "peers", a.settings.Peers)
+	a.common.Log.Info("started", "hall", a.settings().Hall, "engine", a.settings().Engine, "peers", a.settings().Peers)
 	d := newGroupDuty(a)
 	done := make(chan struct{})
 	go func() {
@@ -101,7 +102,7 @@
 	d.stop()
 	select {
 	case <-done:
-	case <-time.After(a.settings.Bounds.Stop.Std() - stopMargin):
+	case <-time.After(a.settings().Bounds.Stop.Std() - stopMargin):
 		a.common.Log.Warn("stopped in the midst of a change of maps")
 	}
 	cancel()
@@ -187,9 +188,9 @@
 	if lost := err != nil; lost != a.lost {
 		a.lost = lost
 		if lost {
-			a.common.Log.Warn("engine lost", "engine", a.settings.Engine, "err", err)
+			a.common.Log.Warn("engine lost", "engine", a.settings().Engine, "err", err)
 		} else {
-			a.common.Log.Info("engine answers again", "engine", a.settings.Engine)
+			a.common.Log.Info("engine answers again", "engine", a.settings().Engine)
 		}
 	}
 }
--- a/node/budgets.go
+++ b/node/budgets.go
@@ -36,6 +36,17 @@
 	}
 }
 
+// setBounds takes changed bounds. What was spent stays spent.
+func (b *budgets) setBounds(n Bounds) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.bounds = n
+	for _, p := range b.purses {
+		p.SetShare(n.RetryShare * budgetMargin)
+		p.SetFree(b.free())
+	}
+}
+
 // free is how many attempts a second this box may make beside those that requests
 // pay for. A budget holds a window's worth, so that in one window twice as much may
 // be spent.
--- a/node/entry.go
+++ b/node/entry.go
@@ -34,7 +34,7 @@
 // Entry is the process of an entry box.
 type Entry struct {
 	common   telemetry.Common
-	settings EntrySettings
+	settings func() EntrySettings // as they are now
 	fleet    *fleet
 	belief   *belief
 	budgets  *budgets
@@ -45,9 +45,11 @@
 	peering  *peering
 }
 
-// NewEntry returns the process with the settings.
-func NewEntry(c telemetry.Common, s EntrySettings) *Entry {
-	e := &Entry{common: c, settings: s, budgets: newBudgets(s.Bounds), ready: &readiness{}}
+// NewEntry returns the process. now gives its settings as they are now; those that
+// change while it runs are put in force by Took.
+func NewEntry(c telemetry.Common, now func() EntrySettings) *Entry {
+	s := now()
+	e := &Entry{common: c, settings: now, budgets: newBudgets(s.Bounds), ready: &readiness{}}
 	e.fleet = newFleet(domain.HallName(s.Hall), membership.DefaultRosterPolicy(s.Bounds.Drain.Std()))
 	dial := transport.Dial(transport.Timing{Connect: connectWithin, Unheard: unheardFor})
 	e.pool = transport.NewPool(dial, transport.DefaultSettings())
@@ -88,11 +90,11 @@
 		return err
 	}
 	go e.peering.run(ctx)
-	e.common.Log.Info("started", "hall", e.settings.Hall, "callers", e.settings.Callers, "peers", e.settings.Peers, "store", e.settings.Store)
-	e.follow(ctx, platform.NewStore(e.settings.Store, storeClient()))
+	e.common.Log.Info("started", "hall", e.settings().Hall, "callers", e.settings().Callers, "peers", e.settings().Peers, "store", e.settings().Store)
+	e.follow(ctx, platform.NewStore(e.settings().Store, storeClient()))
 	go e.sweep(ctx)
 	go e.judge(ctx)
-	if e.settings.AgentPort > 0 {
+	if e.settings().AgentPort > 0 {
 		w := &watching{entry: e, mesh: e.mesh, agents: map[domain.InstanceID]context.CancelFunc{}}
 		go w.run(ctx)
 	}
@@ -129,13 +131,13 @@
 		Handler: e.gateway, MaxHeaderBytes: limits.HeaderBytes,
 		ReadHeaderTimeout: limits.Header, IdleTimeout: limits.Idle,
 	}
-	if err := s.serve(s.callers, e.settings.Callers); err != nil {
+	if err := s.serve(s.callers, e.settings().Callers); err != nil {
 		return nil, err
 	}
-	if err := s.serve(&http.Server{Handler: e.ready, ReadHeaderTimeout: limits.Header}, e.settings.Ready); err != nil {
+	if err := s.serve(&http.Server{Handler: e.ready, ReadHeaderTimeout: limits.Header}, e.settings().Ready); err != nil {
 		return nil, err
 	}
-	return s, serveMetrics(e.common, e.settings.Metrics, s.failed)
+	return s, serveMetrics(e.common, e.settings().Metrics, s.failed)
 }
 
 // serveMetrics serves counters and histograms at the address; none if it is empty.
--- a/node/following.go
+++ b/node/following.go
@@ -150,7 +150,7 @@
 	rnd := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	return &following{
 		common: e.common, feed: feed, kind: kind, among: e.peering.inTouch,
-		follower: follow.New(pace(e.settings.Bounds), rnd),
+		follower: follow.New(pace(e.settings().Bounds), rnd),
 	}
 }
 
--- a/node/groupduty.go
+++ b/node/groupduty.go
@@ -331,7 +331,7 @@
 	if !known {
 		return
 	}
-	s := d.agent.settings
+	s := d.agent.settings()
 	p := rebalance.Planner{
 		Shape: d.shape, Horizon: s.Horizon.Std(), Slowdown: slowdown, MostCopies: s.copies(d.shape.Copy), Least: s.LeastSaving,
 	}
@@ -359,7 +359,7 @@
 // sending is how long so many bytes take on a share of this box's link.
 func (d *groupDuty) sending(bytes int, share float64) time.Duration {
 	const bitsPerByte, mega = 8, 1e6
-	return time.Duration(float64(bytes*bitsPerByte) / (d.agent.settings.Link * mega * share) * float64(time.Second))
+	return time.Duration(float64(bytes*bitsPerByte) / (d.agent.settings().Link * mega * share) * float64(time.Second))
 }
 
 // telling is how long it takes to tell all ranks the map that is proposed: less where
--- a/node/leave.go
+++ b/node/leave.go
@@ -19,7 +19,7 @@
 // latest shortly before it would be killed.
 func (e *Entry) leave(s *servers) error {
 	began := time.Now()
-	end := began.Add(e.settings.Bounds.Stop.Std() - stopMargin)
+	end := began.Add(e.settings().Bounds.Stop.Std() - stopMargin)
 	e.ready.leaving.Store(true)
 	e.gateway.Leave()
 	e.common.Log.Info("leaving", "in_flight", e.gateway.InFlight(), "until", end)
--- a/node/main.go
+++ b/node/main.go
@@ -20,36 +20,47 @@
 }
 
 // roles has one row for each process.
-var roles = map[string]func(file string) (process, telemetry.Common, *telemetry.Lines, error){
+var roles = map[string]func(path string) (*loaded, error){
 	"entry": loadEntry,
 	"agent": loadAgent,
 }
 
+// loaded is a process ready to run.
+type loaded struct {
+	process process
+	common  telemetry.Common
+	lines   *telemetry.Lines
+	watch   func(signal <-chan struct{}) // for changes of the settings file
+}
+
 // Main runs the role with the settings file until the platform stops it.
 func Main(role, file string) error {
 	load, ok := roles[role]
 	if !ok {
 		return fmt.Errorf("unknown role %q", role)
 	}
-	p, common, lines, err := load(file)
+	p, err := load(file)
 	if err != nil {
 		return err
 	}
 	stopped := make(chan struct{})
 	done := make(chan struct{})
 	go func() {
-		lines.Run(stopped)
+		p.lines.Run(stopped)
 		close(done)
 	}()
-	err = p.Run(onSignal(common))
+	leave, changed := onSignal(p.common)
+	go p.watch(changed)
+	err = p.process.Run(leave)
 	close(stopped)
 	<-done
 	return err
 }
 
-// onSignal gives a channel that is closed when the platform stops the process.
-func onSignal(c telemetry.Common) <-chan struct{} {
-	leave := make(chan struct{})
+// onSignal gives a channel that is closed when the platform stops the process, and one
+// on which it says that the settings file has changed.
+func onSignal(c telemetry.Common) (leave, changed chan struct{}) {
+	leave, changed = make(chan struct{}), make(chan struct{}, 1)
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	go func() {
@@ -59,34 +70,42 @@
 				close(leave)
 				return
 			}
+			select {
+			case changed <- struct{}{}:
+			default: // the file will be read again already
+			}
 		}
 	}()
-	return leave
+	return leave, changed
 }
 
-func loadEntry(file string) (process, telemetry.Common, *telemetry.Lines, error) {
-	s := DefaultEntrySettings()
-	if err := settings.Load(file, &s); err != nil {
-		return nil, telemetry.Common{}, nil, err
+func loadEntry(path string) (*loaded, error) {
+	f, err := settings.Open(path, DefaultEntrySettings)
+	if err != nil {
+		return nil, err
 	}
-	c, lines := newCommon(s.Box)
-	return NewEntry(c, s), c, lines, nil
+	p := newLoaded(f.Current().Box)
+	e := NewEntry(p.common, f.Current)
+	p.process, p.watch = e, func(signal <-chan struct{}) { f.Watch(p.common.Log, signal, e.Took) }
+	return p, nil
 }
 
-func loadAgent(file string) (process, telemetry.Common, *telemetry.Lines, error) {
-	s := DefaultAgentSettings()
-	if err := settings.Load(file, &s); err != nil {
-		return nil, telemetry.Common{}, nil, err
+func loadAgent(path string) (*loaded, error) {
+	f, err := settings.Open(path, DefaultAgentSettings)
+	if err != nil {
+		return nil, err
 	}
-	c, lines := newCommon(s.Box)
-	return NewAgent(c, s), c, lines, nil
+	p := newLoaded(f.Current().Box)
+	p.process = NewAgent(p.common, f.Current)
+	p.watch = func(signal <-chan struct{}) { f.Watch(p.common.Log, signal, func(AgentSettings) {}) } // read where they are used
+	return p, nil
 }
 
-// newCommon logs to standard output.
-func newCommon(box string) (telemetry.Common, *telemetry.Lines) {
+// newLoaded logs to standard output.
+func newLoaded(box string) *loaded {
 	m := telemetry.NewMetrics()
 	lines := telemetry.NewLines(os.Stdout, m, telemetry.LineBytesPerSecond)
 	c := telemetry.New(lines, box)
 	c.Metrics = m
-	return c, lines
+	return &loaded{common: c, lines: lines}
 }
--- a/node/peering.go
+++ b/node/peering.go
@@ -50,7 +50,7 @@
 }
 
 func newPeering(e *Entry) *peering {
-	s := e.settings
+	s := e.settings()
 	return &peering{
 		entry: e,
 		self: membership.Contact{
@@ -74,7 +74,7 @@
 func (p *peering) isolated(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	known, last := p.boxes.Elsewhere(now, domain.HallName(p.entry.settings.Hall))
+	known, last := p.boxes.Elsewhere(now, domain.HallName(p.entry.settings().Hall))
 	return known && now.Sub(last) > membership.TouchFor
 }
 
@@ -91,7 +91,7 @@
 	mux := mesh.NewMux()
 	mesh.Handle(mux, mesh.Meet, p.meet)
 	mesh.Handle(mux, mesh.Pull, p.pull)
-	for _, address := range []string{p.entry.settings.Peers, p.entry.settings.Meeting} {
+	for _, address := range []string{p.entry.settings().Peers, p.entry.settings().Meeting} {
 		if address == "" {
 			continue
 		}
@@ -125,7 +125,7 @@
 	for _, c := range p.boxes.Tell(now, meetMost) {
 		addresses = append(addresses, c.Address)
 	}
-	if seeds := p.entry.settings.Seeds; len(seeds) > 0 && (len(addresses) == 0 || now.Sub(p.seedAt) > seedEvery) {
+	if seeds := p.entry.settings().Seeds; len(seeds) > 0 && (len(addresses) == 0 || now.Sub(p.seedAt) > seedEvery) {
 		p.seedAt = now
 		addresses = append(addresses, seeds...)
 	}
@@ -175,7 +175,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	a := &mesh.Advert{
-		Self: contactOf(p.self, 0), Hall: domain.HallName(p.entry.settings.Hall), Leaving: p.entry.gateway.Leaving(),
+		Self: contactOf(p.self, 0), Hall: domain.HallName(p.entry.settings().Hall), Leaving: p.entry.gateway.Leaving(),
 		Config: own.Config, Targets: own.Targets,
 	}
 	for c, ago := range p.boxes.Known(now, passOnMost) {
--- a/node/watching.go
+++ b/node/watching.go
@@ -160,7 +160,7 @@
 	if err != nil {
 		host = t.Address()
 	}
-	return net.JoinHostPort(host, strconv.Itoa(w.entry.settings.AgentPort))
+	return net.JoinHostPort(host, strconv.Itoa(w.entry.settings().AgentPort))
 }
 
 // shape is that of the maps of the service's groups; nil if it has none.
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -30,6 +30,9 @@
 	b.tokens = min(b.tokens, b.cap)
 }
 
+// SetShare changes how many retries each request pays for.
+func (b *Budget) SetShare(share float64) { b.share = share }
+
 // Request counts a request that arrived.
 func (b *Budget) Request(now time.Time) {
 	b.fill(now)
