--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,36 @@
+package soak_test
+
+import (
+	"context"
+	"os/exec"
+	"path/filepath"
+	"testing"
+
+	"clovertrail.dev/soak"
+)
+
+// TestPromisesHoldUnderFaults is a short run of the soak; docs/TESTING.md tells of the
+// long ones. Seeds that ever failed are kept here, with a line on the cause.
+func TestPromisesHoldUnderFaults(t *testing.T) {
+	if testing.Short() {
+		t.Skip("runs for many seconds")
+	}
+	program := filepath.Join(t.TempDir(), "clovertrail-node")
+	if out, err := exec.Command("go", "build", "-o", program, "clovertrail.dev/cmd/clovertrail-node").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	for _, seed := range []uint64{1} {
+		r, err := soak.Run(context.Background(), soak.Options{
+			Program: program, Seed: seed, For: soak.LeastFor + 3*1e9, Dir: t.TempDir(),
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, v := range r.Violations {
+			t.Errorf("seed %d: %s: %s (%v)", seed, v.Promise, v.What, r.Acts)
+		}
+		if r.Served == 0 {
+			t.Errorf("seed %d: nothing was served", seed)
+		}
+	}
+}
