The soak catches what it is for

Links now lose only answers, so that requests run and nobody hears of it; targets serve on for longer than the bound after they said that they leave; trouble excuses only the promises and the box that it strikes; some runs are quiet.

--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -12,6 +13,8 @@
 // span is a time in which something was wrong or under way.
 type span struct {
 	what     string
+	hits     subject
+	box      string // that was drawn
 	from, to time.Time
 }
 
@@ -62,16 +65,16 @@
 	l.asked = append(l.asked, a)
 }
 
-func (l *ledger) fault(what string, from, to time.Time) {
+func (l *ledger) fault(a act, box string, from, to time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.spans = append(l.spans, span{what, from, to})
+	l.spans = append(l.spans, span{a.name, a.hits, box, from, to})
 }
 
 func (l *ledger) stop(box string, from, to time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.stops[box] = append(l.stops[box], span{"stop", from, to})
+	l.stops[box] = append(l.stops[box], span{"stop", nothing, box, from, to})
 }
 
 func (l *ledger) leaves(target string) {
@@ -93,10 +96,12 @@
 // itself.
 const slack = 1500 * time.Millisecond
 
-// calm tells that nothing was wrong from contact before the one time until the other.
-func (l *ledger) calm(from, to time.Time) bool {
+// calm tells that nothing was wrong with the subjects, as the box meets them, from
+// contact before the one time until the other.
+func (l *ledger) calm(box string, from, to time.Time, with ...subject) bool {
 	for _, s := range l.spans {
-		if s.from.Before(to) && s.to.After(from.Add(-contact)) {
+		own := s.box == box || s.hits == store || s.hits == target
+		if own && slices.Contains(with, s.hits) && s.from.Before(to) && s.to.After(from.Add(-contact)) {
 			return false
 		}
 	}
@@ -113,8 +118,8 @@
 	}
 	for _, a := range l.asked {
 		l.checkReply(a, broken)
+		l.checkLeaving(a, broken)
 	}
-	l.checkRuns(broken)
 	l.checkConfigurations(broken)
 	return list
 }
@@ -141,20 +146,19 @@
 		return
 	}
 	for _, s := range l.stops[a.box] {
-		if a.from.Before(s.to) && a.to.After(s.from) && l.calm(a.from, a.to) {
+		if a.from.Before(s.to) && a.to.After(s.from) && l.calm(a.box, a.from, a.to, boxes, target) {
 			broken("planned stop", "%s by %s: %v, %v after the signal", a.request.ID, a.box, a.reply.Err, a.to.Sub(s.from))
 		}
 	}
 }
 
-// checkRuns looks for work that came to targets which had left.
-func (l *ledger) checkRuns(broken report) {
-	for id, runs := range l.runs {
-		for _, r := range runs {
-			at, left := l.left[r.Target]
-			if bound := at.Add(drainBound + slack); left && r.At.After(bound) && l.calm(at, r.At) {
-				broken("draining", "%s ran at %s %v after that was leaving", id, r.Target, r.At.Sub(at))
-			}
+// checkLeaving looks for work that came to a target which had left.
+func (l *ledger) checkLeaving(a asked, broken report) {
+	for _, r := range l.runs[a.request.ID] {
+		at, left := l.left[r.Target]
+		bound := at.Add(drainBound + slack)
+		if left && r.At.After(bound) && l.calm(a.box, at, r.At, boxes, ownStore, store) {
+			broken("draining", "%s by %s ran at %s %v after that was leaving", a.request.ID, a.box, r.Target, r.At.Sub(at))
 		}
 	}
 }
@@ -183,7 +187,7 @@
 			if k := knew[who]; k.route >= a.route && k.to.Before(a.from) {
 				broken("configuration", "%s went back before version %d after showing %d", a.box, a.route, k.route)
 			}
-			if at := l.config[a.route]; a.from.After(at.Add(applyBound+slack)) && l.calm(at, a.to) {
+			if at := l.config[a.route]; a.from.After(at.Add(applyBound+slack)) && l.calm(a.box, at, a.to, boxes, ownStore, store) {
 				broken("configuration", "%s did not know version %d %v after it was taken", a.box, a.route, a.from.Sub(at))
 			}
 		}
--- a/soak/link.go
+++ b/soak/link.go
@@ -12,16 +12,17 @@
 type weather int
 
 const (
-	fair    weather = iota
-	slow            // every piece comes late
-	silent          // nothing passes either way, and nobody is told
-	oneWay          // what the far side says does not pass
-	resets          // connections are reset as soon as something passes
-	refuses         // new connections are closed at once
+	fair        weather = iota
+	slow                // every piece comes late
+	silent              // nothing passes either way, and nobody is told
+	oneWay              // what the far side says does not pass
+	resets              // connections are reset as soon as something passes
+	lostAnswers         // requests pass, and what is answered resets the connection
+	refuses             // new connections are closed at once
 )
 
 func (w weather) String() string {
-	return [...]string{"fair", "slow", "silent", "one way", "resets", "refuses"}[w]
+	return [...]string{"fair", "slow", "silent", "one way", "resets", "lost answers", "refuses"}[w]
 }
 
 // slowBy is how late a slow link is: longer than the way between data halls, shorter
@@ -148,7 +149,7 @@
 	switch w := k.weather(); {
 	case w == silent, w == oneWay && back:
 		return true // swallowed
-	case w == resets:
+	case w == resets, w == lostAnswers && back:
 		reset(to)
 		reset(from)
 		return false
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -8,62 +8,73 @@
 	"clovertrail.dev/platform/standin"
 )
 
+// subject is what a trouble strikes, and so which promises it excuses.
+type subject int
+
+const (
+	nothing  subject = iota
+	boxes            // the box that was drawn
+	ownStore         // the store, for that box
+	store            // the store, for all
+	target
+)
+
 // act is something that happens to the world, for a while.
 type act struct {
 	name string
-	// fault tells that it is trouble, which excuses; else it is planned work.
-	fault bool
+	// hits is what it is trouble for; planned work is trouble for nothing.
+	hits subject
 	// during makes it, waits until done is closed or its time has passed, and mends it.
-	during func(w *world, r *rand.Rand, wait func())
+	during func(w *world, r *rand.Rand, _ *box, wait func())
 }
 
 // acts are all that may happen. Those more often met on real platforms stand twice.
 var acts = []act{
-	{"kill", true, onBox(syscall.SIGKILL)},
-	{"kill", true, onBox(syscall.SIGKILL)},
-	{"pause", true, pauseBox},
-	{"stop", false, stopBox},
-	{"stop", false, stopBox},
-	{"read settings again", false, onBox(syscall.SIGHUP)},
-	{"store busy", true, storeTrouble(standin.Busy, 0)},
-	{"store silent", true, storeTrouble(standin.Silent, 0)},
-	{"store slow", true, storeTrouble(standin.Sound, 200*time.Millisecond)},
-	{"store forgets", true, func(w *world, _ *rand.Rand, wait func()) { w.store.Compact(); wait() }},
-	{"store link silent", true, storeLink(silent)},
-	{"store link one way", true, storeLink(oneWay)},
-	{"store link resets", true, storeLink(resets)},
-	{"target slow link", true, targetLink(slow)},
-	{"target silent", true, targetLink(silent)},
-	{"target one way", true, targetLink(oneWay)},
-	{"target resets", true, targetLink(resets)},
-	{"target refuses", true, targetLink(refuses)},
-	{"target fails", true, habit(func(h *standin.Habits) { h.Fail = true }, func(h *standin.Habits) { h.Fail = false })},
-	{"target full", true, habit(func(h *standin.Habits) { h.Full = true }, func(h *standin.Habits) { h.Full = false })},
-	{"target breaks off", true, habit(func(h *standin.Habits) { h.BreakAt = 4 }, func(h *standin.Habits) { h.BreakAt = 0 })},
-	{"target leaves", false, leave},
-	{"target leaves", false, leave},
-	{"target crashes", true, crash},
-	{"configuration", false, func(w *world, _ *rand.Rand, _ func()) { _ = w.configure() }}, // an error would show as a version that nobody has
-	{"configuration", false, func(w *world, _ *rand.Rand, _ func()) { _ = w.configure() }}, // an error would show as a version that nobody has
+	{"kill", boxes, onBox(syscall.SIGKILL)},
+	{"kill", boxes, onBox(syscall.SIGKILL)},
+	{"pause", boxes, pauseBox},
+	{"stop", nothing, stopBox},
+	{"stop", nothing, stopBox},
+	{"read settings again", nothing, onBox(syscall.SIGHUP)},
+	{"store busy", store, storeTrouble(standin.Busy, 0)},
+	{"store silent", store, storeTrouble(standin.Silent, 0)},
+	{"store slow", store, storeTrouble(standin.Sound, 200*time.Millisecond)},
+	{"store forgets", store, func(w *world, _ *rand.Rand, _ *box, wait func()) { w.store.Compact(); wait() }},
+	{"store link silent", ownStore, storeLink(silent)},
+	{"store link one way", ownStore, storeLink(oneWay)},
+	{"store link resets", ownStore, storeLink(resets)},
+	{"target slow link", target, targetLink(slow)},
+	{"target silent", target, targetLink(silent)},
+	{"target one way", target, targetLink(oneWay)},
+	{"target resets", target, targetLink(resets)},
+	{"target's answers are reset", target, targetLink(lostAnswers)},
+	{"target's answers are reset", target, targetLink(lostAnswers)},
+	{"target refuses", target, targetLink(refuses)},
+	{"target fails", target, habit(func(h *standin.Habits) { h.Fail = true }, func(h *standin.Habits) { h.Fail = false })},
+	{"target full", target, habit(func(h *standin.Habits) { h.Full = true }, func(h *standin.Habits) { h.Full = false })},
+	{"target breaks off", target, habit(func(h *standin.Habits) { h.BreakAt = 4 }, func(h *standin.Habits) { h.BreakAt = 0 })},
+	{"target leaves", nothing, leave},
+	{"target leaves", nothing, leave},
+	{"target crashes", target, crash},
+	{"configuration", nothing, func(w *world, _ *rand.Rand, _ *box, _ func()) { _ = w.configure() }}, // an error would show as a version that nobody has
+	{"configuration", nothing, func(w *world, _ *rand.Rand, _ *box, _ func()) { _ = w.configure() }}, // an error would show as a version that nobody has
 }
 
-func onBox(s syscall.Signal) func(*world, *rand.Rand, func()) {
-	return func(w *world, r *rand.Rand, wait func()) {
-		w.boxes[r.IntN(len(w.boxes))].signal(s)
+func onBox(s syscall.Signal) func(*world, *rand.Rand, *box, func()) {
+	return func(_ *world, _ *rand.Rand, b *box, wait func()) {
+		b.signal(s)
 		wait()
 	}
 }
 
-func pauseBox(w *world, r *rand.Rand, wait func()) {
-	b := w.boxes[r.IntN(len(w.boxes))]
+func pauseBox(_ *world, _ *rand.Rand, b *box, wait func()) {
 	b.signal(syscall.SIGSTOP)
 	wait()
 	b.signal(syscall.SIGCONT)
 }
 
 // stopBox is a planned stop; the platform kills what does not end in time.
-func stopBox(w *world, r *rand.Rand, _ func()) {
-	b := w.boxes[r.IntN(len(w.boxes))]
+func stopBox(w *world, _ *rand.Rand, b *box, _ func()) {
 	b.mu.Lock()
 	ended, life := b.ended, b.life
 	b.mu.Unlock()
@@ -79,25 +90,25 @@
 	w.ledger.stop(b.name, began, time.Now())
 }
 
-func storeTrouble(t standin.Trouble, delay time.Duration) func(*world, *rand.Rand, func()) {
-	return func(w *world, _ *rand.Rand, wait func()) {
+func storeTrouble(t standin.Trouble, delay time.Duration) func(*world, *rand.Rand, *box, func()) {
+	return func(w *world, _ *rand.Rand, _ *box, wait func()) {
 		w.store.SetTrouble(t, delay)
 		wait()
 		w.store.SetTrouble(standin.Sound, 0)
 	}
 }
 
-func storeLink(to weather) func(*world, *rand.Rand, func()) {
-	return func(w *world, r *rand.Rand, wait func()) {
-		k := w.boxes[r.IntN(len(w.boxes))].store
+func storeLink(to weather) func(*world, *rand.Rand, *box, func()) {
+	return func(_ *world, _ *rand.Rand, b *box, wait func()) {
+		k := b.store
 		k.set(to)
 		wait()
 		k.set(fair)
 	}
 }
 
-func targetLink(to weather) func(*world, *rand.Rand, func()) {
-	return func(w *world, r *rand.Rand, wait func()) {
+func targetLink(to weather) func(*world, *rand.Rand, *box, func()) {
+	return func(w *world, r *rand.Rand, _ *box, wait func()) {
 		_, in := w.host(r)
 		k := in.link
 		k.set(to)
@@ -106,8 +117,8 @@
 	}
 }
 
-func habit(begin, end func(*standin.Habits)) func(*world, *rand.Rand, func()) {
-	return func(w *world, r *rand.Rand, wait func()) {
+func habit(begin, end func(*standin.Habits)) func(*world, *rand.Rand, *box, func()) {
+	return func(w *world, r *rand.Rand, _ *box, wait func()) {
 		_, in := w.host(r)
 		t := in.target
 		t.Behave(begin)
@@ -136,11 +147,12 @@
 	return h, h.now
 }
 
-// servesOn is how long a target serves on after it said that it is leaving.
-const servesOn = drainBound + time.Second
+// servesOn is how long a target serves on after it said that it is leaving: long
+// enough that work which comes too late is seen.
+const servesOn = drainBound + slack + 3*time.Second
 
 // leave drains a target and puts another in its place.
-func leave(w *world, r *rand.Rand, _ func()) {
+func leave(w *world, r *rand.Rand, _ *box, _ func()) {
 	h, in := w.alone(r)
 	if h == nil {
 		return
@@ -155,7 +167,7 @@
 }
 
 // crash takes a target down without a word; its entry lags.
-func crash(w *world, r *rand.Rand, wait func()) {
+func crash(w *world, r *rand.Rand, _ *box, wait func()) {
 	h, in := w.alone(r)
 	if h == nil {
 		return
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -23,8 +23,9 @@
 	callerPatience = 3 * time.Second
 	// callerRest is the pause of a caller between two requests.
 	callerRest = 25 * time.Millisecond
-	// together is how many acts are under way at once, most often.
-	together = 3
+	// together bounds how many acts are under way at once, most often; some runs are
+	// quieter, so that promises with a bound in time are put to the test as well.
+	together = 4
 )
 
 // Report is what a run came to.
@@ -70,6 +71,7 @@
 // act makes acts until the calm end, several at a time and in series.
 func (w *world) act(rep *Report, began, until time.Time, acting *sync.WaitGroup) {
 	r := rand.New(rand.NewPCG(w.options.Seed, 1))
+	busy := 1 + r.IntN(together)
 	time.Sleep(settle)
 	for time.Now().Before(until) {
 		a := acts[r.IntN(len(acts))]
@@ -77,17 +79,18 @@
 		own := rand.New(rand.NewPCG(r.Uint64(), 2))
 		rep.Acts = append(rep.Acts, fmt.Sprintf("%.1f %s for %v", time.Since(began).Seconds(), a.name, length))
 		acting.Go(func() { w.make(a, own, length) })
-		time.Sleep(time.Duration(r.Int64N(int64(2 * length / together))))
+		time.Sleep(time.Duration(r.Int64N(int64(2 * length / time.Duration(busy)))))
 	}
 }
 
 func (w *world) make(a act, r *rand.Rand, length time.Duration) {
 	from := time.Now()
-	if a.fault {
+	b := w.boxes[r.IntN(len(w.boxes))]
+	if a.hits != nothing {
 		// It excuses from its beginning, also while its end is not known yet.
-		w.ledger.fault(a.name, from, from.Add(length+restartAfter+slack))
+		w.ledger.fault(a, b.name, from, from.Add(length+restartAfter+slack))
 	}
-	a.during(w, r, func() { time.Sleep(length) })
+	a.during(w, r, b, func() { time.Sleep(length) })
 }
 
 // call makes requests until ctx ends, on connections that are kept.
