Watches of many boxes end evenly spread, also after a change; changes are gathered

The first wait after a change now follows the box's place among all, spread over the halls; a watch is given up when too few boxes are left to share it. Changes of targets are gathered for an eighth of the drain bound: every one had ended 39 watches.

--- a/membership/boxes.go
+++ b/membership/boxes.go
@@ -115,15 +115,20 @@
 	return n
 }
 
-// InTouch is how many boxes, this one included, have lately spoken for themselves.
-func (b *Boxes) InTouch(now time.Time) int {
-	n := 1
-	for _, p := range b.boxes {
-		if !p.leaving && now.Sub(p.directAt) < TouchFor {
-			n++
+// InTouch is how many boxes, this one included, have lately spoken for themselves, and
+// how many of them come before this one in the order of their names.
+func (b *Boxes) InTouch(now time.Time) (boxes, place int) {
+	boxes = 1
+	for id, p := range b.boxes {
+		if p.leaving || now.Sub(p.directAt) >= TouchFor {
+			continue
+		}
+		boxes++
+		if id < b.self {
+			place++
 		}
 	}
-	return n
+	return boxes, place
 }
 
 // Elsewhere tells whether boxes of other data halls are known, and when one of them
--- a/membership/boxes_test.go
+++ b/membership/boxes_test.go
@@ -29,8 +29,8 @@
 	if n := b.Sharing(start.Add(time.Minute)); n != 1 {
 		t.Errorf("%d share after a minute, want 1", n)
 	}
-	if n := b.InTouch(start.Add(time.Second)); n != 2 {
-		t.Errorf("%d are in touch, want 2: one was only heard of", n)
+	if n, place := b.InTouch(start.Add(time.Second)); n != 2 || place != 1 {
+		t.Errorf("%d are in touch and this one is number %d; want 2, one being only heard of, and 1", n, place)
 	}
 }
 
--- a/node/following.go
+++ b/node/following.go
@@ -19,11 +19,12 @@
 	common   telemetry.Common
 	feed     store.Feed
 	kind     store.Kind
+	pace     follow.Pace
 	follower *follow.Follower
 	listed   func(store.Listing)
 	changed  func(store.Changes)
-	lost     func()     // called while the store does not answer
-	among    func() int // boxes that tell each other what they learn
+	lost     func()                    // called while the store does not answer
+	among    func() (boxes, place int) // that tell each other what they learn
 	wasLost  bool
 }
 
@@ -38,13 +39,15 @@
 		MostWait:   mostWait,
 		FirstPause: 100 * time.Millisecond,
 		MostPause:  min(time.Second, b.ConfigApply.Std()/4),
+		Gather:     b.Drain.Std() / 8, // the rest is for telling targets' leaving on
 	}
 }
 
 // run follows until ctx ends.
 func (f *following) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		f.follower.Among(f.among())
+		boxes, place := f.among()
+		f.follower.Among(boxes, place)
 		switch c := f.follower.Next(time.Now()).(type) {
 		case follow.List:
 			f.list(ctx)
@@ -68,14 +71,46 @@
 
 func (f *following) watch(ctx context.Context, w follow.Watch) {
 	began := time.Now()
-	c, err := f.feed.Watch(ctx, f.kind, w.Since, w.Wait)
+	watching, cancel := context.WithCancel(ctx)
+	defer cancel()
+	given := make(chan struct{})
+	defer close(given)
+	go f.mind(given, cancel, began)
+	c, err := f.feed.Watch(watching, f.kind, w.Since, w.Wait)
+	if err != nil && watching.Err() != nil && ctx.Err() == nil {
+		c, err = store.Changes{At: w.Since}, nil // it was given up, which is no fault of the store's
+	}
 	f.called("watch", began, err)
-	f.follower.Watched(time.Now(), c.At, err)
-	if err == nil {
+	now := time.Now()
+	f.follower.Watched(now, c.At, err)
+	if err == nil && len(c.Events) > 0 {
+		f.follower.Changed(now)
 		f.changed(c)
 	}
 }
 
+// mindEvery is the time between two looks whether a watch waits for too long.
+const mindEvery = 250 * time.Millisecond
+
+// mind gives a watch up that was to wait long since many boxes share the watching, once
+// too few of them are left: nobody would tell this box that it was silently dropped.
+func (f *following) mind(given <-chan struct{}, cancel context.CancelFunc, began time.Time) {
+	look := time.NewTicker(mindEvery)
+	defer look.Stop()
+	for {
+		select {
+		case <-given:
+			return
+		case <-look.C:
+		}
+		boxes, _ := f.among()
+		if time.Since(began) > f.pace.WaitAmong(boxes)+mindEvery {
+			cancel()
+			return
+		}
+	}
+}
+
 // called counts a call, and logs when the store is lost or answers again.
 func (f *following) called(call string, began time.Time, err error) {
 	name := call + " " + string(f.kind)
@@ -148,9 +183,14 @@
 
 func (e *Entry) following(feed store.Feed, kind store.Kind) *following {
 	rnd := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	p := pace(e.settings().Bounds)
+	if kind == platform.Configurations {
+		p.Gather = 0 // it seldom changes, and is to be in force at once
+	}
 	return &following{
+		pace:   p,
 		common: e.common, feed: feed, kind: kind, among: e.peering.inTouch,
-		follower: follow.New(pace(e.settings().Bounds), rnd),
+		follower: follow.New(p, rnd),
 	}
 }
 
--- a/node/peering.go
+++ b/node/peering.go
@@ -63,8 +63,9 @@
 	}
 }
 
-// inTouch is how many boxes tell each other news now, this one included.
-func (p *peering) inTouch() int {
+// inTouch is how many boxes tell each other news now, this one included, and the place
+// of this one among them.
+func (p *peering) inTouch() (boxes, place int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.boxes.InTouch(time.Now())
--- a/node/watching.go
+++ b/node/watching.go
@@ -88,7 +88,7 @@
 
 // every is the time between two questions to an agent by this box.
 func (w *watching) every() time.Duration {
-	boxes := w.entry.peering.inTouch()
+	boxes, _ := w.entry.peering.inTouch()
 	return watchEvery * time.Duration(max(boxes, watchersUsual)) / watchersUsual
 }
 
--- a/store/follow/follower.go
+++ b/store/follow/follower.go
@@ -18,6 +18,9 @@
 	// FirstPause is the pause after a first failure; each further one doubles it, up
 	// to MostPause. Each pause is spread by half of itself either way.
 	FirstPause, MostPause time.Duration
+	// Gather is the pause after a watch that brought changes: more of them often follow,
+	// and each would end the watches of all boxes.
+	Gather time.Duration
 }
 
 // Command is what the owner of a Follower does next. The set is closed: List,
@@ -44,7 +47,9 @@
 type Follower struct {
 	pace     Pace
 	rand     *rand.Rand
-	boxes    int // that tell each other what they learn, this one included
+	boxes    int  // that tell each other what they learn, this one included
+	place    int  // of this one among them
+	spread   bool // the next watch begins as those of the other boxes do
 	listed   bool
 	at       store.Revision
 	failures int
@@ -73,25 +78,59 @@
 	case !f.listed:
 		return List{}
 	default:
-		return Watch{Since: f.at, Wait: f.wait()}
+		w := Watch{Since: f.at, Wait: f.wait()}
+		f.spread = false
+		return w
 	}
 }
 
-// Among tells how many boxes tell each other what they learn.
-func (f *Follower) Among(boxes int) { f.boxes = max(boxes, 1) }
+// Among tells how many boxes tell each other what they learn, and the place of this
+// one in their order, from 0.
+func (f *Follower) Among(boxes, place int) {
+	f.boxes = max(boxes, 1)
+	f.place = min(max(place, 0), f.boxes-1)
+}
 
-// sharers is how many boxes' watches stand in for one of a box that is alone. Their
-// ends are spread by chance, and with four of them in the time of one wait it is
-// rare that none ends for as long as that.
+// sharers is how many boxes' watches stand in for one of a box that is alone: a few,
+// since some of the boxes may be cut off from the others.
 const sharers = 4
 
-// wait grows with the number of boxes, so that all together ask the store equally
-// often however many they are: one of them notices a dropped watch and tells the
-// others.
+// WaitAmong is how long a watch of one of so many boxes waits at the most. It grows
+// with their number, so that all together ask the store equally often however many they
+// are: one of them notices a dropped watch and tells the others.
+func (p Pace) WaitAmong(boxes int) time.Duration {
+	w := p.Wait * time.Duration(boxes) / sharers
+	return min(max(w, p.Wait), max(p.MostWait, p.Wait))
+}
+
+// wait spreads the ends of the watches of many boxes evenly. A change ends all of them
+// at once, so the first wait after it is for as long as the box's place says.
 func (f *Follower) wait() time.Duration {
-	w := f.pace.Wait * time.Duration(f.boxes) / sharers
-	w = min(max(w, f.pace.Wait), max(f.pace.MostWait, f.pace.Wait))
-	return w - time.Duration(f.rand.Int64N(int64(w)/sharers+1))
+	w := f.pace.WaitAmong(f.boxes)
+	step := w / time.Duration(f.boxes)
+	chance := time.Duration(f.rand.Int64N(int64(step)/2 + 1))
+	if f.spread && f.boxes > sharers {
+		return step*time.Duration(f.slot()) + step/2 + chance
+	}
+	return w - chance
+}
+
+// slot is the box's turn among all: neighbours in the order of names, which often stand
+// in one data hall and are cut off together, come far from each other.
+func (f *Follower) slot() int {
+	const golden = 0.618 // of a round: the steps that leave the evenest gaps
+	stride := max(1, int(golden*float64(f.boxes)))
+	for gcd(stride, f.boxes) != 1 {
+		stride++
+	}
+	return f.place * stride % f.boxes
+}
+
+func gcd(a, b int) int {
+	for b != 0 {
+		a, b = b, a%b
+	}
+	return a
 }
 
 // Listed takes the end of a List.
@@ -102,6 +141,7 @@
 	}
 	f.listed = true
 	f.at = at
+	f.spread = true
 	f.answered(now)
 }
 
@@ -119,6 +159,12 @@
 	}
 }
 
+// Changed tells that the watch that ended brought changes.
+func (f *Follower) Changed(now time.Time) {
+	f.spread = true
+	f.restTo = now.Add(f.pace.Gather)
+}
+
 // CaughtUp tells that a peer gave all changes up to the revision.
 func (f *Follower) CaughtUp(at store.Revision) {
 	if f.listed {
@@ -135,6 +181,7 @@
 	if f.lostAt.IsZero() {
 		f.lostAt = now
 	}
+	f.spread = true
 	pause := min(f.pace.FirstPause<<min(f.failures, 16), f.pace.MostPause)
 	f.failures++
 	f.restTo = now.Add(pause/2 + time.Duration(f.rand.Int64N(int64(pause)+1)))
--- a/store/follow/follower_test.go
+++ b/store/follow/follower_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -80,30 +81,87 @@
 	}
 }
 
-func TestManyBoxesTogetherAskAsOftenAsFew(t *testing.T) {
-	rate := func(boxes int) float64 {
-		f := newFollower()
-		f.Listed(start, 1, nil)
-		f.Among(boxes)
-		sum := time.Duration(0)
-		const n = 200
-		for range n {
-			sum += f.Next(start).(follow.Watch).Wait
+// fleetOf gives followers that all have just seen the same change.
+func fleetOf(boxes int) []*follow.Follower {
+	list := make([]*follow.Follower, boxes)
+	for i := range list {
+		list[i] = follow.New(pace, rand.New(rand.NewPCG(uint64(i), 7)))
+		list[i].Listed(start, 1, nil)
+		list[i].Watched(start, 2, nil)
+		list[i].Changed(start)
+		list[i].Among(boxes, i)
+	}
+	return list
+}
+
+// endsOf gives when watches end until the time, if nothing changes any more.
+func endsOf(list []*follow.Follower, until time.Duration) []time.Duration {
+	var ends []time.Duration
+	for _, f := range list {
+		for now := start; now.Before(start.Add(until)); {
+			switch c := f.Next(now).(type) {
+			case follow.Watch:
+				now = now.Add(c.Wait)
+				f.Watched(now, 2, nil)
+				ends = append(ends, now.Sub(start))
+			case follow.Rest:
+				now = c.Until
+			}
 		}
-		return float64(boxes) * n / sum.Seconds()
 	}
+	slices.Sort(ends)
+	return ends
+}
+
+// TestManyBoxesTogetherAskAsOftenAsFew: the store is asked as often however many boxes
+// there are.
+func TestManyBoxesTogetherAskAsOftenAsFew(t *testing.T) {
+	const while = 5 * time.Minute
 	for _, boxes := range []int{8, 30, 50} {
-		if r := rate(boxes); r < 1.5 || r > 4 {
+		if r := float64(len(endsOf(fleetOf(boxes), while))) / while.Seconds(); r < 1.5 || r > 4 {
 			t.Errorf("%d boxes make %.1f calls a second together", boxes, r)
 		}
 	}
-	if alone := rate(1); alone > 1/1.0 {
+	if alone := float64(len(endsOf(fleetOf(1), while))) / while.Seconds(); alone > 1 {
 		t.Errorf("one box makes %.1f calls a second", alone)
 	}
 	f := newFollower()
 	f.Listed(start, 1, nil)
-	f.Among(1000)
+	f.Among(1000, 999)
 	if w := f.Next(start).(follow.Watch); w.Wait > pace.MostWait {
 		t.Errorf("waits %v, the most is %v", w.Wait, pace.MostWait)
 	}
 }
+
+// TestADroppedWatchIsNoticedSoonAfterAChange: a change ends all watches at once. If the
+// store then silently drops the next ones, some box must ask again before long, also if
+// a third of the boxes cannot tell the others.
+func TestADroppedWatchIsNoticedSoonAfterAChange(t *testing.T) {
+	for _, boxes := range []int{8, 20, 39} {
+		list := fleetOf(boxes)
+		ends := endsOf(append(list[:boxes/3], list[2*boxes/3:]...), 20*time.Second)
+		last := time.Duration(0)
+		for _, end := range ends {
+			if end < 20*time.Second && end-last > 2*pace.Wait {
+				t.Errorf("%d boxes: nobody asks between %v and %v", boxes, last, end)
+			}
+			last = end
+		}
+	}
+}
+
+// TestChangesInQuickSuccessionAreGathered: each change would end the watches of all.
+func TestChangesInQuickSuccessionAreGathered(t *testing.T) {
+	p := pace
+	p.Gather = 250 * time.Millisecond
+	f := follow.New(p, rand.New(rand.NewPCG(1, 2)))
+	f.Listed(start, 1, nil)
+	f.Watched(start, 2, nil)
+	f.Changed(start)
+	if r, ok := f.Next(start).(follow.Rest); !ok || !r.Until.Equal(start.Add(p.Gather)) {
+		t.Errorf("after a change: %+v", f.Next(start))
+	}
+	if _, ok := f.Next(start.Add(p.Gather)).(follow.Watch); !ok {
+		t.Error("does not watch again")
+	}
+}
