Many boxes look at a share of the targets each; what was chosen is read more often

Each box now draws a share of the targets for a request, so that as many boxes look at each target as where there are eight. Up to eight boxes nothing changes.

--- a/node/groupduty.go
+++ b/node/groupduty.go
@@ -41,7 +41,7 @@
 	afterwards = 250 * time.Millisecond
 	// linkShare is the part of the box's link that reading and telling maps may take;
 	// the rest is the engine's and the requests'.
-	linkShare = 0.2
+	linkShare = 0.4
 	// placeBytes and pickBytes are what one place of a map and one count of chosen
 	// experts take on the wire, and reportBytes what the rest of a report does.
 	placeBytes, pickBytes, reportBytes = 2, 1, 300
--- a/node/peering.go
+++ b/node/peering.go
@@ -134,6 +134,7 @@
 		p.entry.common.Log.Info("boxes share bounds", "boxes", n, "before", p.shared)
 		p.shared = n
 		p.entry.budgets.setBoxes(n)
+		p.entry.fleet.with(func(_ *membership.Roster, b *routing.Balancer) { b.Among(n) })
 	}
 	p.mu.Unlock()
 	for _, a := range addresses {
--- a/routing/balancer.go
+++ b/routing/balancer.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"clovertrail.dev/core/domain"
@@ -45,11 +46,36 @@
 type Balancer struct {
 	rand    *rand.Rand
 	targets map[domain.InstanceID]*load
+	boxes   int // that choose among the same targets
 }
 
 // NewBalancer returns a balancer that breaks ties with rnd.
 func NewBalancer(rnd *rand.Rand) *Balancer {
-	return &Balancer{rand: rnd, targets: map[domain.InstanceID]*load{}}
+	return &Balancer{rand: rnd, targets: map[domain.InstanceID]*load{}, boxes: 1}
+}
+
+// Among tells how many boxes choose among the same targets.
+func (b *Balancer) Among(boxes int) { b.boxes = max(boxes, 1) }
+
+const (
+	// boxesUsual is how many boxes may each take the target that looks least loaded.
+	// Where there are more, all would send to the same few between two reports, so each
+	// looks only at a share of the targets, drawn anew for each request: every target
+	// is looked at by as many boxes as here.
+	boxesUsual = 8
+	// lookLeast is how many targets are looked at in any case.
+	lookLeast = 2
+)
+
+// look draws the options that this box looks at.
+func (b *Balancer) look(options []Option) []Option {
+	n := max(lookLeast, len(options)*boxesUsual/max(b.boxes, boxesUsual))
+	if n >= len(options) {
+		return options
+	}
+	drawn := slices.Clone(options)
+	b.rand.Shuffle(len(drawn), func(i, j int) { drawn[i], drawn[j] = drawn[j], drawn[i] })
+	return drawn[:n]
 }
 
 // load is what is known of one target's load.
@@ -154,7 +180,7 @@
 	if len(options) == 0 {
 		return Option{}, false
 	}
-	return b.least(now, hall, b.leastGroup(now, options)), true
+	return b.least(now, hall, b.look(b.leastGroup(now, options))), true
 }
 
 // Fill is the load of the options as a share of their slots.
--- a/routing/balancer_test.go
+++ b/routing/balancer_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -176,3 +178,32 @@
 	fmt.Println(o.ID)
 	// Output: idle
 }
+
+// TestManyBoxesDoNotAllTakeTheSameTarget: between two reports every box sees the same
+// target as the least loaded one.
+func TestManyBoxesDoNotAllTakeTheSameTarget(t *testing.T) {
+	const targets = 32
+	most := func(boxes int) int {
+		taken := map[domain.InstanceID]int{}
+		for box := range boxes {
+			b := routing.NewBalancer(rand.New(rand.NewPCG(uint64(box), 3)))
+			b.Among(boxes)
+			var options []routing.Option
+			for i := range targets {
+				id := domain.InstanceID(fmt.Sprintf("t-%d", i))
+				options = append(options, routing.Option{ID: id, Group: "g", Slots: 10})
+				b.Report(start, id, routing.Report{Running: 5 + i%4})
+			}
+			b.Report(start, "t-7", routing.Report{Running: 1}) // the least of all
+			o, _ := b.Pick(start, "h", options)
+			taken[o.ID]++
+		}
+		return slices.Max(slices.Collect(maps.Values(taken)))
+	}
+	if n := most(4); n != 4 {
+		t.Errorf("%d of 4 boxes took the least loaded target, want all", n)
+	}
+	if n := most(40); n > 40/2 {
+		t.Errorf("%d of 40 boxes took the same target", n)
+	}
+}
