What a box thinks of targets is logged when it changes; times of requests are measured

clovertrail_first_byte_seconds and clovertrail_request_seconds had no place that raised them; the longest pause of a stream joins them.

--- a/gateway/log.go
+++ b/gateway/log.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"clovertrail.dev/catalog"
 	"clovertrail.dev/core/fault"
 	"clovertrail.dev/retry"
 	"clovertrail.dev/telemetry"
@@ -30,7 +31,13 @@
 
 // delivered tells of a request that was answered.
 func (g *Gateway) delivered(o *order, d *delivery) {
-	g.parts.Common.Metrics.Count(telemetry.Answers, "ok", 1)
+	m, kind := g.parts.Common.Metrics, o.route.Kind()
+	m.Count(telemetry.Answers, "ok", 1)
+	m.Observe(telemetry.FirstByte, kind.String(), d.first.Sub(o.arrived))
+	m.Observe(telemetry.Held, kind.String(), time.Since(o.arrived))
+	if kind == catalog.Stream {
+		m.Observe(telemetry.Pause, "", d.pause)
+	}
 	g.parts.Common.Log.Info("request answered", "request", o.ID(), "route", o.route.Name(), "organisation", o.org.Name,
 		"target", d.tried[len(d.tried)-1], "attempts", d.course.Attempts(), "events", d.events, "pause", d.pause,
 		"first", d.first.Sub(o.arrived), "after", time.Since(o.arrived))
--- a/node/entry.go
+++ b/node/entry.go
@@ -43,6 +43,8 @@
 	ready    *readiness
 	mesh     *mesh.Client
 	peering  *peering
+
+	standings map[domain.InstanceID]membership.Standing // as they were last logged; judge's own
 }
 
 // NewEntry returns the process. now gives its settings as they are now; those that
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -75,6 +75,19 @@
 	return options
 }
 
+// standings is what is thought of the targets of services that were asked for.
+func (f *fleet) standings(now time.Time) map[domain.InstanceID]membership.Standing {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	all := map[domain.InstanceID]membership.Standing{}
+	for svc := range f.askedAt {
+		for _, u := range f.roster.Ranked(now, svc) {
+			all[u.Target.ID()] = u.Standing
+		}
+	}
+	return all
+}
+
 // wantedFor is how long after a request a service counts as asked for.
 const wantedFor = 15 * time.Second
 
--- a/node/readiness.go
+++ b/node/readiness.go
@@ -32,6 +32,17 @@
 // each pause of the platform's questions, which come once a second.
 const judgeEvery = 200 * time.Millisecond
 
+// noteStandings logs what this box thinks of targets where that has changed.
+func (e *Entry) noteStandings(now time.Time) {
+	standings := e.fleet.standings(now)
+	for id, s := range standings {
+		if before := e.standings[id]; before != s {
+			e.common.Log.Info("target standing", "target", id, "standing", s, "before", before)
+		}
+	}
+	e.standings = standings
+}
+
 // judge keeps the readiness until ctx ends.
 func (e *Entry) judge(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -40,6 +51,7 @@
 		if before := e.ready.stranded.Swap(stranded); before != stranded {
 			e.common.Log.Warn("cut off without targets", "stranded", stranded, "before", before)
 		}
+		e.noteStandings(now)
 		sleepUntil(ctx, now.Add(judgeEvery))
 	}
 }
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -41,6 +41,7 @@
 const (
 	FirstByte  Name = "clovertrail_first_byte_seconds"   // reason: the kind of route
 	Held       Name = "clovertrail_request_seconds"      // reason: the kind of route
+	Pause      Name = "clovertrail_stream_pause_seconds" // the longest of a stream; reason: empty
 	StoreCalls Name = "clovertrail_store_call_seconds"   // reason: the call
 	OrderTime  Name = "clovertrail_engine_order_seconds" // reason: the order
 )
