A group that steps does not stand still, however old the word of one rank

The box of one rank stood still; its last word, that it was at work at a step, grew older than 500 ms, and the group was taken for stalled although seven other ranks were seen to step. Where 39 boxes ask agents every 650 ms, every group looked stalled most of the time. Ruled out: targets' failures (ejections concern one target, not its group). Ranks step together: a group is stalled only if no rank has been seen at a new step. The step that counts is the farthest of the latest epoch, and the moment the first rank was seen there.

--- a/membership/roster.go
+++ b/membership/roster.go
@@ -313,7 +313,7 @@
 	r.restore(list)
 	groups, halls := r.groups(now, svc), r.halls(now)
 	for i := range list {
-		list[i].worsen(groups, halls)
+		list[i].worsen(now, r.policy, groups, halls)
 	}
 	sort.SliceStable(list, func(i, j int) bool { return list[i].before(list[j]) })
 	return list
@@ -327,9 +327,9 @@
 }
 
 // worsen lets what is known of the target's group and data hall speak against it.
-func (x *Ranked) worsen(groups map[domain.GroupName]*groupView, halls map[domain.HallName]*hallView) {
+func (x *Ranked) worsen(now time.Time, p RosterPolicy, groups map[domain.GroupName]*groupView, halls map[domain.HallName]*hallView) {
 	if g, ok := x.Target.Rank(); ok {
-		x.Standing = max(x.Standing, groups[g.Group].standing())
+		x.Standing = max(x.Standing, groups[g.Group].standing(now, p))
 	}
 	if halls[x.Target.Hall()].cut() {
 		x.Standing = max(x.Standing, Suspect)
@@ -358,20 +358,23 @@
 // groupView is what the ranks of a group say of it together.
 type groupView struct {
 	broken    bool
-	stalled   bool
-	movedAt   time.Time // a rank was last seen to step
+	stalled   bool      // a rank has stood at one step, or has not been heard, for long
+	epoch     uint64    // the latest of which a rank spoke
+	step      uint64    // the farthest in it
+	movedAt   time.Time // when a rank was first seen to have begun that step
 	missingAt time.Time // a rank was last found out of reach
 }
 
 // standing: a group of which a rank is out of reach may have lost that rank, until
-// it is seen to go on without a pause.
-func (g *groupView) standing() Standing {
+// it is seen to go on without a pause. Ranks step together, so a group of which any
+// rank was lately seen to step does not stand still, however old the word of another.
+func (g *groupView) standing(now time.Time, p RosterPolicy) Standing {
 	switch {
 	case g == nil:
 		return Good
 	case g.broken:
 		return Unfit
-	case g.stalled || g.missingAt.After(g.movedAt):
+	case g.stalled && now.Sub(g.movedAt) > p.StallAfter || g.missingAt.After(g.movedAt):
 		return Suspect
 	default:
 		return Good
@@ -393,9 +396,7 @@
 		}
 		v.broken = v.broken || !r.open(now, e, g)
 		v.stalled = v.stalled || e.progress.stalled(now, r.policy.StallAfter)
-		if e.progress.movedAt.After(v.movedAt) {
-			v.movedAt = e.progress.movedAt
-		}
+		v.moved(e)
 		if at := e.health.missingAt(now); at.After(v.missingAt) {
 			v.missingAt = at
 		}
@@ -403,6 +404,19 @@
 	return views
 }
 
+// moved takes how far a rank says that the group is. What a rank said of an earlier
+// formation does not count.
+func (g *groupView) moved(e *entry) {
+	p := e.progress
+	switch {
+	case e.own.Epoch < g.epoch:
+	case e.own.Epoch > g.epoch || p.step > g.step:
+		g.epoch, g.step, g.movedAt = e.own.Epoch, p.step, p.movedAt
+	case p.step == g.step && p.movedAt.Before(g.movedAt):
+		g.movedAt = p.movedAt
+	}
+}
+
 // hallView is what is known of the way to a data hall.
 type hallView struct {
 	missing   int       // targets that are out of reach
--- a/membership/roster_test.go
+++ b/membership/roster_test.go
@@ -243,6 +243,23 @@
 			r.Reported(start, "r0", open, 5, true)
 			r.Reported(second, "r0", open, 5, true)
 		}, second, membership.Suspect},
+		{"a rank is not heard and the group steps on", func(r *membership.Roster) {
+			r.Reported(start, "r0", open, 5, true)
+			r.Reported(start.Add(400*time.Millisecond), "r1", open, 6, true)
+			r.Reported(start.Add(800*time.Millisecond), "r1", open, 7, true)
+		}, second, membership.Good},
+		{"a rank that is heard late tells of a step that others told before", func(r *membership.Roster) {
+			r.Reported(start, "r0", open, 5, true)
+			r.Reported(start, "r1", open, 6, true)
+			r.Reported(start.Add(900*time.Millisecond), "r0", open, 6, true)
+		}, second, membership.Suspect},
+		{"formed anew, with the word of a rank from before", func(r *membership.Roster) {
+			r.Reported(start, "r0", open, 900, true)
+			later := open
+			later.Epoch = 2
+			r.Reported(start.Add(400*time.Millisecond), "r1", later, 1, true)
+			r.Reported(start.Add(800*time.Millisecond), "r1", later, 2, true)
+		}, second, membership.Good},
 		{"no step and no work", func(r *membership.Roster) {
 			r.Reported(start, "r0", open, 5, false)
 			r.Reported(second, "r0", open, 5, false)
