A planned stop serves what comes on connections it had accepted

gateway.Door closes the listener first, waits until every accepted connection is known, lets no connection be kept, and is done when all are over. A connection on which nothing comes is closed after a second, a resting one at once.

--- a/node/entry.go
+++ b/node/entry.go
@@ -122,17 +122,17 @@
 
 // servers are the HTTP servers of the process.
 type servers struct {
-	callers *http.Server
+	callers *gateway.Door
 	failed  chan<- error
 }
 
 func (e *Entry) listen(failed chan<- error) (*servers, error) {
 	s := &servers{failed: failed}
 	limits := catalog.DefaultLimits()
-	s.callers = &http.Server{
+	s.callers = gateway.NewDoor(&http.Server{
 		Handler: e.gateway, MaxHeaderBytes: limits.HeaderBytes,
 		ReadHeaderTimeout: limits.Header, IdleTimeout: limits.Idle,
-	}
+	})
 	if err := s.serve(s.callers, e.settings().Callers); err != nil {
 		return nil, err
 	}
@@ -151,14 +151,17 @@
 	return s.serve(&http.Server{Handler: c.Metrics.Handler(), ReadHeaderTimeout: catalog.DefaultLimits().Header}, address)
 }
 
+// server is one that serves a listener until it is stopped.
+type server interface{ Serve(net.Listener) error }
+
 // serve runs the server at the address.
-func (s *servers) serve(srv *http.Server, address string) error {
+func (s *servers) serve(srv server, address string) error {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return err
 	}
 	go func() {
-		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		if err := srv.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			s.failed <- err
 		}
 	}()
--- a/node/leave.go
+++ b/node/leave.go
@@ -26,7 +26,7 @@
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	sleepUntil(ctx, began.Add(min(noticed, time.Until(end)/2)))
-	err := s.callers.Shutdown(ctx)
+	err := s.callers.Stop(ctx)
 	e.common.Log.Info("stopped", "in_flight", e.gateway.InFlight(), "after", time.Since(began))
 	return err
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -10,7 +10,9 @@
 )
 
 // TestPromisesHoldUnderFaults is a short run of the soak; docs/TESTING.md tells of the
-// long ones. Seeds that ever failed are kept here, with a line on the cause.
+// long ones. Seeds that ever failed are kept here, with a line on the cause:
+// 134, net/http dropped a request read just as a stopping box shut its listener
+// (now gateway.Door).
 func TestPromisesHoldUnderFaults(t *testing.T) {
 	if testing.Short() {
 		t.Skip("runs for many seconds")
@@ -19,7 +21,7 @@
 	if out, err := exec.Command("go", "build", "-o", program, "clovertrail.dev/cmd/clovertrail-node").CombinedOutput(); err != nil {
 		t.Fatalf("%v: %s", err, out)
 	}
-	for _, seed := range []uint64{1} {
+	for _, seed := range []uint64{1, 134} {
 		r, err := soak.Run(context.Background(), soak.Options{
 			Program: program, Seed: seed, For: soak.LeastFor + 3*1e9, Dir: t.TempDir(),
 		})
