A slow rank is given fewer experts, and groups are chosen by their steps

And once the planner gave it less, its group was still chosen as if slow: the balancer went by the pace of the slowest rank, 5, while the group's events came 50 ms apart and the other group's 84.

rebalance.Planner takes the pace of each rank; loads are weighed by it. The pace that engines report was seen to be exact and to come within 0.1 s, of the own rank alone. routing.Balancer follows the pauses between events by group and weighs a group's load by them; the pace of the slowest rank counts only where no stream was seen for a second.

Also: the balancer never forgot targets that are gone (Forget had no caller); belief now calls it.

A failed try, taken out: turning streams away once the mean pause passes 0.62 of the longest in time.

--- a/experts/rebalance/layer.go
+++ b/experts/rebalance/layer.go
@@ -10,14 +10,15 @@
 	tokens []float64 // by expert
 	holds  [][]int   // by rank: the experts that it holds
 	ranks  [][]int   // by expert: the ranks that hold it
-	load   []float64 // by rank
+	load   []float64 // by rank, as a rank at the usual pace would have it
+	pace   []float64 // by rank: how many times longer than usual its work takes
 	fresh  []int     // by rank: experts that it has to copy in
 	places int
 }
 
-func newLayer(holds [][]int, tokens []float64, places int) *layer {
+func newLayer(holds [][]int, tokens, pace []float64, places int) *layer {
 	l := &layer{
-		tokens: tokens, places: places,
+		tokens: tokens, pace: pace, places: places,
 		holds: make([][]int, len(holds)), ranks: make([][]int, len(tokens)),
 		load: make([]float64, len(holds)), fresh: make([]int, len(holds)),
 	}
@@ -29,7 +30,7 @@
 	}
 	for r := range l.load {
 		for _, e := range l.holds[r] {
-			l.load[r] += l.share(e)
+			l.load[r] += l.share(e) * pace[r]
 		}
 	}
 	return l
@@ -143,18 +144,18 @@
 		m = n
 	}
 	for _, r := range l.ranks[e] {
-		load[r] -= t / n
+		load[r] -= t / n * l.pace[r]
 		if r != c.from {
-			load[r] += t / m
+			load[r] += t / m * l.pace[r]
 		}
 	}
-	load[c.to] += t / m
+	load[c.to] += t / m * l.pace[c.to]
 	if c.evict != none {
 		k := float64(len(l.ranks[c.evict]))
 		for _, r := range l.ranks[c.evict] {
-			load[r] -= l.tokens[c.evict] / k
+			load[r] -= l.tokens[c.evict] / k * l.pace[r]
 			if r != c.to {
-				load[r] += l.tokens[c.evict] / (k - 1)
+				load[r] += l.tokens[c.evict] / (k - 1) * l.pace[r]
 			}
 		}
 	}
--- a/experts/rebalance/planner.go
+++ b/experts/rebalance/planner.go
@@ -25,6 +25,9 @@
 // Planner plans maps.
 type Planner struct {
 	Shape Shape
+	// Pace is by rank how many times longer than usual its work takes; a rank that is
+	// not in it, or has less than 1, works at the usual pace. A slow rank is given less.
+	Pace []float64
 	// Horizon is for how long the load is taken to stay as it is.
 	Horizon time.Duration
 	// Slowdown is how much longer steps are while a rank copies, as a share.
@@ -111,17 +114,33 @@
 
 func (p Planner) start(m Map, load Load) *search {
 	s := &search{best: make([]change, len(m)), stale: make([]bool, len(m)), copies: make([]int, p.Shape.Ranks)}
+	pace, speed := p.paces(), 0.0
+	for _, x := range pace {
+		speed += 1 / x
+	}
 	for i := range m {
-		l := newLayer(m[i], load[i], p.Shape.Places)
+		l := newLayer(m[i], load[i], pace, p.Shape.Places)
 		s.layers = append(s.layers, l)
 		s.stale[i] = true
 		for _, t := range load[i] {
-			s.even += t / float64(p.Shape.Ranks)
+			s.even += t / speed
 		}
 	}
 	return s
 }
 
+// paces are those of all ranks.
+func (p Planner) paces() []float64 {
+	all := make([]float64, p.Shape.Ranks)
+	for r := range all {
+		all[r] = 1
+		if r < len(p.Pace) {
+			all[r] = max(p.Pace[r], 1)
+		}
+	}
+	return all
+}
+
 // skew is the load of the hottest ranks, layer by layer, over that of even ranks.
 func (s *search) skew() float64 {
 	hot := 0.0
--- a/experts/rebalance/planner_test.go
+++ b/experts/rebalance/planner_test.go
@@ -221,3 +221,42 @@
 		p.Plan(m, load)
 	}
 }
+
+func TestASlowRankGetsLess(t *testing.T) {
+	grown := rebalance.Shape{Ranks: 32, Layers: 12, Experts: 128, Places: 5, Staging: 2, Copy: 36 * time.Millisecond, Share: 0.85}
+	tests := []struct {
+		name  string
+		shape rebalance.Shape
+		pace  float64
+		slow  int // ranks
+	}{
+		{"eight ranks, one a little slow", usual, 1.6, 1},
+		{"eight ranks, one very slow", usual, 4.76, 1},
+		{"eight ranks, half of them slow", usual, 2, 4},
+		{"32 ranks, one very slow", grown, 4.76, 1},
+	}
+	for _, tc := range tests {
+		p := planner(tc.shape)
+		p.MostCopies = 4
+		m, load := dealt(tc.shape), zipf(tc.shape, 3)
+		for range 6 {
+			m = p.Plan(m, load).Map
+		}
+		p.Pace = slices.Repeat([]float64{tc.pace}, tc.slow)
+		p.Least = 0.01
+		first := p.Plan(m, load)
+		before, after := first.Before, first.After
+		m = first.Map
+		for range 8 {
+			plan := p.Plan(m, load)
+			m, after = plan.Map, plan.After
+		}
+		if before < 0.75*tc.pace || after > 1.35 {
+			t.Errorf("%s: uneven by %.2f before and %.2f after", tc.name, before, after)
+		}
+		p.Pace = nil
+		if back := p.Plan(m, load); back.After > back.Before || back.Before < 1 {
+			t.Errorf("%s: at the usual pace again uneven by %.2f, then %.2f", tc.name, back.Before, back.After)
+		}
+	}
+}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -23,6 +23,7 @@
 	exchange   *transport.Exchange
 	answer     call.Answer
 	impatience *time.Timer
+	last       time.Time // when the last events came
 }
 
 var errImpatient = errors.New("the answer did not begin in time")
--- a/gateway/fake_test.go
+++ b/gateway/fake_test.go
@@ -180,6 +180,8 @@
 func (*lease) Load(call.Load) {}
 func (*lease) Began()         {}
 
+func (*lease) Paused(time.Duration, time.Duration) {}
+
 func (l *lease) End(v gateway.Verdict) {
 	names := map[gateway.Verdict]string{
 		gateway.Neutral: "neutral", gateway.Good: "good", gateway.Bad: "bad",
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -48,6 +48,9 @@
 	Load(l call.Load)
 	// Began tells that the answer has begun.
 	Began()
+	// Paused tells of the time between two events of the answer, and of the longest
+	// that is in time; 0 for none.
+	Paused(pause, aim time.Duration)
 	// End gives the place back, with how the attempt spoke for the target.
 	End(v Verdict)
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -66,6 +66,7 @@
 func (a *attempt) passEvents(resp *http.Response, whole []byte) {
 	a.beginOnce(resp)
 	d := a.d
+	a.notePause(time.Now())
 	d.noteEvents(time.Now(), bytes.Count(whole, eventEnd))
 	if id := lastID(whole); id != nil {
 		d.after = string(id)
@@ -73,6 +74,14 @@
 	_, _ = d.w.Write(whole) // a caller that is gone is noticed when it is flushed
 }
 
+// notePause tells of the time since the attempt's last events.
+func (a *attempt) notePause(now time.Time) {
+	if !a.last.IsZero() {
+		a.lease.Paused(now.Sub(a.last), a.d.o.route.GapAim())
+	}
+	a.last = now
+}
+
 // noteEvents counts events that came now.
 func (d *delivery) noteEvents(now time.Time, n int) {
 	if d.events > 0 {
--- a/node/belief.go
+++ b/node/belief.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"clovertrail.dev/catalog"
+	"clovertrail.dev/core/domain"
 	"clovertrail.dev/membership"
 	"clovertrail.dev/platform"
 	"clovertrail.dev/routing"
@@ -56,19 +57,28 @@
 func (b *belief) targets(at store.Revision, news []membership.News, source string) {
 	now := time.Now()
 	var fresh []membership.News
-	b.fleet.with(func(r *membership.Roster, l *routing.Balancer) { fresh = r.Listed(now, at, news) })
+	b.fleet.with(func(r *membership.Roster, l *routing.Balancer) {
+		fresh = r.Listed(now, at, news)
+		l.Forget(now, func(id domain.InstanceID) bool { return known(r, id) })
+	})
 	b.logNews(fresh, source)
 }
 
+func known(r *membership.Roster, id domain.InstanceID) bool {
+	_, ok := r.Get(id)
+	return ok
+}
+
 // changes takes changes of the list of targets.
 func (b *belief) changes(at store.Revision, news []membership.News, source string) {
 	now := time.Now()
 	var fresh []membership.News
-	b.fleet.with(func(r *membership.Roster, _ *routing.Balancer) {
+	b.fleet.with(func(r *membership.Roster, l *routing.Balancer) {
 		for _, n := range news {
 			fresh = append(fresh, r.Changed(now, n)...)
 		}
 		r.CaughtUp(at)
+		l.Forget(now, func(id domain.InstanceID) bool { return known(r, id) })
 	})
 	b.logNews(fresh, source)
 }
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -57,11 +57,11 @@
 		rest := admission.Rest(left, rand.Float64())
 		return nil, fault.New(fault.NoTarget, "service %s has no target that takes requests", q.Service).RetryAt(now.Add(rest))
 	}
-	if err := f.admit(now, q, chosen, left); err != nil {
+	if err := f.admit(now, q, chosen); err != nil {
 		return nil, err
 	}
 	t, _ := f.roster.Get(chosen.ID) // it was listed a moment ago
-	return &place{fleet: f, target: t, ticket: f.balancer.Sent(now, chosen)}, nil
+	return &place{fleet: f, target: t, option: chosen, ticket: f.balancer.Sent(now, chosen)}, nil
 }
 
 // options are the targets of the service that may get new work; mu is held.
@@ -104,9 +104,9 @@
 }
 
 // admit refuses a request that would wait too long for a slot; mu is held.
-func (f *fleet) admit(now time.Time, q gateway.Query, o routing.Option, left time.Duration) error {
+func (f *fleet) admit(now time.Time, q gateway.Query, o routing.Option) error {
 	begins, wait := f.balancer.Begins(now, o)
-	ask := admission.Ask{Route: q.Route, Left: left, Aim: q.Aim, Begins: begins, Wait: wait}
+	ask := admission.Ask{Route: q.Route, Left: q.Deadline.Sub(now), Aim: q.Aim, Begins: begins, Wait: wait}
 	ok, rest := f.gate.Admit(ask, rand.Float64())
 	if ok || !q.First {
 		return nil
@@ -132,6 +132,7 @@
 type place struct {
 	fleet  *fleet
 	target domain.Target
+	option routing.Option
 	ticket *routing.Ticket
 }
 
@@ -150,6 +151,11 @@
 	p.fleet.with(func(_ *membership.Roster, b *routing.Balancer) { b.Began(time.Now(), p.ticket) })
 }
 
+// Paused implements gateway.Lease.
+func (p *place) Paused(pause, aim time.Duration) {
+	p.fleet.with(func(_ *membership.Roster, b *routing.Balancer) { b.Paused(time.Now(), p.option, pause, aim) })
+}
+
 // End implements gateway.Lease.
 func (p *place) End(v gateway.Verdict) {
 	now := time.Now()
--- a/node/groupduty.go
+++ b/node/groupduty.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -67,6 +68,7 @@
 	shape    rebalance.Shape
 	counts   *telling.Counter
 	estimate *rebalance.Estimate
+	paces    []float64       // by rank, as last reported
 	holds    map[int][][]int // of the map in use, by rank
 	holdsOf  orders.Version
 	readAt   time.Time // all ranks
@@ -243,6 +245,7 @@
 	d.told = telling.NewTold()
 	d.tellers = make(chan struct{}, max(1, int(tellingAtOnce/max(d.tellingOne(), 1))))
 	d.estimate = rebalance.NewEstimate(shape)
+	d.paces = make([]float64, d.size)
 }
 
 // noteTold notes whether the agent of a rank has a map. Calls of an earlier
@@ -290,6 +293,7 @@
 	if !d.coord.Observe(now, e.rank, e.report.State) {
 		return
 	}
+	d.tookPace(e.rank, e.report.Pace)
 	if e.report.Holds != nil {
 		d.tookHolds(e)
 	}
@@ -302,6 +306,20 @@
 	}
 }
 
+// paceChange is by how much a pace must differ from the one before to be logged.
+const paceChange = 0.1
+
+// tookPace notes how slow a rank is.
+func (d *groupDuty) tookPace(rank int, pace float64) {
+	if rank >= len(d.paces) {
+		return // it is not one of the group
+	}
+	if before := d.paces[rank]; math.Abs(pace-before) > paceChange && (pace > 1+paceChange || before > 1+paceChange) {
+		d.log("pace", "of", rank, "pace", pace, "before", before)
+	}
+	d.paces[rank] = pace
+}
+
 // tookHolds puts the map in use together from what all ranks hold of the same
 // version.
 func (d *groupDuty) tookHolds(e readDone) {
@@ -333,7 +351,7 @@
 	}
 	s := d.agent.settings()
 	p := rebalance.Planner{
-		Shape: d.shape, Horizon: s.Horizon.Std(), Slowdown: slowdown, MostCopies: s.copies(d.shape.Copy), Least: s.LeastSaving,
+		Shape: d.shape, Pace: d.paces, Horizon: s.Horizon.Std(), Slowdown: slowdown, MostCopies: s.copies(d.shape.Copy), Least: s.LeastSaving,
 	}
 	plan := p.Plan(rebalance.Map(current), load)
 	d.agent.common.Metrics.Set(telemetry.StepSkew, d.group, plan.Before)
--- a/routing/balancer.go
+++ b/routing/balancer.go
@@ -46,12 +46,13 @@
 type Balancer struct {
 	rand    *rand.Rand
 	targets map[domain.InstanceID]*load
+	steps   map[domain.GroupName]*steps
 	boxes   int // that choose among the same targets
 }
 
 // NewBalancer returns a balancer that breaks ties with rnd.
 func NewBalancer(rnd *rand.Rand) *Balancer {
-	return &Balancer{rand: rnd, targets: map[domain.InstanceID]*load{}, boxes: 1}
+	return &Balancer{rand: rnd, targets: map[domain.InstanceID]*load{}, steps: map[domain.GroupName]*steps{}, boxes: 1}
 }
 
 // Among tells how many boxes choose among the same targets.
@@ -158,8 +159,10 @@
 // Open is how many requests of this box are at the target.
 func (b *Balancer) Open(id domain.InstanceID) int { return b.load(id).open }
 
-// Forget drops what is known of targets that are not in keep and owe no answer.
-func (b *Balancer) Forget(keep func(domain.InstanceID) bool) {
+// Forget drops what is known of targets that are not in keep and owe no answer, and of
+// groups that have been idle for long.
+func (b *Balancer) Forget(now time.Time, keep func(domain.InstanceID) bool) {
+	b.forgetSteps(now)
 	for id, l := range b.targets {
 		if l.open == 0 && !keep(id) {
 			delete(b.targets, id)
@@ -210,7 +213,7 @@
 }
 
 // leastGroup keeps the options of the group that has the least to do for its size
-// and pace. Targets that stand alone are one group.
+// and the length of its steps. Targets that stand alone are one group.
 func (b *Balancer) leastGroup(now time.Time, options []Option) []Option {
 	groups := map[domain.GroupName][]Option{}
 	for _, o := range options {
@@ -219,10 +222,11 @@
 	if len(groups) == 1 {
 		return options
 	}
+	usual := b.usualStep(now, groups)
 	var best []Option
 	least := math.Inf(1)
 	for _, g := range groups {
-		fill := (b.Fill(now, g) + 1/float64(len(g))) * b.pace(g)
+		fill := (b.Fill(now, g) + 1/float64(len(g))) * b.step(now, g, usual)
 		if fill < least || fill == least && g[0].Group < best[0].Group {
 			best, least = g, fill
 		}
--- /dev/null
+++ b/routing/steps_test.go
@@ -0,0 +1,95 @@
+package routing_test
+
+import (
+	"testing"
+	"time"
+
+	"clovertrail.dev/core/domain"
+	"clovertrail.dev/routing"
+)
+
+const gapAim = 120 * time.Millisecond
+
+// twoGroups are two groups of two ranks with ten slots each.
+func twoGroups() []routing.Option {
+	var options []routing.Option
+	for _, id := range []string{"a1", "a2", "b1", "b2"} {
+		o := option(id, "near", id[:1])
+		o.Slots = 10
+		options = append(options, o)
+	}
+	return options
+}
+
+func TestTheGroupWithShorterStepsGetsMore(t *testing.T) {
+	ms := time.Millisecond
+	tests := []struct {
+		name   string
+		pauses map[string]time.Duration // by group
+		pace   map[string]float64       // of its first rank
+		after  time.Duration            // until it is asked
+		want   domain.GroupName
+	}{
+		{name: "equal but for the name", want: "a"},
+		{name: "longer pauses", pauses: map[string]time.Duration{"a": 90 * ms, "b": 60 * ms}, want: "b"},
+		{name: "longer pauses a while ago", pauses: map[string]time.Duration{"a": 90 * ms, "b": 60 * ms}, after: 1100 * ms, want: "a"},
+		{name: "a slow rank, nothing seen", pace: map[string]float64{"a": 3}, want: "b"},
+		{name: "a slow rank whose group makes up for it", pauses: map[string]time.Duration{"a": 50 * ms, "b": 60 * ms}, pace: map[string]float64{"a": 3}, want: "a"},
+		{name: "a slow rank in a group of which nothing was seen", pauses: map[string]time.Duration{"b": 60 * ms}, pace: map[string]float64{"a": 3}, want: "b"},
+		{name: "nothing seen of one group", pauses: map[string]time.Duration{"b": 60 * ms}, want: "a"},
+	}
+	for _, tc := range tests {
+		b := newBalancer()
+		for _, o := range twoGroups() {
+			r := routing.Report{Running: 4, Pace: 1}
+			if pace, ok := tc.pace[string(o.Group)]; ok && o.ID == domain.InstanceID(o.Group)+"1" {
+				r.Pace = pace
+			}
+			b.Report(start, o.ID, r)
+			b.Paused(start, o, tc.pauses[string(o.Group)], gapAimIf(tc.pauses, o))
+		}
+		if got, _ := b.Pick(start.Add(tc.after), "near", twoGroups()); got.Group != tc.want {
+			t.Errorf("%s: group %s", tc.name, got.Group)
+		}
+	}
+}
+
+// gapAimIf is 0, so that nothing is taken, for a group without a pause.
+func gapAimIf(pauses map[string]time.Duration, o routing.Option) time.Duration {
+	if _, ok := pauses[string(o.Group)]; !ok {
+		return 0
+	}
+	return gapAim
+}
+
+func TestOneLongPauseDoesNotOutweighManyShortOnes(t *testing.T) {
+	b := newBalancer()
+	now := start
+	for range 20 {
+		now = now.Add(50 * time.Millisecond)
+		for _, o := range twoGroups() {
+			b.Paused(now, o, 50*time.Millisecond, gapAim)
+		}
+	}
+	a1 := twoGroups()[0]
+	now = now.Add(60 * time.Millisecond)
+	b.Paused(now, a1, 60*time.Millisecond, gapAim)
+	for range 6 {
+		b.Sent(now, twoGroups()[2]) // makes the other group's load larger by more
+	}
+	if got, _ := b.Pick(now, "near", twoGroups()); got.Group != "a" {
+		t.Errorf("group %s was chosen", got.Group)
+	}
+}
+
+func TestWhatIsGoneIsForgotten(t *testing.T) {
+	b := newBalancer()
+	for _, o := range twoGroups() {
+		b.Report(start, o.ID, routing.Report{Running: 9})
+	}
+	b.Paused(start, twoGroups()[0], time.Second, gapAim)
+	b.Forget(start.Add(2*time.Minute), func(id domain.InstanceID) bool { return id != "a1" && id != "a2" })
+	if got, _ := b.Pick(start, "near", twoGroups()); got.Group != "a" {
+		t.Errorf("what was forgotten still keeps requests from group a: %s", got.Group)
+	}
+}
