--- a/local/doc.go
+++ b/local/doc.go
@@ -5,8 +5,8 @@
 //
 // # Usage
 //
-//	sys := local.Start(local.Layout{Halls: []domain.HallName{"bole-hall"}, Entries: 1,
-//		Services: []local.ServiceLayout{{Name: "advice-llm", Type: domain.ModelService, Targets: 2}}})
+//	sys := local.Start(local.Layout{Halls: []domain.HallName{"hall-1"}, Entries: 1,
+//		Services: []local.ServiceLayout{{Name: "advice", Type: domain.ModelService, Targets: 2}}})
 //	defer sys.Close()
-//	resp, err := sys.Client("bole-hall").Post(sys.URL(0)+"/advice-llm/v1/generate", "", body)
+//	resp, err := sys.Client("hall-1").Post(sys.URL(0)+"/advice/v1/generate", "", body)
 package local
--- a/routing/doc.go
+++ b/routing/doc.go
@@ -17,7 +17,7 @@
 //
 //	p := routing.NewPicker(routing.Corrected{Affinity: 1.25}, rand.New(rand.NewPCG(1, 2)))
 //	p.Report(now, "target-1", load)
-//	id, ok := p.Pick(now, routing.Query{Hall: "bole-hall", Prefix: h}, candidates)
+//	id, ok := p.Pick(now, routing.Query{Hall: "hall-1", Prefix: h}, candidates)
 //	p.Sent(now, id, request)
 //	p.Began(now, id, request)   // the first byte
 //	p.Ended(now, id, request)
--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"slices"
 	"sort"
 	"sync"
@@ -134,6 +135,9 @@
 	case a.reply.NotRun() && len(runs) > 0:
 		broken("not run", "%s by %s: answered %d, ran at %s", a.request.ID, a.box, a.reply.Status, runs[0].Target)
 	}
+	if full := a.reply.Status == http.StatusServiceUnavailable || a.reply.Status == http.StatusTooManyRequests; full && a.reply.Again <= 0 {
+		broken("come back", "%s by %s: answered %d without saying when to come again", a.request.ID, a.box, a.reply.Status)
+	}
 	if a.once && len(runs) > 1 {
 		broken("at most once", "%s by %s: ran at %s and %s", a.request.ID, a.box, runs[0].Target, runs[1].Target)
 	}
--- a/store/standin/store.go
+++ b/store/standin/store.go
@@ -9,7 +9,7 @@
 //
 //	store := standin.New(standin.Limits{WritesPerSecond: 100, ReadsPerSecond: 2000})
 //	store.SetFaults(standin.Faults{LoseAnswerEvery: 3})
-//	store.SetBox(domain.NewEntryBox("entry-1", "bole-hall", "127.0.0.1:7000", 1))
+//	store.SetBox(domain.NewEntryBox("entry-1", "hall-1", "127.0.0.1:7000", 1))
 package standin
 
 import (
