A group is held only for ranks that were just read; orders to a silent rank back off

In another play the box froze in the moment in which its agent gave the arm order ('giver'): whether the rank is armed cannot be known then, and no protocol may let the group go on.

Now every rank must have been read within 50 ms before the hold; ranks are read at once when all have copied.

Orders to a rank that does not answer are given again after 20 ms four times, then more and more seldom up to 160 ms, not fifty times a second; each was logged.

--- a/mapswitch/orders/coordinator.go
+++ b/mapswitch/orders/coordinator.go
@@ -9,6 +9,15 @@
 	// ResendAfter is how long an order may stay unanswered before it is given again:
 	// several times the way between data halls of a region and back.
 	ResendAfter = 20 * time.Millisecond
+	// resendMost bounds the same for an order that was given resendSoon times: its rank
+	// is out of reach rather than the order lost.
+	resendMost = 160 * time.Millisecond
+	resendSoon = 4
+	// seenWithin is how long ago each rank must have been read for the group to be held:
+	// one that was reached a moment ago can most likely be asked to arm, too. A rank that
+	// stands still between the hold and its answer keeps the group held. One round of
+	// reads takes some ten milliseconds.
+	seenWithin = 50 * time.Millisecond
 	// prepareWithin bounds the wait for copies beside what they are worked out to
 	// take: orders that are lost are given again within it.
 	prepareWithin = 3 * time.Second
@@ -89,12 +98,14 @@
 	order  Order
 	done   bool
 	sentAt time.Time // zero before the first time
+	tries  int       // times that it was given
 }
 
 // rank is what is known of one rank.
 type rank struct {
 	state  State
 	known  bool
+	seenAt time.Time // when it was read last
 	orphan time.Time // since when it is seen to hold for no attempt of this coordinator
 	job    job
 	// refusals counts the versions that were to void and were refused.
@@ -172,7 +183,7 @@
 		return false
 	}
 	k := &c.ranks[r]
-	k.state, k.known = s, true
+	k.state, k.known, k.seenAt = s, true, now
 	for _, v := range []Version{s.Map, s.Prepared, armedVersion(s)} {
 		c.floor = max(c.floor, v)
 	}
@@ -266,11 +277,12 @@
 	var calls []Call
 	for r := range c.ranks {
 		j := &c.ranks[r].job
-		if c.phase == idle || j.done || !j.sentAt.IsZero() && now.Sub(j.sentAt) < c.resendAfter(j.order) {
+		if c.phase == idle || j.done || !j.sentAt.IsZero() && now.Sub(j.sentAt) < c.resendAfter(j) {
 			continue
 		}
 		c.noteLoss(!j.sentAt.IsZero())
 		j.sentAt = now
+		j.tries++
 		for range c.copiesOf(j.order) {
 			calls = append(calls, Call{Rank: r, Epoch: c.epoch, Fence: c.fenceNow, Order: j.order, id: j.id})
 		}
@@ -279,11 +291,15 @@
 }
 
 // resendAfter is how long the order may stay unanswered before it is given again.
-func (c *Coordinator) resendAfter(o Order) time.Duration {
-	if _, ok := o.(Prepare); ok {
-		return ResendAfter + 2*c.telling
+func (c *Coordinator) resendAfter(j *job) time.Duration {
+	d := ResendAfter
+	for i := resendSoon; i < j.tries && d < resendMost; i++ {
+		d *= 2
 	}
-	return ResendAfter
+	if _, ok := j.order.(Prepare); ok {
+		return d + 2*c.telling
+	}
+	return d
 }
 
 func (c *Coordinator) noteLoss(lost bool) {
@@ -307,11 +323,11 @@
 }
 
 // Awaits tells that the attempt goes on once the rank is seen to have taken a step:
-// to have copied, or to hold no more.
-func (c *Coordinator) Awaits(r int) bool {
+// to have copied, or to hold no more; or once it is read again.
+func (c *Coordinator) Awaits(now time.Time, r int) bool {
 	switch c.phase {
 	case preparing:
-		return c.ranks[r].state.Prepared != c.attempt.Version
+		return !c.hasCopied(r) || c.Ready() && !c.seen(now, r)
 	case releasing:
 		return r == c.self
 	default:
@@ -319,6 +335,26 @@
 	}
 }
 
+// Ready tells that all ranks have copied and the group is to be held as soon as all
+// have been read.
+func (c *Coordinator) Ready() bool {
+	if c.phase != preparing {
+		return false
+	}
+	for r := range c.ranks {
+		if !c.hasCopied(r) {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *Coordinator) hasCopied(r int) bool { return c.ranks[r].state.Prepared == c.attempt.Version }
+
+func (c *Coordinator) seen(now time.Time, r int) bool {
+	return now.Sub(c.ranks[r].seenAt) <= seenWithin
+}
+
 // Answered takes what became of a call.
 func (c *Coordinator) Answered(now time.Time, call Call, res Result) {
 	j := &c.ranks[call.Rank].job
@@ -390,10 +426,10 @@
 
 func (c *Coordinator) enter(now time.Time, p phase) { c.phase, c.entered = p, now }
 
-// prepared holds once all ranks have the map ready.
+// prepared holds once all ranks have the map ready and can be reached.
 func (c *Coordinator) prepared(now time.Time) {
 	for r := range c.ranks {
-		if c.ranks[r].state.Prepared != c.attempt.Version {
+		if !c.hasCopied(r) || !c.seen(now, r) {
 			if now.Sub(c.entered) > (c.copying+c.telling)*2+prepareWithin {
 				c.attempt.Rank = r
 				c.end(NotPrepared)
--- a/node/groupduty.go
+++ b/node/groupduty.go
@@ -201,9 +201,9 @@
 	case since >= readEvery:
 		d.readAt, d.lookedAt = now, now
 		d.readRanks(ctx, func(int) bool { return true })
-	case d.busy() && now.Sub(d.lookedAt) >= readEvery/2:
+	case d.busy() && (now.Sub(d.lookedAt) >= readEvery/2 || d.coord.Ready()):
 		d.lookedAt = now
-		d.readRanks(ctx, func(r int) bool { return r == d.rank || d.coord.Awaits(r) })
+		d.readRanks(ctx, func(r int) bool { return r == d.rank || d.coord.Awaits(now, r) })
 	}
 }
 
