A target that no longer speaks for itself is suspect

The reports of its agent had stopped 1.2 s after the box did: a target that used to speak for itself and has been silent for 1.5 s while others are heard is now suspect.

--- a/membership/roster.go
+++ b/membership/roster.go
@@ -29,6 +29,10 @@
 	// ReportFresh is for how long a target's own word of its group goes before the
 	// list's, which lags.
 	ReportFresh time.Duration
+	// MutedAfter is for how long a target that spoke for itself may be silent, while
+	// others are not, before it is suspect: more than two questions of a box that shares
+	// its targets with dozens of others.
+	MutedAfter time.Duration
 	// StallAfter is how long a group with work may stand at one step before it is
 	// suspect: several times the longest step.
 	StallAfter time.Duration
@@ -48,6 +52,7 @@
 		FailShare:   0.25,
 		Floor:       0.5,
 		ReportFresh: time.Second,
+		MutedAfter:  1500 * time.Millisecond,
 		StallAfter:  500 * time.Millisecond,
 		ForgetAfter: time.Minute,
 	}
@@ -135,6 +140,7 @@
 	newest    store.Revision // of the last change in it
 	entries   map[domain.InstanceID]*entry
 	byService map[domain.ServiceName]*health
+	heardAt   time.Time // when any target spoke for itself last
 	storeBack time.Time // when the store last came back, or now while it is away
 }
 
@@ -228,7 +234,7 @@
 // the group has begun, and of whether it has requests to work on.
 func (r *Roster) Reported(now time.Time, id domain.InstanceID, own domain.Rank, step uint64, working bool) {
 	if e, ok := r.entries[id]; ok {
-		e.own, e.ownAt = own, now
+		e.own, e.ownAt, r.heardAt = own, now, now
 		e.progress.take(now, step, working)
 		e.health.reached(now)
 	}
@@ -346,13 +352,19 @@
 		return Leaving
 	case e.health.unreachable(now):
 		return Unreachable
-	case e.health.ejected(now):
+	case e.health.ejected(now), r.muted(now, e):
 		return Suspect
 	default:
 		return Good
 	}
 }
 
+// muted tells that the target used to speak for itself and does no more, as on a box
+// that stands still: requests to it would be accepted and not answered.
+func (r *Roster) muted(now time.Time, e *entry) bool {
+	return !e.ownAt.IsZero() && now.Sub(e.ownAt) > r.policy.MutedAfter && r.heardAt.Sub(e.ownAt) > r.policy.MutedAfter
+}
+
 // groupView is what the ranks of a group say of it together.
 type groupView struct {
 	broken    bool
--- a/membership/roster_test.go
+++ b/membership/roster_test.go
@@ -313,6 +313,29 @@
 	}
 }
 
+func TestATargetThatStopsSpeakingIsSuspect(t *testing.T) {
+	tests := []struct {
+		name  string
+		heard map[domain.InstanceID]int // ms after the start
+		want  membership.Standing       // of n1 at 2 s
+	}{
+		{"it was heard a moment ago", map[domain.InstanceID]int{"n1": 1000, "n2": 1900}, membership.Good},
+		{"it has been silent, another was heard", map[domain.InstanceID]int{"n2": 1900}, membership.Suspect},
+		{"all have been silent, as after a pause of this box", nil, membership.Good},
+		{"it has spoken again", map[domain.InstanceID]int{"n1": 1950, "n2": 1900}, membership.Good},
+	}
+	for _, tc := range tests {
+		r := newRoster()
+		twoHalls(start, r)
+		for id, ms := range tc.heard {
+			r.Reported(start.Add(time.Duration(ms)*time.Millisecond), id, domain.Rank{}, 2, true)
+		}
+		if got := standings(r, start.Add(2*time.Second))["n1"]; got != tc.want {
+			t.Errorf("%s: %v", tc.name, got)
+		}
+	}
+}
+
 func TestASilentHallIsNotTriedWithRequests(t *testing.T) {
 	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
 	tests := []struct {
--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -135,9 +135,7 @@
 	case a.reply.NotRun() && len(runs) > 0:
 		broken("not run", "%s by %s: answered %d, ran at %s", a.request.ID, a.box, a.reply.Status, runs[0].Target)
 	}
-	if full := a.reply.Status == http.StatusServiceUnavailable || a.reply.Status == http.StatusTooManyRequests; full && a.reply.Again <= 0 {
-		broken("come back", "%s by %s: answered %d without saying when to come again", a.request.ID, a.box, a.reply.Status)
-	}
+	checkRefusal(a, broken)
 	if a.once && len(runs) > 1 {
 		broken("at most once", "%s by %s: ran at %s and %s", a.request.ID, a.box, runs[0].Target, runs[1].Target)
 	}
@@ -156,6 +154,15 @@
 	}
 }
 
+// checkRefusal looks for a caller that was turned away for want of room and not told when
+// to come again.
+func checkRefusal(a asked, broken report) {
+	full := a.reply.Status == http.StatusServiceUnavailable || a.reply.Status == http.StatusTooManyRequests
+	if full && a.reply.Again <= 0 {
+		broken("come back", "%s by %s: answered %d without saying when to come again", a.request.ID, a.box, a.reply.Status)
+	}
+}
+
 // checkLeaving looks for work that came to a target which had left.
 func (l *ledger) checkLeaving(a asked, broken report) {
 	for _, r := range l.runs[a.request.ID] {
