--- a/gateway/door_test.go
+++ b/gateway/door_test.go
@@ -65,6 +65,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		slow := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			time.Sleep(2 * time.Second)
+			w.Header().Set("Connection", "close")
 			_, _ = io.WriteString(w, "whole")
 		})
 		p := newPipes()
@@ -111,6 +112,40 @@
 	}
 }
 
+func TestStopServesWhatCameOnAConnectionThatRested(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		whole := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Connection", "close")
+			_, _ = io.WriteString(w, "whole")
+		})
+		kept := true
+		d := gateway.NewDoor(&http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if kept {
+				kept = false
+				_, _ = io.WriteString(w, "kept")
+				return
+			}
+			whole(w, r)
+		}), ReadHeaderTimeout: time.Minute})
+		p := newPipes()
+		go func() { _ = d.Serve(p) }()
+		c := p.dial()
+		if got, err := askOn(c); got != "kept" || err != nil {
+			t.Fatal(got, err)
+		}
+		synctest.Wait()
+		stopped := make(chan error, 1)
+		go func() { stopped <- d.Stop(context.Background()) }()
+		synctest.Wait() // the connection is looked at for the last time
+		if got, err := askOn(c); got != "whole" || err != nil {
+			t.Errorf("the caller got %q, %v", got, err)
+		}
+		if err := <-stopped; err != nil {
+			t.Error(err)
+		}
+	})
+}
+
 func TestStopWaitsForNobodySilent(t *testing.T) {
 	doorRun(t, func(p *pipes, d *gateway.Door) {
 		silent, rests := p.dial(), p.dial()
