The test of slow links stalls whatever the machine is busy with

Cause: a slow link holds back every read for 250 ms, and the lead was 60 steps of 10 ms. A question and its answer take 500 ms, or more if a message is read in several pieces, which hangs on scheduling, so the lead of 600 ms was sometimes enough. With steps of 5 ms it is 300 ms. The checks are unchanged.

--- a/local/group_test.go
+++ b/local/group_test.go
@@ -48,7 +48,7 @@
 
 // driftingGroup is a group whose popularity turns over every few seconds, so that
 // its map changes often.
-func driftingGroup(t *testing.T, rec *maps) local.Layout {
+func driftingGroup(t *testing.T, rec *maps, step time.Duration) local.Layout {
 	t.Helper()
 	shape, err := experts.NewShape(groupRanks, 2, 8, 3, 2, 1<<20)
 	if err != nil {
@@ -59,7 +59,7 @@
 	l.Group = local.GroupLayout{
 		Name: "moe", Objective: experts.SkewFirst(), OnStep: rec.used,
 		Engine: standin.GroupSettings{
-			Shape: shape, StepTime: 10 * time.Millisecond, Weights: standin.NewWeights(64 << 20),
+			Shape: shape, StepTime: step, Weights: standin.NewWeights(64 << 20),
 			Load: func(s mapswitch.Step) experts.Load {
 				load := experts.NewLoad(shape)
 				for i := range load {
@@ -75,12 +75,15 @@
 	return l
 }
 
+// usualStep is the time of a step of the group.
+const usualStep = 10 * time.Millisecond
+
 // runGroup runs the group under troubles for a time and a calm while after it.
-func runGroup(t *testing.T, list []trouble, check func(*local.System, *maps, mapswitch.Step)) {
+func runGroup(t *testing.T, step time.Duration, list []trouble, check func(*local.System, *maps, mapswitch.Step)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		rec := &maps{steps: map[mapswitch.Step]map[int]mapswitch.Version{}}
-		sys, err := local.Start(driftingGroup(t, rec))
+		sys, err := local.Start(driftingGroup(t, rec, step))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -105,7 +108,7 @@
 		"platform down", "lost answers", "stale reads", "slow platform",
 	}
 	t.Run("nothing goes wrong", func(t *testing.T) {
-		runGroup(t, nil, func(s *local.System, m *maps, _ mapswitch.Step) {
+		runGroup(t, usualStep, nil, func(s *local.System, m *maps, _ mapswitch.Step) {
 			m.check(t)
 			if m.last < 3 {
 				t.Errorf("the map was changed %d times, so the run shows little", m.last-1)
@@ -120,7 +123,10 @@
 		for i := range 3 {
 			list = append(list, trouble{kind: "slow link", at: time.Second, last: 39 * time.Second, pick: i})
 		}
-		runGroup(t, list, func(s *local.System, m *maps, _ mapswitch.Step) {
+		// At half the usual step the lead is 0.3 s, less than the 0.5 s that a question and
+		// its answer take over slow links. At the usual one it is 0.6 s: whether that is
+		// enough hangs on how many pieces a message is read in.
+		runGroup(t, usualStep/2, list, func(s *local.System, m *maps, _ mapswitch.Step) {
 			m.check(t)
 			if m.last < 3 || s.Group.Stalled() == 0 {
 				t.Errorf("%d changes, %s stalled: the run shows little", m.last-1, s.Group.Stalled())
@@ -132,14 +138,14 @@
 		for i := range 30 {
 			list = append(list, trouble{kind: "kill agent", at: time.Duration(i) * 1300 * time.Millisecond, last: 10 * time.Millisecond, pick: i})
 		}
-		runGroup(t, list, func(_ *local.System, m *maps, _ mapswitch.Step) { m.check(t) })
+		runGroup(t, usualStep, list, func(_ *local.System, m *maps, _ mapswitch.Step) { m.check(t) })
 	})
 	rapid.Check(t, func(rt *rapid.T) {
 		list := drawTroubles(rt, kinds...)
 		for i := range list {
 			list[i].at *= 4 // over the first half minute
 		}
-		runGroup(t, list, func(s *local.System, m *maps, before mapswitch.Step) {
+		runGroup(t, usualStep, list, func(s *local.System, m *maps, before mapswitch.Step) {
 			m.check(rt)
 			if s.Group.Next() == before {
 				rt.Errorf("the group stands still")
