Large groups are read and told through relays, and halls of many boxes have hubs

Between halls word of a target came every 2.5 s, while 1.5 s of silence make it suspect.

Change: one agent of each ten ranks of a hall reads and tells for the coordinator (telling.Relays); orders under a hold go out by tens through boxes outside the group; when an order is late follows from answers as seen (RFC 6298), and how fresh word must be from how long a read of all takes; a plan copies as long as its change takes anyway. In halls of 13 and more boxes three ask the targets and the others ask these (membership.RoleOf). A coordinator whose fence is below one that its ranks have seen, as after a clock was set back, goes above.

Ruled out: too little room for copies, refused orders as the first cause (they follow from orders given again).

--- a/bench/slopes.go
+++ b/bench/slopes.go
@@ -88,7 +88,7 @@
 			State: orders.State{Epoch: 3, Open: true, Step: orders.Step(90_000 + i)}, Running: 7, Waiting: 1, Pace: 1,
 		})
 	}
-	return bytesOf(s.Tell(begin.Add(150 * time.Millisecond)))
+	return bytesOf(s.Tell(begin.Add(150*time.Millisecond), false))
 }
 
 func advert(boxes int) float64 {
--- a/mapswitch/orders/coordinator.go
+++ b/mapswitch/orders/coordinator.go
@@ -16,7 +16,7 @@
 	// seenWithin is how long ago each rank must have been read for the group to be held:
 	// one that was reached a moment ago can most likely be asked to arm, too. A rank that
 	// stands still between the hold and its answer keeps the group held. One round of
-	// reads takes some ten milliseconds.
+	// reads takes some ten milliseconds; where it takes longer (SetReach), two of them.
 	seenWithin = 50 * time.Millisecond
 	// prepareWithin bounds the wait for copies beside what they are worked out to
 	// take: orders that are lost are given again within it.
@@ -112,6 +112,8 @@
 	adopting bool          // the attempt settles what another left behind
 	loss     float64       // share of orders that are not answered in time
 	telling  time.Duration // that a map takes to reach all ranks
+	reach    time.Duration // that a read of all ranks takes
+	answers  answerTimes
 	cadence  cadence
 	ended    []Outcome
 }
@@ -148,6 +150,11 @@
 // takes: maps of large groups fill a narrow link for a while.
 func (c *Coordinator) SetTelling(d time.Duration) { c.telling = d }
 
+// SetReach tells how long the slowest of a round of reads takes. Where that is longer than
+// seenWithin, as through relays in a group of a hundred ranks, the word of all ranks is
+// never so fresh at once, and no map would ever change.
+func (c *Coordinator) SetReach(d time.Duration) { c.reach = d }
+
 // TakeEnded returns the attempts that ended since the last call.
 func (c *Coordinator) TakeEnded() []Outcome {
 	list := c.ended
@@ -255,7 +262,7 @@
 func (c *Coordinator) hasCopied(r int) bool { return c.ranks[r].state.Prepared == c.attempt.Version }
 
 func (c *Coordinator) seen(now time.Time, r int) bool {
-	return now.Sub(c.ranks[r].seenAt) <= seenWithin
+	return now.Sub(c.ranks[r].seenAt) <= max(seenWithin, 2*c.reach)
 }
 
 // took notes that a rank took its order. A rank that has disarmed is then asked to
--- a/mapswitch/orders/giving.go
+++ b/mapswitch/orders/giving.go
@@ -57,7 +57,7 @@
 
 // resendAfter is how long the order may stay unanswered before it is given again.
 func (c *Coordinator) resendAfter(j *job) time.Duration {
-	d := ResendAfter
+	d := c.answers.late()
 	for i := resendSoon; i < j.tries && d < resendMost; i++ {
 		d *= 2
 	}
@@ -93,6 +93,9 @@
 	if call.id != j.id || j.done || c.phase == idle {
 		return
 	}
+	if _, copies := j.order.(Prepare); !copies && res != Lost {
+		c.answers.took(now.Sub(j.sentAt))
+	}
 	switch res {
 	case Done:
 		c.took(call.Rank)
--- a/mapswitch/orders/order.go
+++ b/mapswitch/orders/order.go
@@ -1,5 +1,7 @@
 package orders
 
+import "fmt"
+
 // The numbers of a group.
 type (
 	// Version numbers the maps of a rank. A rank takes none that is not above all
@@ -65,6 +67,25 @@
 	}
 }
 
+// Describe names an order with its numbers: two orders of one description are the same
+// order for different ranks, since a version stands for one map.
+func Describe(o Order) string {
+	switch o := o.(type) {
+	case Prepare:
+		return fmt.Sprintf("prepare %d", o.Version)
+	case Arm:
+		return fmt.Sprintf("arm %d %d", o.Version, o.Step)
+	case Disarm:
+		return fmt.Sprintf("disarm %d", o.Version)
+	case Hold:
+		return fmt.Sprintf("hold %d", o.Step)
+	case Release:
+		return fmt.Sprintf("release %d", o.Step)
+	default:
+		return Name(o)
+	}
+}
+
 // Result is what became of an order.
 type Result int
 
--- /dev/null
+++ b/membership/hubs.go
@@ -0,0 +1,70 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+
+	"clovertrail.dev/core/domain"
+)
+
+// In a data hall with many entry boxes a few of them, its hubs, ask its targets how they do
+// and hear of the other halls; the rest ask a hub. Thirty boxes that each ask 39 targets
+// twice a second make 2,300 calls a second in a hall, and far targets were heard of only
+// every 2.5 s, so that they were suspect half of the time; with hubs it is 700 calls, and
+// word of every target is under a second old (counted from the paces in node).
+//
+// Nobody appoints hubs. A box is one if few boxes of its hall that it knows to live come
+// before it in the order of names, so the first few boxes always are, and one more here or
+// there does no harm. A box that no hub tells of a target asks the target itself.
+
+const (
+	// hubsFrom is how many boxes of a hall must be in touch for it to have hubs: with
+	// fewer, a target can answer all of them often enough.
+	hubsFrom = 13
+	// HubsEach is how many hubs a hall has: two may be lost at once.
+	HubsEach = 3
+)
+
+// Role is what a box does for the word of targets in its hall.
+type Role int
+
+// The roles.
+const (
+	// Alone: the hall has no hubs, and each box asks its targets.
+	Alone Role = iota
+	// Hub: it asks for the others.
+	Hub
+	// Follower: it hears from a hub.
+	Follower
+)
+
+// String gives the name of the role.
+func (r Role) String() string { return [...]string{"alone", "hub", "follower"}[r] }
+
+// RoleOf is the role of the box in its hall, where the others are in touch.
+func RoleOf(self domain.BoxID, others []Contact) Role {
+	if len(others)+1 < hubsFrom {
+		return Alone
+	}
+	before := 0
+	for _, c := range others {
+		if c.Box < self {
+			before++
+		}
+	}
+	if before < HubsEach {
+		return Hub
+	}
+	return Follower
+}
+
+// HubsOf are those of a hall's boxes that can tell of all its targets: its hubs, or all
+// where it has none.
+func HubsOf(boxes []Contact) []Contact {
+	if len(boxes) < hubsFrom {
+		return boxes
+	}
+	sorted := slices.Clone(boxes)
+	slices.SortFunc(sorted, func(a, b Contact) int { return cmp.Compare(a.Box, b.Box) })
+	return sorted[:HubsEach]
+}
--- a/membership/outlook.go
+++ b/membership/outlook.go
@@ -17,6 +17,7 @@
 // It does no I/O and is not safe for concurrent use.
 type Outlook struct {
 	own   domain.HallName
+	role  Role
 	halls map[domain.HallName]*outpost
 	told  map[domain.InstanceID]time.Time // when a target was heard last, by another box
 }
@@ -25,6 +26,7 @@
 type outpost struct {
 	box    domain.BoxID // that answered last; empty if none does
 	failed domain.BoxID // that did not answer last; empty if the last one did
+	toldAt time.Time    // when a target of the hall was heard last, by another box
 }
 
 // NewOutlook returns the outlook of a box in the hall.
@@ -75,17 +77,43 @@
 	return lost
 }
 
-// Told takes that another box heard the target at the time.
-func (o *Outlook) Told(id domain.InstanceID, at time.Time) {
+// Told takes that another box heard the target of the hall at the time.
+func (o *Outlook) Told(h domain.HallName, id domain.InstanceID, at time.Time) {
 	if at.After(o.told[id]) {
 		o.told[id] = at
 	}
+	if p := o.outpost(h); at.After(p.toldAt) {
+		p.toldAt = at
+	}
 }
 
-// Asks tells whether this box is to ask the target itself: it stands in the own hall,
-// nobody tells of its hall, or who does has not heard it for so long.
+// Become sets the role of this box in its hall.
+func (o *Outlook) Become(r Role) { o.role = r }
+
+// Asks tells whether this box is to ask the target itself: it stands in the own hall and
+// no hub asks it, nobody tells of its hall, or who does has not heard it for so long.
 func (o *Outlook) Asks(now time.Time, h domain.HallName, id domain.InstanceID, old time.Duration) bool {
-	return h == o.own || o.outpost(h).box == "" || now.Sub(o.told[id]) > old
+	teller := h
+	if o.role == Follower {
+		teller = o.own // its hubs tell of all halls
+	} else if h == o.own {
+		return true
+	}
+	return o.outpost(teller).box == "" || now.Sub(o.told[id]) > old
+}
+
+// Surveys tells whether this box is to ask another how the targets of the hall do. A
+// follower asks a hub of its own hall, and boxes of another hall only while the hubs have
+// no fresh word of that.
+func (o *Outlook) Surveys(now time.Time, h domain.HallName, old time.Duration) bool {
+	switch {
+	case h == o.own:
+		return o.role == Follower
+	case o.role == Follower:
+		return now.Sub(o.outpost(h).toldAt) > old
+	default:
+		return true
+	}
 }
 
 // Forget drops what is known of targets that are not in keep.
--- a/membership/outlook_test.go
+++ b/membership/outlook_test.go
@@ -20,27 +20,27 @@
 	}{
 		"own hall":            {"near", func(*membership.Outlook) {}, true},
 		"nobody told yet":     {"far", func(*membership.Outlook) {}, true},
-		"told a moment ago":   {"far", func(o *membership.Outlook) { o.Answered("far", "b"); o.Told("t", start) }, false},
-		"told of others only": {"far", func(o *membership.Outlook) { o.Answered("far", "b"); o.Told("u", start) }, true},
-		"told long ago":       {"far", func(o *membership.Outlook) { o.Answered("far", "b"); o.Told("t", start.Add(-2*old)) }, true},
+		"told a moment ago":   {"far", func(o *membership.Outlook) { o.Answered("far", "b"); o.Told("far", "t", start) }, false},
+		"told of others only": {"far", func(o *membership.Outlook) { o.Answered("far", "b"); o.Told("far", "u", start) }, true},
+		"told long ago":       {"far", func(o *membership.Outlook) { o.Answered("far", "b"); o.Told("far", "t", start.Add(-2*old)) }, true},
 		"older word comes last": {"far", func(o *membership.Outlook) {
 			o.Answered("far", "b")
-			o.Told("t", start)
-			o.Told("t", start.Add(-2*old))
+			o.Told("far", "t", start)
+			o.Told("far", "t", start.Add(-2*old))
 		}, false},
 		"teller stopped answering": {"far", func(o *membership.Outlook) {
 			o.Answered("far", "b")
-			o.Told("t", start)
+			o.Told("far", "t", start)
 			o.Failed("far", "b")
 		}, true},
 		"another teller answers": {"far", func(o *membership.Outlook) {
-			o.Told("t", start)
+			o.Told("far", "t", start)
 			o.Failed("far", "b")
 			o.Answered("far", "c")
 		}, false},
 		"the target is forgotten": {"far", func(o *membership.Outlook) {
 			o.Answered("far", "b")
-			o.Told("t", start)
+			o.Told("far", "t", start)
 			o.Forget(func(domain.InstanceID) bool { return false })
 		}, true},
 	} {
--- a/mesh/messages.go
+++ b/mesh/messages.go
@@ -26,6 +26,11 @@
 	// Command hands an order to a rank's agent, or to another process that gives it to
 	// the engine named: OrderCall for OrderReply.
 	Command Method = "/agent/order"
+	// Gather asks an agent to read some ranks of its group for their coordinator:
+	// GatherQuery for Gathered.
+	Gather Method = "/agent/gather"
+	// Deal hands one order to many: DealCall for DealReply.
+	Deal Method = "/agent/deal"
 )
 
 // Contact is an entry box that can be reached.
@@ -109,9 +114,12 @@
 }
 
 // HallQuery asks an entry box what it heard from the targets that it asks itself.
-type HallQuery struct{}
+type HallQuery struct {
+	// All asks for what others told it, too: of the targets of other halls.
+	All bool `json:"all,omitempty"`
+}
 
-// HallReport is what an entry box heard from the targets that it asks itself.
+// HallReport is what an entry box heard of targets.
 type HallReport struct {
 	Targets []Sighting `json:"targets"`
 }
@@ -138,6 +146,7 @@
 	Instance domain.InstanceID `json:"instance"`
 	Target   string            `json:"target"` // address of the engine
 	Agent    string            `json:"agent"`  // address of the agent beside it
+	Hall     domain.HallName   `json:"hall,omitempty"`
 }
 
 // WatchQuery asks an agent how its engine does, and tells it now and then what an
--- a/mesh/picked.go
+++ b/mesh/picked.go
@@ -31,3 +31,28 @@
 
 // Number is the number at the place i.
 func (p *Picked) Number(i int) float64 { return float64(p.Steps[i]) * p.Unit }
+
+// Sum adds up what several ranks chose; nil if none of them could tell. All must be of
+// one length.
+func Sum(list []*Picked) *Picked {
+	var sum []float64
+	for _, p := range list {
+		if p == nil || sum != nil && len(p.Steps) != len(sum) {
+			continue
+		}
+		if sum == nil {
+			sum = make([]float64, len(p.Steps))
+		}
+		for i := range sum {
+			sum[i] += p.Number(i)
+		}
+	}
+	if sum == nil {
+		return nil
+	}
+	numbers := make([]uint64, len(sum))
+	for i, x := range sum {
+		numbers[i] = uint64(math.Round(x))
+	}
+	return Pack(numbers)
+}
--- /dev/null
+++ b/mesh/relayed.go
@@ -0,0 +1,85 @@
+package mesh
+
+import (
+	"time"
+
+	"clovertrail.dev/mapswitch/orders"
+)
+
+// What a coordinator of a large group hands to a few others, each of which speaks for
+// some ranks: so neither its link nor its processor has to carry a call for every rank.
+
+// GatherQuery asks an agent to read ranks of its group.
+type GatherQuery struct {
+	Epoch orders.Epoch `json:"epoch"`
+	Ranks []int        `json:"ranks"`
+	Read  ReadQuery    `json:"read"`
+}
+
+// Gathered is what the ranks said that answered.
+type Gathered struct {
+	Ranks []RankWord `json:"ranks"`
+	// Picked is what these ranks chose together since the asker asked last; missing if
+	// none could tell.
+	Picked *Picked `json:"picked,omitempty"`
+}
+
+// RankWord is what a rank says of itself, without names of fields, since there are
+// dozens in a message.
+type RankWord struct {
+	_             struct{} `cbor:",toarray"`
+	Rank          int
+	Open          bool
+	Epoch         orders.Epoch
+	Step          orders.Step
+	Map, Prepared orders.Version
+	ArmedVersion  orders.Version // 0 while none is armed
+	ArmedStep     orders.Step
+	Held          *orders.Step
+	Pace          float32
+	Holds         [][]int // the map in use, by layer; only where it was asked for
+}
+
+// WordOf shortens a report for a message that has many.
+func WordOf(rank int, r *RankReport) RankWord {
+	s := r.State
+	w := RankWord{
+		Rank: rank, Open: s.Open, Epoch: s.Epoch, Step: s.Step, Map: s.Map, Prepared: s.Prepared,
+		Held: s.Held, Pace: float32(r.Pace), Holds: r.Holds,
+	}
+	if s.Armed != nil {
+		w.ArmedVersion, w.ArmedStep = s.Armed.Version, s.Armed.Step
+	}
+	return w
+}
+
+// Report gives back what WordOf took.
+func (w RankWord) Report() *RankReport {
+	s := orders.State{Epoch: w.Epoch, Open: w.Open, Step: w.Step, Map: w.Map, Prepared: w.Prepared, Held: w.Held}
+	if w.ArmedVersion != 0 {
+		s.Armed = &orders.Armed{Version: w.ArmedVersion, Step: w.ArmedStep}
+	}
+	return &RankReport{Rank: w.Rank, State: s, Pace: float64(w.Pace), Holds: w.Holds}
+}
+
+// DealCall is one order for many engines. Either Ranks are named, of the group of the
+// agent that is called, or the addresses of their Engines.
+type DealCall struct {
+	Ranks   []int     `json:"ranks,omitempty"`
+	Engines []string  `json:"engines,omitempty"`
+	Order   OrderCall `json:"order"`
+	// Left is how long the answer is waited for.
+	Left time.Duration `json:"left"`
+}
+
+// Dealt is what became of the order at one engine.
+type Dealt struct {
+	_           struct{} `cbor:",toarray"`
+	Result      orders.Result
+	UnknownBase bool // the rank's agent does not know the map from which this one was told
+}
+
+// DealReply is what became of the order, in the order of the call's ranks or engines.
+type DealReply struct {
+	Dealt []Dealt `json:"dealt"`
+}
--- a/node/entry.go
+++ b/node/entry.go
@@ -72,6 +72,11 @@
 	return rank.HandOn(ctx, e.common, e.engines, c)
 }
 
+// deal hands an order on to many engines.
+func (e *Entry) deal(ctx context.Context, c *mesh.DealCall) (*mesh.DealReply, error) {
+	return rank.DealOut(ctx, e.common, e.engines, c)
+}
+
 // Run serves until leave is closed, then finishes what is in flight and returns.
 func (e *Entry) Run(leave <-chan struct{}) error {
 	ctx, cancel := context.WithCancel(context.Background())
--- a/node/peering.go
+++ b/node/peering.go
@@ -106,6 +106,7 @@
 	mesh.Handle(mux, mesh.Pull, p.pull)
 	mesh.Handle(mux, mesh.Survey, p.entry.surveying.survey)
 	mesh.Handle(mux, mesh.Command, p.entry.command)
+	mesh.Handle(mux, mesh.Deal, p.entry.deal)
 	for _, address := range []string{p.entry.settings().Peers, p.entry.settings().Meeting} {
 		if address == "" {
 			continue
--- a/node/rank/agent.go
+++ b/node/rank/agent.go
@@ -111,6 +111,8 @@
 	mesh.Handle(m, mesh.Watch, a.watch)
 	mesh.Handle(m, mesh.Read, a.read)
 	mesh.Handle(m, mesh.Command, a.command)
+	mesh.Handle(m, mesh.Gather, a.gather)
+	mesh.Handle(m, mesh.Deal, a.deal)
 	return m
 }
 
@@ -282,6 +284,13 @@
 	return true
 }
 
+// membersIn are the ranks of the group in the epoch; false if they are not known.
+func (a *Agent) membersIn(e orders.Epoch) (map[int]mesh.Member, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.members, a.epoch == e && len(a.members) > 0
+}
+
 // group gives what is known of the group in the epoch; false if that is not enough.
 func (a *Agent) group(e orders.Epoch, size int) (map[int]mesh.Member, rebalance.Shape, bool) {
 	a.mu.Lock()
--- a/node/rank/groupduty.go
+++ b/node/rank/groupduty.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"sync"
 	"time"
 
@@ -11,7 +10,6 @@
 	"clovertrail.dev/mesh"
 	"clovertrail.dev/node/telling"
 	"clovertrail.dev/platform"
-	"clovertrail.dev/telemetry"
 )
 
 // The times of coordinating a group.
@@ -47,6 +45,9 @@
 	placeBytes, pickBytes, reportBytes = 2, 1, 300
 	// rowHead is how many places the head of a row takes as much as.
 	rowHead = 3
+	// fenceRaisedMost bounds how often a fence is doubled: it and a version made of it
+	// stay within the 53 bits that any reader of JSON keeps.
+	fenceRaisedMost = 5
 	// slowdown is how much longer steps are while ranks copy, as the platform says.
 	slowdown = 0.15
 )
@@ -57,7 +58,9 @@
 	agent     *Agent
 	started   time.Time
 	fenceBase time.Time
-	results   chan event
+	// fenceRaised is how often ranks had seen a higher fence.
+	fenceRaised int
+	results     chan event
 
 	rank     int
 	size     int
@@ -70,9 +73,13 @@
 	paces    []float64       // by rank, as last reported
 	holds    map[int][][]int // of the map in use, by rank
 	holdsOf  orders.Version
-	readAt   time.Time // all ranks
-	lookedAt time.Time // those that an attempt waits for
-	pickedAt time.Time // when all ranks were last asked what was chosen
+	readAt   time.Time       // all ranks
+	lookedAt time.Time       // those that an attempt waits for
+	pickedAt time.Time       // when all ranks were last asked what was chosen
+	relays   *telling.Relays // nil where every rank is spoken to by itself
+	reach    time.Duration   // that the slowest reads take
+	overhead time.Duration   // that changes take beside copies
+	copying  time.Duration   // that the proposed map takes to copy
 	told     *telling.Told
 	rows     int           // that the proposed map differs in from the one in use
 	tellers  chan struct{} // one for each whole map that may be on its way
@@ -87,18 +94,29 @@
 	stopping bool
 }
 
-// event is what the duty's goroutines bring back. The set is closed: readDone and
-// orderDone.
+// event is what the duty's goroutines bring back. The set is closed: readDone, gatherDone,
+// orderDone and dealDone.
 type event interface{ event() }
 
 type readDone struct {
 	rank   int
 	epoch  orders.Epoch // for which it was asked
 	picked bool         // it was asked what was chosen
+	began  time.Time
 	report *mesh.RankReport
 	err    error
 }
 
+// gatherDone is what a relay brought of a part.
+type gatherDone struct {
+	part   telling.Part
+	epoch  orders.Epoch
+	picked bool
+	began  time.Time
+	report *mesh.Gathered
+	err    error
+}
+
 type orderDone struct {
 	call   orders.Call
 	agent  bool // it went through the agent of its rank
@@ -106,8 +124,13 @@
 	err    error
 }
 
-func (readDone) event()  {}
-func (orderDone) event() {}
+// dealDone is what became of orders that were given many at once.
+type dealDone struct{ orders []orderDone }
+
+func (readDone) event()   {}
+func (gatherDone) event() {}
+func (orderDone) event()  {}
+func (dealDone) event()   {}
 
 func newGroupDuty(a *Agent) *groupDuty {
 	now := time.Now()
@@ -128,9 +151,18 @@
 }
 
 // fence is higher at each attempt, also after a restart: it is the time of day at
-// the start and the steady time since.
+// the start and the steady time since, and more once ranks have seen a higher one.
 func (d *groupDuty) fence() orders.Fence {
-	return orders.Fence(d.fenceBase.UnixMilli() + time.Since(d.fenceBase).Milliseconds())
+	return orders.Fence((d.fenceBase.UnixMilli() + time.Since(d.fenceBase).Milliseconds()) << d.fenceRaised)
+}
+
+// raiseFence puts this coordinator's fences above those that its ranks have seen. A box
+// whose clock was set back, by any time, comes above its own past again at once; of two
+// coordinators at work in turn the later one still wins.
+func (d *groupDuty) raiseFence() {
+	if d.fenceRaised < fenceRaisedMost {
+		d.fenceRaised++
+	}
 }
 
 // run does the duty until ctx ends, or until it is to stop and nothing is held.
@@ -159,28 +191,18 @@
 	now := time.Now()
 	switch e := e.(type) {
 	case readDone:
-		d.reading[e.rank] = false
-		d.noteRead(e)
-		if e.err == nil && d.coord != nil && e.epoch == d.coord.Epoch() {
-			d.took(now, e)
-		}
+		d.tookRead(now, e)
+	case gatherDone:
+		d.tookGather(now, e)
 	case orderDone:
-		d.logOrder(e)
-		d.noteTold(e)
-		if d.coord != nil && e.call.Epoch == d.coord.Epoch() {
-			d.coord.Answered(now, e.call, e.result)
+		d.tookOrder(now, e)
+	case dealDone:
+		for _, o := range e.orders {
+			d.tookOrder(now, o)
 		}
 	}
 }
 
-// noteRead logs when a rank is lost or answers again.
-func (d *groupDuty) noteRead(e readDone) {
-	if failed := e.err != nil; failed != d.unread[e.rank] {
-		d.unread[e.rank] = failed
-		d.log("rank read", "of", e.rank, "lost", failed, "err", e.err)
-	}
-}
-
 // tick looks at the own engine, decides whether to coordinate, and reads the ranks.
 func (d *groupDuty) tick(ctx context.Context) {
 	now := time.Now()
@@ -198,6 +220,7 @@
 	switch since := now.Sub(d.readAt); {
 	case since >= readEvery:
 		d.readAt, d.lookedAt = now, now
+		d.reach = time.Duration(reachFade * float64(d.reach))
 		d.readRanks(ctx, func(int) bool { return true })
 	case d.busy() && (now.Sub(d.lookedAt) >= readEvery/2 || d.coord.Ready()):
 		d.lookedAt = now
@@ -241,236 +264,17 @@
 	clear(d.reading)
 	d.mute.reset()
 	d.told = telling.NewTold()
+	d.relays, d.reach = nil, 0
+	if d.useRelays() {
+		d.relays = telling.NewRelays(d.rank, members)
+	}
 	d.tellers = make(chan struct{}, max(1, int(tellingAtOnce/max(d.tellingOne(), 1))))
+	d.rows = 0
+	d.overhead = max(d.overhead, d.telling())
 	d.estimate = rebalance.NewEstimate(shape)
 	d.paces = make([]float64, d.size)
 }
 
-// noteTold notes whether the agent of a rank has a map. Calls of an earlier
-// formation tell nothing.
-func (d *groupDuty) noteTold(e orderDone) {
-	if p, ok := e.call.Order.(orders.Prepare); ok && e.agent && d.coord != nil && e.call.Epoch == d.coord.Epoch() {
-		d.told.Took(e.call.Rank, p, e.err)
-	}
-}
-
-// readRanks reads the ranks that are wanted and not being read already.
-func (d *groupDuty) readRanks(ctx context.Context, wanted func(rank int) bool) {
-	_, known := d.coord.Current()
-	picked := time.Since(d.pickedAt) >= d.pickPause()
-	if picked {
-		d.pickedAt = time.Now()
-	}
-	for r, m := range d.members {
-		if d.reading[r] || !wanted(r) {
-			continue
-		}
-		d.reading[r] = true
-		go d.readRank(ctx, r, m, &mesh.ReadQuery{From: d.rank, Picked: picked, Holds: !known}, d.coord.Epoch())
-	}
-}
-
-func (d *groupDuty) readRank(ctx context.Context, r int, m mesh.Member, q *mesh.ReadQuery, e orders.Epoch) {
-	ctx, cancel := context.WithTimeout(ctx, readWithin)
-	defer cancel()
-	done := readDone{rank: r, epoch: e, picked: q.Picked}
-	switch {
-	case r == q.From:
-		done.report, done.err = d.agent.readOwn(ctx, q)
-	case d.mute.is(r):
-		done.report, done.err = d.agent.readFar(ctx, m)
-	default:
-		done.report, done.err = mesh.Call[mesh.ReadQuery, mesh.RankReport](ctx, d.agent.mesh, m.Agent, mesh.Read, q)
-		d.mute.note(r, done.err)
-	}
-	d.results <- done
-}
-
-// took takes the report of a rank, and plans once all have come.
-func (d *groupDuty) took(now time.Time, e readDone) {
-	if !d.coord.Observe(now, e.rank, e.report.State) {
-		return
-	}
-	d.tookPace(e.rank, e.report.Pace)
-	if e.report.Holds != nil {
-		d.tookHolds(e)
-	}
-	if e.picked && d.counts.Add(e.rank, e.report.Picked) {
-		d.estimate.Add(d.counts.Take())
-		d.due = true
-	}
-	// What was counted while a change was under way is planned with once it has ended.
-	if d.due && d.leading && d.coord.Settled() && !d.isStopping() {
-		d.due = false
-		d.plan(now, d.estimate.Load())
-	}
-}
-
-// paceChange is by how much a pace must differ from the one before to be logged.
-const paceChange = 0.1
-
-// tookPace notes how slow a rank is.
-func (d *groupDuty) tookPace(rank int, pace float64) {
-	if rank >= len(d.paces) {
-		return // it is not one of the group
-	}
-	if before := d.paces[rank]; math.Abs(pace-before) > paceChange && (pace > 1+paceChange || before > 1+paceChange) {
-		d.log("pace", "of", rank, "pace", pace, "before", before)
-	}
-	d.paces[rank] = pace
-}
-
-// tookHolds puts the map in use together from what all ranks hold of the same
-// version.
-func (d *groupDuty) tookHolds(e readDone) {
-	if v := e.report.State.Map; v != d.holdsOf {
-		d.holds, d.holdsOf = map[int][][]int{}, v
-	}
-	d.holds[e.rank] = e.report.Holds
-	if _, known := d.coord.Current(); known || len(d.holds) < d.size {
-		return
-	}
-	p := make(orders.Placement, d.shape.Layers)
-	for l := range p {
-		p[l] = make([][]int, d.size)
-		for r := range d.size {
-			if l >= len(d.holds[r]) {
-				return // not of the shape that the configuration names
-			}
-			p[l][r] = d.holds[r][l]
-		}
-	}
-	d.coord.SetCurrent(p)
-}
-
-// plan proposes another map if that is worth it.
-func (d *groupDuty) plan(now time.Time, load rebalance.Load) {
-	current, known := d.coord.Current()
-	if !known {
-		return
-	}
-	s := d.agent.settings()
-	p := rebalance.Planner{
-		Shape: d.shape, Pace: d.paces, Horizon: s.Horizon.Std(), Slowdown: slowdown, MostCopies: s.Copies(d.shape.Copy), Least: s.LeastSaving,
-	}
-	plan := p.Plan(rebalance.Map(current), load)
-	d.agent.common.Metrics.Set(telemetry.StepSkew, d.group, plan.Before)
-	if !plan.Worth() {
-		return
-	}
-	if !d.coord.Propose(now, orders.Placement(plan.Map), plan.Copying) {
-		return
-	}
-	d.agent.common.Metrics.Count(telemetry.MovedExperts, d.group, plan.Moves)
-	rows, _ := orders.Placement(plan.Map).Since(current)
-	d.rows = len(rows)
-	d.log("map proposed", "skew", plan.Before, "expected", plan.After, "moves", plan.Moves, "copying", plan.Copying)
-}
-
-// pickPause is the time between two questions what was chosen, such that the answers
-// fit into their share of the link.
-func (d *groupDuty) pickPause() time.Duration {
-	bytes := d.size * (d.shape.Layers*d.shape.Experts*pickBytes + reportBytes)
-	return max(readEvery, d.sending(bytes, linkShare)-dutyTick)
-}
-
-// sending is how long so many bytes take on a share of this box's link.
-func (d *groupDuty) sending(bytes int, share float64) time.Duration {
-	const bitsPerByte, mega = 8, 1e6
-	return time.Duration(float64(bytes*bitsPerByte) / (d.agent.settings().Link * mega * share) * float64(time.Second))
-}
-
-// telling is how long it takes to tell all ranks the map that is proposed: less where
-// they have one from which it can be told.
-func (d *groupDuty) telling() time.Duration {
-	if d.told.All(d.size) {
-		return d.sending(d.size*d.rows*(d.shape.Places+rowHead)*placeBytes, 1)
-	}
-	return d.tellingOne() * time.Duration(d.size)
-}
-
-// tellingOne is how long it takes to tell one rank a whole map.
-func (d *groupDuty) tellingOne() time.Duration {
-	return d.sending(d.shape.Layers*d.size*d.shape.Places*placeBytes, 1)
-}
-
-// next gives the orders that are due, and logs what ended.
-func (d *groupDuty) next(ctx context.Context) {
-	long := d.telling()
-	d.coord.SetTelling(long)
-	for _, c := range d.coord.Next(time.Now()) {
-		call := mesh.CallOf(c)
-		if c.Rank != d.rank && !d.mute.is(c.Rank) {
-			call = d.told.Shorten(c.Rank, call)
-		}
-		go d.order(ctx, c, call, d.members[c.Rank], orderWithin+long, d.tellers)
-	}
-	for _, o := range d.coord.TakeEnded() {
-		d.endedAt = time.Now()
-		d.readAt = time.Time{} // at once: before another change all ranks are to be read
-		d.agent.common.Metrics.Count(telemetry.MapSwitches, string(o.End), 1)
-		held := time.Duration(0)
-		if !o.HeldFrom.IsZero() {
-			held = time.Since(o.HeldFrom)
-		}
-		d.log("map change ended", "version", o.Version, "end", o.End, "rank", o.Rank,
-			"copying", o.Copying, "held", held, "after", time.Since(o.Began))
-	}
-}
-
-// order gives an order through the agent of its rank, or to the engine itself where
-// that agent cannot be reached.
-func (d *groupDuty) order(ctx context.Context, c orders.Call, call *mesh.OrderCall, m mesh.Member, within time.Duration, tellers chan struct{}) {
-	if p, ok := c.Order.(orders.Prepare); ok && c.Rank != d.rank && call.Base == 0 && p.Map != nil {
-		tellers <- struct{}{}
-		defer func() { <-tellers }()
-	}
-	ctx, cancel := context.WithTimeout(ctx, within)
-	defer cancel()
-	done := orderDone{call: c}
-	helper := d.agent.helpers.Next(time.Now())
-	switch {
-	case underHold(c.Order) && helper != "" && c.Rank == d.rank && isHold(c.Order):
-		done.result, done.err = d.agent.holdThrough(ctx, helper, m, c)
-	case underHold(c.Order) && helper != "":
-		done.result, done.err = d.agent.through(ctx, helper, m, c)
-	case c.Rank == d.rank:
-		done.result, done.err = d.agent.give(ctx, d.agent.engine, c)
-	case d.mute.is(c.Rank):
-		done.result, done.err = d.agent.give(ctx, d.agent.engineAt(m), c)
-	default:
-		var reply *mesh.OrderReply
-		done.agent = true
-		reply, done.err = mesh.Call[mesh.OrderCall, mesh.OrderReply](ctx, d.agent.mesh, m.Agent, mesh.Command, call)
-		if done.err == nil {
-			done.result = reply.Result
-		}
-	}
-	if done.err != nil {
-		done.result = orders.Lost
-	}
-	d.results <- done
-}
-
-func isHold(o orders.Order) bool {
-	_, ok := o.(orders.Hold)
-	return ok
-}
-
-// underHold tells of an order that is given while the group is held or that holds it:
-// all but those that copy, which change nothing yet.
-func underHold(o orders.Order) bool {
-	_, copies := o.(orders.Prepare)
-	return !copies
-}
-
-func (d *groupDuty) logOrder(e orderDone) {
-	if e.result == orders.Done {
-		return
-	}
-	d.log("order not done", "rank", e.call.Rank, "order", orders.Name(e.call.Order), "result", e.result, "err", e.err)
-}
-
 func (d *groupDuty) log(msg string, attrs ...any) {
 	d.agent.common.Log.Info(msg, append([]any{"group", d.group, "rank", d.rank}, attrs...)...)
 }
--- a/node/surveying.go
+++ b/node/surveying.go
@@ -22,8 +22,9 @@
 	toldFor = time.Second
 )
 
-// surveying hears from one entry box of each other data hall how the targets there do,
-// and tells boxes of other halls of its own (membership.Outlook decides whom to ask).
+// surveying hears from other entry boxes how targets do: of each other data hall from one
+// box there, or in a hall with hubs of all halls from one of these. It tells others what it
+// heard (membership.Outlook and membership.RoleOf decide whom to ask).
 //
 // Lock order: mu, then the fleet's.
 type surveying struct {
@@ -32,6 +33,7 @@
 
 	mu      sync.Mutex
 	outlook *membership.Outlook
+	role    membership.Role
 	halls   map[domain.HallName]bool // that are followed
 }
 
@@ -43,36 +45,70 @@
 }
 
 // survey implements mesh.Survey.
-func (s *surveying) survey(context.Context, *mesh.HallQuery) (*mesh.HallReport, error) {
-	return s.sightings.Tell(time.Now()), nil
+func (s *surveying) survey(_ context.Context, q *mesh.HallQuery) (*mesh.HallReport, error) {
+	return s.sightings.Tell(time.Now(), q.All), nil
+}
+
+// takeRole looks what this box is to its hall now.
+func (s *surveying) takeRole(ctx context.Context) {
+	hall := s.hall()
+	role := membership.RoleOf(domain.BoxID(s.entry.settings().Box), s.entry.peering.in(hall))
+	s.mu.Lock()
+	before := s.role
+	s.role = role
+	s.outlook.Become(role)
+	s.mu.Unlock()
+	if role != before {
+		s.entry.common.Log.Info("role in the hall", "role", role, "before", before)
+	}
+	s.follow(ctx, hall)
+}
+
+func (s *surveying) hall() domain.HallName { return domain.HallName(s.entry.settings().Hall) }
+
+// is tells whether this box has the role.
+func (s *surveying) is(r membership.Role) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.role == r
 }
 
 // asks tells whether this box is to ask the target itself.
 func (s *surveying) asks(hall domain.HallName, id domain.InstanceID) bool {
-	old := max(toldFor, 2*s.every())
+	old := s.old()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.outlook.Asks(time.Now(), hall, id, old)
 }
 
-// every is the time between two questions about a hall. All boxes ask, though not the
-// same one.
+// every is the time between two questions about a hall. Where halls have hubs these ask,
+// else all boxes, though not the same one.
 func (s *surveying) every() time.Duration {
+	s.mu.Lock()
+	role, halls := s.role, len(s.halls)
+	s.mu.Unlock()
+	if role != membership.Alone {
+		return everyAmong(membership.HubsEach * halls)
+	}
 	boxes, _ := s.entry.peering.inTouch()
 	return everyAmong(boxes)
 }
 
+// old is how old another box's word may be: in a hall with hubs it comes by way of two
+// boxes after that which heard it.
+func (s *surveying) old() time.Duration { return max(toldFor, 2*(watchEvery+s.every())) }
+
 func (s *surveying) forget(keep func(domain.InstanceID) bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.outlook.Forget(keep)
 }
 
-// follow keeps one loop for each other hall that has targets.
+// follow keeps one loop for each hall that has targets.
 func (s *surveying) follow(ctx context.Context, hall domain.HallName) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.halls[hall] || hall == domain.HallName(s.entry.settings().Hall) {
+	if s.halls[hall] {
 		return
 	}
 	s.halls[hall] = true
@@ -88,16 +124,19 @@
 
 // ask asks one box of the hall, if any is in touch.
 func (s *surveying) ask(ctx context.Context, hall domain.HallName) {
-	there := s.entry.peering.in(hall)
+	there := membership.HubsOf(s.entry.peering.in(hall))
+	old := s.old()
 	s.mu.Lock()
+	surveys := s.outlook.Surveys(time.Now(), hall, old)
 	box, ok := s.outlook.Choose(hall, there)
 	s.mu.Unlock()
-	if !ok {
+	if !ok || !surveys {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, surveyWithin)
 	defer cancel()
-	report, err := mesh.Call[mesh.HallQuery, mesh.HallReport](ctx, s.entry.mesh, box.Address, mesh.Survey, &mesh.HallQuery{})
+	report, err := mesh.Call[mesh.HallQuery, mesh.HallReport](ctx, s.entry.mesh, box.Address, mesh.Survey,
+		&mesh.HallQuery{All: hall == s.hall()})
 	if err != nil {
 		s.failed(hall, box.Box, err)
 		return
@@ -124,7 +163,9 @@
 	s.entry.fleet.with(func(ros *membership.Roster, b *routing.Balancer) {
 		for _, x := range r.Targets {
 			at := now.Add(-x.Ago)
-			s.outlook.Told(x.ID, at)
+			target, _ := ros.Get(x.ID)
+			s.outlook.Told(target.Hall(), x.ID, at)
+			s.sightings.Told(at, x)
 			own := domain.Rank{Epoch: uint64(x.Epoch), Open: x.Open}
 			if ros.Reported(at, x.ID, own, uint64(x.Step), x.Running > 0) {
 				b.Report(at, x.ID, routing.Report{Running: x.Running, Waiting: x.Waiting, Pace: float64(x.Pace)})
--- a/node/telling/placements.go
+++ b/node/telling/placements.go
@@ -93,6 +93,9 @@
 	return c
 }
 
+// Has is the version of the map from which the rank can be told another; 0 for none.
+func (t *Told) Has(rank int) orders.Version { return t.ranks[rank].version }
+
 // Took notes what a rank's agent answered to a map. One that did not answer still has
 // the map that it had.
 func (t *Told) Took(rank int, p orders.Prepare, err error) {
--- /dev/null
+++ b/node/telling/relays.go
@@ -0,0 +1,85 @@
+package telling
+
+import (
+	"cmp"
+	"slices"
+
+	"clovertrail.dev/core/domain"
+	"clovertrail.dev/mesh"
+)
+
+// partMost is how many ranks one agent speaks for. With parts of about the square root of
+// a group's size, the coordinator and the agents it speaks to send about as much each.
+const partMost = 10
+
+// Relays part the ranks of a large group, hall by hall, so that its coordinator speaks to
+// one agent of each part, its relay, and that one to the others. A coordinator of 96 ranks
+// behind 6 Mbit/s needs 0.4 s of its whole link to hear once what every rank chose, and
+// 1.2 s to tell every rank a map; with relays 40 ms and 0.2 s, and between halls a tenth
+// of the bytes (worked out from the sizes in docs/CAPACITY.md).
+//
+// One goroutine owns it.
+type Relays struct {
+	parts [][]int     // ranks, in order
+	of    map[int]int // the part of a rank
+}
+
+// Part is some ranks that are spoken to through the agent of one of them.
+type Part struct {
+	Relay int // a rank of the part; NoRelay if none is fit
+	Ranks []int
+}
+
+// NoRelay stands for a relay where every rank is to be spoken to by itself.
+const NoRelay = -1
+
+// NewRelays parts the members but the coordinator itself.
+func NewRelays(self int, members map[int]mesh.Member) *Relays {
+	halls := map[domain.HallName][]int{}
+	for r, m := range members {
+		if r != self {
+			halls[m.Hall] = append(halls[m.Hall], r)
+		}
+	}
+	var all [][]int
+	for _, ranks := range halls {
+		slices.Sort(ranks)
+		parts := (len(ranks) + partMost - 1) / partMost
+		all = slices.AppendSeq(all, slices.Chunk(ranks, (len(ranks)+parts-1)/parts))
+	}
+	slices.SortFunc(all, func(a, b []int) int { return cmp.Compare(a[0], b[0]) })
+	r := &Relays{parts: all, of: map[int]int{}}
+	for i, part := range all {
+		for _, rank := range part {
+			r.of[rank] = i
+		}
+	}
+	return r
+}
+
+// Parts is how many parts there are.
+func (r *Relays) Parts() int { return len(r.parts) }
+
+// Through says through whom each of the ranks is spoken to. fit tells whether a rank's
+// agent may be a relay; the first that is speaks for its part.
+func (r *Relays) Through(ranks []int, fit func(rank int) bool) []Part {
+	wanted := make([][]int, len(r.parts))
+	for _, rank := range ranks {
+		if i, ok := r.of[rank]; ok {
+			wanted[i] = append(wanted[i], rank)
+		}
+	}
+	var list []Part
+	for i, w := range wanted {
+		if len(w) == 0 {
+			continue
+		}
+		slices.Sort(w)
+		relay := NoRelay
+		if at := slices.IndexFunc(r.parts[i], fit); at >= 0 {
+			relay = r.parts[i][at]
+		}
+		list = append(list, Part{Relay: relay, Ranks: w})
+	}
+	return list
+}
--- a/node/telling/sightings.go
+++ b/node/telling/sightings.go
@@ -13,8 +13,8 @@
 // for good costs in every answer.
 const sightingFor = 10 * time.Second
 
-// Sightings are what this box heard from the targets that it asks itself, kept for
-// boxes of other data halls.
+// Sightings are what this box heard of targets, from those that it asks itself and from
+// other boxes, kept for boxes that ask it.
 //
 // Lock order: mu is the only lock.
 type Sightings struct {
@@ -24,8 +24,9 @@
 
 type sighting struct {
 	at      time.Time
-	report  mesh.RankReport
+	word    mesh.Sighting
 	missing bool // nothing came back from its box the last time
+	told    bool // another box heard it
 }
 
 // NewSightings returns the sightings of a box that heard nobody yet.
@@ -35,7 +36,19 @@
 func (s *Sightings) Saw(now time.Time, id domain.InstanceID, r *mesh.RankReport) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.seen[id] = sighting{at: now, report: *r}
+	s.seen[id] = sighting{at: now, word: mesh.Sighting{
+		ID: id, Epoch: r.State.Epoch, Open: r.State.Open, Step: r.State.Step,
+		Running: r.Running, Waiting: r.Waiting, Pace: float32(r.Pace),
+	}}
+}
+
+// Told takes what another box heard of a target at the time.
+func (s *Sightings) Told(at time.Time, w mesh.Sighting) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if x, ok := s.seen[w.ID]; !ok || at.After(x.at) || at.Equal(x.at) && w.Missing {
+		s.seen[w.ID] = sighting{at: at, word: w, missing: w.Missing, told: true}
+	}
 }
 
 // Missed takes that nothing at all came back from the target's box.
@@ -48,8 +61,9 @@
 	}
 }
 
-// Tell is what was heard lately, with its age, for another box.
-func (s *Sightings) Tell(now time.Time) *mesh.HallReport {
+// Tell is what was heard lately, with its age, for another box: what was heard from the
+// targets themselves, or all.
+func (s *Sightings) Tell(now time.Time, all bool) *mesh.HallReport {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	out := &mesh.HallReport{}
@@ -59,10 +73,12 @@
 			delete(s.seen, id)
 			continue
 		}
-		out.Targets = append(out.Targets, mesh.Sighting{
-			ID: id, Ago: ago, Epoch: x.report.State.Epoch, Open: x.report.State.Open, Step: x.report.State.Step,
-			Running: x.report.Running, Waiting: x.report.Waiting, Pace: float32(x.report.Pace), Missing: x.missing,
-		})
+		if x.told && !all {
+			continue
+		}
+		w := x.word
+		w.Ago, w.Missing = ago, x.missing
+		out.Targets = append(out.Targets, w)
 	}
 	return out
 }
--- a/node/watching.go
+++ b/node/watching.go
@@ -56,6 +56,7 @@
 }
 
 func (w *watching) update(ctx context.Context) {
+	w.surveying.takeRole(ctx)
 	var news []membership.News
 	w.entry.fleet.with(func(r *membership.Roster, _ *routing.Balancer) { news = r.All() })
 	listed := map[domain.InstanceID]bool{}
@@ -98,14 +99,18 @@
 }
 
 // every is the time between two questions to the agent by this box: the boxes of its
-// hall share in asking it, or all boxes where it is of another hall.
+// hall, or its hubs, share in asking it, or all boxes where it is of another hall.
 func (w *watching) every(id domain.InstanceID) time.Duration {
 	hall := domain.HallName(w.entry.settings().Hall)
-	boxes, _ := w.entry.peering.inTouch()
-	if w.hallOf(id) == hall {
-		boxes = w.entry.peering.near(hall)
+	switch {
+	case w.hallOf(id) != hall:
+		boxes, _ := w.entry.peering.inTouch()
+		return everyAmong(boxes)
+	case w.surveying.is(membership.Hub):
+		return everyAmong(membership.HubsEach)
+	default:
+		return everyAmong(w.entry.peering.near(hall))
 	}
-	return everyAmong(boxes)
 }
 
 // everyAmong is the time between two questions of a box to one that so many ask.
@@ -125,12 +130,13 @@
 }
 
 func (w *watching) ask(ctx context.Context, id domain.InstanceID, l *telling.Lesson) error {
-	address, q, ok := w.query(id)
+	address, epoch, ok := w.agent(id)
 	if !ok {
 		return nil
 	}
-	if !l.Due(time.Now(), q.Epoch) {
-		q = &mesh.WatchQuery{Epoch: q.Epoch}
+	q := &mesh.WatchQuery{Epoch: epoch}
+	if l.Due(time.Now(), epoch) {
+		q = w.lesson(id)
 	}
 	ctx, cancel := context.WithTimeout(ctx, watchWithin)
 	defer cancel()
@@ -155,23 +161,45 @@
 	return errors.As(err, &op) && op.Op == "dial" && op.Timeout()
 }
 
-// query is the question to the agent, with the members of its group if all are
-// listed in one epoch.
-func (w *watching) query(id domain.InstanceID) (string, *mesh.WatchQuery, bool) {
+// agent is the address of the target's agent, and the epoch of its group as listed.
+func (w *watching) agent(id domain.InstanceID) (string, orders.Epoch, bool) {
 	var target domain.Target
 	var known bool
-	var news []membership.News
-	w.entry.fleet.with(func(r *membership.Roster, _ *routing.Balancer) {
-		target, known = r.Get(id)
-		news = r.All()
-	})
+	w.entry.fleet.with(func(r *membership.Roster, _ *routing.Balancer) { target, known = r.Get(id) })
 	own, grouped := target.Rank()
 	if !known || !grouped {
-		return "", nil, false
+		return "", 0, false
 	}
-	q := &mesh.WatchQuery{
-		Epoch: orders.Epoch(own.Epoch), Shape: w.shape(target.Service()), Helpers: []string{w.entry.settings().Peers},
+	return w.agentOf(target), orders.Epoch(own.Epoch), true
+}
+
+// helpersNear is how many entry boxes of this hall an agent is told of as helpers: orders
+// for a group of a hundred ranks are handed out by a few at once.
+const helpersNear = 8
+
+// helpers are this box and some others of its hall.
+func (w *watching) helpers() []string {
+	list := []string{w.entry.settings().Peers}
+	for _, c := range w.entry.peering.in(domain.HallName(w.entry.settings().Hall)) {
+		if len(list) <= helpersNear {
+			list = append(list, c.Address)
+		}
 	}
+	return list
+}
+
+// lesson is the question to the agent with what it cannot find out by itself: the members
+// of its group, if all are listed in one epoch, and who hands orders on for it.
+func (w *watching) lesson(id domain.InstanceID) *mesh.WatchQuery {
+	var target domain.Target
+	var news []membership.News
+	w.entry.fleet.with(func(r *membership.Roster, _ *routing.Balancer) {
+		target, _ = r.Get(id)
+		news = r.All()
+	})
+	own, _ := target.Rank()
+	q := &mesh.WatchQuery{Epoch: orders.Epoch(own.Epoch), Shape: w.shape(target.Service()), Helpers: w.helpers()}
+	entries := len(q.Helpers)
 	for _, n := range news {
 		r, ok := n.Target.Rank()
 		switch {
@@ -179,15 +207,16 @@
 		case r.Group == own.Group && r.Epoch == own.Epoch:
 			q.Members = append(q.Members, mesh.Member{
 				Rank: r.Number, Instance: n.ID, Target: n.Target.Address(), Agent: w.agentOf(*n.Target),
+				Hall: n.Target.Hall(),
 			})
-		case r.Group != own.Group && r.Number >= r.Size-othersMost && len(q.Helpers) <= othersMost:
+		case r.Group != own.Group && r.Number >= r.Size-othersMost && len(q.Helpers)-entries < othersMost:
 			q.Helpers = append(q.Helpers, w.agentOf(*n.Target))
 		}
 	}
 	if len(q.Members) != own.Size {
 		q.Members = nil
 	}
-	return w.agentOf(target), q, true
+	return q
 }
 
 // agentOf is the address of the agent on the target's box.
