In halls with hubs these follow the store for the others; adverts for news name no boxes

Adverts of boxes that all are new were 1.2 KB, 28 a second and box.

Change: a follower rests while a hub of its hall, asked four times a second how targets do, says that it follows the store and is answered; else it goes on by itself from what it knows. A box that starts waits up to 0.6 s for others to tell it first. Rounds that are only for news carry no names.

--- a/mesh/messages.go
+++ b/mesh/messages.go
@@ -52,6 +52,9 @@
 	// a target that it knows.
 	Config  store.Revision `json:"config"`
 	Targets store.Revision `json:"targets"`
+	// News tells that it is sent because something changed, and names no other boxes; nor
+	// does its answer.
+	News bool `json:"news,omitempty"`
 	// Known are other boxes that it has heard of lately.
 	Known []Contact `json:"known,omitempty"`
 }
@@ -121,6 +124,9 @@
 
 // HallReport is what an entry box heard of targets.
 type HallReport struct {
+	// Follows tells that this box follows the store, which answers it, and will tell what
+	// changes there.
+	Follows bool       `json:"follows,omitempty"`
 	Targets []Sighting `json:"targets"`
 }
 
--- a/node/entry.go
+++ b/node/entry.go
@@ -106,8 +106,10 @@
 }
 
 func (e *Entry) follow(ctx context.Context, feed store.Feed) {
-	go e.followConfiguration(feed).run(ctx)
-	go e.followTargets(feed).run(ctx)
+	configuration, targets := e.followConfiguration(feed), e.followTargets(feed)
+	e.surveying.follows(func() bool { return configuration.well.Load() && targets.well.Load() })
+	go configuration.run(ctx)
+	go targets.run(ctx)
 }
 
 func (e *Entry) sweep(ctx context.Context) {
--- a/node/following.go
+++ b/node/following.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"clovertrail.dev/core/domain"
@@ -27,12 +28,20 @@
 	changed  func(store.Changes)
 	lost     func()                    // called while the store does not answer
 	among    func() (boxes, place int) // that tell each other what they learn
+	told     func() bool               // another box follows the store for this one
+	known    func() store.Revision     // up to which the kind is known here, from whomever
 	wasLost  bool
+	well     atomic.Bool // the store answered last
 }
 
 // mostWait is under the longest wait that the store takes, 30 s.
 const mostWait = 25 * time.Second
 
+// firstPause bounds how long a box that starts waits for other boxes to tell it what they
+// know: a few times what that takes, from its first advert to their answer (AskAfter and a
+// few ways between boxes).
+const firstPause = 600 * time.Millisecond
+
 // pace fits the bounds: a watch that was silently lost while the store was in
 // trouble is noticed before the bounds hold again.
 func pace(b process.Bounds) follow.Pace {
@@ -41,6 +50,7 @@
 		MostWait:   mostWait,
 		FirstPause: 100 * time.Millisecond,
 		MostPause:  min(time.Second, b.ConfigApply.Std()/4),
+		First:      min(firstPause, b.ConfigApply.Std()/4),
 		Gather:     b.Drain.Std() / 8, // the rest is for telling targets' leaving on
 	}
 }
@@ -50,6 +60,8 @@
 	for ctx.Err() == nil {
 		boxes, place := f.among()
 		f.follower.Among(boxes, place)
+		f.follower.Told(f.told())
+		f.follower.CaughtUp(f.known())
 		switch c := f.follower.Next(time.Now()).(type) {
 		case follow.List:
 			f.list(ctx)
@@ -123,6 +135,7 @@
 		f.common.Metrics.Count(telemetry.PlatformCalls, name, 1)
 	}
 	lost := err != nil && !isHistoryLost(err)
+	f.well.Store(!lost)
 	if lost {
 		f.lost()
 	}
@@ -161,6 +174,10 @@
 		}
 	}
 	f.lost = func() {}
+	f.known = func() store.Revision {
+		_, at := e.belief.document()
+		return at
+	}
 	return f
 }
 
@@ -177,6 +194,10 @@
 	f.changed = func(c store.Changes) {
 		e.belief.changes(c.At, e.belief.decodeTargets(c.Events), "store")
 	}
+	f.known = func() (at store.Revision) {
+		e.fleet.with(func(r *membership.Roster, _ *routing.Balancer) { at = r.At() })
+		return at
+	}
 	f.lost = func() {
 		e.fleet.with(func(r *membership.Roster, _ *routing.Balancer) { r.StoreTroubled(time.Now()) })
 	}
@@ -191,7 +212,7 @@
 	}
 	return &following{
 		pace:   p,
-		common: e.common, feed: feed, kind: kind, among: e.peering.inTouch,
+		common: e.common, feed: feed, kind: kind, among: e.peering.inTouch, told: e.surveying.toldOfStore,
 		follower: follow.New(p, rnd),
 	}
 }
--- a/node/peering.go
+++ b/node/peering.go
@@ -122,19 +122,25 @@
 
 // run makes rounds until ctx ends.
 func (p *peering) run(ctx context.Context) {
+	var fullAt time.Time // of the last round that was not only for news
 	for ctx.Err() == nil {
-		p.round(ctx)
+		full := time.Since(fullAt) >= meetEvery
+		if full {
+			fullAt = time.Now()
+		}
+		p.round(ctx, !full)
 		select {
 		case <-ctx.Done():
 		case <-p.kick:
 			process.SleepUntil(ctx, time.Now().Add(kickGap))
-		case <-time.After(meetEvery):
+		case <-time.After(time.Until(fullAt.Add(meetEvery))):
 		}
 	}
 }
 
-// round tells some boxes, and asks one of them if this box is behind.
-func (p *peering) round(ctx context.Context) {
+// round tells some boxes, and asks one of them if this box is behind. Where it is only for
+// news, no other boxes are named.
+func (p *peering) round(ctx context.Context, news bool) {
 	now := time.Now()
 	p.mu.Lock()
 	var addresses []string
@@ -153,7 +159,7 @@
 	}
 	p.mu.Unlock()
 	for _, a := range addresses {
-		p.start(a, func() { p.call(ctx, a) })
+		p.start(a, func() { p.call(ctx, a, news) })
 	}
 	p.catchUp(ctx)
 }
@@ -176,24 +182,27 @@
 
 // call exchanges adverts with the box at the address. One that does not answer is
 // tried again in a later round.
-func (p *peering) call(ctx context.Context, address string) {
+func (p *peering) call(ctx context.Context, address string, news bool) {
 	ctx, cancel := context.WithTimeout(ctx, meetWithin)
 	defer cancel()
-	reply, err := mesh.Call[mesh.Advert, mesh.Advert](ctx, p.entry.mesh, address, mesh.Meet, p.advert())
+	reply, err := mesh.Call[mesh.Advert, mesh.Advert](ctx, p.entry.mesh, address, mesh.Meet, p.advert(news))
 	if err == nil {
 		p.heard(reply)
 	}
 }
 
-// advert is what this box tells.
-func (p *peering) advert() *mesh.Advert {
+// advert is what this box tells: other boxes, too, unless it is only for news.
+func (p *peering) advert(news bool) *mesh.Advert {
 	now := time.Now()
 	own := p.level()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	a := &mesh.Advert{
 		Self: contactOf(p.self, 0), Hall: domain.HallName(p.entry.settings().Hall), Leaving: p.entry.gateway.Leaving(),
-		Config: own.Config, Targets: own.Targets,
+		Config: own.Config, Targets: own.Targets, News: news,
+	}
+	if news {
+		return a
 	}
 	for c, ago := range p.boxes.Known(now, passOnMost, passOnFew) {
 		a.Known = append(a.Known, contactOf(c, ago))
@@ -220,7 +229,7 @@
 // meet implements mesh.Meet.
 func (p *peering) meet(_ context.Context, a *mesh.Advert) (*mesh.Advert, error) {
 	p.heard(a)
-	return p.advert(), nil
+	return p.advert(a.News), nil
 }
 
 // heard takes an advert. If it shows that this box is behind, a round follows in
--- a/node/surveying.go
+++ b/node/surveying.go
@@ -31,10 +31,12 @@
 	entry     *Entry
 	sightings *telling.Sightings
 
-	mu      sync.Mutex
-	outlook *membership.Outlook
-	role    membership.Role
-	halls   map[domain.HallName]bool // that are followed
+	mu        sync.Mutex
+	outlook   *membership.Outlook
+	role      membership.Role
+	hubAt     time.Time // when a hub of the hall last said that it follows the store
+	storeWell func() bool
+	halls     map[domain.HallName]bool // that are followed
 }
 
 func newSurveying(e *Entry) *surveying {
@@ -46,7 +48,29 @@
 
 // survey implements mesh.Survey.
 func (s *surveying) survey(_ context.Context, q *mesh.HallQuery) (*mesh.HallReport, error) {
-	return s.sightings.Tell(time.Now(), q.All), nil
+	r := s.sightings.Tell(time.Now(), q.All)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r.Follows = s.role != membership.Follower && s.storeWell != nil && s.storeWell()
+	return r, nil
+}
+
+// follows tells how to find out whether this box follows the store and is answered.
+func (s *surveying) follows(well func() bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.storeWell = well
+}
+
+// hubFor is how long after a hub said that it follows the store a follower relies on it:
+// a few of its questions to the hub.
+const hubFor = time.Second
+
+// toldOfStore tells that a hub of the hall follows the store for this box.
+func (s *surveying) toldOfStore() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.role == membership.Follower && time.Since(s.hubAt) < hubFor
 }
 
 // takeRole looks what this box is to its hall now.
@@ -160,6 +184,12 @@
 	if s.outlook.Answered(hall, box) {
 		s.entry.common.Log.Info("peer tells of hall", "hall", hall, "peer", box, "targets", len(r.Targets))
 	}
+	if hall == s.hall() {
+		s.hubAt = time.Time{}
+		if r.Follows {
+			s.hubAt = now
+		}
+	}
 	s.entry.fleet.with(func(ros *membership.Roster, b *routing.Balancer) {
 		for _, x := range r.Targets {
 			at := now.Add(-x.Ago)
--- a/store/follow/follower.go
+++ b/store/follow/follower.go
@@ -18,6 +18,9 @@
 	// FirstPause is the pause after a first failure; each further one doubles it, up
 	// to MostPause. Each pause is spread by half of itself either way.
 	FirstPause, MostPause time.Duration
+	// First bounds the pause of a box that starts before it lists, drawn by chance: where
+	// others tell it meanwhile what they know, it need not ask the store at all.
+	First time.Duration
 	// Gather is the pause after a watch that brought changes: more of them often follow,
 	// and each would end the watches of all boxes.
 	Gather time.Duration
@@ -45,17 +48,22 @@
 
 // Follower is the machine. It is not safe for concurrent use.
 type Follower struct {
-	pace     Pace
-	rand     *rand.Rand
-	boxes    int  // that tell each other what they learn, this one included
-	place    int  // of this one among them
-	spread   bool // the next watch begins as those of the other boxes do
-	listed   bool
-	at       store.Revision
-	failures int
-	restTo   time.Time
-	goodAt   time.Time // of the last success
-	lostAt   time.Time // of the first failure since; zero while all is well
+	pace   Pace
+	rand   *rand.Rand
+	boxes  int  // that tell each other what they learn, this one included
+	place  int  // of this one among them
+	spread bool // the next watch begins as those of the other boxes do
+	begun  bool // the first pause is set
+	told   bool // another box follows the store for this one
+	listed bool
+	// lostHistory: the store no longer knows what came after what is known here, so that
+	// only a listing helps.
+	lostHistory bool
+	at          store.Revision
+	failures    int
+	restTo      time.Time
+	goodAt      time.Time // of the last success
+	lostAt      time.Time // of the first failure since; zero while all is well
 }
 
 // New returns a follower that has seen nothing.
@@ -72,7 +80,15 @@
 
 // Next tells what to do.
 func (f *Follower) Next(now time.Time) Command {
+	if !f.begun {
+		f.begun = true
+		if first := now.Add(f.chance(f.pace.First)); first.After(f.restTo) {
+			f.restTo = first
+		}
+	}
 	switch {
+	case f.told:
+		return Rest{Until: now.Add(toldLook)}
 	case now.Before(f.restTo):
 		return Rest{Until: f.restTo}
 	case !f.listed:
@@ -84,6 +100,28 @@
 	}
 }
 
+// toldLook is the pause between two looks whether another box still follows the store for
+// this one: short against the seconds in which a configuration is to be in force.
+const toldLook = 100 * time.Millisecond
+
+// Told tells whether another box follows the store for this one now. A hundred boxes that
+// all watch end a hundred calls with each change; where a few watch for the others it is
+// those few. One that is told no more goes on by itself from what it knows.
+func (f *Follower) Told(by bool) {
+	if f.told && !by {
+		f.spread = true
+	}
+	f.told = by
+}
+
+// chance draws a time up to the bound.
+func (f *Follower) chance(bound time.Duration) time.Duration {
+	if bound <= 0 {
+		return 0
+	}
+	return time.Duration(f.rand.Int64N(int64(bound) + 1))
+}
+
 // Among tells how many boxes tell each other what they learn, and the place of this
 // one in their order, from 0.
 func (f *Follower) Among(boxes, place int) {
@@ -139,7 +177,7 @@
 		f.failed(now)
 		return
 	}
-	f.listed = true
+	f.listed, f.lostHistory = true, false
 	f.at = at
 	f.spread = true
 	f.answered(now)
@@ -149,7 +187,7 @@
 func (f *Follower) Watched(now time.Time, at store.Revision, err error) {
 	switch {
 	case errors.Is(err, store.ErrHistoryLost):
-		f.listed = false
+		f.listed, f.lostHistory = false, true
 		f.answered(now)
 	case err != nil:
 		f.failed(now)
@@ -165,9 +203,10 @@
 	f.restTo = now.Add(f.pace.Gather)
 }
 
-// CaughtUp tells that a peer gave all changes up to the revision.
+// CaughtUp tells that peers gave all that the store held at the revision; 0 if none did.
 func (f *Follower) CaughtUp(at store.Revision) {
-	if f.listed {
+	if at > 0 && !f.lostHistory {
+		f.listed = true
 		f.at = max(f.at, at)
 	}
 }
--- a/store/follow/follower_test.go
+++ b/store/follow/follower_test.go
@@ -165,3 +165,47 @@
 		t.Error("does not watch again")
 	}
 }
+
+// TestABoxThatIsToldDoesNotAskTheStore: one of a hundred boxes starts, is told by others
+// what the store holds before its first pause is over, and later is told no more.
+func TestABoxThatIsToldDoesNotAskTheStore(t *testing.T) {
+	p := pace
+	p.First = time.Second
+	f := follow.New(p, rand.New(rand.NewPCG(3, 4)))
+	if _, ok := f.Next(start).(follow.Rest); !ok {
+		t.Fatalf("at its start it does %v", f.Next(start))
+	}
+	f.CaughtUp(7)
+	f.Told(true)
+	if c, ok := f.Next(start.Add(time.Minute)).(follow.Rest); !ok || c.Until.Sub(start) > time.Minute+time.Second {
+		t.Errorf("while it is told it does %v", f.Next(start.Add(time.Minute)))
+	}
+	f.CaughtUp(9)
+	f.Told(false)
+	if w, ok := f.Next(start.Add(2 * time.Minute)).(follow.Watch); !ok || w.Since != 9 {
+		t.Errorf("told no more it does %v, want a watch since 9", f.Next(start.Add(2*time.Minute)))
+	}
+}
+
+// TestABoxThatIsNotToldListsAfterItsFirstPause: it may be the only one.
+func TestABoxThatIsNotToldListsAfterItsFirstPause(t *testing.T) {
+	p := pace
+	p.First = time.Second
+	f := follow.New(p, rand.New(rand.NewPCG(3, 4)))
+	f.Next(start)
+	f.CaughtUp(0)
+	if _, ok := f.Next(start.Add(time.Second)).(follow.List); !ok {
+		t.Errorf("after its first pause it does %v", f.Next(start.Add(time.Second)))
+	}
+}
+
+// TestPeersDoNotStandInForALostHistory: what they know may be as old.
+func TestPeersDoNotStandInForALostHistory(t *testing.T) {
+	f := follow.New(pace, rand.New(rand.NewPCG(3, 4)))
+	f.Listed(start, 5, nil)
+	f.Watched(start, 0, store.ErrHistoryLost)
+	f.CaughtUp(6)
+	if _, ok := f.Next(start.Add(time.Minute)).(follow.List); !ok {
+		t.Errorf("after its history was lost it does %v", f.Next(start.Add(time.Minute)))
+	}
+}
