--- a/node/rank/agent.go
+++ b/node/rank/agent.go
@@ -41,11 +41,9 @@
 	readAt  time.Time
 	members map[int]mesh.Member // of the own group, by rank
 	epoch   orders.Epoch        // of the members
-	learnt  time.Time           // when these were first known in the epoch
-	opened  time.Time           // when the group was first seen open in its epoch
 	shape   *rebalance.Shape
-	helpers *telling.Helpers  // processes that hand orders on
-	askedBy map[int]time.Time // ranks that read this one, as a coordinator does
+	helpers *telling.Helpers   // processes that hand orders on
+	turn    *orders.Succession // whether this rank is to coordinate
 	picks   *telling.Picks
 	maps    *telling.Placements
 	lost    bool // the engine does not answer
@@ -57,9 +55,9 @@
 	client := process.HTTPClient(n)
 	return &Agent{
 		common: c, network: n, settings: now, http: client,
-		engine:  platform.NewEngine(s.Engine, client),
-		mesh:    mesh.NewClient(n.Dial),
-		askedBy: map[int]time.Time{}, helpers: telling.NewHelpers(),
+		engine: platform.NewEngine(s.Engine, client),
+		mesh:   mesh.NewClient(n.Dial),
+		turn:   orders.NewSuccession(time.Now()), helpers: telling.NewHelpers(),
 		picks: telling.NewPicks(), maps: telling.NewPlacements(),
 	}
 }
@@ -148,7 +146,7 @@
 	}
 	if q.Epoch > a.epoch || a.members == nil {
 		a.common.Log.Info("group learnt", "epoch", q.Epoch, "ranks", len(q.Members), "before", a.epoch)
-		a.learnt = time.Now()
+		a.turn.Learnt(time.Now())
 	}
 	a.epoch, a.shape = q.Epoch, q.Shape
 	a.helpers.Learn(time.Now(), q.Helpers)
@@ -178,7 +176,7 @@
 	if before := a.report; before.Rank.Epoch != r.Rank.Epoch || before.Rank.Open != r.Rank.Open {
 		a.common.Log.Info("group changed", "group", r.Rank.Group, "rank", r.Rank.Number, "epoch", r.Rank.Epoch, "open", r.Rank.Open,
 			"epoch_before", before.Rank.Epoch, "open_before", before.Rank.Open, "step", r.State.Step)
-		a.opened = time.Now()
+		a.turn.Opened(time.Now())
 	}
 	a.report, a.readAt = r, time.Now()
 	return r, nil
@@ -208,7 +206,7 @@
 // read answers the coordinator of the group.
 func (a *Agent) read(ctx context.Context, q *mesh.ReadQuery) (*mesh.RankReport, error) {
 	a.mu.Lock()
-	a.askedBy[q.From] = time.Now()
+	a.turn.AskedBy(time.Now(), q.From)
 	a.mu.Unlock()
 	return a.readOwn(ctx, q)
 }
@@ -276,26 +274,11 @@
 	return giveOrder(ctx, a.common, e, c)
 }
 
-// leads tells whether this rank is to coordinate: none below it does, and these have had
-// the time to begin since the group opened and its members were known. Where all ranks of
-// a group of 96 began at once each of them read all others, which filled the links of some
-// for four seconds, and their engines were taken for gone.
+// leads tells whether this rank is to coordinate.
 func (a *Agent) leads(now time.Time, rank int) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	from := a.opened
-	if first := a.learnt.Add(settleIn); rank > 0 && first.After(from) {
-		from = first
-	}
-	if now.Sub(from) <= orders.StandBy(rank) {
-		return false
-	}
-	for r, at := range a.askedBy {
-		if r < rank && now.Sub(at) < leaderSilence+orders.StandBy(rank) {
-			return false
-		}
-	}
-	return true
+	return a.turn.Leads(now, rank)
 }
 
 // membersIn are the ranks of the group in the epoch; false if they are not known.
--- a/node/rank/groupduty.go
+++ b/node/rank/groupduty.go
@@ -17,19 +17,13 @@
 const (
 	// dutyTick is the time between two looks at what is due: less than a step.
 	dutyTick = 20 * time.Millisecond
-	// leaderSilence is how long the coordinator of a group may be silent before the
-	// next rank takes its place: several times the pause between its reads.
-	leaderSilence = 500 * time.Millisecond
-	// settleIn is how long a process that started waits before it coordinates, so that
-	// a lower rank that does can be heard; orders.StandBy comes on top of both.
-	settleIn = leaderSilence
 	// readWithin bounds a read of another rank.
 	readWithin = 250 * time.Millisecond
 	// orderWithin bounds an order to another rank; the coordinator gives it again.
 	orderWithin = 150 * time.Millisecond
 	// muteFor is how long an agent that did not answer is passed by: its engine is
 	// asked itself, which the platform charges for. Together with a read that waits in
-	// vain it is shorter than leaderSilence: an agent that is only slow must not take
+	// vain it is shorter than the silence after which the next rank takes over: an agent that is only slow must not take
 	// the coordinator for lost.
 	muteFor = 200 * time.Millisecond
 	// tellingAtOnce is how long whole maps that are told at the same time may fill this
@@ -54,7 +48,6 @@
 // goroutine owns all of it but what is under mu.
 type groupDuty struct {
 	agent   *Agent
-	started time.Time
 	numbers *orders.Numbers // of this process
 	results chan event
 
@@ -129,8 +122,7 @@
 func (dealDone) event()   {}
 
 func newGroupDuty(a *Agent) *groupDuty {
-	now := time.Now()
-	return &groupDuty{agent: a, started: now, numbers: orders.NewNumbers(uint16(rand.Uint32())), results: make(chan event, 64), reading: map[int]bool{}, mute: newMuteRanks(), unread: map[int]bool{}}
+	return &groupDuty{agent: a, numbers: orders.NewNumbers(uint16(rand.Uint32())), results: make(chan event, 64), reading: map[int]bool{}, mute: newMuteRanks(), unread: map[int]bool{}}
 }
 
 // stop makes run return once no attempt is under way.
@@ -217,7 +209,7 @@
 
 // follow starts to coordinate, or stops, as the group and the other ranks want it.
 func (d *groupDuty) follow(now time.Time, own platform.Report) {
-	leading := now.Sub(d.started) > settleIn+orders.StandBy(own.Rank.Number) && d.agent.leads(now, own.Rank.Number) && own.State.Open
+	leading := d.agent.leads(now, own.Rank.Number) && own.State.Open
 	members, shape, known := d.agent.group(own.State.Epoch, own.Rank.Size)
 	if d.coord != nil && d.coord.Epoch() != own.State.Epoch {
 		d.log("group formed anew", "epoch", own.State.Epoch, "before", d.coord.Epoch())
