Boxes and agents wake only for what they do themselves

Cause: each of 149 boxes kept a loop for each of 204 targets, and each of 192 agents looked at its engine twenty times a second and woke fifty times: some 20,000 and 10,000 wake-ups a second, most of them for nothing (counted from the pauses in the code), and counts of 20 KB were read from every engine nine times a second while a change of maps takes 0.3 s.

Change: loops only for targets that a box asks itself; slower ticks where a rank does not coordinate; counts of relayed groups at most five times a second.

--- a/membership/roster.go
+++ b/membership/roster.go
@@ -320,6 +320,17 @@
 	return list
 }
 
+// Ranks are the listed targets that are ranks of groups, in no order.
+func (r *Roster) Ranks() []domain.Target {
+	var list []domain.Target
+	for _, e := range r.entries {
+		if _, grouped := e.target.Rank(); grouped && e.goneAt.IsZero() {
+			list = append(list, e.target)
+		}
+	}
+	return list
+}
+
 // Ranked returns the targets of the service that are not leaving, the best standing
 // first, and within one in order of id.
 func (r *Roster) Ranked(now time.Time, svc domain.ServiceName) []Ranked {
--- a/node/rank/groupduty.go
+++ b/node/rank/groupduty.go
@@ -17,6 +17,9 @@
 const (
 	// dutyTick is the time between two looks at what is due: less than a step.
 	dutyTick = 20 * time.Millisecond
+	// idleTick is the same for a rank that does not coordinate: several looks within the
+	// silence after which it would.
+	idleTick = 100 * time.Millisecond
 	// readWithin bounds a read of another rank.
 	readWithin = 250 * time.Millisecond
 	// orderWithin bounds an order to another rank; the coordinator gives it again.
@@ -140,8 +143,9 @@
 
 // run does the duty until ctx ends, or until it is to stop and nothing is held.
 func (d *groupDuty) run(ctx context.Context) {
-	tick := time.NewTicker(dutyTick)
+	tick := time.NewTicker(idleTick)
 	defer tick.Stop()
+	every := idleTick
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
@@ -154,12 +158,24 @@
 		if d.coord != nil {
 			d.next(ctx)
 		}
+		if want := d.tickEvery(); want != every {
+			every = want
+			tick.Reset(want)
+		}
 		if d.isStopping() && (d.coord == nil || !d.coord.Holding()) {
 			return
 		}
 	}
 }
 
+// tickEvery is the time between two looks at what is due.
+func (d *groupDuty) tickEvery() time.Duration {
+	if d.coord == nil || !d.leading && d.coord.Idle() {
+		return idleTick
+	}
+	return dutyTick
+}
+
 func (d *groupDuty) take(e event) {
 	now := time.Now()
 	switch e := e.(type) {
--- a/node/rank/reading.go
+++ b/node/rank/reading.go
@@ -16,6 +16,11 @@
 // its link for it to use relays: several times the pause between two readings.
 const relayFrom = 3 * readEvery
 
+// relayedPicks is the least pause between two questions what was chosen by way of relays:
+// a change of such a group takes 0.3 s and more, and each answer of an engine is 20 KB that
+// its agent reads.
+const relayedPicks = 200 * time.Millisecond
+
 // errNotRelayed says that a relay did not hear the rank.
 var errNotRelayed = errors.New("its relay did not hear it")
 
@@ -171,7 +176,11 @@
 // pickPause is the time between two questions what was chosen, such that the answers
 // fit into their share of the link.
 func (d *groupDuty) pickPause() time.Duration {
-	return max(readEvery, d.sending(d.answers()*d.countBytes(), linkShare)-dutyTick)
+	least := readEvery
+	if d.relays != nil {
+		least = relayedPicks
+	}
+	return max(least, d.sending(d.answers()*d.countBytes(), linkShare)-dutyTick)
 }
 
 // answers is how many answers a reading of all ranks is, at this box.
--- a/node/surveying.go
+++ b/node/surveying.go
@@ -97,12 +97,18 @@
 	return s.role == r
 }
 
-// asks tells whether this box is to ask the target itself.
-func (s *surveying) asks(hall domain.HallName, id domain.InstanceID) bool {
-	old := s.old()
+// asked are the targets that this box is to ask itself.
+func (s *surveying) asked(ranks []domain.Target) map[domain.InstanceID]bool {
+	now, old := time.Now(), s.old()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.outlook.Asks(time.Now(), hall, id, old)
+	out := map[domain.InstanceID]bool{}
+	for _, t := range ranks {
+		if s.outlook.Asks(now, t.Hall(), t.ID(), old) {
+			out[t.ID()] = true
+		}
+	}
+	return out
 }
 
 // every is the time between two questions about a hall. Where halls have hubs these ask,
@@ -141,20 +147,31 @@
 
 func (s *surveying) run(ctx context.Context, hall domain.HallName) {
 	for ctx.Err() == nil {
-		s.ask(ctx, hall)
-		process.SleepUntil(ctx, time.Now().Add(s.every()))
+		pause := s.every()
+		if s.surveys(hall) {
+			s.ask(ctx, hall)
+		} else {
+			pause = s.old() / 2 // a look whether the hubs still tell of the hall
+		}
+		process.SleepUntil(ctx, time.Now().Add(pause))
 	}
 }
 
+// surveys tells whether this box is to ask another about the hall now.
+func (s *surveying) surveys(hall domain.HallName) bool {
+	old := s.old()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.outlook.Surveys(time.Now(), hall, old)
+}
+
 // ask asks one box of the hall, if any is in touch.
 func (s *surveying) ask(ctx context.Context, hall domain.HallName) {
 	there := membership.HubsOf(s.entry.peering.in(hall))
-	old := s.old()
 	s.mu.Lock()
-	surveys := s.outlook.Surveys(time.Now(), hall, old)
 	box, ok := s.outlook.Choose(hall, there)
 	s.mu.Unlock()
-	if !ok || !surveys {
+	if !ok {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, surveyWithin)
--- a/node/watching.go
+++ b/node/watching.go
@@ -47,7 +47,7 @@
 	return &watching{entry: e, mesh: e.mesh, agents: map[domain.InstanceID]context.CancelFunc{}, surveying: e.surveying}
 }
 
-// run keeps one loop for each target that has an agent.
+// run keeps one loop for each agent that this box asks.
 func (w *watching) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		w.update(ctx)
@@ -55,25 +55,25 @@
 	}
 }
 
+// update starts and ends the loops: a box that hears of a target from others keeps none,
+// so that a hundred boxes do not each wake twice a second for each of 200 targets.
 func (w *watching) update(ctx context.Context) {
 	w.surveying.takeRole(ctx)
-	var news []membership.News
-	w.entry.fleet.with(func(r *membership.Roster, _ *routing.Balancer) { news = r.All() })
+	var ranks []domain.Target
+	w.entry.fleet.with(func(r *membership.Roster, _ *routing.Balancer) { ranks = r.Ranks() })
 	listed := map[domain.InstanceID]bool{}
-	for _, n := range news {
-		if _, grouped := n.Target.Rank(); !grouped {
-			continue
-		}
-		listed[n.ID] = true
-		w.surveying.follow(ctx, n.Target.Hall())
-		if _, known := w.agents[n.ID]; !known {
+	asked := w.surveying.asked(ranks)
+	for _, t := range ranks {
+		listed[t.ID()] = true
+		w.surveying.follow(ctx, t.Hall())
+		if _, known := w.agents[t.ID()]; !known && asked[t.ID()] {
 			actx, cancel := context.WithCancel(ctx)
-			w.agents[n.ID] = cancel
-			go w.watch(actx, n.ID)
+			w.agents[t.ID()] = cancel
+			go w.watch(actx, t.ID())
 		}
 	}
 	for id, cancel := range w.agents {
-		if !listed[id] {
+		if !asked[id] {
 			cancel()
 			delete(w.agents, id)
 		}
@@ -87,9 +87,7 @@
 	pause := watchEvery
 	for ctx.Err() == nil {
 		usual := w.every(id)
-		if !w.asks(id) {
-			pause = usual
-		} else if err := w.ask(ctx, id, lesson); err != nil {
+		if err := w.ask(ctx, id, lesson); err != nil {
 			pause = max(min(pause*2, watchPauseMost), usual)
 		} else {
 			pause = usual
@@ -118,11 +116,6 @@
 	return watchEvery * time.Duration(max(boxes, watchersUsual)) / watchersUsual
 }
 
-// asks tells whether this box is to ask the agent itself.
-func (w *watching) asks(id domain.InstanceID) bool {
-	return w.surveying.asks(w.hallOf(id), id)
-}
-
 func (w *watching) hallOf(id domain.InstanceID) domain.HallName {
 	var t domain.Target
 	w.entry.fleet.with(func(r *membership.Roster, _ *routing.Balancer) { t, _ = r.Get(id) })
--- a/store/follow/follower.go
+++ b/store/follow/follower.go
@@ -102,7 +102,7 @@
 
 // toldLook is the pause between two looks whether another box still follows the store for
 // this one: short against the seconds in which a configuration is to be in force.
-const toldLook = 100 * time.Millisecond
+const toldLook = 250 * time.Millisecond
 
 // Told tells whether another box follows the store for this one now. A hundred boxes that
 // all watch end a hundred calls with each change; where a few watch for the others it is
