Whole maps for relays do not wait for each other

Cause (log of a coordinator): the first map of 96 ranks took 1.02 s to copy where copies take 0.15 s: two relays at a time were told, and each answers only after its ten ranks. A follower whose hub stops answering waits for another hub instead of asking 200 targets at once.

--- a/membership/outlook.go
+++ b/membership/outlook.go
@@ -91,15 +91,19 @@
 func (o *Outlook) Become(r Role) { o.role = r }
 
 // Asks tells whether this box is to ask the target itself: it stands in the own hall and
-// no hub asks it, nobody tells of its hall, or who does has not heard it for so long.
+// no hub asks it, nobody tells of its hall, or who does has not heard it for so long. A
+// follower whose hub is lost does not ask at once: it hears from another hub meanwhile, and
+// all followers of a hall would ask all targets.
 func (o *Outlook) Asks(now time.Time, h domain.HallName, id domain.InstanceID, old time.Duration) bool {
-	teller := h
-	if o.role == Follower {
-		teller = o.own // its hubs tell of all halls
-	} else if h == o.own {
-		return true
+	unheard := now.Sub(o.told[id])
+	switch {
+	case o.role != Follower:
+		return h == o.own || o.outpost(h).box == "" || unheard > old
+	case h == o.own:
+		return unheard > old
+	default:
+		return unheard > 2*old // boxes there are asked first
 	}
-	return o.outpost(teller).box == "" || now.Sub(o.told[id]) > old
 }
 
 // Surveys tells whether this box is to ask another how the targets of the hall do. A
--- a/membership/outlook_test.go
+++ b/membership/outlook_test.go
@@ -85,3 +85,54 @@
 		t.Error("asks a box that is not in touch")
 	}
 }
+
+// TestFollowersRelyOnTheirHubs: one of thirty boxes of a hall, whose hub tells of all halls
+// four times a second, until it does no more.
+func TestFollowersRelyOnTheirHubs(t *testing.T) {
+	ms := time.Millisecond
+	for _, tt := range []struct {
+		name            string
+		after           time.Duration // the hub's last word
+		failed          bool
+		near, far       bool // it asks targets there itself
+		surveys, ofNear bool // it asks boxes of the other hall, and the hubs of its own
+	}{
+		{"the hub told a moment ago", 200 * ms, false, false, false, false, true},
+		{"the hub just stopped answering", 400 * ms, true, false, false, false, true},
+		{"no hub has told for long", 1500 * ms, true, true, false, true, true},
+		{"nor any box of the other hall", 2500 * ms, true, true, true, true, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			o := membership.NewOutlook("near")
+			o.Become(membership.Follower)
+			o.Answered("near", "hub")
+			o.Told("near", "t", start)
+			o.Told("far", "u", start)
+			if tt.failed {
+				o.Failed("near", "hub")
+			}
+			now := start.Add(tt.after)
+			if near, far := o.Asks(now, "near", "t", old), o.Asks(now, "far", "u", old); near != tt.near || far != tt.far {
+				t.Errorf("asks targets itself: near %v, far %v", near, far)
+			}
+			if s, n := o.Surveys(now, "far", old), o.Surveys(now, "near", old); s != tt.surveys || n != tt.ofNear {
+				t.Errorf("asks boxes: of the other hall %v, of its own %v", s, n)
+			}
+		})
+	}
+}
+
+// TestAHubAsksForTheOthers: its own targets, and boxes of other halls.
+func TestAHubAsksForTheOthers(t *testing.T) {
+	o := membership.NewOutlook("near")
+	o.Become(membership.Hub)
+	o.Answered("far", "b")
+	o.Told("near", "t", start)
+	o.Told("far", "u", start)
+	if !o.Asks(start, "near", "t", old) || o.Asks(start, "far", "u", old) {
+		t.Error("it asks other targets than those of its own hall")
+	}
+	if o.Surveys(start, "near", old) || !o.Surveys(start, "far", old) {
+		t.Error("it asks other boxes than those of other halls")
+	}
+}
--- a/node/rank/giving.go
+++ b/node/rank/giving.go
@@ -135,7 +135,7 @@
 			continue
 		}
 		call := &mesh.DealCall{Ranks: p.Ranks, Order: *order, Left: within}
-		go d.deal(ctx, d.members[p.Relay].Agent, call, part, within, d.tellers)
+		go d.deal(ctx, d.members[p.Relay].Agent, call, part, within)
 	}
 	return rest
 }
@@ -154,18 +154,15 @@
 		for _, c := range batch {
 			call.Engines = append(call.Engines, d.members[c.Rank].Target)
 		}
-		go d.deal(ctx, helper, call, batch, orderWithin, nil)
+		go d.deal(ctx, helper, call, batch, orderWithin)
 	}
 	return nil
 }
 
-// deal hands an order for many to the process at the address. Whole maps wait for their
-// turn among the tellers, if there are any.
-func (d *groupDuty) deal(ctx context.Context, address string, call *mesh.DealCall, calls []orders.Call, within time.Duration, tellers chan struct{}) {
-	if tellers != nil && call.Order.Base == 0 {
-		tellers <- struct{}{}
-		defer func() { <-tellers }()
-	}
+// deal hands an order for many to the process at the address. Whole maps for relays do not
+// wait for each other, as those for single ranks do: there are ten of them, and a relay
+// answers only once all its ranks have, so that two at a time took a second.
+func (d *groupDuty) deal(ctx context.Context, address string, call *mesh.DealCall, calls []orders.Call, within time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
 	reply, err := mesh.Call[mesh.DealCall, mesh.DealReply](ctx, d.agent.mesh, address, mesh.Deal, call)
