--- a/membership/boxes.go
+++ b/membership/boxes.go
@@ -14,6 +14,10 @@
 	Box         domain.BoxID
 	Address     string
 	Incarnation domain.Incarnation
+	// Hall is where the box stands, as others say who heard it; empty if they do not know.
+	// Without it a box that starts among 150 takes two seconds to know those of its hall,
+	// since few of them speak to it themselves.
+	Hall domain.HallName
 }
 
 // Level is how far a box knows what the store holds.
@@ -95,11 +99,14 @@
 		return
 	}
 	if c.Incarnation > p.contact.Incarnation {
-		*p = peer{contact: c, newAt: now}
+		*p = peer{contact: c, newAt: now, hall: c.Hall}
 	}
 	if at := now.Add(-ago); at.After(p.heardAt) {
 		p.heardAt = at
 	}
+	if p.hall == "" {
+		p.hall = c.Hall
+	}
 }
 
 // peer finds or adds a box; nil for this box itself.
@@ -191,6 +198,7 @@
 			}
 			rest++
 		}
+		c.Hall = p.hall
 		list[c] = ago
 	}
 	return list
--- a/membership/boxes_test.go
+++ b/membership/boxes_test.go
@@ -138,3 +138,19 @@
 		t.Errorf("%d of 21 boxes were passed on", len(passed))
 	}
 }
+
+// TestABoxThatStartsLearnsOfItsHallFromOthers: most of a hundred boxes have not spoken to it
+// themselves.
+func TestABoxThatStartsLearnsOfItsHallFromOthers(t *testing.T) {
+	teller, b := newBoxes(), newBoxes()
+	for i := range 40 {
+		hall := domain.HallName(fmt.Sprintf("hall-%d", i%2))
+		teller.Heard(start, contact(fmt.Sprintf("b%02d", i), 1), hall, membership.Level{}, false)
+	}
+	for c, ago := range teller.Known(start.Add(time.Second), 40, 2) {
+		b.HeardOf(start.Add(time.Second), c, ago)
+	}
+	if n := len(b.In(start.Add(time.Second), "hall-1")); n != 20 {
+		t.Errorf("it knows %d of the 20 boxes of its hall", n)
+	}
+}
--- a/mesh/messages.go
+++ b/mesh/messages.go
@@ -41,6 +41,8 @@
 	Incarnation domain.Incarnation `json:"incarnation"`
 	// Ago is how long before the message it was last heard.
 	Ago time.Duration `json:"ago"`
+	// Hall is where it stands, if that is known; an advert tells its sender's apart.
+	Hall domain.HallName `json:"hall,omitempty"`
 }
 
 // Advert is what an entry box tells of itself and of others.
--- a/node/peering.go
+++ b/node/peering.go
@@ -224,11 +224,11 @@
 }
 
 func contactOf(c membership.Contact, ago time.Duration) mesh.Contact {
-	return mesh.Contact{Box: c.Box, Address: c.Address, Incarnation: c.Incarnation, Ago: ago}
+	return mesh.Contact{Box: c.Box, Address: c.Address, Incarnation: c.Incarnation, Ago: ago, Hall: c.Hall}
 }
 
 func contactFrom(c mesh.Contact) membership.Contact {
-	return membership.Contact{Box: c.Box, Address: c.Address, Incarnation: c.Incarnation}
+	return membership.Contact{Box: c.Box, Address: c.Address, Incarnation: c.Incarnation, Hall: c.Hall}
 }
 
 // level is how far this box knows what the store holds.
