Few of the boxes that start together tell an agent of its group

Cause (log after all boxes lost power): thirty boxes of a hall told each agent the 96 members of its group, 10 KB each, within a fifth of a second, and for 1.2 s the coordinator could read no rank. Boxes now ask first, wait up to 0.4 s by chance, and send members without names of fields.

--- a/mesh/messages.go
+++ b/mesh/messages.go
@@ -151,8 +151,10 @@
 	Missing bool
 }
 
-// Member is a rank of a group, as entry boxes know it.
+// Member is a rank of a group, as entry boxes know it. A message has up to a hundred, so
+// it is written without names of fields.
 type Member struct {
+	_        struct{}          `cbor:",toarray"`
 	Rank     int               `json:"rank"`
 	Instance domain.InstanceID `json:"instance"`
 	Target   string            `json:"target"` // address of the engine
--- a/node/telling/lesson.go
+++ b/node/telling/lesson.go
@@ -16,13 +16,37 @@
 	heard bool         // the agent said what it knows
 	knows orders.Epoch // as it said last
 	at    time.Time
+	wait  time.Duration // after its word that it does not know until it is told
+	lacks time.Time     // since when it is known not to know; zero if it knows
+}
+
+// lessonSpread bounds the wait of a box before it tells an agent that does not know its
+// group. Of thirty boxes that start together the first few tell it, and the rest find
+// that it knows: 10 KB each, from all of them at once, fill 6 Mbit/s for 0.4 s, in which a
+// group that was just formed cannot be read.
+const lessonSpread = 400 * time.Millisecond
+
+// NewLesson returns that of a box that has not asked the agent. The chance, from 0 up to
+// 1, tells boxes apart.
+func NewLesson(chance float64) *Lesson {
+	return &Lesson{wait: time.Duration(chance * float64(lessonSpread))}
 }
 
 // Due tells whether the agent of a rank in the epoch is to be told now; it then counts
-// as told. An agent is first asked what it knows: of thirty boxes that start together all
-// but the first find it told, by 10 KB for a group of 96 ranks.
+// as told. An agent is asked what it knows just before: another box may have told it.
 func (l *Lesson) Due(now time.Time, e orders.Epoch) bool {
-	if !l.heard || l.knows == e && now.Sub(l.at) < teachEvery {
+	if l.knows == e {
+		l.lacks = time.Time{}
+		if l.at.IsZero() {
+			l.at = now // another box told it
+		}
+	} else if l.lacks.IsZero() {
+		l.lacks = now
+	}
+	switch {
+	case !l.heard,
+		l.knows == e && now.Sub(l.at) < teachEvery,
+		l.knows != e && now.Sub(l.lacks) < l.wait:
 		return false
 	}
 	l.at = now
--- a/node/telling/telling_test.go
+++ b/node/telling/telling_test.go
@@ -205,7 +205,7 @@
 }
 
 func TestAnAgentIsTaughtUntilItKnows(t *testing.T) {
-	l := &telling.Lesson{}
+	l := telling.NewLesson(0)
 	at := func(d time.Duration, epoch orders.Epoch) bool { return l.Due(begin.Add(d), epoch) }
 	if at(0, 2) {
 		t.Error("an agent is told before it was asked what it knows")
@@ -296,3 +296,28 @@
 		t.Errorf("got %v", got)
 	}
 }
+
+// TestFewOfManyBoxesTellAnAgentOfItsGroup: thirty boxes of a hall ask an agent every half a
+// second, each at its own time, after it started.
+func TestFewOfManyBoxesTellAnAgentOfItsGroup(t *testing.T) {
+	const boxes, every = 30, 500 * time.Millisecond
+	rnd := rand.New(rand.NewPCG(5, 6))
+	var lessons []*telling.Lesson
+	for range boxes {
+		lessons = append(lessons, telling.NewLesson(rnd.Float64()))
+	}
+	knows, told, first := orders.Epoch(0), 0, time.Duration(0)
+	for tick := range 100 {
+		at := time.Duration(tick) * every / boxes
+		l := lessons[tick%boxes]
+		l.Learnt(knows)
+		if l.Due(begin.Add(at), 3) {
+			if knows, told = 3, told+1; first == 0 {
+				first = at
+			}
+		}
+	}
+	if told == 0 || told > 5 || first > time.Second {
+		t.Errorf("%d boxes told it, the first after %v", told, first)
+	}
+}
--- a/node/watching.go
+++ b/node/watching.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"strconv"
 	"time"
@@ -83,7 +84,7 @@
 
 // watch asks the agent beside one target until ctx ends.
 func (w *watching) watch(ctx context.Context, id domain.InstanceID) {
-	lesson := &telling.Lesson{}
+	lesson := telling.NewLesson(rand.Float64())
 	pause := watchEvery
 	for ctx.Err() == nil {
 		usual := w.every(id)
@@ -122,18 +123,13 @@
 	return t.Hall()
 }
 
+// ask asks the agent, and tells it of its group if its answer shows that this is due.
 func (w *watching) ask(ctx context.Context, id domain.InstanceID, l *telling.Lesson) error {
 	address, epoch, ok := w.agent(id)
 	if !ok {
 		return nil
 	}
-	q := &mesh.WatchQuery{Epoch: epoch}
-	if l.Due(time.Now(), epoch) {
-		q = w.lesson(id)
-	}
-	ctx, cancel := context.WithTimeout(ctx, watchWithin)
-	defer cancel()
-	report, err := mesh.Call[mesh.WatchQuery, mesh.RankReport](ctx, w.mesh, address, mesh.Watch, q)
+	report, err := w.put(ctx, address, &mesh.WatchQuery{Epoch: epoch})
 	if err != nil {
 		if boxSilent(err) {
 			w.entry.fleet.with(func(r *membership.Roster, _ *routing.Balancer) { r.Unreachable(time.Now(), id) })
@@ -142,9 +138,20 @@
 		return err
 	}
 	w.surveying.sightings.Saw(time.Now(), id, report)
-	l.Learnt(report.Knows)
 	w.take(id, report)
-	return nil
+	l.Learnt(report.Knows)
+	if !l.Due(time.Now(), epoch) {
+		return nil
+	}
+	_, err = w.put(ctx, address, w.lesson(id))
+	return err
+}
+
+// put asks the agent at the address.
+func (w *watching) put(ctx context.Context, address string, q *mesh.WatchQuery) (*mesh.RankReport, error) {
+	ctx, cancel := context.WithTimeout(ctx, watchWithin)
+	defer cancel()
+	return mesh.Call[mesh.WatchQuery, mesh.RankReport](ctx, w.mesh, address, mesh.Watch, q)
 }
 
 // boxSilent tells that nothing at all came back from the box: not even a refusal of
