Hubs share the watching of the store among themselves; processes collect sooner

A watch of one of 149 boxes waits 25 s, on the count that all of them watch: with 15 hubs a watch that was silently dropped would go unnoticed for longer than before.

--- a/membership/hubs.go
+++ b/membership/hubs.go
@@ -46,16 +46,21 @@
 	if len(others)+1 < hubsFrom {
 		return Alone
 	}
+	if Place(self, others) < HubsEach {
+		return Hub
+	}
+	return Follower
+}
+
+// Place is how many of the others come before the box.
+func Place(self domain.BoxID, others []Contact) int {
 	before := 0
 	for _, c := range others {
 		if c.Box < self {
 			before++
 		}
 	}
-	if before < HubsEach {
-		return Hub
-	}
-	return Follower
+	return before
 }
 
 // HubsOf are those of a hall's boxes that can tell of all its targets: its hubs, or all
--- a/node/following.go
+++ b/node/following.go
@@ -212,7 +212,7 @@
 	}
 	return &following{
 		pace:   p,
-		common: e.common, feed: feed, kind: kind, among: e.peering.inTouch, told: e.surveying.toldOfStore,
+		common: e.common, feed: feed, kind: kind, among: e.surveying.followers, told: e.surveying.toldOfStore,
 		follower: follow.New(p, rnd),
 	}
 }
--- a/node/main.go
+++ b/node/main.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"clovertrail.dev/node/process"
@@ -15,6 +16,10 @@
 // SettingsVariable names the settings file to the process.
 const SettingsVariable = "CLOVERTRAIL_BOOT"
 
+// gcPercent is how much of what lives a process may allocate before it collects: boxes'
+// memory is dear and they allocate little, so they collect twice as often as usual.
+const gcPercent = 40
+
 // runner is one of the two processes.
 type runner interface {
 	// Run serves until leave is closed.
@@ -37,6 +42,7 @@
 
 // Main runs the role with the settings file until the platform stops it.
 func Main(role, file string) error {
+	debug.SetGCPercent(gcPercent)
 	load, ok := roles[role]
 	if !ok {
 		return fmt.Errorf("unknown role %q", role)
--- a/node/surveying.go
+++ b/node/surveying.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -66,6 +68,21 @@
 // a few of its questions to the hub.
 const hubFor = time.Second
 
+// followers are how many boxes follow the store, and the place of this one among them:
+// the hubs of all halls where there are any, so that one of them soon notices a watch that
+// was silently dropped, else all boxes.
+func (s *surveying) followers() (boxes, place int) {
+	s.mu.Lock()
+	role, at := s.role, s.place
+	halls := slices.Sorted(maps.Keys(s.halls))
+	s.mu.Unlock()
+	if role != membership.Hub {
+		return s.entry.peering.inTouch()
+	}
+	hall := max(slices.Index(halls, s.hall()), 0)
+	return membership.HubsEach * len(halls), hall*membership.HubsEach + at
+}
+
 // toldOfStore tells that a hub of the hall follows the store for this box.
 func (s *surveying) toldOfStore() bool {
 	s.mu.Lock()
@@ -76,10 +93,11 @@
 // takeRole looks what this box is to its hall now.
 func (s *surveying) takeRole(ctx context.Context) {
 	hall := s.hall()
-	role := membership.RoleOf(domain.BoxID(s.entry.settings().Box), s.entry.peering.in(hall))
+	self, others := domain.BoxID(s.entry.settings().Box), s.entry.peering.in(hall)
+	role := membership.RoleOf(self, others)
 	s.mu.Lock()
 	before := s.role
-	s.role = role
+	s.role, s.place = role, membership.Place(self, others)
 	s.outlook.Become(role)
 	s.mu.Unlock()
 	if role != before {
