--- a/node/surveying.go
+++ b/node/surveying.go
@@ -36,6 +36,7 @@
 	mu        sync.Mutex
 	outlook   *membership.Outlook
 	role      membership.Role
+	place     int       // of this box among those of its hall, in the order of names
 	hubAt     time.Time // when a hub of the hall last said that it follows the store
 	storeWell func() bool
 	halls     map[domain.HallName]bool // that are followed
