--- a/mapswitch/orders/coordinator.go
+++ b/mapswitch/orders/coordinator.go
@@ -18,6 +18,11 @@
 	// stands still between the hold and its answer keeps the group held. One round of
 	// reads takes some ten milliseconds; where it takes longer (SetReach), two of them.
 	seenWithin = 50 * time.Millisecond
+	// seenMost bounds that. A rank whose box stands still from when it was asked to copy
+	// must not count as seen once the others have copied, some 0.2 s later: with 0.5 s, as
+	// slow reads allowed, one of 96 ranks that stood still for 7.6 s kept its group held
+	// for 7.3 s.
+	seenMost = 150 * time.Millisecond
 	// prepareWithin bounds the wait for copies beside what they are worked out to
 	// take: orders that are lost are given again within it.
 	prepareWithin = 3 * time.Second
@@ -255,7 +260,7 @@
 func (c *Coordinator) hasCopied(r int) bool { return c.ranks[r].state.Prepared == c.attempt.Version }
 
 func (c *Coordinator) seen(now time.Time, r int) bool {
-	return now.Sub(c.ranks[r].seenAt) <= max(seenWithin, 2*c.reach)
+	return now.Sub(c.ranks[r].seenAt) <= min(max(seenWithin, 2*c.reach), seenMost)
 }
 
 // took notes that a rank took its order. A rank that has disarmed is then asked to
