Only at the very first start does a box wait for others before it asks the store

Found by the tests beside load: TestInvariantGracefulShutdown, boxes stop one after another, requests to a box that started again ended with 503 for up to half a second: since hubs follow the store every box that started waited for its peers first. Drawn by chance, so it failed once. Callers wait for a box that starts again, and after all boxes were killed for all of them; a box waits now only as the whole system starts (first_start in the settings).

--- a/node/following.go
+++ b/node/following.go
@@ -37,9 +37,10 @@
 // mostWait is under the longest wait that the store takes, 30 s.
 const mostWait = 25 * time.Second
 
-// firstPause bounds how long a box that starts waits for other boxes to tell it what they
-// know: a few times what that takes, from its first advert to their answer (AskAfter and a
-// few ways between boxes).
+// firstPause bounds how long a box waits for other boxes to tell it what they know, as the
+// whole system starts for the first time: a few times what that takes, from its first advert
+// to their answer (AskAfter and a few ways between boxes). A box that starts later has
+// callers waiting, and asks the store at once.
 const firstPause = 600 * time.Millisecond
 
 // pace fits the bounds: a watch that was silently lost while the store was in
@@ -50,7 +51,6 @@
 		MostWait:   mostWait,
 		FirstPause: 100 * time.Millisecond,
 		MostPause:  min(time.Second, b.ConfigApply.Std()/4),
-		First:      min(firstPause, b.ConfigApply.Std()/4),
 		Gather:     b.Drain.Std() / 8, // the rest is for telling targets' leaving on
 	}
 }
@@ -207,6 +207,9 @@
 func (e *Entry) following(feed store.Feed, kind store.Kind) *following {
 	rnd := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	p := pace(e.settings().Bounds)
+	if e.settings().FirstStart {
+		p.First = firstPause
+	}
 	if kind == platform.Configurations {
 		p.Gather = 0 // it seldom changes, and is to be in force at once
 	}
--- a/node/process/settings.go
+++ b/node/process/settings.go
@@ -27,6 +27,8 @@
 	Metrics string `json:"metrics"`
 	// Store is the address of the platform's store, host:port.
 	Store string `json:"store" required:"true"`
+	// FirstStart tells that the whole system starts for the first time, so that no caller waits and a box can wait for others to tell it what the store holds.
+	FirstStart bool `json:"first_start"`
 	// AgentPort is the port of agents on the boxes of targets; 0 where there are none.
 	AgentPort int `json:"agent_port" min:"0" max:"65535"`
 	// Bounds are what the platform holds the system to.
