--- a/node/telling/doc.go
+++ b/node/telling/doc.go
@@ -1,6 +1,6 @@
 // Package telling keeps what the agents of a group tell each other short: a map as what
-// changed since one that was told before, and the counts of chosen experts as what came
-// since they were told last.
+// changed since one that was told before, the counts of chosen experts as what came since
+// they were told last, and both by way of relays where a group is large.
 //
 // A coordinator tells every rank each map and asks each rank what was chosen, several
 // times a second. Told whole, that fills the narrow links of target boxes from a few
@@ -21,6 +21,9 @@
 //	picks := telling.NewPicks()                // at every agent
 //	report.Picked = picks.Since(now, group, asker, counts)
 //
+//	relays := telling.NewRelays(rank, members) // at the coordinator of a large group
+//	for _, p := range relays.Through(ranks, fit) { ask(p.Relay, p.Ranks) }
+//
 //	counter := telling.NewCounter(shape)       // at the coordinator
 //	if counter.Add(rank, report.Picked) { load := counter.Take() }
 package telling
