--- a/experts/rebalance/large_test.go
+++ b/experts/rebalance/large_test.go
@@ -1,8 +1,6 @@
 package rebalance_test
 
 import (
-	"math"
-	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -25,17 +23,7 @@
 
 // flatZipf is a load in which the hottest expert has 4 in 100 of a layer's tokens: it
 // brings the map that a group starts with to a skew of 4.5.
-func flatZipf(s rebalance.Shape, seed uint64) rebalance.Load {
-	rnd := rand.New(rand.NewPCG(seed, 1))
-	load := make(rebalance.Load, s.Layers)
-	for l := range load {
-		load[l] = make([]float64, s.Experts)
-		for i, e := range rnd.Perm(s.Experts) {
-			load[l][e] = math.Pow(float64(i+1), -0.53)
-		}
-	}
-	return load
-}
+func flatZipf(s rebalance.Shape, seed uint64) rebalance.Load { return zipfOf(s, seed, 0.53) }
 
 // TestPlansOfLargeGroupsBecomeEven: demand shifts every few seconds, and each change of
 // a large group takes part of one, so one change must do nearly all.
--- a/experts/rebalance/planner_test.go
+++ b/experts/rebalance/planner_test.go
@@ -33,13 +33,16 @@
 }
 
 // zipf is a load with a few hot experts, another order in each layer.
-func zipf(s rebalance.Shape, seed uint64) rebalance.Load {
+func zipf(s rebalance.Shape, seed uint64) rebalance.Load { return zipfOf(s, seed, 1.6) }
+
+// zipfOf is the same with the exponent by which experts get less, one after another.
+func zipfOf(s rebalance.Shape, seed uint64, exponent float64) rebalance.Load {
 	rnd := rand.New(rand.NewPCG(seed, 1))
 	load := make(rebalance.Load, s.Layers)
 	for l := range load {
 		load[l] = make([]float64, s.Experts)
 		for i, e := range rnd.Perm(s.Experts) {
-			load[l][e] = math.Pow(float64(i+1), -1.6)
+			load[l][e] = math.Pow(float64(i+1), -exponent)
 		}
 	}
 	return load
--- a/local/invariant_test.go
+++ b/local/invariant_test.go
@@ -172,18 +172,21 @@
 	})
 }
 
+// checkMaps: the group never stepped on two maps, and changed some.
+func checkMaps(t reporter, s *local.System, _ *history) {
+	f := s.Group().Figures()
+	if f.Broken != "" {
+		t.Errorf("%s", f.Broken)
+	}
+	if f.Copies == 0 {
+		t.Errorf("no map was changed in %d steps, so the run shows nothing", f.Steps)
+	}
+}
+
 func TestInvariantSingleMap(t *testing.T) {
 	sc := busy()
 	sc.paths = []string{standin.GroupPath + "x"}
-	prove(t, sc, func(t reporter, s *local.System, _ *history) {
-		f := s.Group().Figures()
-		if f.Broken != "" {
-			t.Errorf("%s", f.Broken)
-		}
-		if f.Copies == 0 {
-			t.Errorf("no map was changed in %d steps, so the run shows nothing", f.Steps)
-		}
-	})
+	prove(t, sc, checkMaps)
 }
 
 // lines keeps what all processes log.
@@ -212,15 +215,7 @@
 	sc.paths, sc.ranks, sc.link = []string{standin.GroupPath + "x"}, 9, 0.15
 	seen := &lines{}
 	sc.log = seen
-	prove(t, sc, func(t reporter, s *local.System, _ *history) {
-		f := s.Group().Figures()
-		if f.Broken != "" {
-			t.Errorf("%s", f.Broken)
-		}
-		if f.Copies == 0 {
-			t.Errorf("no map was changed in %d steps, so the run shows nothing", f.Steps)
-		}
-	})
+	prove(t, sc, checkMaps)
 	if seen.count("relays=2") == 0 {
 		t.Error("no coordinator used relays")
 	}
