A target may start again under its id; entries of another writer name no target

Cause: everything about a target was kept by its listed id, and the users' pages now let a target start again under it. InstanceID is now the listed id together with when the start was born, decided in core/domain; the roster orders news of an id by birth, then by revision, and nothing kept of one start is found under the next. Word of an engine that is another start is not taken.

Ruled out: keying by id and clearing state on a change of birth, which leaves late word of the start before to be told apart in seven places.

--- a/core/call/answer.go
+++ b/core/call/answer.go
@@ -46,6 +46,6 @@
 	ID      ID // of the request that it answers; empty if it does not say
 	Outcome Outcome
 	Status  int
-	Load    *Load             // nil if the target does not tell
-	AtFault domain.InstanceID // the instance that is to blame for a failure, if it says
+	Load    *Load           // nil if the target does not tell
+	AtFault domain.ListedID // the target that is to blame for a failure, if it says
 }
--- /dev/null
+++ b/core/domain/instance.go
@@ -0,0 +1,63 @@
+package domain
+
+import (
+	"strconv"
+	"strings"
+)
+
+// ListedID is the id under which the platform's list has a target. A target that starts
+// again may keep it.
+type ListedID string
+
+// Born is when a target's process started, in milliseconds of Unix time by its own word;
+// 0 if it never said. It tells the starts under one ListedID apart and orders them.
+type Born int64
+
+// InstanceID names one start of a target's process: its ListedID and, where it says when
+// it was born, that too. What is said of an instance never speaks of the start after it,
+// and what is kept of one by its InstanceID is not found under the next.
+type InstanceID string
+
+// bornMark stands between the two parts.
+const bornMark = "@"
+
+// InstanceOf names the start that was born then under the id.
+func InstanceOf(id ListedID, born Born) (InstanceID, error) {
+	switch {
+	case id == "":
+		return "", invalid("id", "missing")
+	case strings.Contains(string(id), bornMark):
+		return "", invalid("id", "%q contains %q", id, bornMark)
+	case born < 0:
+		return "", invalid("born", "%d is before Unix time", born)
+	case born == 0:
+		return InstanceID(id), nil
+	default:
+		return InstanceID(string(id) + bornMark + strconv.FormatInt(int64(born), 10)), nil
+	}
+}
+
+// Listed is the id under which the list has the target.
+func (id InstanceID) Listed() ListedID {
+	listed, _, _ := strings.Cut(string(id), bornMark)
+	return ListedID(listed)
+}
+
+// Born is when the start was; 0 if that is not known.
+func (id InstanceID) Born() Born {
+	_, text, said := strings.Cut(string(id), bornMark)
+	if !said {
+		return 0
+	}
+	n, err := strconv.ParseInt(text, 10, 64)
+	if err != nil {
+		return 0 // not made by InstanceOf, so nothing is known of its start
+	}
+	return Born(n)
+}
+
+// Speaks tells whether word of a process that says it was born then may be of this start.
+// One that does not say is taken for it, as its id alone tells no more.
+func (id InstanceID) Speaks(born Born) bool {
+	return born == 0 || id.Born() == 0 || born == id.Born()
+}
--- a/core/domain/target.go
+++ b/core/domain/target.go
@@ -1,9 +1,5 @@
 package domain
 
-// InstanceID names one start of a target's process. The next start has another,
-// so what is said of an instance never speaks of the one after it.
-type InstanceID string
-
 // TargetState is what the platform's list says of a target that stands in it.
 type TargetState int
 
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -131,7 +131,7 @@
 	if l := a.answer.Load; l != nil {
 		a.lease.Load(*l)
 	}
-	if id := a.answer.AtFault; id != "" && id != a.lease.Target().ID() {
+	if id := a.answer.AtFault; id != "" && id != a.lease.Target().ID().Listed() {
 		a.d.g.parts.Fleet.Blame(id)
 	}
 	switch a.answer.Outcome {
--- a/gateway/fake_test.go
+++ b/gateway/fake_test.go
@@ -170,7 +170,7 @@
 	return nil, fault.New(fault.NoTarget, "none is left").RetryAt(time.Now().Add(2 * time.Second))
 }
 
-func (*fleet) Blame(domain.InstanceID) {}
+func (*fleet) Blame(domain.ListedID) {}
 
 type lease struct {
 	f *fleet
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -81,7 +81,7 @@
 	// why there is none.
 	Acquire(now time.Time, q Query) (Lease, error)
 	// Blame tells that a target, named by another, is at fault for a failure.
-	Blame(id domain.InstanceID)
+	Blame(id domain.ListedID)
 }
 
 // Parts is what a Gateway is made of.
--- a/local/boxes.go
+++ b/local/boxes.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"time"
 
 	"clovertrail.dev/core/domain"
 	"clovertrail.dev/node"
@@ -170,6 +171,7 @@
 	t.host = t.system.Network.Host(t.hall)
 	t.address = fmt.Sprintf("%s:%d", t.system.Network.ip(), enginePort)
 	t.target = standin.NewTarget(t.id, PlainService, t.system.ran)
+	t.target.Bear(time.Now())
 	if err := t.system.serve(t.host, t.address, t.target); err != nil {
 		return err
 	}
@@ -191,6 +193,18 @@
 // Kill cuts the target from the network, with its entry left behind.
 func (t *TargetBox) Kill() { t.host.Kill() }
 
+// StartAgain kills the target and starts it anew under its id, at another address. It
+// remembers nothing, and works as its program did before.
+func (t *TargetBox) StartAgain() error {
+	t.Kill()
+	habits := t.target.Habits()
+	if err := t.start(); err != nil {
+		return err
+	}
+	t.target.Behave(func(h *standin.Habits) { *h = habits })
+	return nil
+}
+
 func (s *System) dialCallers(ctx context.Context, _, address string) (net.Conn, error) {
 	return s.callers.Dial(ctx, address)
 }
--- a/local/invariant_test.go
+++ b/local/invariant_test.go
@@ -23,6 +23,7 @@
 var crashes = []string{
 	"kill entry", "stop entry", "kill agent", "stop agent", "refuse link", "slow link", "silence link", "cut store", "silence store",
 	"store busy", "store silent", "store slow", "store forgets", "target full", "target fails", "target breaks", "answers lost", "slow rank", "late orders",
+	"target starts again",
 }
 
 // busy is a run in which most requests are under way when something goes wrong.
@@ -47,6 +48,12 @@
 		{kind: "target full", at: time.Second, last: 9 * time.Second, pick: 2},
 		{kind: "target full", at: time.Second, last: 9 * time.Second, pick: 3},
 	}},
+	{name: "targets start again under their ids", troubles: []trouble{
+		{kind: "answers lost", at: time.Second, last: 8 * time.Second, pick: 1},
+		{kind: "target starts again", at: 2 * time.Second, last: 700 * time.Millisecond, pick: 0},
+		{kind: "target starts again", at: 3 * time.Second, last: 4 * time.Second, pick: 1},
+		{kind: "target starts again", at: 3 * time.Second, last: 20 * time.Millisecond, pick: 2},
+	}},
 	{name: "answers are lost", troubles: []trouble{
 		{kind: "answers lost", at: time.Second, last: 5 * time.Second, pick: 0},
 		{kind: "answers lost", at: 2 * time.Second, last: 5 * time.Second, pick: 3},
--- a/local/scenario_test.go
+++ b/local/scenario_test.go
@@ -136,6 +136,9 @@
 	"store forgets": {
 		func(s *local.System, _ int) { s.Store.Compact() },
 		func(s *local.System, _ int) { s.Store.Compact() }},
+	"target starts again": {
+		func(s *local.System, i int) { _ = s.Targets()[i%len(s.Targets())].StartAgain() },
+		func(s *local.System, i int) { _ = s.Targets()[i%len(s.Targets())].StartAgain() }},
 	"target full":   habit(func(h *standin.Habits, on bool) { h.Full = on }),
 	"target fails":  habit(func(h *standin.Habits, on bool) { h.Fail = on }),
 	"answers lost":  habit(func(h *standin.Habits, on bool) { h.Drop = on }),
--- a/membership/roster.go
+++ b/membership/roster.go
@@ -91,7 +91,7 @@
 	Standing Standing
 }
 
-// entry is what is known of one instance.
+// entry is what is known of the latest start under one listed id.
 type entry struct {
 	target   domain.Target
 	revision store.Revision
@@ -131,14 +131,16 @@
 
 // Roster is the set of targets as one entry box sees it, each named by its
 // instance. It merges the platform's list, what other boxes say of the list, what
-// targets say of themselves, and how attempts end. News of an instance is ordered
-// by the store's revisions, so that it does not matter from whom and in which order
-// it comes. It is not safe for concurrent use.
+// targets say of themselves, and how attempts end. News of a listed id is ordered by
+// when the start was born that it speaks of and, within one start, by the store's
+// revisions, so that it does not matter from whom and in which order it comes: an entry
+// that a start wrote and that reaches the store late says nothing of the next one. It
+// is not safe for concurrent use.
 type Roster struct {
 	policy    RosterPolicy
 	at        store.Revision // up to which the list is known
 	newest    store.Revision // of the last change in it
-	entries   map[domain.InstanceID]*entry
+	entries   map[domain.ListedID]*entry
 	byService map[domain.ServiceName]*health
 	heardAt   time.Time // when any target spoke for itself last
 	storeBack time.Time // when the store last came back, or now while it is away
@@ -151,7 +153,7 @@
 func NewRoster(p RosterPolicy) *Roster {
 	return &Roster{
 		policy:    p,
-		entries:   map[domain.InstanceID]*entry{},
+		entries:   map[domain.ListedID]*entry{},
 		byService: map[domain.ServiceName]*health{},
 	}
 }
@@ -166,11 +168,17 @@
 func (r *Roster) StoreTroubled(now time.Time) { r.storeBack = now }
 
 // News is one change of the list: a target as it stands now, or none where its
-// entry is gone.
+// entry is gone or names none.
 type News struct {
+	// ID is the start that the entry speaks of. Where there is no target it may be no
+	// more than the listed id, and speaks of whichever start stands under that.
 	ID       domain.InstanceID
 	Revision store.Revision
-	Target   *domain.Target // nil if the entry is gone
+	Target   *domain.Target // nil if there is none
+	// Unusable tells that the entry is there and names no target to use: it came from
+	// another writer, or cannot be read. The target is used no more at once, also while the
+	// store is in trouble.
+	Unusable bool
 }
 
 // Listed takes the whole list as it was at the revision. A list older than what is
@@ -179,15 +187,15 @@
 	if at < r.at {
 		return nil
 	}
-	present := make(map[domain.InstanceID]bool, len(list))
+	present := make(map[domain.ListedID]bool, len(list))
 	var fresh []News
 	for _, n := range list {
-		present[n.ID] = true
+		present[n.ID.Listed()] = true
 		fresh = append(fresh, r.Changed(now, n)...)
 	}
 	for id, e := range r.entries {
 		if !present[id] && e.goneAt.IsZero() && e.revision <= at {
-			fresh = append(fresh, r.Changed(now, News{ID: id, Revision: at})...)
+			fresh = append(fresh, r.Changed(now, News{ID: domain.InstanceID(id), Revision: at})...)
 		}
 	}
 	r.at = max(r.at, at)
@@ -197,32 +205,67 @@
 
 // Changed takes one change of the list, and returns it if it was news.
 func (r *Roster) Changed(now time.Time, n News) []News {
-	e, known := r.entries[n.ID]
-	if known && n.Revision <= e.revision {
-		return nil
-	}
+	r.at, r.newest = max(r.at, n.Revision), max(r.newest, n.Revision)
+	e, known := r.entries[n.ID.Listed()]
 	if !known {
 		e = &entry{}
-		r.entries[n.ID] = e
+		r.entries[n.ID.Listed()] = e
 	}
-	e.revision = n.Revision
-	r.at, r.newest = max(r.at, n.Revision), max(r.newest, n.Revision)
+	if n.Target != nil && n.ID.Born() == 0 && e.target.ID().Born() != 0 {
+		n.Target, n.Unusable = nil, true // who said once when it was born always does
+	}
+	if known && !e.before(n) {
+		return nil
+	}
+	e.revision = max(e.revision, n.Revision)
 	if n.Target == nil {
-		r.vanish(now, e)
+		r.vanish(now, e, n.Unusable)
 		return []News{n}
 	}
+	if e.target.ID() != n.Target.ID() {
+		*e = entry{revision: e.revision} // nothing of the start before holds for this one
+	}
 	e.target = *n.Target
 	e.goneAt, e.grace = time.Time{}, time.Time{}
 	return []News{n}
 }
 
+// before tells that what is known comes before the news: that speaks of a later start, or
+// of the same at a later revision. The entry of an earlier start that reached the store
+// late is passed over.
+func (e *entry) before(n News) bool {
+	born, own := n.ID.Born(), e.target.ID().Born()
+	if n.Target == nil || born == own || !e.goneAt.IsZero() && n.Revision < e.revision {
+		return n.Revision > e.revision
+	}
+	return born > own
+}
+
+// of is what is known of the start; false if another one stands under its listed id.
+func (r *Roster) of(id domain.InstanceID) (*entry, bool) {
+	e, ok := r.entries[id.Listed()]
+	if !ok || e.target.ID() != id {
+		return nil, false
+	}
+	return e, true
+}
+
+// Start is the start that stands under the listed id.
+func (r *Roster) Start(id domain.ListedID) (domain.InstanceID, bool) {
+	e, ok := r.entries[id]
+	if !ok {
+		return "", false
+	}
+	return e.target.ID(), e.target.ID() != ""
+}
+
 // vanish: an entry that goes while the store is well, or after its target said
 // that it is leaving, means that the target is leaving. One that goes while the
 // store is in trouble may only have lapsed.
-func (r *Roster) vanish(now time.Time, e *entry) {
-	e.goneAt = now
+func (r *Roster) vanish(now time.Time, e *entry, unusable bool) {
+	e.goneAt, e.grace = now, time.Time{}
 	troubled := !r.storeBack.IsZero() && now.Sub(r.storeBack) < r.policy.Trouble
-	if troubled && e.target.State() == domain.TargetReady {
+	if troubled && !unusable && e.target.State() == domain.TargetReady {
 		e.grace = now.Add(r.policy.Grace)
 	}
 }
@@ -234,7 +277,7 @@
 // the last step that the group has begun, and of whether it has requests to work on. It
 // tells whether that was news: word may come through other boxes, and late.
 func (r *Roster) Reported(at time.Time, id domain.InstanceID, own domain.Rank, step uint64, working bool) bool {
-	e, ok := r.entries[id]
+	e, ok := r.of(id)
 	if !ok || !at.After(e.ownAt) {
 		return false
 	}
@@ -251,7 +294,7 @@
 
 // Replaced tells that another instance answered at the target's address.
 func (r *Roster) Replaced(id domain.InstanceID) {
-	if e, ok := r.entries[id]; ok {
+	if e, ok := r.of(id); ok {
 		e.replaced = true
 	}
 }
@@ -263,7 +306,7 @@
 func (r *Roster) Failed(now time.Time, id domain.InstanceID) { r.ended(now, id, true) }
 
 func (r *Roster) ended(now time.Time, id domain.InstanceID, failed bool) {
-	e, ok := r.entries[id]
+	e, ok := r.of(id)
 	if !ok {
 		return
 	}
@@ -285,7 +328,7 @@
 
 // Unreachable takes an attempt that could not reach the target at all.
 func (r *Roster) Unreachable(now time.Time, id domain.InstanceID) {
-	if e, ok := r.entries[id]; ok {
+	if e, ok := r.of(id); ok {
 		e.health.unreach(now, r.policy)
 	}
 }
@@ -293,14 +336,14 @@
 // Missed takes another box's word that it could not reach the target at all since the
 // target spoke at the time. It counts unless the target has spoken later.
 func (r *Roster) Missed(now time.Time, id domain.InstanceID, spoke time.Time) {
-	if e, ok := r.entries[id]; ok && !e.ownAt.After(spoke) {
+	if e, ok := r.of(id); ok && !e.ownAt.After(spoke) {
 		e.health.unreach(now, r.policy)
 	}
 }
 
 // Get returns the target of an instance that is known.
 func (r *Roster) Get(id domain.InstanceID) (domain.Target, bool) {
-	e, ok := r.entries[id]
+	e, ok := r.of(id)
 	if !ok {
 		return domain.Target{}, false
 	}
@@ -310,10 +353,10 @@
 // All returns the listed targets as news, in order of their ids, for passing on.
 func (r *Roster) All() []News {
 	var list []News
-	for id, e := range r.entries {
+	for _, e := range r.entries {
 		if e.goneAt.IsZero() {
 			t := e.target
-			list = append(list, News{ID: id, Revision: e.revision, Target: &t})
+			list = append(list, News{ID: t.ID(), Revision: e.revision, Target: &t})
 		}
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
--- a/node/belief.go
+++ b/node/belief.go
@@ -89,7 +89,7 @@
 	}
 	for _, n := range fresh {
 		if n.Target == nil {
-			b.common.Log.Info("target gone", "target", n.ID, "revision", n.Revision, "source", source)
+			b.common.Log.Info("target gone", "target", n.ID, "revision", n.Revision, "source", source, "unusable", n.Unusable)
 			continue
 		}
 		t := *n.Target
@@ -101,21 +101,27 @@
 	}
 }
 
-// decodeTargets turns records into news. One that does not decode is logged, and
-// the others go on.
+// decodeTargets turns records into news. One that does not decode is logged and names no
+// target to use; the others go on.
 func (b *belief) decodeTargets(events []store.Event) []membership.News {
 	var list []membership.News
 	for _, e := range events {
-		n := membership.News{ID: targetID(e.Record), Revision: e.Record.Revision}
+		n := membership.News{ID: domain.InstanceID(e.Record.Name), Revision: e.Record.Revision}
 		if !e.Removed {
-			t, err := platform.DecodeTarget(e.Record)
-			if err != nil {
-				b.common.Log.Error("target not taken", "target", e.Record.Name, "revision", e.Record.Revision, "err", err)
-				continue
-			}
-			n.Target = &t
+			n = b.decodeTarget(n, e.Record)
 		}
 		list = append(list, n)
 	}
 	return list
 }
+
+func (b *belief) decodeTarget(n membership.News, r store.Record) membership.News {
+	t, err := platform.DecodeTarget(r)
+	if err != nil {
+		b.common.Log.Error("target not taken", "target", r.Name, "revision", r.Revision, "err", err)
+		n.Unusable = true
+		return n
+	}
+	n.ID, n.Target = t.ID(), &t
+	return n
+}
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -131,8 +131,12 @@
 }
 
 // Blame implements gateway.Fleet.
-func (f *fleet) Blame(id domain.InstanceID) {
-	f.with(func(r *membership.Roster, _ *routing.Balancer) { r.Unreachable(time.Now(), id) })
+func (f *fleet) Blame(listed domain.ListedID) {
+	f.with(func(r *membership.Roster, _ *routing.Balancer) {
+		if id, ok := r.Start(listed); ok {
+			r.Unreachable(time.Now(), id)
+		}
+	})
 }
 
 // place is a place at a target. It implements gateway.Lease.
--- a/node/following.go
+++ b/node/following.go
@@ -7,7 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"clovertrail.dev/core/domain"
 	"clovertrail.dev/membership"
 	"clovertrail.dev/node/process"
 	"clovertrail.dev/platform"
@@ -189,6 +188,9 @@
 		for _, r := range l.Records {
 			events = append(events, store.Event{Record: r})
 		}
+		if l.Nameless > 0 {
+			e.common.Log.Error("records without a name", "kind", platform.Targets, "records", l.Nameless, "revision", l.At)
+		}
 		e.belief.targets(l.At, e.belief.decodeTargets(events), "store")
 	}
 	f.changed = func(c store.Changes) {
@@ -221,5 +223,3 @@
 }
 
 func isHistoryLost(err error) bool { return errors.Is(err, store.ErrHistoryLost) }
-
-func targetID(r store.Record) domain.InstanceID { return domain.InstanceID(r.Name) }
--- a/node/rank/agent.go
+++ b/node/rank/agent.go
@@ -173,6 +173,9 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if before := a.report; before.Born != r.Born && !a.readAt.IsZero() {
+		a.common.Log.Info("engine started again", "engine", a.settings().Engine, "born", r.Born, "before", before.Born)
+	}
 	if before := a.report; before.Rank.Epoch != r.Rank.Epoch || before.Rank.Open != r.Rank.Open {
 		a.common.Log.Info("group changed", "group", r.Rank.Group, "rank", r.Rank.Number, "epoch", r.Rank.Epoch, "open", r.Rank.Open,
 			"epoch_before", before.Rank.Epoch, "open_before", before.Rank.Open, "step", r.State.Step)
@@ -198,7 +201,7 @@
 
 func reportOf(r platform.Report) *mesh.RankReport {
 	return &mesh.RankReport{
-		Group: r.Rank.Group, Rank: r.Rank.Number, Size: r.Rank.Size, State: r.State,
+		Born: r.Born, Group: r.Rank.Group, Rank: r.Rank.Number, Size: r.Rank.Size, State: r.State,
 		Running: r.Running, Waiting: r.Waiting, Pace: r.Pace,
 	}
 }
@@ -221,11 +224,11 @@
 	}
 	out := reportOf(r)
 	if q.Picked {
-		counts, err := a.engine.Counts(ctx)
+		born, counts, err := a.engine.Counts(ctx)
 		if err != nil {
 			return nil, err
 		}
-		out.Picked = a.picks.Since(time.Now(), r.Rank.Group, q.From, counts)
+		out.Picked = a.picks.Since(time.Now(), telling.Asker{Group: r.Rank.Group, Rank: q.From}, born, counts)
 	}
 	if q.Holds {
 		version, holds, err := a.engine.Holds(ctx)
--- a/node/telling/doc.go
+++ b/node/telling/doc.go
@@ -19,7 +19,7 @@
 //	err := maps.Whole(call)                    // before the order goes to the engine
 //
 //	picks := telling.NewPicks()                // at every agent
-//	report.Picked = picks.Since(now, group, asker, counts)
+//	report.Picked = picks.Since(now, asker, born, counts)
 //
 //	relays := telling.NewRelays(rank, members) // at the coordinator of a large group
 //	for _, p := range relays.Through(ranks, fit) { ask(p.Relay, p.Ranks) }
--- a/node/telling/picks.go
+++ b/node/telling/picks.go
@@ -21,9 +21,16 @@
 	last map[domain.GroupName]map[int]counted // by the asker's group and rank
 }
 
-// counted are running counts at a time.
+// Asker is who asks what was chosen: a rank of a group.
+type Asker struct {
+	Group domain.GroupName
+	Rank  int
+}
+
+// counted are running counts at a time, of the engine that was born then.
 type counted struct {
 	at     time.Time
+	born   domain.Born
 	counts []uint64
 }
 
@@ -31,17 +38,18 @@
 func NewPicks() *Picks { return &Picks{last: map[domain.GroupName]map[int]counted{}} }
 
 // Since gives what was chosen since the asker had the counts last; nil if that is
-// not known. An engine that started again counts from zero.
-func (p *Picks) Since(now time.Time, g domain.GroupName, asker int, counts []uint64) *mesh.Picked {
+// not known. An engine that started again counts from zero; its counts may have grown past
+// those of the start before, and then only its birth tells.
+func (p *Picks) Since(now time.Time, asker Asker, born domain.Born, counts []uint64) *mesh.Picked {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.last[g] == nil {
+	if p.last[asker.Group] == nil {
 		clear(p.last) // the rank is in another group now
-		p.last[g] = map[int]counted{}
+		p.last[asker.Group] = map[int]counted{}
 	}
-	before := p.last[g][asker]
-	p.last[g][asker] = counted{at: now, counts: counts}
-	if len(before.counts) != len(counts) || now.Sub(before.at) > pickMemory {
+	before := p.last[asker.Group][asker.Rank]
+	p.last[asker.Group][asker.Rank] = counted{at: now, born: born, counts: counts}
+	if len(before.counts) != len(counts) || before.born != born || now.Sub(before.at) > pickMemory {
 		return nil
 	}
 	fresh := make([]uint64, len(counts))
--- a/node/telling/telling_test.go
+++ b/node/telling/telling_test.go
@@ -149,7 +149,7 @@
 func TestWhatWasChosenIsToldSinceTheLastTime(t *testing.T) {
 	p := telling.NewPicks()
 	at := func(d time.Duration, asker int, counts ...uint64) *mesh.Picked {
-		return p.Since(begin.Add(d), "g0", asker, counts)
+		return p.Since(begin.Add(d), telling.Asker{Group: "g0", Rank: asker}, 1, counts)
 	}
 	if got := at(0, 0, 10, 100); got != nil {
 		t.Errorf("the first time: %v", got)
@@ -163,10 +163,13 @@
 	if got := at(2*time.Second, 0, 2, 100); got != nil {
 		t.Errorf("after a restart of the engine: %v", got)
 	}
+	if got := p.Since(begin.Add(2500*time.Millisecond), telling.Asker{Group: "g0"}, 2, []uint64{50, 200}); got != nil {
+		t.Errorf("after a restart that has counted past the start before: %v", got)
+	}
 	if got := at(10*time.Second, 0, 9, 100); got != nil {
 		t.Errorf("after a long pause: %v", got)
 	}
-	if got := p.Since(begin.Add(11*time.Second), "g1", 0, []uint64{9, 200}); got != nil {
+	if got := p.Since(begin.Add(11*time.Second), telling.Asker{Group: "g1"}, 1, []uint64{9, 200}); got != nil {
 		t.Errorf("in another group: %v", got)
 	}
 }
--- a/node/watching.go
+++ b/node/watching.go
@@ -137,6 +137,10 @@
 		}
 		return err
 	}
+	if !id.Speaks(report.Born) {
+		w.otherStart(id, report.Born)
+		return nil
+	}
 	w.surveying.sightings.Saw(time.Now(), id, report)
 	w.take(id, report)
 	l.Learnt(report.Knows)
@@ -147,6 +151,15 @@
 	return err
 }
 
+// otherStart takes that the engine is not the start that was asked about. A later one has
+// taken its place, and gets work once the list names it; an earlier one says nothing.
+func (w *watching) otherStart(id domain.InstanceID, born domain.Born) {
+	w.entry.common.Log.Warn("word of another start", "target", id, "born", born)
+	if born > id.Born() {
+		w.entry.fleet.with(func(r *membership.Roster, _ *routing.Balancer) { r.Replaced(id) })
+	}
+}
+
 // put asks the agent at the address.
 func (w *watching) put(ctx context.Context, address string, q *mesh.WatchQuery) (*mesh.RankReport, error) {
 	ctx, cancel := context.WithTimeout(ctx, watchWithin)
--- a/store/feed.go
+++ b/store/feed.go
@@ -46,13 +46,15 @@
 	Kind     Kind
 	Name     string
 	Revision Revision // of its last change
-	Spec     []byte
+	Spec     []byte   // nil if the record cannot be read
 }
 
 // Listing is all records of a kind at a revision.
 type Listing struct {
 	Records []Record
 	At      Revision
+	// Nameless is how many records cannot even tell their names.
+	Nameless int
 }
 
 // Event is a change of one record. A removed one has no Spec.
