Boxes tell each other which targets let them down

Cause: 8 of 63 ranks answer nobody for 7 s (false health), and an eighth and more of all requests go to them all that time: 1,000 silent attempts, none of which spoke against its target. An attempt that was cut off for its silence counted as neutral, since the context that its own impatience had cancelled was taken for the caller's. And of 38 boxes none meets a given rank more than once in ten seconds, so that no box alone can tell.

Change: the verdict looks at the caller's context; boxes pass on in their adverts which targets let them down in the last 2 s; three boxes' complaints eject a target for 4 s, one is enough while it is on probation; an answer that is overdue by half of its aim is told of before the attempt is given up. Nobody is accused where more than a third of the targets of a service are complained of. A target that says it is full is no subject of complaints.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -23,6 +23,7 @@
 	exchange   *transport.Exchange
 	answer     call.Answer
 	impatience *time.Timer
+	overdue    *time.Timer
 	last       time.Time     // when the last events came
 	pause      time.Duration // before them
 }
@@ -30,18 +31,22 @@
 var errImpatient = errors.New("the answer did not begin in time")
 
 // run makes the attempt and passes on what it brings.
-func (a *attempt) run(ctx context.Context) retry.End {
-	ctx, cancel := context.WithCancelCause(ctx)
+func (a *attempt) run(caller context.Context) retry.End {
+	ctx, cancel := context.WithCancelCause(caller)
 	defer cancel(nil)
 	if !a.try.Patience.IsZero() {
 		a.impatience = time.AfterFunc(time.Until(a.try.Patience), func() { cancel(errImpatient) })
 		defer a.impatience.Stop()
 	}
+	if aim := a.d.o.route.Aim(); aim > 0 {
+		a.overdue = time.AfterFunc(time.Duration(overdueAims*float64(aim)), a.lease.Overdue)
+		defer a.overdue.Stop()
+	}
 	end, verdict := a.carry(ctx)
 	if errors.Is(context.Cause(ctx), errImpatient) {
 		end, verdict = impatient(end, verdict)
 	}
-	if callerGone(ctx) && verdict != Good {
+	if callerGone(caller) && verdict != Good {
 		verdict = Neutral
 	}
 	a.lease.End(verdict)
@@ -139,7 +144,7 @@
 		return retry.Declined{Err: fault.New(fault.StaleIncarnation, "another instance stands at %s", a.lease.Target().Address())}, Replaced
 	case call.Declined:
 		drain(resp)
-		return retry.Declined{Err: fault.New(fault.Overloaded, "the target answered %d and did not run it", resp.StatusCode).RetryAt(retryAt(resp))}, Bad
+		return retry.Declined{Err: fault.New(fault.Overloaded, "the target answered %d and did not run it", resp.StatusCode).RetryAt(retryAt(resp))}, Full
 	case call.Foreign:
 		return retry.Lost{Err: errors.New("the answer is not one of the target's")}, Bad
 	case call.Failed:
@@ -162,6 +167,9 @@
 	if a.impatience != nil {
 		a.impatience.Stop()
 	}
+	if a.overdue != nil {
+		a.overdue.Stop()
+	}
 	a.lease.Began()
 }
 
--- a/gateway/delivery.go
+++ b/gateway/delivery.go
@@ -16,6 +16,10 @@
 // few were seen to begin at all (docs/design/platform.md).
 const patienceAims = 3
 
+// overdueAims is after how many times its aim an answer that has not begun is told of to
+// other boxes, which may see the same of its target.
+const overdueAims = 1.5
+
 // delivery moves one order through its attempts.
 type delivery struct {
 	g      *Gateway
--- a/gateway/fake_test.go
+++ b/gateway/fake_test.go
@@ -188,6 +188,7 @@
 }
 
 func (*lease) Load(call.Load) {}
+func (*lease) Overdue()       {}
 func (l *lease) Began()       { signal(l.f.began) }
 
 // signal puts a value into the channel if there is room: else nobody waits for it.
@@ -205,6 +206,7 @@
 func (l *lease) End(v gateway.Verdict) {
 	names := map[gateway.Verdict]string{
 		gateway.Neutral: "neutral", gateway.Good: "good", gateway.Bad: "bad",
+		gateway.Full:        "full",
 		gateway.Unreachable: "unreachable", gateway.Replaced: "replaced",
 	}
 	l.f.mu.Lock()
@@ -252,6 +254,7 @@
 		{Name: "short", Prefix: "/short/", Kind: catalog.Repeatable, Timeout: 50 * time.Millisecond},
 		{Name: "paced", Prefix: "/paced/", Kind: catalog.Stream, Resumable: true, Timeout: 20 * time.Second, GapAim: time.Nanosecond},
 		{Name: "paced-once", Prefix: "/paced-once/", Kind: catalog.Stream, Timeout: 20 * time.Second, GapAim: time.Nanosecond},
+		{Name: "impatient", Prefix: "/impatient/", Kind: catalog.Repeatable, Timeout: 20 * time.Second, Aim: 10 * time.Millisecond},
 		{Name: "locked", Prefix: "/locked/", Kind: catalog.Repeatable, Timeout: 20 * time.Second},
 	}
 	d := catalog.Document{Version: 3, Limits: catalog.DefaultLimits(), Organisations: []catalog.Organisation{{Name: "league", Keys: []string{"k"}}}}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -46,6 +46,8 @@
 	Target() domain.Target
 	// Load takes what the target says of its load.
 	Load(l call.Load)
+	// Overdue tells that the answer has not begun although one in time would have long ago.
+	Overdue()
 	// Began tells that the answer has begun.
 	Began()
 	// Paused tells of the time between two events of the answer, and of the longest
@@ -69,6 +71,8 @@
 	Good
 	// Bad: it could be reached, and let the attempt down.
 	Bad
+	// Full: it said that it had no room.
+	Full
 	// Unreachable: no connection could be made.
 	Unreachable
 	// Replaced: another instance stands at the address.
--- /dev/null
+++ b/membership/accusing.go
@@ -0,0 +1,79 @@
+package membership
+
+import (
+	"time"
+
+	"clovertrail.dev/core/domain"
+)
+
+// LetDown takes that the target had a request of this box and did not answer it as it
+// should, in a way that is its own fault. It tells whether other boxes should hear of it
+// at once.
+func (r *Roster) LetDown(now time.Time, id domain.InstanceID) bool {
+	e, ok := r.of(id)
+	if !ok {
+		return false
+	}
+	first := r.let.Own(now, id)
+	r.judge(now, e)
+	return first && !r.sharedTrouble(now, e.target.Service())
+}
+
+// Complained takes another box's complaint.
+func (r *Roster) Complained(now time.Time, c Complaint) {
+	e, ok := r.of(c.Target)
+	if !ok {
+		return
+	}
+	r.let.Heard(c)
+	r.judge(now, e)
+}
+
+// Complaints are those that this box knows of, for others. Of a service most of whose
+// targets are complained of there is nothing to tell: while a group of ranks is down, its
+// complaints were a third of the bytes between halls.
+func (r *Roster) Complaints(now time.Time) []Complaint {
+	shared := map[domain.ServiceName]bool{}
+	return r.let.Tell(now, func(id domain.InstanceID) bool {
+		e, ok := r.of(id)
+		if !ok {
+			return false
+		}
+		svc := e.target.Service()
+		trouble, known := shared[svc]
+		if !known {
+			trouble = r.sharedTrouble(now, svc)
+			shared[svc] = trouble
+		}
+		return !trouble
+	})
+}
+
+// judge ejects a target that enough boxes complain of. One that was ejected for that a
+// while ago is tried by the first box that takes it back: one complaint is enough then.
+func (r *Roster) judge(now time.Time, e *entry) {
+	enough := accusers
+	if e.health.onProbation(now) {
+		enough = 1
+	}
+	if e.health.ejected(now) || r.let.Against(now, e.target.ID(), e.health.ejectedTo) < enough || r.sharedTrouble(now, e.target.Service()) {
+		return
+	}
+	e.health.accuse(now, r.policy)
+}
+
+// sharedTrouble tells that too many targets of the service are complained of, or out of
+// use for that, at once.
+func (r *Roster) sharedTrouble(now time.Time, svc domain.ServiceName) bool {
+	blamed, all := 0, 0
+	for _, e := range r.entries {
+		if e.target.Service() != svc || !e.goneAt.IsZero() {
+			continue
+		}
+		all++
+		if e.health.ejected(now) || r.let.Against(now, e.target.ID(), time.Time{}) > 0 {
+			blamed++
+		}
+	}
+	return float64(blamed) > blamedMost*float64(all)
+}
--- /dev/null
+++ b/membership/complaints_test.go
@@ -0,0 +1,214 @@
+package membership_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"clovertrail.dev/core/domain"
+	"clovertrail.dev/membership"
+	"clovertrail.dev/store"
+)
+
+// ranksOf lists so many ranks of a group in a roster of the box.
+func ranksOf(box domain.BoxID, n int, spread float64) *membership.Roster {
+	p := membership.DefaultRosterPolicy(drain)
+	p.Spread = spread
+	r := membership.NewRoster(box, p)
+	for i := range n {
+		g := &domain.Rank{Group: "g", Epoch: 1, Number: i, Size: n, Open: true}
+		id := rankID(i)
+		r.Changed(start, membership.News{ID: id, Revision: store.Revision(i + 1), Target: target(string(id), domain.TargetReady, g)})
+	}
+	return r
+}
+
+func rankID(i int) domain.InstanceID { return domain.InstanceID(fmt.Sprintf("r%03d", i)) }
+
+func by(box domain.BoxID, rank int, at time.Time) membership.Complaint {
+	return membership.Complaint{Target: rankID(rank), By: box, At: at}
+}
+
+func TestATargetOfWhichSeveralBoxesComplainIsNotUsed(t *testing.T) {
+	const ranks = 9
+	at := func(d time.Duration) time.Time { return start.Add(d) }
+	tests := []struct {
+		name     string
+		happens  func(r *membership.Roster)
+		after    time.Duration
+		suspects int
+	}{
+		{"one box", func(r *membership.Roster) { r.LetDown(start, rankID(0)) }, 0, 0},
+		{"the same box many times", func(r *membership.Roster) {
+			for i := range 9 {
+				r.Complained(start, by("b1", 0, at(time.Duration(i))))
+			}
+		}, 0, 0},
+		{"three boxes", func(r *membership.Roster) {
+			r.LetDown(start, rankID(0))
+			r.Complained(start, by("b1", 0, start))
+			r.Complained(start, by("b2", 0, start))
+		}, 0, 1},
+		{"three boxes, of whom one complained long ago", func(r *membership.Roster) {
+			r.Complained(start, by("b1", 0, at(-3*time.Second)))
+			r.LetDown(start, rankID(0))
+			r.Complained(start, by("b2", 0, start))
+		}, 0, 0},
+		{"this box was served since", func(r *membership.Roster) {
+			r.LetDown(start, rankID(0))
+			r.Succeeded(start, rankID(0))
+			r.Complained(start, by("b1", 0, start))
+			r.Complained(start, by("b2", 0, start))
+		}, 0, 0},
+		{"after the ejection", func(r *membership.Roster) {
+			for _, b := range []domain.BoxID{"b1", "b2", "b3"} {
+				r.Complained(start, by(b, 0, start))
+			}
+		}, 9 * time.Second, 0},
+		{"one that tries it again is enough", func(r *membership.Roster) {
+			for _, b := range []domain.BoxID{"b1", "b2", "b3"} {
+				r.Complained(start, by(b, 0, start))
+			}
+			r.Complained(at(5*time.Second), by("b4", 0, at(5*time.Second)))
+		}, 6 * time.Second, 1},
+		{"most targets are complained of", func(r *membership.Roster) {
+			for _, b := range []domain.BoxID{"b1", "b2", "b3"} {
+				for i := range ranks {
+					r.Complained(start, by(b, ranks-1-i, start))
+				}
+			}
+		}, 0, 0},
+		{"a target that is not listed", func(r *membership.Roster) {
+			for _, b := range []domain.BoxID{"b1", "b2", "b3"} {
+				r.Complained(start, membership.Complaint{Target: "nobody", By: b, At: start})
+			}
+		}, 0, 0},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			r := ranksOf("b0", ranks, 0)
+			tc.happens(r)
+			n := 0
+			for _, s := range standings(r, at(tc.after)) {
+				if s == membership.Suspect {
+					n++
+				}
+			}
+			if n != tc.suspects {
+				t.Errorf("%d suspects, want %d", n, tc.suspects)
+			}
+		})
+	}
+}
+
+func TestComplaintsArePassedOnBounded(t *testing.T) {
+	const ranks, blamed, boxes, most = 90, 28, 30, 40
+	r := ranksOf("b0", ranks, 0)
+	for i := range blamed {
+		for b := range boxes {
+			r.Complained(start, by(domain.BoxID(fmt.Sprintf("b%d", b+1)), i, start))
+		}
+	}
+	if n := len(r.Complaints(start)); n != most {
+		t.Errorf("%d complaints are told", n)
+	}
+	if n := len(r.Complaints(start.Add(time.Minute))); n != 0 {
+		t.Errorf("%d complaints are told after a minute", n)
+	}
+	later := start.Add(time.Minute)
+	for i := range ranks {
+		r.Complained(later, by("b1", i, later))
+	}
+	if n := len(r.Complaints(later)); n != 0 {
+		t.Errorf("%d complaints are told of a trouble that all share", n)
+	}
+}
+
+// fleetOf plays boxes that share the ranks of a group of which some answer nobody, and
+// gives how many requests these got.
+type fleetOf struct {
+	boxes, ranks, hanging int
+	perSecond             int
+	tells                 bool
+	rnd                   *rand.Rand
+}
+
+func (f fleetOf) wasted(length time.Duration) int {
+	const (
+		tick    = 10 * time.Millisecond
+		overdue = 600 * time.Millisecond // until a box knows that it waits for too long
+		round   = 500 * time.Millisecond // between two exchanges of a box with others
+		told    = 8                      // boxes in a round
+	)
+	var rosters []*membership.Roster
+	for i := range f.boxes {
+		rosters = append(rosters, ranksOf(domain.BoxID(fmt.Sprintf("b%d", i)), f.ranks, f.rnd.Float64()))
+	}
+	waiting := map[time.Time][][2]int{}
+	wasted, due := 0, 0.0
+	exchange := func(now time.Time, from int) {
+		for range told {
+			to := f.rnd.IntN(f.boxes)
+			for _, way := range [][2]int{{from, to}, {to, from}} {
+				for _, c := range rosters[way[0]].Complaints(now) {
+					rosters[way[1]].Complained(now, c)
+				}
+			}
+		}
+	}
+	for now := start; now.Before(start.Add(length)); now = now.Add(tick) {
+		for due += float64(f.perSecond) * tick.Seconds(); due >= 1; due-- {
+			box := f.rnd.IntN(f.boxes)
+			rank := f.pick(rosters[box], now)
+			if rank < f.hanging {
+				wasted++
+				waiting[now.Add(overdue)] = append(waiting[now.Add(overdue)], [2]int{box, rank})
+				continue
+			}
+			rosters[box].Succeeded(now, rankID(rank))
+		}
+		for _, w := range waiting[now] {
+			rosters[w[0]].Failed(now, rankID(w[1]))
+			if rosters[w[0]].LetDown(now, rankID(w[1])) && f.tells {
+				exchange(now, w[0])
+			}
+		}
+		for box := range rosters {
+			if f.tells && now.Sub(start)%round == time.Duration(box)*tick {
+				exchange(now, box)
+			}
+		}
+	}
+	return wasted
+}
+
+// pick draws among the ranks of the best standing, as callers' load does over time.
+func (f fleetOf) pick(r *membership.Roster, now time.Time) int {
+	list := r.Ranked(now, "s")
+	best := 0
+	for best < len(list) && list[best].Standing == list[0].Standing {
+		best++
+	}
+	var n int
+	if _, err := fmt.Sscanf(string(list[f.rnd.IntN(best)].Target.ID()), "r%d", &n); err != nil {
+		panic(err) // ids are made above
+	}
+	return n
+}
+
+// TestManyBoxesFindTargetsThatAnswerNobody: an eighth of 63 ranks hang for 7 s while
+// 38 boxes send 224 requests a second, which is one in ten seconds from a box to a rank:
+// no box can tell by itself. The numbers are those of a fleet of a hundred boxes at its
+// usual load; a wait of 0.6 s is one and a half times within which callers want answers.
+func TestManyBoxesFindTargetsThatAnswerNobody(t *testing.T) {
+	f := fleetOf{boxes: 38, ranks: 63, hanging: 8, perSecond: 224}
+	const length = 7 * time.Second
+	f.rnd = rand.New(rand.NewPCG(1, 2))
+	alone := f.wasted(length)
+	f.tells, f.rnd = true, rand.New(rand.NewPCG(1, 2))
+	together := f.wasted(length)
+	if share := float64(together) / float64(alone); share > 0.35 {
+		t.Errorf("%d requests wasted where boxes tell each other, %d where not: %.2f", together, alone, share)
+	}
+}
--- a/membership/doc.go
+++ b/membership/doc.go
@@ -8,7 +8,7 @@
 //
 // # Usage
 //
-//	r := membership.NewRoster(membership.DefaultRosterPolicy(drain))
+//	r := membership.NewRoster(box, membership.DefaultRosterPolicy(drain))
 //	r.Listed(now, at, news)         // from the store or another box
 //	r.Reported(at, id, rank, step, working)
 //	r.Failed(now, id)               // as attempts end
--- a/membership/health.go
+++ b/membership/health.go
@@ -8,6 +8,7 @@
 	samples   int
 	ejections int
 	ejectedTo time.Time
+	accusedTo time.Time // until when it is on probation after boxes complained of it
 
 	misses    int       // times in a row that it could not be reached
 	missedAt  time.Time // the last of them
@@ -55,6 +56,21 @@
 
 func (h *health) ejected(now time.Time) bool { return now.Before(h.ejectedTo) }
 
+// probation is how long after its ejection an accused target is on probation: several
+// times what a box that takes it back needs to find out that it still fails.
+const probation = 5 * time.Second
+
+// accuse ejects a target that several boxes complain of.
+func (h *health) accuse(now time.Time, p RosterPolicy) {
+	d := min(p.AccusedFor<<min(h.ejections, maxEjections), p.EjectMost)
+	h.ejections++
+	h.ejectedTo = now.Add(d + time.Duration(p.Spread*float64(d)))
+	h.accusedTo = h.ejectedTo.Add(probation)
+	h.samples, h.failShare = 0, 0
+}
+
+func (h *health) onProbation(now time.Time) bool { return now.Before(h.accusedTo) }
+
 // unreach takes that no connection could be made.
 func (h *health) unreach(now time.Time, p RosterPolicy) {
 	if h.unreachable(now) {
--- a/membership/roster.go
+++ b/membership/roster.go
@@ -24,6 +24,12 @@
 	// FailShare is the share of failures, above that of the service as a whole, from
 	// which a target is ejected.
 	FailShare float64
+	// AccusedFor is the first ejection of a target that several boxes complain of; it
+	// doubles as others do.
+	AccusedFor time.Duration
+	// Spread is by which share of it this box ejects an accused target for longer than
+	// others might, so that one of them tries it first and tells the rest; from 0 to 1.
+	Spread float64
 	// Floor is the share of a service's targets that ejections leave in use.
 	Floor float64
 	// ReportFresh is for how long a target's own word of its group goes before the
@@ -50,6 +56,7 @@
 		EjectMost:   8 * time.Second,
 		MissMost:    4 * time.Second,
 		FailShare:   0.25,
+		AccusedFor:  4 * time.Second,
 		Floor:       0.5,
 		ReportFresh: time.Second,
 		MutedAfter:  1500 * time.Millisecond,
@@ -58,39 +65,6 @@
 	}
 }
 
-// Standing is what a Roster makes of a target.
-type Standing int
-
-// The standings, from the best to the worst.
-const (
-	// Good: nothing speaks against it.
-	Good Standing = iota
-	// Suspect: it, or a rank of its group, has lately failed.
-	Suspect
-	// Lapsed: its entry vanished while the store was in trouble; it may live.
-	Lapsed
-	// Unreachable: no connection to it could be made a moment ago.
-	Unreachable
-	// Unfit: its group does not step.
-	Unfit
-	// Leaving: it is leaving or gone, and gets nothing.
-	Leaving
-)
-
-// String gives the name of the standing.
-func (s Standing) String() string {
-	return [...]string{"good", "suspect", "lapsed", "unreachable", "unfit", "leaving"}[s]
-}
-
-// Usable tells whether a target of the standing may get new work.
-func (s Standing) Usable() bool { return s < Unreachable }
-
-// Ranked is a target with its standing.
-type Ranked struct {
-	Target   domain.Target
-	Standing Standing
-}
-
 // entry is what is known of the latest start under one listed id.
 type entry struct {
 	target   domain.Target
@@ -104,31 +78,6 @@
 	progress progress
 }
 
-// progress is how far a rank says that its group has stepped.
-type progress struct {
-	step    uint64
-	at      time.Time // since when it has stood at the step with work to do
-	movedAt time.Time // when it was last seen to step
-}
-
-// stalled tells that the group has not stepped for longer than a step takes.
-func (p progress) stalled(now time.Time, after time.Duration) bool {
-	return !p.at.IsZero() && now.Sub(p.at) > after
-}
-
-func (p *progress) take(now time.Time, step uint64, working bool) {
-	if step > p.step {
-		p.movedAt = now
-	}
-	switch {
-	case !working:
-		p.at = time.Time{}
-	case step != p.step || p.at.IsZero():
-		p.at = now
-	}
-	p.step = step
-}
-
 // Roster is the set of targets as one entry box sees it, each named by its
 // instance. It merges the platform's list, what other boxes say of the list, what
 // targets say of themselves, and how attempts end. News of a listed id is ordered by
@@ -143,16 +92,18 @@
 	entries   map[domain.ListedID]*entry
 	byService map[domain.ServiceName]*health
 	heardAt   time.Time // when any target spoke for itself last
+	let       *Complaints
 	storeBack time.Time // when the store last came back, or now while it is away
 }
 
 // SetPolicy changes the bounds from now on.
 func (r *Roster) SetPolicy(p RosterPolicy) { r.policy = p }
 
-// NewRoster returns an empty roster.
-func NewRoster(p RosterPolicy) *Roster {
+// NewRoster returns the empty roster of the box.
+func NewRoster(self domain.BoxID, p RosterPolicy) *Roster {
 	return &Roster{
 		policy:    p,
+		let:       NewComplaints(self),
 		entries:   map[domain.ListedID]*entry{},
 		byService: map[domain.ServiceName]*health{},
 	}
@@ -318,6 +269,7 @@
 	all.add(failed)
 	e.health.add(failed)
 	if !failed {
+		r.let.Served(id)
 		e.health.succeeded(now)
 		return
 	}
@@ -374,159 +326,6 @@
 	return list
 }
 
-// Ranked returns the targets of the service that are not leaving, the best standing
-// first, and within one in order of id.
-func (r *Roster) Ranked(now time.Time, svc domain.ServiceName) []Ranked {
-	var list []Ranked
-	for _, e := range r.entries {
-		if e.target.Service() != svc {
-			continue
-		}
-		if s := r.standing(now, e); s < Leaving {
-			list = append(list, Ranked{Target: e.target, Standing: s})
-		}
-	}
-	sort.Slice(list, func(i, j int) bool { return list[i].before(list[j]) })
-	r.restore(list)
-	groups, halls := r.groups(now, svc), r.halls(now)
-	for i := range list {
-		list[i].worsen(now, r.policy, groups, halls)
-	}
-	sort.SliceStable(list, func(i, j int) bool { return list[i].before(list[j]) })
-	return list
-}
-
-func (x Ranked) before(y Ranked) bool {
-	if x.Standing != y.Standing {
-		return x.Standing < y.Standing
-	}
-	return x.Target.ID() < y.Target.ID()
-}
-
-// worsen lets what is known of the target's group and data hall speak against it.
-func (x *Ranked) worsen(now time.Time, p RosterPolicy, groups map[domain.GroupName]*groupView, halls map[domain.HallName]*hallView) {
-	if g, ok := x.Target.Rank(); ok {
-		x.Standing = max(x.Standing, groups[g.Group].standing(now, p))
-	}
-	x.Standing = max(x.Standing, halls[x.Target.Hall()].standing())
-}
-
-// standing is that of the target by itself.
-func (r *Roster) standing(now time.Time, e *entry) Standing {
-	switch {
-	case e.replaced, e.target.State() != domain.TargetReady:
-		return Leaving
-	case !e.goneAt.IsZero():
-		if now.Before(e.grace) {
-			return Lapsed
-		}
-		return Leaving
-	case e.health.unreachable(now):
-		return Unreachable
-	case e.health.ejected(now), r.muted(now, e):
-		return Suspect
-	default:
-		return Good
-	}
-}
-
-// muted tells that the target used to speak for itself and does no more, as on a box
-// that stands still: requests to it would be accepted and not answered.
-func (r *Roster) muted(now time.Time, e *entry) bool {
-	return !e.ownAt.IsZero() && now.Sub(e.ownAt) > r.policy.MutedAfter && r.heardAt.Sub(e.ownAt) > r.policy.MutedAfter
-}
-
-// groupView is what the ranks of a group say of it together.
-type groupView struct {
-	broken    bool
-	stalled   bool      // a rank has stood at one step, or has not been heard, for long
-	epoch     uint64    // the latest of which a rank spoke
-	step      uint64    // the farthest in it
-	movedAt   time.Time // when a rank was first seen to have begun that step
-	missingAt time.Time // a rank was last found out of reach
-}
-
-// standing: a group of which a rank is out of reach may have lost that rank, until
-// it is seen to go on without a pause. Ranks step together, so a group of which any
-// rank was lately seen to step does not stand still, however old the word of another.
-func (g *groupView) standing(now time.Time, p RosterPolicy) Standing {
-	switch {
-	case g == nil:
-		return Good
-	case g.broken:
-		return Unfit
-	case g.stalled && now.Sub(g.movedAt) > p.StallAfter || g.missingAt.After(g.movedAt):
-		return Suspect
-	default:
-		return Good
-	}
-}
-
-// groups puts together what is known of the groups of the service.
-func (r *Roster) groups(now time.Time, svc domain.ServiceName) map[domain.GroupName]*groupView {
-	views := map[domain.GroupName]*groupView{}
-	for _, e := range r.entries {
-		g, ok := e.target.Rank()
-		if !ok || e.target.Service() != svc || !e.goneAt.IsZero() {
-			continue
-		}
-		v, ok := views[g.Group]
-		if !ok {
-			v = &groupView{}
-			views[g.Group] = v
-		}
-		v.broken = v.broken || !r.open(now, e, g)
-		v.stalled = v.stalled || e.progress.stalled(now, r.policy.StallAfter)
-		v.moved(e)
-		if at := e.health.missingAt(now); at.After(v.missingAt) {
-			v.missingAt = at
-		}
-	}
-	return views
-}
-
-// moved takes how far a rank says that the group is. What a rank said of an earlier
-// formation does not count.
-func (g *groupView) moved(e *entry) {
-	p := e.progress
-	switch {
-	case e.own.Epoch < g.epoch:
-	case e.own.Epoch > g.epoch || p.step > g.step:
-		g.epoch, g.step, g.movedAt = e.own.Epoch, p.step, p.movedAt
-	case p.step == g.step && p.movedAt.Before(g.movedAt):
-		g.movedAt = p.movedAt
-	}
-}
-
-func (r *Roster) open(now time.Time, e *entry, listed domain.Rank) bool {
-	if !e.ownAt.IsZero() && now.Sub(e.ownAt) < r.policy.ReportFresh {
-		return e.own.Open
-	}
-	return listed.Open
-}
-
-// restore lets enough targets that failed attempts count as good that ejections leave
-// a set share in use: many that fail at once are more likely one trouble on the way.
-func (r *Roster) restore(list []Ranked) {
-	good, known := 0, 0
-	for _, x := range list {
-		switch x.Standing {
-		case Good:
-			good++
-			known++
-		case Suspect:
-			known++
-		}
-	}
-	need := int(float64(known)*r.policy.Floor + 0.5)
-	for i := range list {
-		if good < need && list[i].Standing == Suspect {
-			list[i].Standing = Good
-			good++
-		}
-	}
-}
-
 // forget drops instances that have been gone for long.
 func (r *Roster) forget(now time.Time) {
 	for id, e := range r.entries {
--- a/mesh/messages.go
+++ b/mesh/messages.go
@@ -62,6 +62,17 @@
 	News bool `json:"news,omitempty"`
 	// Known are other boxes that it has heard of lately.
 	Known []Contact `json:"known,omitempty"`
+	// Complaints are those that count, of any box.
+	Complaints []Complaint `json:"complaints,omitempty"`
+}
+
+// Complaint is that a target let a box down so long before the message. There may be a
+// few dozen in an advert, so it is written without names of fields.
+type Complaint struct {
+	_      struct{} `cbor:",toarray"`
+	Target domain.InstanceID
+	By     domain.BoxID
+	Ago    time.Duration
 }
 
 // PullQuery tells what the asker has.
--- a/node/entry.go
+++ b/node/entry.go
@@ -48,7 +48,7 @@
 func NewEntry(c telemetry.Common, n process.Network, now func() process.EntrySettings) *Entry {
 	s := now()
 	e := &Entry{common: c, network: n, settings: now, budgets: newBudgets(s.Bounds), ready: &readiness{}}
-	e.fleet = newFleet(domain.HallName(s.Hall), membership.DefaultRosterPolicy(s.Bounds.Drain.Std()))
+	e.fleet = newFleet(domain.BoxID(s.Box), domain.HallName(s.Hall), rosterPolicy(s))
 	e.pool = transport.NewPool(n.Dial, transport.DefaultSettings())
 	e.mesh = mesh.NewClient(n.Dial)
 	e.engines = process.HTTPClient(n)
@@ -56,6 +56,7 @@
 		Common: c, Speech: platform.Speech{}, Fleet: e.fleet, Pool: e.pool, Purse: e.budgets.purse,
 	})
 	e.peering = newPeering(e)
+	e.fleet.letDown = e.peering.tell
 	e.surveying = newSurveying(e)
 	e.belief = &belief{common: c, fleet: e.fleet, adopt: e.adopt, moved: e.peering.tell}
 	return e
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -26,12 +26,14 @@
 	balancer *routing.Balancer
 	gate     *admission.Gate
 	askedAt  map[domain.ServiceName]time.Time // when a target of the service was last asked for
+	letDown  func()                           // called when a target let this box down, and others are to hear of it
 }
 
-func newFleet(hall domain.HallName, p membership.RosterPolicy) *fleet {
+func newFleet(self domain.BoxID, hall domain.HallName, p membership.RosterPolicy) *fleet {
 	return &fleet{
 		hall:     hall,
-		roster:   membership.NewRoster(p),
+		roster:   membership.NewRoster(self, p),
+		letDown:  func() {},
 		balancer: routing.NewBalancer(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		gate:     admission.NewGate(),
 		askedAt:  map[domain.ServiceName]time.Time{},
@@ -157,6 +159,16 @@
 	})
 }
 
+// Overdue implements gateway.Lease.
+func (p *place) Overdue() {
+	now := time.Now()
+	p.fleet.with(func(r *membership.Roster, _ *routing.Balancer) {
+		if r.LetDown(now, p.target.ID()) {
+			p.fleet.letDown()
+		}
+	})
+}
+
 // Began implements gateway.Lease.
 func (p *place) Began() {
 	p.fleet.with(func(_ *membership.Roster, b *routing.Balancer) { b.Began(time.Now(), p.ticket) })
@@ -184,6 +196,11 @@
 			r.Succeeded(now, p.target.ID())
 		case gateway.Bad:
 			r.Failed(now, p.target.ID())
+			if r.LetDown(now, p.target.ID()) {
+				p.fleet.letDown()
+			}
+		case gateway.Full:
+			r.Failed(now, p.target.ID())
 		case gateway.Unreachable:
 			r.Unreachable(now, p.target.ID())
 		case gateway.Replaced:
--- a/node/peering.go
+++ b/node/peering.go
@@ -208,11 +208,13 @@
 func (p *peering) advert(news bool) *mesh.Advert {
 	now := time.Now()
 	own := p.level()
+	complaints := p.complaints(now)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	a := &mesh.Advert{
 		Self: contactOf(p.self, 0), Hall: domain.HallName(p.entry.settings().Hall), Leaving: p.entry.gateway.Leaving(),
 		Config: own.Config, Targets: own.Targets, News: news,
+		Complaints: complaints,
 	}
 	if news {
 		return a
@@ -231,6 +233,29 @@
 	return membership.Contact{Box: c.Box, Address: c.Address, Incarnation: c.Incarnation, Hall: c.Hall}
 }
 
+// complaints are what boxes hold against targets, to be told to others.
+func (p *peering) complaints(now time.Time) []mesh.Complaint {
+	var list []mesh.Complaint
+	p.entry.fleet.with(func(r *membership.Roster, _ *routing.Balancer) {
+		for _, c := range r.Complaints(now) {
+			list = append(list, mesh.Complaint{Target: c.Target, By: c.By, Ago: now.Sub(c.At)})
+		}
+	})
+	return list
+}
+
+// complained takes what other boxes hold against targets.
+func (p *peering) complained(now time.Time, list []mesh.Complaint) {
+	if len(list) == 0 {
+		return
+	}
+	p.entry.fleet.with(func(r *membership.Roster, _ *routing.Balancer) {
+		for _, c := range list {
+			r.Complained(now, membership.Complaint{Target: c.Target, By: c.By, At: now.Add(-c.Ago)})
+		}
+	})
+}
+
 // level is how far this box knows what the store holds.
 func (p *peering) level() membership.Level {
 	_, config := p.entry.belief.document()
@@ -255,6 +280,7 @@
 func (p *peering) heard(a *mesh.Advert) {
 	now := time.Now()
 	own := p.level()
+	p.complained(now, a.Complaints)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.boxes.Heard(now, contactFrom(a.Self), a.Hall, membership.Level{Config: a.Config, Targets: a.Targets}, a.Leaving)
