A leaving box lets in only what fits into its time, and its log says when its own stop cut an answer

An answer that the stop cuts all the same has a line and a counter of its own.

Test: TestALeavingBoxLetsInWhatFits (answers 200 without the change).

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -9,6 +9,7 @@
 	"clovertrail.dev/catalog"
 	"clovertrail.dev/core/call"
 	"clovertrail.dev/core/domain"
+	"clovertrail.dev/core/fault"
 	"clovertrail.dev/retry"
 	"clovertrail.dev/telemetry"
 	"clovertrail.dev/transport"
@@ -103,12 +104,13 @@
 	parts    Parts
 	catalog  atomic.Pointer[catalog.Catalog]
 	inFlight atomic.Int64
-	leaving  atomic.Bool
+	leaving  atomic.Pointer[time.Time] // when this box ends at the latest; nil while it stays
+	stays    *stays
 	draw     func() float64
 }
 
 // New returns a gateway without a configuration.
-func New(p Parts) *Gateway { return &Gateway{parts: p, draw: rand.Float64} }
+func New(p Parts) *Gateway { return &Gateway{parts: p, draw: rand.Float64, stays: newStays()} }
 
 // Configure puts a catalog in force for requests that come from now on.
 func (g *Gateway) Configure(c *catalog.Catalog) { g.catalog.Store(c) }
@@ -119,21 +121,39 @@
 // InFlight is how many requests are being served.
 func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
 
-// Leave makes every further answer tell its caller that the connection ends.
-func (g *Gateway) Leave() { g.leaving.Store(true) }
+// Leave makes every further answer tell its caller that the connection ends. What most
+// likely does not fit into the time until the end is not let in any more.
+func (g *Gateway) Leave(end time.Time) { g.leaving.Store(&end) }
 
 // Leaving tells whether Leave was called.
-func (g *Gateway) Leaving() bool { return g.leaving.Load() }
+func (g *Gateway) Leaving() bool { return g.leaving.Load() != nil }
+
+// elsewhere is after how long a caller that was not let in comes back, to another box:
+// the time of a new connection.
+const elsewhere = 20 * time.Millisecond
+
+// fits refuses an order that this box would most likely have to cut off.
+func (g *Gateway) fits(now time.Time, o *order) error {
+	end := g.leaving.Load()
+	if end == nil || g.stays.fits(now, o.route.Name(), *end) {
+		return nil
+	}
+	return fault.New(fault.Stopping, "this box ends at %s, and answers of the route took longer lately", end.Format(time.TimeOnly)).
+		RetryAt(now.Add(elsewhere))
+}
 
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
-	if g.leaving.Load() {
+	if g.Leaving() {
 		w.Header().Set("Connection", "close")
 	}
 	now := time.Now()
 	c, err := g.intake(now, w, r)
+	if err == nil {
+		err = g.fits(now, c)
+	}
 	if err != nil {
 		g.refuse(w, c, err)
 		return
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -263,9 +263,32 @@
 
 func TestABoxThatLeavesSaysThatConnectionsEnd(t *testing.T) {
 	r := newRig(t, newTarget(t, "a", ok, ok))
-	r.g.Leave()
+	r.g.Leave(time.Now().Add(time.Hour))
 	got := r.ask("GET", "/once/", "")
 	if got.status != 200 || !got.closes {
 		t.Errorf("status %d, closes %v", got.status, got.closes)
 	}
 }
+
+// TestALeavingBoxLetsInWhatFits: a box that has an hour left for its stop serves on, and one
+// that has less than its answers lately took sends callers elsewhere at once. Nothing of
+// what it refuses has run.
+func TestALeavingBoxLetsInWhatFits(t *testing.T) {
+	a := newTarget(t, "a", ok, ok, ok)
+	r := newRig(t, a)
+	if got := r.ask("POST", "/once/", "body"); got.status != 200 {
+		t.Fatalf("answered %d", got.status)
+	}
+	r.g.Leave(time.Now().Add(time.Hour))
+	if got := r.ask("POST", "/once/", "body"); got.status != 200 {
+		t.Errorf("answered %d with an hour left", got.status)
+	}
+	r.g.Leave(time.Now())
+	got := r.ask("POST", "/once/", "body")
+	if got.status != 503 || got.header.Get("Retry-After") == "" || !got.closes {
+		t.Errorf("answered %d, %v, with no time left", got.status, got.header)
+	}
+	if n := len(a.requests()); n != 2 {
+		t.Errorf("%d requests reached the target", n)
+	}
+}
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -31,6 +31,7 @@
 
 // delivered tells of a request that was answered.
 func (g *Gateway) delivered(o *order, d *delivery) {
+	g.stays.ended(time.Now(), o.route.Name(), time.Since(o.arrived))
 	m, kind := g.parts.Common.Metrics, o.route.Kind()
 	m.Count(telemetry.Answers, "ok", 1)
 	m.Observe(telemetry.FirstByte, kind.String(), d.first.Sub(o.arrived))
@@ -50,8 +51,15 @@
 		"attempts", d.course.Attempts(), "events", d.events, "kind", err.Kind(), "err", err, "after", time.Since(o.arrived))
 }
 
-// left tells of a caller that did not wait.
+// left tells of a caller whose connection ended before its answer: it did not wait, or
+// the time that this box had for its stop was over.
 func (g *Gateway) left(o *order, d *delivery) {
+	if end := g.leaving.Load(); end != nil && !time.Now().Before(*end) {
+		g.parts.Common.Metrics.Count(telemetry.Answers, "cut by the stop", 1)
+		g.parts.Common.Log.Error("answer cut by the stop of this box", "request", o.ID(), "route", o.route.Name(),
+			"attempts", d.course.Attempts(), "events", d.events, "after", time.Since(o.arrived))
+		return
+	}
 	g.parts.Common.Metrics.Refused(fault.Cancelled)
 	g.parts.Common.Log.Info("caller left", "request", o.ID(), "route", o.route.Name(),
 		"attempts", d.course.Attempts(), "events", d.events, "after", time.Since(o.arrived))
--- a/node/leave.go
+++ b/node/leave.go
@@ -22,7 +22,7 @@
 	began := time.Now()
 	end := began.Add(e.settings().Bounds.Stop.Std() - process.StopMargin)
 	e.ready.leaving.Store(true)
-	e.gateway.Leave()
+	e.gateway.Leave(end)
 	e.common.Log.Info("leaving", "in_flight", e.gateway.InFlight(), "until", end)
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
