Complaints only of steady groups; ejections have a line and a counter

Cause: while a whole group is slow or stands still, each attempt there is overdue; a third of the targets must be complained of before that is seen as shared, and meanwhile adverts carry it. A complaint is now made only while the group steps as it should (0.8 of the longest pause in time, as the pauses of its streams show).

--- a/membership/accusing.go
+++ b/membership/accusing.go
@@ -8,25 +8,25 @@
 
 // LetDown takes that the target had a request of this box and did not answer it as it
 // should, in a way that is its own fault. It tells whether other boxes should hear of it
-// at once.
-func (r *Roster) LetDown(now time.Time, id domain.InstanceID) bool {
+// at once, and whether the target is ejected now.
+func (r *Roster) LetDown(now time.Time, id domain.InstanceID) (tell, ejected bool) {
 	e, ok := r.of(id)
 	if !ok {
-		return false
+		return false, false
 	}
 	first := r.let.Own(now, id)
-	r.judge(now, e)
-	return first && !r.sharedTrouble(now, e.target.Service())
+	ejected = r.judge(now, e)
+	return first && !r.sharedTrouble(now, e.target.Service()), ejected
 }
 
-// Complained takes another box's complaint.
-func (r *Roster) Complained(now time.Time, c Complaint) {
+// Complained takes another box's complaint, and tells whether its target is ejected now.
+func (r *Roster) Complained(now time.Time, c Complaint) bool {
 	e, ok := r.of(c.Target)
 	if !ok {
-		return
+		return false
 	}
 	r.let.Heard(c)
-	r.judge(now, e)
+	return r.judge(now, e)
 }
 
 // Complaints are those that this box knows of, for others. Of a service most of whose
@@ -51,15 +51,16 @@
 
 // judge ejects a target that enough boxes complain of. One that was ejected for that a
 // while ago is tried by the first box that takes it back: one complaint is enough then.
-func (r *Roster) judge(now time.Time, e *entry) {
+func (r *Roster) judge(now time.Time, e *entry) bool {
 	enough := accusers
 	if e.health.onProbation(now) {
 		enough = 1
 	}
 	if e.health.ejected(now) || r.let.Against(now, e.target.ID(), e.health.ejectedTo) < enough || r.sharedTrouble(now, e.target.Service()) {
-		return
+		return false
 	}
 	e.health.accuse(now, r.policy)
+	return true
 }
 
 // sharedTrouble tells that too many targets of the service are complained of, or out of
--- a/membership/complaints_test.go
+++ b/membership/complaints_test.go
@@ -32,7 +32,7 @@
 
 func TestATargetOfWhichSeveralBoxesComplainIsNotUsed(t *testing.T) {
 	const ranks = 9
-	at := func(d time.Duration) time.Time { return start.Add(d) }
+	at := start.Add
 	tests := []struct {
 		name     string
 		happens  func(r *membership.Roster)
@@ -170,7 +170,7 @@
 		}
 		for _, w := range waiting[now] {
 			rosters[w[0]].Failed(now, rankID(w[1]))
-			if rosters[w[0]].LetDown(now, rankID(w[1])) && f.tells {
+			if tell, _ := rosters[w[0]].LetDown(now, rankID(w[1])); tell && f.tells {
 				exchange(now, w[0])
 			}
 		}
--- a/membership/starts_test.go
+++ b/membership/starts_test.go
@@ -27,8 +27,9 @@
 	return membership.News{ID: id, Revision: rev, Target: target(string(id), state, nil)}
 }
 
-func unusable(rev store.Revision) membership.News {
-	return membership.News{ID: "a", Revision: rev, Unusable: true}
+// unusable is an entry of "a" that names no target, at revision 2.
+func unusable() membership.News {
+	return membership.News{ID: "a", Revision: 2, Unusable: true}
 }
 
 func TestNewsOfAnEarlierStartSaysNothingOfALaterOne(t *testing.T) {
@@ -48,8 +49,8 @@
 		{"its entry goes and comes", []membership.News{born(1, ready, 1), gone("a", 2), born(2, ready, 3)}, startOf(2)},
 		{"an entry without its birth is another writer's", []membership.News{born(1, ready, 1), born(0, ready, 2)}, ""},
 		{"and the next of its own holds", []membership.News{born(1, ready, 1), born(0, ready, 2), born(1, ready, 3)}, startOf(1)},
-		{"an entry that names no target", []membership.News{born(1, ready, 1), unusable(2)}, ""},
-		{"older than what is known", []membership.News{born(1, ready, 3), unusable(2)}, startOf(1)},
+		{"an entry that names no target", []membership.News{born(1, ready, 1), unusable()}, ""},
+		{"older than what is known", []membership.News{born(1, ready, 3), unusable()}, startOf(1)},
 	}
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
@@ -101,11 +102,11 @@
 	r := newRoster()
 	r.Changed(start, ready("a", 1))
 	r.StoreTroubled(start)
-	r.Changed(start, unusable(2))
+	r.Changed(start, unusable())
 	if mayBeUsed(r, start, "a") {
 		t.Error("used as if its entry had lapsed with the store")
 	}
-	fresh := r.Listed(start, 5, []membership.News{unusable(2), ready("b", 3)})
+	fresh := r.Listed(start, 5, []membership.News{unusable(), ready("b", 3)})
 	if len(fresh) != 1 || mayBeUsed(r, start, "a") || !mayBeUsed(r, start, "b") {
 		t.Errorf("a listing says otherwise than a change: %v", fresh)
 	}
--- a/node/entry.go
+++ b/node/entry.go
@@ -56,7 +56,7 @@
 		Common: c, Speech: platform.Speech{}, Fleet: e.fleet, Pool: e.pool, Purse: e.budgets.purse,
 	})
 	e.peering = newPeering(e)
-	e.fleet.letDown = e.peering.tell
+	e.fleet.letDown, e.fleet.ejected = e.peering.tell, e.noteEjected
 	e.surveying = newSurveying(e)
 	e.belief = &belief{common: c, fleet: e.fleet, adopt: e.adopt, moved: e.peering.tell}
 	return e
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -27,6 +27,7 @@
 	gate     *admission.Gate
 	askedAt  map[domain.ServiceName]time.Time // when a target of the service was last asked for
 	letDown  func()                           // called when a target let this box down, and others are to hear of it
+	ejected  func(domain.InstanceID)          // called when a target is ejected as several boxes complain of it
 }
 
 func newFleet(self domain.BoxID, hall domain.HallName, p membership.RosterPolicy) *fleet {
@@ -34,6 +35,7 @@
 		hall:     hall,
 		roster:   membership.NewRoster(self, p),
 		letDown:  func() {},
+		ejected:  func(domain.InstanceID) {},
 		balancer: routing.NewBalancer(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		gate:     admission.NewGate(),
 		askedAt:  map[domain.ServiceName]time.Time{},
@@ -161,12 +163,22 @@
 
 // Overdue implements gateway.Lease.
 func (p *place) Overdue() {
-	now := time.Now()
-	p.fleet.with(func(r *membership.Roster, _ *routing.Balancer) {
-		if r.LetDown(now, p.target.ID()) {
-			p.fleet.letDown()
-		}
-	})
+	p.fleet.with(func(r *membership.Roster, b *routing.Balancer) { p.complain(time.Now(), r, b) })
+}
+
+// complain holds against the target that it let this box down, unless its whole group is
+// slow or stands still, which is no fault of one rank. The fleet is locked.
+func (p *place) complain(now time.Time, r *membership.Roster, b *routing.Balancer) {
+	if !b.Steady(now, p.option) {
+		return
+	}
+	tell, ejected := r.LetDown(now, p.target.ID())
+	if tell {
+		p.fleet.letDown()
+	}
+	if ejected {
+		p.fleet.ejected(p.target.ID())
+	}
 }
 
 // Began implements gateway.Lease.
@@ -196,9 +208,7 @@
 			r.Succeeded(now, p.target.ID())
 		case gateway.Bad:
 			r.Failed(now, p.target.ID())
-			if r.LetDown(now, p.target.ID()) {
-				p.fleet.letDown()
-			}
+			p.complain(now, r, b)
 		case gateway.Full:
 			r.Failed(now, p.target.ID())
 		case gateway.Unreachable:
--- a/node/peering.go
+++ b/node/peering.go
@@ -251,7 +251,9 @@
 	}
 	p.entry.fleet.with(func(r *membership.Roster, _ *routing.Balancer) {
 		for _, c := range list {
-			r.Complained(now, membership.Complaint{Target: c.Target, By: c.By, At: now.Add(-c.Ago)})
+			if r.Complained(now, membership.Complaint{Target: c.Target, By: c.By, At: now.Add(-c.Ago)}) {
+				p.entry.fleet.ejected(c.Target)
+			}
 		}
 	})
 }
--- a/node/readiness.go
+++ b/node/readiness.go
@@ -6,7 +6,9 @@
 	"sync/atomic"
 	"time"
 
+	"clovertrail.dev/core/domain"
 	"clovertrail.dev/node/process"
+	"clovertrail.dev/telemetry"
 )
 
 // readiness answers the platform's question whether the box takes callers. It does
@@ -45,6 +47,12 @@
 	e.standings = standings
 }
 
+// noteEjected logs that a target is out of use as several boxes complain of it.
+func (e *Entry) noteEjected(id domain.InstanceID) {
+	e.common.Metrics.Count(telemetry.Ejections, "complaints", 1)
+	e.common.Log.Warn("target ejected on complaints", "target", id)
+}
+
 // judge keeps the readiness until ctx ends.
 func (e *Entry) judge(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/routing/steps.go
+++ b/routing/steps.go
@@ -101,6 +101,20 @@
 	return b.load(o.ID).pace > slowBy*fastest
 }
 
+// steadyStep is up to which share of the longest pause in time a group steps as it should.
+// Usual steps of loaded groups take a half to two thirds of it.
+const steadyStep = 0.8
+
+// Steady tells that the option's group steps as it should, or that it stands alone: what
+// goes wrong at one rank then is not the fault of all.
+func (b *Balancer) Steady(now time.Time, o Option) bool {
+	if o.Group == "" {
+		return true
+	}
+	s, ok := b.steps[o.Group]
+	return ok && s.fresh(now) && s.pauses <= steadyStep
+}
+
 // step is how long the group's steps are, as a share of the longest pause in time.
 // Where none were seen lately it is the usual one, longer by the pace of the slowest
 // rank.
--- a/routing/steps_test.go
+++ b/routing/steps_test.go
@@ -1,6 +1,7 @@
 package routing_test
 
 import (
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -166,3 +167,31 @@
 		})
 	}
 }
+
+func TestAGroupIsSteadyWhileItsStepsAreShort(t *testing.T) {
+	const aim = 100 * time.Millisecond
+	now := time.Unix(0, 0)
+	b := routing.NewBalancer(rand.New(rand.NewPCG(1, 1)))
+	rank := routing.Option{ID: "a", Group: "g", Slots: 4}
+	if b.Steady(now, rank) {
+		t.Error("a group of which nothing was seen is steady")
+	}
+	for _, tc := range []struct {
+		pause time.Duration
+		want  bool
+	}{{60 * time.Millisecond, true}, {150 * time.Millisecond, false}, {50 * time.Millisecond, true}} {
+		for range 20 {
+			now = now.Add(tc.pause)
+			b.Paused(now, rank, tc.pause, aim)
+		}
+		if got := b.Steady(now, rank); got != tc.want {
+			t.Errorf("steps of %v: steady %v", tc.pause, got)
+		}
+	}
+	if b.Steady(now.Add(2*time.Second), rank) {
+		t.Error("a group that stands still is steady")
+	}
+	if !b.Steady(now, routing.Option{ID: "b", Slots: 4}) {
+		t.Error("a target that stands alone is not")
+	}
+}
