--- a/membership/accusing.go
+++ b/membership/accusing.go
@@ -29,25 +29,8 @@
 	return r.judge(now, e)
 }
 
-// Complaints are those that this box knows of, for others. Of a service most of whose
-// targets are complained of there is nothing to tell: while a group of ranks is down, its
-// complaints were a third of the bytes between halls.
-func (r *Roster) Complaints(now time.Time) []Complaint {
-	shared := map[domain.ServiceName]bool{}
-	return r.let.Tell(now, func(id domain.InstanceID) bool {
-		e, ok := r.of(id)
-		if !ok {
-			return false
-		}
-		svc := e.target.Service()
-		trouble, known := shared[svc]
-		if !known {
-			trouble = r.sharedTrouble(now, svc)
-			shared[svc] = trouble
-		}
-		return !trouble
-	})
-}
+// Complaints are those that this box knows of, for others.
+func (r *Roster) Complaints(now time.Time) []Complaint { return r.let.Tell(now) }
 
 // judge ejects a target that enough boxes complain of. One that was ejected for that a
 // while ago is tried by the first box that takes it back: one complaint is enough then.
@@ -63,18 +46,21 @@
 	return true
 }
 
-// sharedTrouble tells that too many targets of the service are complained of, or out of
-// use for that, at once.
+// sharedTrouble tells that too many targets of the service are complained of at once, or
+// out of use already, for one more to be ejected.
 func (r *Roster) sharedTrouble(now time.Time, svc domain.ServiceName) bool {
-	blamed, all := 0, 0
+	blamed, ejected, all := 0, 0, 0
 	for _, e := range r.entries {
 		if e.target.Service() != svc || !e.goneAt.IsZero() {
 			continue
 		}
 		all++
-		if e.health.ejected(now) || r.let.Against(now, e.target.ID(), time.Time{}) > 0 {
+		if r.let.Against(now, e.target.ID(), time.Time{}) > 0 {
 			blamed++
 		}
+		if e.health.ejected(now) {
+			ejected++
+		}
 	}
-	return float64(blamed) > blamedMost*float64(all)
+	return float64(max(blamed, ejected)) > blamedMost*float64(all)
 }
--- a/membership/complaints.go
+++ b/membership/complaints.go
@@ -94,9 +94,8 @@
 	return n
 }
 
-// Tell are the complaints that count of targets that others should hear of: the latest of
-// each.
-func (c *Complaints) Tell(now time.Time, worth func(domain.InstanceID) bool) []Complaint {
+// Tell are the complaints that count, for other boxes: the latest of each target.
+func (c *Complaints) Tell(now time.Time) []Complaint {
 	var list []Complaint
 	for id, by := range c.against {
 		var of []Complaint
@@ -109,10 +108,6 @@
 		}
 		if len(by) == 0 {
 			delete(c.against, id)
-			continue
-		}
-		if !worth(id) {
-			continue
 		}
 		slices.SortFunc(of, func(x, y Complaint) int {
 			return cmp.Or(y.At.Compare(x.At), cmp.Compare(x.By, y.By))
