Sight: lines of a request carry a digest of its work

Lines named a request by the id of one try only, so that tries of the same work at other boxes could not be linked.

--- a/gateway/intake.go
+++ b/gateway/intake.go
@@ -24,6 +24,7 @@
 	service  domain.ServiceName
 	org      catalog.Organisation
 	body     []byte
+	digest   call.Digest // empty until the body was read
 }
 
 // intake finds out what the request is and whether it may be served. The order is
@@ -42,8 +43,11 @@
 	if err := g.admit(o, c); err != nil {
 		return o, err
 	}
-	o.body, err = readBody(w, r, c.Limits().BodyBytes)
-	return o, err
+	if o.body, err = readBody(w, r, c.Limits().BodyBytes); err != nil {
+		return o, err
+	}
+	o.digest = call.DigestOf(o.org.Name, r.Method, r.URL.RequestURI(), o.body)
+	return o, nil
 }
 
 // admit finds the route and checks the key.
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -12,7 +12,7 @@
 // refused tells of a request that was refused.
 func (g *Gateway) refused(o *order, err error) {
 	g.parts.Common.Metrics.Refused(fault.KindOf(err))
-	g.parts.Common.Log.Warn("request refused", "request", o.ID(), "route", o.route.Name(), "service", o.service,
+	g.parts.Common.Log.Warn("request refused", "request", o.ID(), "digest", o.digest, "route", o.route.Name(), "service", o.service,
 		"organisation", o.org.Name, "config", o.version, "kind", fault.KindOf(err), "err", err, "after", time.Since(o.arrived))
 }
 
@@ -25,7 +25,7 @@
 		reasons := a.d.course.Reasons()
 		g.parts.Common.Metrics.Retried(reasons[len(reasons)-1])
 	}
-	g.parts.Common.Log.Warn("attempt failed", "request", o.ID(), "target", a.lease.Target().ID(), "attempt", a.try.Attempt,
+	g.parts.Common.Log.Warn("attempt failed", "request", o.ID(), "digest", o.digest, "target", a.lease.Target().ID(), "attempt", a.try.Attempt,
 		"resume", a.try.Resume, "end", describe(end), "next", describe(cmd), "after", time.Since(o.arrived))
 }
 
@@ -39,7 +39,7 @@
 	if kind == catalog.Stream {
 		m.Observe(telemetry.Pause, "", d.pause)
 	}
-	g.parts.Common.Log.Info("request answered", "request", o.ID(), "route", o.route.Name(), "organisation", o.org.Name,
+	g.parts.Common.Log.Info("request answered", "request", o.ID(), "digest", o.digest, "route", o.route.Name(), "organisation", o.org.Name,
 		"target", d.tried[len(d.tried)-1], "status", d.status, "attempts", d.course.Attempts(), "events", d.events, "pause", d.pause,
 		"first", d.first.Sub(o.arrived), "after", time.Since(o.arrived))
 }
@@ -47,7 +47,7 @@
 // aborted tells of an answer that was broken off.
 func (g *Gateway) aborted(o *order, d *delivery, err *fault.Error) {
 	g.parts.Common.Metrics.Count(telemetry.Answers, "broken", 1)
-	g.parts.Common.Log.Warn("answer broken off", "request", o.ID(), "route", o.route.Name(), "service", o.service,
+	g.parts.Common.Log.Warn("answer broken off", "request", o.ID(), "digest", o.digest, "route", o.route.Name(), "service", o.service,
 		"attempts", d.course.Attempts(), "events", d.events, "kind", err.Kind(), "err", err, "after", time.Since(o.arrived))
 }
 
@@ -56,11 +56,11 @@
 func (g *Gateway) left(o *order, d *delivery) {
 	if end := g.leaving.Load(); end != nil && !time.Now().Before(*end) {
 		g.parts.Common.Metrics.Count(telemetry.Answers, "cut by the stop", 1)
-		g.parts.Common.Log.Error("answer cut by the stop of this box", "request", o.ID(), "route", o.route.Name(),
+		g.parts.Common.Log.Error("answer cut by the stop of this box", "request", o.ID(), "digest", o.digest, "route", o.route.Name(),
 			"attempts", d.course.Attempts(), "events", d.events, "after", time.Since(o.arrived))
 		return
 	}
 	g.parts.Common.Metrics.Refused(fault.Cancelled)
-	g.parts.Common.Log.Info("caller left", "request", o.ID(), "route", o.route.Name(),
+	g.parts.Common.Log.Info("caller left", "request", o.ID(), "digest", o.digest, "route", o.route.Name(),
 		"attempts", d.course.Attempts(), "events", d.events, "after", time.Since(o.arrived))
 }
