--- a/local/boxes.go
+++ b/local/boxes.go
@@ -172,6 +172,7 @@
 	t.address = fmt.Sprintf("%s:%d", t.system.Network.ip(), enginePort)
 	t.target = standin.NewTarget(t.id, PlainService, t.system.ran)
 	t.target.Bear(time.Now())
+	t.target.OnCrash(t.crash)
 	if err := t.system.serve(t.host, t.address, t.target); err != nil {
 		return err
 	}
@@ -205,6 +206,25 @@
 	return nil
 }
 
+// backAfter is how long a target that crashed is away.
+const backAfter = 3 * time.Second
+
+// crash ends the target's process as a request may, and starts it again later.
+func (t *TargetBox) crash() {
+	t.Kill()
+	t.system.processes.Go(func() {
+		back := time.NewTimer(backAfter)
+		defer back.Stop()
+		select {
+		case <-t.system.closing:
+		case <-back.C:
+			if err := t.StartAgain(); err != nil {
+				t.system.ended(err)
+			}
+		}
+	})
+}
+
 func (s *System) dialCallers(ctx context.Context, _, address string) (net.Conn, error) {
 	return s.callers.Dial(ctx, address)
 }
--- /dev/null
+++ b/local/fatal_test.go
@@ -0,0 +1,131 @@
+package local_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"clovertrail.dev/local"
+	"clovertrail.dev/platform/standin"
+)
+
+// Targets of a fleet ended in pairs, a quarter of a second apart and in different groups, over
+// and over for a quarter of a minute, as soon as they were back. One request, which a caller
+// made again at other boxes, crashed each target that began to run it. A box sent it to a
+// second target because it may be repeated, and no box knew what others, or itself a moment
+// ago, had lost targets to: what is remembered of a request ended with each try of it. The
+// digest of the work in the lines of the boxes proved it: all pairs had the same.
+
+// fatal is the body of a request that crashes whatever runs it.
+const fatal = "fatal"
+
+// graceAfterCrashes is how long boxes have to tell each other of a request under which
+// enough targets have ended.
+const graceAfterCrashes = 3 * time.Second
+
+// mostAfterCrashes is how many times such a request may reach targets after that.
+const mostAfterCrashes = 3
+
+// callAgain has a caller who asks for the same over and over, at one box after another.
+func callAgain(path string, tries int, between func(s *local.System, try int)) func(*local.System, *history) {
+	return func(s *local.System, h *history) {
+		time.Sleep(time.Second)
+		for try := range tries {
+			e := entry(s, try)
+			if e.Running() {
+				q := standin.Request{ID: h.id(), Path: path, Key: key, Body: fatal, Within: 2 * time.Second}
+				h.add(asked{request: q, box: e.Name(), at: time.Now(), reply: s.Ask(context.Background(), e, q)})
+			}
+			time.Sleep(300 * time.Millisecond)
+			between(s, try)
+		}
+	}
+}
+
+// killAll ends all entry boxes at once, and starts them again.
+func killAll(s *local.System) {
+	for _, e := range s.Entries() {
+		e.Kill()
+	}
+	time.Sleep(500 * time.Millisecond)
+	for _, e := range s.Entries() {
+		_ = e.Start() // in memory nothing can fail to
+	}
+}
+
+// TestARequestThatCrashesTargetsIsNotSentOnForever: once three targets have ended under it
+// and boxes have had time to tell each other, it reaches targets three more times at the most.
+func TestARequestThatCrashesTargetsIsNotSentOnForever(t *testing.T) {
+	nothing := func(*local.System, int) {}
+	for _, tc := range []struct {
+		name    string
+		path    string
+		between func(*local.System, int)
+	}{
+		{"repeatable", "/again/x", nothing},
+		{"once only", "/once/x", nothing},
+		{"stream", "/stream/x", nothing},
+		{"all boxes die", "/again/x", func(s *local.System, try int) {
+			if try%15 == 14 {
+				killAll(s)
+			}
+		}},
+		{"boxes die in turn", "/again/x", func(s *local.System, try int) {
+			if try%4 == 3 {
+				entry(s, try/4).Kill()
+				_ = entry(s, try/4).Start()
+			}
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			sc := busy()
+			sc.seed, sc.length, sc.paths = 1, 24*time.Second, []string{"/again/y"}
+			sc.operate = callAgain(tc.path, 60, tc.between)
+			sc.fatal = fatal
+			sc.run(t, func(s *local.System, h *history) {
+				var at []time.Time
+				for _, r := range s.Runs() {
+					if r.Body == fatal {
+						at = append(at, r.At)
+					}
+				}
+				late := 0
+				for i, x := range at {
+					if i >= 3 && x.Sub(at[2]) > graceAfterCrashes {
+						late++
+					}
+				}
+				if late > mostAfterCrashes {
+					t.Errorf("targets ran it %d times, %d of them too late", len(at), late)
+				}
+				if len(at) == 0 || h.right() == 0 {
+					t.Errorf("ran %d times, %d others were served: the run shows nothing", len(at), h.right())
+				}
+			})
+		})
+	}
+}
+
+// TestWhoCrashesNothingIsServed: requests that ran beside one that crashes targets are not
+// taken for it: their callers are served as soon as there are targets again.
+func TestWhoCrashesNothingIsServed(t *testing.T) {
+	sc := busy()
+	sc.seed, sc.length, sc.paths = 1, 24*time.Second, []string{"/again/y", "/stream/y"}
+	sc.operate = callAgain("/again/x", 60, func(*local.System, int) {})
+	sc.fatal = fatal
+	sc.run(t, func(_ *local.System, h *history) {
+		served, failed := 0, 0
+		for _, a := range h.asked {
+			switch {
+			case a.request.Body == fatal:
+			case a.reply.Right:
+				served++
+			default:
+				failed++
+			}
+		}
+		if served < 100*failed {
+			t.Errorf("%d were served, %d were not", served, failed)
+		}
+	})
+}
--- a/local/scenario_test.go
+++ b/local/scenario_test.go
@@ -58,6 +58,7 @@
 	ranks    int                           // of the group; 0 for the usual few
 	link     float64                       // of their boxes, in Mbit/s; 0 for plenty
 	log      io.Writer                     // takes the lines of all processes
+	fatal    string                        // the body of requests that crash targets; empty for none
 }
 
 // asked is one request and its reply.
@@ -255,6 +256,7 @@
 		if sc.gap > 0 {
 			h.Gap = sc.gap
 		}
+		h.Fatal = sc.fatal
 	})
 }
 
--- a/local/system.go
+++ b/local/system.go
@@ -68,6 +68,7 @@
 	agents    []*AgentBox
 	group     *standin.Group
 	cancel    context.CancelFunc
+	closing   <-chan struct{} // closed as the system ends
 	processes sync.WaitGroup
 
 	mu      sync.Mutex
@@ -80,7 +81,8 @@
 func Start(l Layout) (*System, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &System{
-		Network: NewNetwork(l.Memory), Store: standin.NewStore(), layout: l, metrics: telemetry.NewMetrics(), cancel: cancel,
+		Network: NewNetwork(l.Memory), Store: standin.NewStore(), layout: l, metrics: telemetry.NewMetrics(),
+		cancel: cancel, closing: ctx.Done(),
 	}
 	s.callers = s.Network.Host("callers")
 	s.client = &http.Client{Transport: &http.Transport{
