--- a/core/fault/kind.go
+++ b/core/fault/kind.go
@@ -31,6 +31,7 @@
 	NoTarget           Kind = "no_target"
 	NotSent            Kind = "not_sent"
 	NotInForce         Kind = "not_in_force"
+	Quarantined        Kind = "quarantined"
 	Stopping           Kind = "stopping"
 	FateUnknown        Kind = "fate_unknown"
 	Interrupted        Kind = "interrupted"
--- a/core/fault/table.go
+++ b/core/fault/table.go
@@ -43,6 +43,7 @@
 	NoTarget:           {http.StatusServiceUnavailable, RanNo, "No target can take the request now."},
 	NotSent:            {http.StatusServiceUnavailable, RanNo, "The request could not be sent."},
 	NotInForce:         {http.StatusServiceUnavailable, RanNo, "This box has no configuration yet."},
+	Quarantined:        {http.StatusServiceUnavailable, RanNo, "Targets ended under this request; it is not sent to more for now."},
 	Stopping:           {http.StatusServiceUnavailable, RanNo, "This box is about to stop. Ask again at once."},
 	FateUnknown:        {http.StatusBadGateway, RanUnknown, "The target was lost; the request may have run."},
 	Interrupted:        {http.StatusBadGateway, RanYes, "The answer broke off."},
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -26,6 +26,7 @@
 	overdue    *time.Timer
 	last       time.Time     // when the last events came
 	pause      time.Duration // before them
+	gone       bool          // the target's process ended during the attempt
 }
 
 var errImpatient = errors.New("the answer did not begin in time")
@@ -49,10 +50,26 @@
 	if callerGone(caller) && verdict != Good {
 		verdict = Neutral
 	}
+	if a.gone = a.ended(ctx, end); a.gone {
+		verdict = Gone
+		a.d.g.parts.Quarantine.Ended(time.Now(), a.d.o.digest, a.lease.Target().ID())
+	}
 	a.lease.End(verdict)
 	return end
 }
 
+// ended tells whether the target's process ended during the attempt, and not only the
+// attempt's connection. Where a group loses a rank the others cut what they had, and live:
+// what they had is not to be blamed for it.
+func (a *attempt) ended(ctx context.Context, end retry.End) bool {
+	switch end.(type) {
+	case retry.Lost, retry.Broken:
+		return ctx.Err() == nil && a.d.g.parts.Pool.Ended(ctx, a.lease.Target().Address())
+	default:
+		return false
+	}
+}
+
 // impatient gives the end of an attempt that was cut off for its silence.
 func impatient(end retry.End, v Verdict) (retry.End, Verdict) {
 	if _, never := end.(retry.Unreached); never {
--- a/gateway/delivery.go
+++ b/gateway/delivery.go
@@ -76,6 +76,10 @@
 // try makes one attempt and returns what to do after it.
 func (d *delivery) try(ctx context.Context, t retry.Try) retry.Command {
 	now := time.Now()
+	// Asked before each attempt: what one attempt ended under, the next must not meet.
+	if until, barred := d.g.parts.Quarantine.Barred(now, d.o.digest); barred {
+		return d.course.Barred(now, fault.New(fault.Quarantined, "targets ended under this work").RetryAt(until))
+	}
 	lease, err := d.g.parts.Fleet.Acquire(now, Query{
 		Service: d.o.service, Tried: d.tried, First: len(d.tried) == 0,
 		Route: d.o.route.Name(), Aim: d.o.route.Aim(), Deadline: d.o.deadline,
@@ -90,6 +94,9 @@
 	d.tried = append(d.tried, lease.Target().ID())
 	a := &attempt{d: d, lease: lease, try: t}
 	end := a.run(ctx)
+	if _, served := end.(retry.Answering); served {
+		d.g.parts.Quarantine.Served(time.Now(), d.o.digest)
+	}
 	cmd := d.course.Ended(time.Now(), end)
 	d.g.attempted(d.o, a, end, cmd)
 	return cmd
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -78,6 +78,8 @@
 	Unreachable
 	// Replaced: another instance stands at the address.
 	Replaced
+	// Gone: its process ended during the attempt.
+	Gone
 )
 
 // Fleet chooses targets.
@@ -89,12 +91,23 @@
 	Blame(id domain.ListedID)
 }
 
+// Quarantine knows which work is not to be sent to targets, as targets ended under it.
+type Quarantine interface {
+	// Barred tells until when the work is not to be sent, if it is not.
+	Barred(now time.Time, work call.Digest) (until time.Time, barred bool)
+	// Ended takes that the target ended while it had the work.
+	Ended(now time.Time, work call.Digest, id domain.InstanceID)
+	// Served takes that the work was served.
+	Served(now time.Time, work call.Digest)
+}
+
 // Parts is what a Gateway is made of.
 type Parts struct {
-	Common telemetry.Common
-	Speech Speech
-	Fleet  Fleet
-	Pool   *transport.Pool
+	Common     telemetry.Common
+	Speech     Speech
+	Fleet      Fleet
+	Pool       *transport.Pool
+	Quarantine Quarantine
 	// Purse pays for further attempts of requests to a service.
 	Purse func(domain.ServiceName) retry.Purse
 }
--- a/mesh/messages.go
+++ b/mesh/messages.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"clovertrail.dev/core/call"
 	"clovertrail.dev/core/domain"
 	"clovertrail.dev/experts/rebalance"
 	"clovertrail.dev/mapswitch/orders"
@@ -64,6 +65,17 @@
 	Known []Contact `json:"known,omitempty"`
 	// Complaints are those that count, of any box.
 	Complaints []Complaint `json:"complaints,omitempty"`
+	// Works are what is known of works under which targets ended.
+	Works []WorkWord `json:"works,omitempty"`
+}
+
+// WorkWord is that a target ended under a work, or that the work was served, so long before
+// the message. There may be a few dozen in an advert, so it is written without names of fields.
+type WorkWord struct {
+	_      struct{} `cbor:",toarray"`
+	Digest call.Digest
+	Target domain.InstanceID // empty where the work was served
+	Ago    time.Duration
 }
 
 // Complaint is that a target let a box down so long before the message. There may be a
--- a/node/entry.go
+++ b/node/entry.go
@@ -40,6 +40,8 @@
 	peering   *peering
 	surveying *surveying
 
+	quarantine *quarantining
+
 	standings map[domain.InstanceID]membership.Standing // as they were last logged; judge's own
 }
 
@@ -52,10 +54,13 @@
 	e.pool = transport.NewPool(n.Dial, transport.DefaultSettings())
 	e.mesh = mesh.NewClient(n.Dial)
 	e.engines = process.HTTPClient(n)
+	e.quarantine = newQuarantining(c)
 	e.gateway = gateway.New(gateway.Parts{
 		Common: c, Speech: platform.Speech{}, Fleet: e.fleet, Pool: e.pool, Purse: e.budgets.purse,
+		Quarantine: e.quarantine,
 	})
 	e.peering = newPeering(e)
+	e.quarantine.news = e.peering.tell
 	e.fleet.letDown, e.fleet.ejected = e.peering.tell, e.noteEjected
 	e.surveying = newSurveying(e)
 	e.belief = &belief{common: c, fleet: e.fleet, adopt: e.adopt, moved: e.peering.tell}
@@ -92,7 +97,9 @@
 	}
 	go e.peering.run(ctx)
 	e.common.Log.Info("started", "hall", e.settings().Hall, "callers", e.settings().Callers, "peers", e.settings().Peers, "store", e.settings().Store)
-	e.follow(ctx, platform.NewStore(e.settings().Store, process.HTTPClient(e.network)))
+	kept := platform.NewStore(e.settings().Store, process.HTTPClient(e.network))
+	e.follow(ctx, kept)
+	go e.quarantine.run(ctx, kept, e.settings().FirstStart)
 	go e.sweep(ctx)
 	go e.judge(ctx)
 	if e.settings().AgentPort > 0 {
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -211,7 +211,7 @@
 			p.complain(now, r, b)
 		case gateway.Full:
 			r.Failed(now, p.target.ID())
-		case gateway.Unreachable:
+		case gateway.Unreachable, gateway.Gone:
 			r.Unreachable(now, p.target.ID())
 		case gateway.Replaced:
 			r.Replaced(p.target.ID())
--- a/node/peering.go
+++ b/node/peering.go
@@ -208,13 +208,13 @@
 func (p *peering) advert(news bool) *mesh.Advert {
 	now := time.Now()
 	own := p.level()
-	complaints := p.complaints(now)
+	complaints, works := p.complaints(now), p.entry.quarantine.tell(now)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	a := &mesh.Advert{
 		Self: contactOf(p.self, 0), Hall: domain.HallName(p.entry.settings().Hall), Leaving: p.entry.gateway.Leaving(),
 		Config: own.Config, Targets: own.Targets, News: news,
-		Complaints: complaints,
+		Complaints: complaints, Works: works,
 	}
 	if news {
 		return a
@@ -283,6 +283,7 @@
 	now := time.Now()
 	own := p.level()
 	p.complained(now, a.Complaints)
+	p.entry.quarantine.heard(now, a.Works, "peer "+string(a.Self.Box))
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.boxes.Heard(now, contactFrom(a.Self), a.Hall, membership.Level{Config: a.Config, Targets: a.Targets}, a.Leaving)
--- /dev/null
+++ b/quarantine/register.go
@@ -0,0 +1,237 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"clovertrail.dev/core/call"
+	"clovertrail.dev/core/domain"
+)
+
+const (
+	// enough is under how many ended targets work is barred. A target ends by itself about
+	// once a day, so that two under one work by chance are one in some ten thousand of the
+	// works that meet one; a third would cost another target or group, of which a small
+	// deployment has two, for some eight seconds. With two a caller who asks on and on ends
+	// two targets, before he ended one each two seconds (worked out, and counted in the tests
+	// of the whole system: two runs of 24).
+	enough = 2
+	// enoughServed is the same for work that was served within servedFor before: many requests
+	// may ask for the same, some of which then run beside one that crashes targets, again and
+	// again. It must not be out of all bounds, since a new program may fail on old work.
+	enoughServed = 4
+	servedFor    = time.Minute
+	// firstTerm is the first quarantine. The target that a try after it may cost is away for
+	// five to eight seconds, which is one in twenty of it.
+	firstTerm = 2 * time.Minute
+	// longer is how many times longer each further one is: a day of tries after quarantines
+	// then ends three targets more.
+	longer = 10
+	// mostTerm bounds a quarantine.
+	mostTerm = 48 * time.Hour
+	// rememberFor is how long a work is remembered after the last that was learnt of it, or
+	// after its quarantine: a caller who asks each few minutes is still found out.
+	rememberFor = time.Hour
+	// worksMost bounds how many works are remembered, at some 300 bytes each. One ended target
+	// leaves as many as it had slots and places to wait.
+	worksMost = 1024
+	// tellFor is how long what is new of a work is told on: five rounds of adverts, in which
+	// each box tells eight others.
+	tellFor = 3 * time.Second
+	// tellMost is how many words one message has, the latest: three kilobytes.
+	tellMost = 40
+)
+
+// Word is one thing that is known of a work.
+type Word struct {
+	Digest call.Digest
+	// Target is the start of a target that ended while it ran the work; empty where the
+	// work was served.
+	Target domain.InstanceID
+	At     time.Time
+}
+
+// Change is what a word changed.
+type Change int
+
+// The changes.
+const (
+	// Nothing: it was known, or does not matter any more.
+	Nothing Change = iota
+	// News: other boxes are to hear of it.
+	News
+	// Barred: the work is in quarantine now, or for longer.
+	Barred
+	// Released: the work was served, and is not in quarantine any more.
+	Released
+)
+
+// work is what is known of one digest.
+type work struct {
+	ended  map[domain.InstanceID]time.Time
+	served time.Time // zero for never; what was before does not count
+	learnt time.Time // when something new was learnt
+}
+
+// Register is what a box knows of works under which targets ended. It is not safe for
+// concurrent use.
+type Register struct {
+	works  map[call.Digest]*work
+	served recent
+}
+
+// NewRegister returns an empty register.
+func NewRegister() *Register {
+	return &Register{works: map[call.Digest]*work{}, served: recent{at: map[call.Digest]time.Time{}}}
+}
+
+// Take takes a word of this box, of another or of the store.
+func (r *Register) Take(now time.Time, w Word) Change {
+	if w.Target == "" {
+		return r.cleared(now, w)
+	}
+	x, known := r.works[w.Digest]
+	if !known {
+		x = &work{ended: map[domain.InstanceID]time.Time{}, served: r.served.at[w.Digest], learnt: now}
+		r.works[w.Digest] = x
+		r.forget(now)
+	}
+	if _, counted := x.ended[w.Target]; counted || !w.At.After(x.served) {
+		return Nothing
+	}
+	x.ended[w.Target], x.learnt = w.At, now
+	if now.Before(x.until()) {
+		return Barred
+	}
+	return News
+}
+
+// cleared takes that the work was served: it does not crash its targets.
+func (r *Register) cleared(now time.Time, w Word) Change {
+	x, known := r.works[w.Digest]
+	switch {
+	case !known:
+		r.served.add(w.Digest, w.At)
+		return Nothing
+	case !w.At.After(x.served):
+		return Nothing
+	}
+	barred := now.Before(x.until())
+	x.served, x.learnt = w.At, now
+	for id, at := range x.ended {
+		if !at.After(w.At) {
+			delete(x.ended, id)
+		}
+	}
+	if barred && !now.Before(x.until()) {
+		return Released
+	}
+	return News
+}
+
+// Ended is how many targets are known to have ended under the work.
+func (r *Register) Ended(d call.Digest) int {
+	if x, known := r.works[d]; known {
+		return len(x.ended)
+	}
+	return 0
+}
+
+// Barred tells whether the work is in quarantine, and until when.
+func (r *Register) Barred(now time.Time, d call.Digest) (until time.Time, barred bool) {
+	x, known := r.works[d]
+	if !known {
+		return time.Time{}, false
+	}
+	until = x.until()
+	return until, now.Before(until)
+}
+
+// Of is all that is known of targets that ended under the work, oldest first.
+func (r *Register) Of(d call.Digest) []Word {
+	x, known := r.works[d]
+	if !known {
+		return nil
+	}
+	var list []Word
+	for id, at := range x.ended {
+		list = append(list, Word{Digest: d, Target: id, At: at})
+	}
+	slices.SortFunc(list, func(x, y Word) int { return cmp.Or(x.At.Compare(y.At), cmp.Compare(x.Target, y.Target)) })
+	return list
+}
+
+// Tell is what other boxes are to hear: what was learnt lately, and, for boxes that started
+// or were cut off meanwhile, all of works in quarantine.
+func (r *Register) Tell(now time.Time) []Word {
+	var list []Word
+	for d, x := range r.works {
+		fresh := now.Sub(x.learnt) < tellFor
+		if !fresh && !now.Before(x.until()) {
+			continue
+		}
+		list = append(list, r.Of(d)...)
+		if fresh && !x.served.IsZero() {
+			list = append(list, Word{Digest: d, At: x.served})
+		}
+	}
+	slices.SortFunc(list, func(x, y Word) int {
+		return cmp.Or(y.At.Compare(x.At), cmp.Compare(x.Digest, y.Digest), cmp.Compare(x.Target, y.Target))
+	})
+	return list[:min(tellMost, len(list))]
+}
+
+// until is the end of the work's quarantine; zero for none.
+func (x *work) until() time.Time {
+	var last time.Time
+	for _, at := range x.ended {
+		if at.After(last) {
+			last = at
+		}
+	}
+	need := enough
+	if !x.served.IsZero() && last.Sub(x.served) < servedFor {
+		need = enoughServed
+	}
+	if len(x.ended) < need {
+		return time.Time{}
+	}
+	return last.Add(term(len(x.ended) - need))
+}
+
+// term is how long a quarantine is after so many targets more than it takes.
+func term(more int) time.Duration {
+	t := firstTerm
+	for range more {
+		if t = min(t*longer, mostTerm); t == mostTerm {
+			break
+		}
+	}
+	return t
+}
+
+// forget drops works of which nothing was learnt for long, and those learnt of longest ago
+// where there are too many; never one in quarantine.
+func (r *Register) forget(now time.Time) {
+	for d, x := range r.works {
+		if end := x.until(); now.Sub(x.learnt) > rememberFor && now.Sub(end) > rememberFor {
+			delete(r.works, d)
+		}
+	}
+	for len(r.works) > worksMost {
+		var oldest call.Digest
+		for d, x := range r.works {
+			if now.Before(x.until()) {
+				continue
+			}
+			if oldest == "" || x.learnt.Before(r.works[oldest].learnt) {
+				oldest = d
+			}
+		}
+		if oldest == "" {
+			return
+		}
+		delete(r.works, oldest)
+	}
+}
--- a/retry/course.go
+++ b/retry/course.go
@@ -63,6 +63,10 @@
 	return c.giveUp(now, err)
 }
 
+// Barred takes that the request must not be sent to any target now. What may have run
+// already stays so.
+func (c *Course) Barred(now time.Time, err *fault.Error) Command { return c.giveUp(now, err) }
+
 // Ended takes the end of the current attempt.
 func (c *Course) Ended(now time.Time, e End) Command {
 	if _, missed := e.(Unreached); !missed {
--- a/store/feed.go
+++ b/store/feed.go
@@ -39,6 +39,8 @@
 	ErrUnavailable = class.New("unavailable")
 	// ErrRateLimited: there were too many calls.
 	ErrRateLimited = class.New("rate limited")
+	// ErrExists says that a record of the name is there already.
+	ErrExists = class.New("exists")
 )
 
 // Record is an object as the store keeps it, with the body that its writer gave.
@@ -79,3 +81,13 @@
 	// ErrHistoryLost if the store has forgotten changes since then.
 	Watch(ctx context.Context, kind Kind, since Revision, wait time.Duration) (Changes, error)
 }
+
+// Shelf keeps records of the system's own kinds. A call without an answer may have been done,
+// or may be done later; it may be made again.
+type Shelf interface {
+	Feed
+	// Create keeps a record that is not there yet; ErrExists if one of the name is.
+	Create(ctx context.Context, kind Kind, name string, spec []byte) error
+	// Remove takes a record away; one that is not there counts as taken away.
+	Remove(ctx context.Context, kind Kind, name string) error
+}
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -25,6 +25,7 @@
 	ConfigApplied Name = "clovertrail_config_applied_total"    // reason: store, or the peer
 	MapSwitches   Name = "clovertrail_map_switches_total"      // reason: how the change ended
 	MovedExperts  Name = "clovertrail_experts_moved_total"     // reason: the group
+	Quarantines   Name = "clovertrail_quarantines_total"       // reason: own, peer, store; released
 	LinesDropped  Name = "clovertrail_log_lines_dropped_total" // reason: full
 )
 
--- /dev/null
+++ b/transport/ended.go
@@ -0,0 +1,71 @@
+package transport
+
+import (
+	"context"
+	"errors"
+	"syscall"
+	"time"
+)
+
+const (
+	// lookWithin bounds a look whether a process still listens. On a link that works a
+	// connection opens or is refused in some milliseconds; an attempt that is to be made again
+	// waits for it.
+	lookWithin = 100 * time.Millisecond
+	// lookFresh is for how long the outcome of a look stands in for others: as a target ends,
+	// all requests that it ran break off at once.
+	lookFresh = 250 * time.Millisecond
+)
+
+// look is one look whether a process listens at an address.
+type look struct {
+	done  chan struct{} // closed once the rest is known
+	ended bool
+	until time.Time // of its use
+}
+
+// Ended tells whether the process at the address has ended: its box refuses connections. One
+// that breaks connections off and still listens has not, and of one whose box says nothing
+// that is not known. A connection that opens is kept for the next request.
+func (p *Pool) Ended(ctx context.Context, address string) bool {
+	l, mine := p.look(address)
+	if !mine {
+		select {
+		case <-l.done:
+			return l.ended
+		case <-ctx.Done():
+			return false
+		}
+	}
+	l.ended = p.refuses(context.WithoutCancel(ctx), address)
+	close(l.done)
+	return l.ended
+}
+
+// look gives the look that stands for the address now; mine if the caller has to make it.
+func (p *Pool) look(address string) (l *look, mine bool) {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if l, ok := p.looks[address]; ok && now.Before(l.until) {
+		return l, false
+	}
+	for a, old := range p.looks {
+		if !now.Before(old.until) {
+			delete(p.looks, a)
+		}
+	}
+	l = &look{done: make(chan struct{}), until: now.Add(lookFresh)}
+	p.looks[address] = l
+	return l, true
+}
+
+func (p *Pool) refuses(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, lookWithin)
+	defer cancel()
+	c, err := p.connect(ctx, address)
+	if err == nil {
+		p.put(c, time.Now().Add(p.settings.Idle))
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
--- a/transport/pool.go
+++ b/transport/pool.go
@@ -46,8 +46,9 @@
 	dial     Dialer
 	settings Settings
 
-	mu   sync.Mutex
-	idle map[string][]*conn // by address; the last used is last
+	mu    sync.Mutex
+	idle  map[string][]*conn // by address; the last used is last
+	looks map[string]*look   // by address
 }
 
 // conn is one connection.
@@ -61,7 +62,7 @@
 
 // NewPool returns an empty pool.
 func NewPool(d Dialer, s Settings) *Pool {
-	return &Pool{dial: d, settings: s, idle: map[string][]*conn{}}
+	return &Pool{dial: d, settings: s, idle: map[string][]*conn{}, looks: map[string]*look{}}
 }
 
 // readBuffer fits the head of an answer and some events of a stream.
@@ -74,15 +75,22 @@
 			return &Exchange{pool: p, conn: c, reused: true}, nil
 		}
 	}
-	n, err := p.dial(ctx, address)
+	c, err := p.connect(ctx, address)
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{net: n, address: address}
-	c.read = bufio.NewReaderSize(n, readBuffer)
 	return &Exchange{pool: p, conn: c}, nil
 }
 
+// connect opens a new connection.
+func (p *Pool) connect(ctx context.Context, address string) (*conn, error) {
+	n, err := p.dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	return &conn{net: n, address: address, read: bufio.NewReaderSize(n, readBuffer)}, nil
+}
+
 // take gives the idle connection that was used last, if it is still good.
 func (p *Pool) take(address string) *conn {
 	for {
