Mend: work under which targets ended is put in quarantine by all boxes

Cause: what a box knew of a request ended with its try. A request that crashes whatever runs it was sent to a second target by each box it came to, and its caller's next try, with a new id, began from nothing. Ruled out: more attempts than a route allows (no third attempt in any line), targets that end by themselves (the same pairs come about in memory with one request).

Boxes now count, by digest, which targets ended under which work: a target whose connection broke off counts as ended if its box then refuses connections. Two ended targets bar the work for two minutes, each further one ten times longer; work that was served is cleared. Boxes tell each other in adverts, and the box that finds out keeps it in the store.

--- a/gateway/fake_test.go
+++ b/gateway/fake_test.go
@@ -100,6 +100,8 @@
 const (
 	hang   = "(hang)"
 	hangUp = "(hang up)"
+	// crash ends the target with the connection.
+	crash = "(crash)"
 	// wait stands before what comes late.
 	wait = "(wait)"
 )
@@ -116,6 +118,7 @@
 		text := x.next(req, string(body))
 		text, hangs := strings.CutSuffix(text, hang)
 		text, ends := strings.CutSuffix(text, hangUp)
+		text, crashes := strings.CutSuffix(text, crash)
 		for i, part := range strings.Split(text, wait) {
 			if i > 0 {
 				<-x.held
@@ -126,6 +129,10 @@
 			_, _ = io.Copy(io.Discard, c)
 			return
 		}
+		if crashes {
+			_ = x.l.Close() // nobody listens there any more
+			return
+		}
 		if ends || !strings.Contains(text, "Content-Length") && !strings.HasSuffix(text, "0\n\n") {
 			return
 		}
@@ -207,7 +214,7 @@
 	names := map[gateway.Verdict]string{
 		gateway.Neutral: "neutral", gateway.Good: "good", gateway.Bad: "bad",
 		gateway.Full:        "full",
-		gateway.Unreachable: "unreachable", gateway.Replaced: "replaced",
+		gateway.Unreachable: "unreachable", gateway.Replaced: "replaced", gateway.Gone: "gone",
 	}
 	l.f.mu.Lock()
 	defer l.f.mu.Unlock()
@@ -220,19 +227,47 @@
 func (purse) Request(time.Time)   {}
 func (purse) Take(time.Time) bool { return true }
 
+// quarantine bars work under which so many targets ended, and notes what it is told.
+type quarantine struct {
+	mu     sync.Mutex
+	enough int // 0 for never
+	ended  []string
+	served int
+}
+
+func (q *quarantine) Barred(now time.Time, _ call.Digest) (time.Time, bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return now.Add(2 * time.Minute), q.enough > 0 && len(q.ended) >= q.enough
+}
+
+func (q *quarantine) Ended(_ time.Time, _ call.Digest, id domain.InstanceID) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.ended = append(q.ended, string(id))
+}
+
+func (q *quarantine) Served(time.Time, call.Digest) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.served++
+}
+
 // rig is a gateway with routes of each kind before some targets.
 type rig struct {
-	t      *testing.T
-	g      *gateway.Gateway
-	fleet  *fleet
-	server *httptest.Server
+	t          *testing.T
+	g          *gateway.Gateway
+	fleet      *fleet
+	quarantine *quarantine
+	server     *httptest.Server
 }
 
 func newRig(t *testing.T, targets ...*target) *rig {
 	t.Helper()
 	f := &fleet{targets: targets, began: make(chan struct{}, 1)}
+	q := &quarantine{}
 	g := gateway.New(gateway.Parts{
-		Common: telemetry.Quiet(), Speech: speech{}, Fleet: f,
+		Common: telemetry.Quiet(), Speech: speech{}, Fleet: f, Quarantine: q,
 		Pool:  transport.NewPool(transport.Dial(transport.Timing{Connect: time.Second, Unheard: time.Second}), transport.DefaultSettings()),
 		Purse: func(domain.ServiceName) retry.Purse { return purse{} },
 	})
@@ -240,7 +275,7 @@
 	s := httptest.NewServer(g)
 	s.Config.ErrorLog = nil
 	t.Cleanup(s.Close)
-	return &rig{t: t, g: g, fleet: f, server: s}
+	return &rig{t: t, g: g, fleet: f, quarantine: q, server: s}
 }
 
 // routes has a route for each kind, and one with a short time-out.
--- a/local/fatal_test.go
+++ b/local/fatal_test.go
@@ -13,8 +13,8 @@
 // and over for a quarter of a minute, as soon as they were back. One request, which a caller
 // made again at other boxes, crashed each target that began to run it. A box sent it to a
 // second target because it may be repeated, and no box knew what others, or itself a moment
-// ago, had lost targets to: what is remembered of a request ended with each try of it. The
-// digest of the work in the lines of the boxes proved it: all pairs had the same.
+// ago, had lost targets to: what is remembered of a request ended with each try of it. What
+// proved it: this test brings the pairs about, and they end with the memory.
 
 // fatal is the body of a request that crashes whatever runs it.
 const fatal = "fatal"
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -49,7 +49,7 @@
 	for _, ms := range r.f.Ended {
 		last = max(last, ms)
 	}
-	return now.Sub(time.UnixMilli(last).Add(term(len(r.f.Ended) - enough))) > rememberFor
+	return now.Sub(time.UnixMilli(last).Add(term(len(r.f.Ended)-enough))) > rememberFor
 }
 
 // MarshalJSON implements json.Marshaler.
--- /dev/null
+++ b/quarantine/register_test.go
@@ -0,0 +1,216 @@
+package quarantine_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"clovertrail.dev/core/call"
+	"clovertrail.dev/core/domain"
+	"clovertrail.dev/quarantine"
+	"clovertrail.dev/testkit"
+)
+
+func TestMain(m *testing.M) { testkit.Main(m, 400, 0) }
+
+var begin = time.Unix(1_800_000_000, 0)
+
+const fatal call.Digest = "fatal"
+
+// ended is the word that a target ended under the work so long after begin.
+func ended(d call.Digest, target string, after time.Duration) quarantine.Word {
+	return quarantine.Word{Digest: d, Target: domain.InstanceID(target), At: begin.Add(after)}
+}
+
+func served(d call.Digest, after time.Duration) quarantine.Word {
+	return quarantine.Word{Digest: d, At: begin.Add(after)}
+}
+
+// taking gives the register the words, each as it happens.
+func taking(r *quarantine.Register, words ...quarantine.Word) *quarantine.Register {
+	for _, w := range words {
+		r.Take(w.At, w)
+	}
+	return r
+}
+
+// TestWhenWorkIsBarred: the incident was work that ended a target with each try; beside it ran
+// work that was hit once, or is asked for by many.
+func TestWhenWorkIsBarred(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		words []quarantine.Word
+		at    time.Duration // of the question
+		want  time.Duration // end of its quarantine; 0 for none
+	}{
+		{"nothing is known", nil, 0, 0},
+		{"one target ended", []quarantine.Word{ended(fatal, "a", 0)}, 0, 0},
+		{"two ended", []quarantine.Word{ended(fatal, "a", 0), ended(fatal, "b", time.Second)}, time.Second, 121 * time.Second},
+		{"one ended, told twice", []quarantine.Word{ended(fatal, "a", 0), ended(fatal, "a", time.Second)}, time.Second, 0},
+		{"one target ended again under its id", []quarantine.Word{ended(fatal, "a@1", 0), ended(fatal, "a@2", time.Second)}, time.Second, 121 * time.Second},
+		{"other work", []quarantine.Word{ended(fatal, "a", 0), ended("other", "b", 0)}, 0, 0},
+		{"two ended, the quarantine is over", []quarantine.Word{ended(fatal, "a", 0), ended(fatal, "b", 0)}, 2 * time.Minute, 0},
+		{"and a third ended then", []quarantine.Word{ended(fatal, "a", 0), ended(fatal, "b", 0), ended(fatal, "c", 2*time.Minute)}, 2 * time.Minute, 22 * time.Minute},
+		{"and a fourth", []quarantine.Word{ended(fatal, "a", 0), ended(fatal, "b", 0), ended(fatal, "c", 2*time.Minute), ended(fatal, "d", 22*time.Minute)},
+			22 * time.Minute, 222 * time.Minute},
+		{"two ended, it was served between", []quarantine.Word{ended(fatal, "a", 0), served(fatal, time.Second), ended(fatal, "b", 2*time.Second)}, 2 * time.Second, 0},
+		{"two ended, it was served after", []quarantine.Word{ended(fatal, "a", 0), ended(fatal, "b", 0), served(fatal, time.Second)}, time.Second, 0},
+		{"served lately, three ended", []quarantine.Word{served(fatal, 0), ended(fatal, "a", time.Second), ended(fatal, "b", time.Second), ended(fatal, "c", time.Second)}, time.Second, 0},
+		{"served lately, four ended", []quarantine.Word{served(fatal, 0), ended(fatal, "a", time.Second), ended(fatal, "b", time.Second), ended(fatal, "c", time.Second), ended(fatal, "d", time.Second)},
+			time.Second, 121 * time.Second},
+		{"served long ago, two ended", []quarantine.Word{served(fatal, 0), ended(fatal, "a", 2*time.Minute), ended(fatal, "b", 2*time.Minute)}, 2 * time.Minute, 4 * time.Minute},
+		{"served before two ended, told late", []quarantine.Word{ended(fatal, "a", 2*time.Second), ended(fatal, "b", 2*time.Second), served(fatal, time.Second)}, 3 * time.Second, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := taking(quarantine.NewRegister(), tc.words...)
+			until, barred := r.Barred(begin.Add(tc.at), fatal)
+			if barred != (tc.want > 0) {
+				t.Fatalf("barred %v, until %v", barred, until.Sub(begin))
+			}
+			if barred && until.Sub(begin) != tc.want {
+				t.Errorf("until %v, want %v", until.Sub(begin), tc.want)
+			}
+		})
+	}
+}
+
+// TestWhatAWordChanges: boxes are told at once, and a line is logged, only of what is new.
+func TestWhatAWordChanges(t *testing.T) {
+	r := quarantine.NewRegister()
+	for i, tc := range []struct {
+		word quarantine.Word
+		want quarantine.Change
+	}{
+		{served(fatal, 0), quarantine.Nothing},
+		{ended(fatal, "a", 2*time.Minute), quarantine.News},
+		{ended(fatal, "a", 2*time.Minute), quarantine.Nothing},
+		{ended(fatal, "b", 2*time.Minute), quarantine.Barred},
+		{ended(fatal, "c", 2*time.Minute), quarantine.Barred},
+		{served(fatal, 3*time.Minute), quarantine.Released},
+		{served(fatal, 3*time.Minute), quarantine.Nothing},
+		{ended(fatal, "d", time.Minute), quarantine.Nothing},
+	} {
+		if got := r.Take(tc.word.At, tc.word); got != tc.want {
+			t.Errorf("word %d changed %d, want %d", i, got, tc.want)
+		}
+	}
+}
+
+// TestBoxesAgree: whatever the order in which two boxes hear what ended when, and however
+// often, they bar the same work until the same time.
+func TestBoxesAgree(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		var words []quarantine.Word
+		for range rapid.IntRange(1, 12).Draw(rt, "words") {
+			d := rapid.SampledFrom([]call.Digest{"x", "y"}).Draw(rt, "work")
+			target := rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(rt, "target")
+			words = append(words, ended(d, target, time.Duration(len(words))*time.Second))
+		}
+		first := map[string]bool{} // a target ends once
+		kept := words[:0]
+		for _, w := range words {
+			if key := string(w.Digest) + string(w.Target); !first[key] {
+				first[key] = true
+				kept = append(kept, w)
+			}
+		}
+		one := taking(quarantine.NewRegister(), kept...)
+		other := quarantine.NewRegister()
+		rnd := rand.New(rand.NewPCG(rapid.Uint64().Draw(rt, "order"), 0))
+		now := begin.Add(time.Minute)
+		for range 2 {
+			for _, i := range rnd.Perm(len(kept)) {
+				other.Take(now, kept[i])
+			}
+		}
+		for _, d := range []call.Digest{"x", "y"} {
+			a, aBarred := one.Barred(now, d)
+			b, bBarred := other.Barred(now, d)
+			if !a.Equal(b) || aBarred != bBarred {
+				rt.Fatalf("%s: until %v, %v against %v, %v", d, a, aBarred, b, bBarred)
+			}
+		}
+	})
+}
+
+// TestABoxThatStartsLearnsWhatIsBarred: of quarantines all is told as long as they last, of
+// the rest only what is new, and never more than fits into a message.
+func TestABoxThatStartsLearnsWhatIsBarred(t *testing.T) {
+	r := taking(quarantine.NewRegister(), ended(fatal, "a", 0), ended(fatal, "b", 0), ended("hit once", "a", 0))
+	now := begin.Add(time.Minute)
+	late := taking(quarantine.NewRegister())
+	for _, w := range r.Tell(now) {
+		late.Take(now, w)
+	}
+	if _, barred := late.Barred(now, fatal); !barred {
+		t.Error("a box that started later does not know of the quarantine")
+	}
+	if n := len(r.Tell(now)); n != 2 {
+		t.Errorf("%d words are told, of two ended targets", n)
+	}
+	if n := len(r.Tell(begin.Add(time.Second))); n != 3 {
+		t.Errorf("%d words are told while all is new", n)
+	}
+	for i := range 100 {
+		r.Take(now, ended(call.Digest(fmt.Sprint("hit ", i)), "c", time.Minute))
+	}
+	if n := len(r.Tell(now)); n != 40 {
+		t.Errorf("%d words in a message", n)
+	}
+}
+
+// TestARegisterIsBounded: a storm that hits thousands of works does not fill the box's
+// memory, and does not push out what is in quarantine.
+func TestARegisterIsBounded(t *testing.T) {
+	r := taking(quarantine.NewRegister(), ended(fatal, "a", 0), ended(fatal, "b", 0))
+	const most = 1024
+	for i := range 3 * most {
+		at := time.Duration(i) * time.Millisecond
+		r.Take(begin.Add(at), ended(call.Digest(fmt.Sprint("hit ", i)), "c", at))
+	}
+	known := 0
+	for i := range 3 * most {
+		known += r.Ended(call.Digest(fmt.Sprint("hit ", i)))
+	}
+	if known > most {
+		t.Errorf("%d works are remembered", known)
+	}
+	if _, barred := r.Barred(begin.Add(time.Minute), fatal); !barred {
+		t.Error("the quarantine was forgotten")
+	}
+}
+
+// TestARecordBringsAQuarantineBack: what the store keeps is enough for a box that knows
+// nothing, until it is over.
+func TestARecordBringsAQuarantineBack(t *testing.T) {
+	r := taking(quarantine.NewRegister(), ended(fatal, "a@7", 0), ended(fatal, "b", time.Second))
+	raw, err := json.Marshal(quarantine.RecordOf(r.Of(fatal)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var back quarantine.Record
+	if err := json.Unmarshal(raw, &back); err != nil {
+		t.Fatal(err)
+	}
+	now := begin.Add(time.Minute)
+	other := quarantine.NewRegister()
+	for _, w := range back.Words(now) {
+		other.Take(now, w)
+	}
+	until, barred := other.Barred(now, fatal)
+	if want, _ := r.Barred(now, fatal); !barred || !until.Equal(want) {
+		t.Errorf("barred %v until %v, want %v", barred, until, want)
+	}
+	if back.Over(begin.Add(time.Hour)) || !back.Over(begin.Add(2*time.Hour)) {
+		t.Error("the record is over too early, or never")
+	}
+	for _, bad := range []string{"", "{}", `{"digest":"x"}`, `{"digest":"","ended":{"a":1}}`, `{"digest":"x","ended":[]}`} {
+		if json.Unmarshal([]byte(bad), &back) == nil {
+			t.Errorf("%q was taken", bad)
+		}
+	}
+}
--- a/retry/course_test.go
+++ b/retry/course_test.go
@@ -235,3 +235,28 @@
 		t.Errorf("an answer that cannot be taken up: %s", got)
 	}
 }
+
+// TestBarredWorkEndsAsItStands: before any attempt it did not run; after one that may have run
+// nobody says so; and what the caller has a part of is broken off.
+func TestBarredWorkEndsAsItStands(t *testing.T) {
+	for name, tc := range map[string]struct {
+		ends []retry.End
+		want string
+	}{
+		"before any attempt":   {nil, "refuse quarantined"},
+		"after one declined":   {[]retry.End{declined}, "refuse quarantined"},
+		"after one was lost":   {[]retry.End{retry.Lost{Err: errLost}}, "refuse fate_unknown"},
+		"after a part of it":   {[]retry.End{retry.Broken{Err: errLost, Passed: true}}, "abort quarantined"},
+		"after one unreached":  {[]retry.End{retry.Unreached{Err: errLost}}, "refuse quarantined"},
+		"after one that broke": {[]retry.End{retry.Broken{Err: errLost}}, "refuse fate_unknown"},
+	} {
+		c := retry.NewCourse(rules(resume), &coins{left: 9})
+		c.Start(begin)
+		for _, e := range tc.ends {
+			c.Ended(begin, e)
+		}
+		if got := words(c.Barred(begin, fault.New(fault.Quarantined, "targets ended"))); got != tc.want {
+			t.Errorf("%s: %s, want %s", name, got, tc.want)
+		}
+	}
+}
--- /dev/null
+++ b/transport/ended_test.go
@@ -0,0 +1,72 @@
+package transport_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"testing/synctest"
+
+	"clovertrail.dev/transport"
+)
+
+// TestAnEndedProcessRefusesConnections: only that counts, and a box that says nothing, or a
+// process that still listens, does not.
+func TestAnEndedProcessRefusesConnections(t *testing.T) {
+	for name, tc := range map[string]struct {
+		dial transport.Dialer
+		want bool
+	}{
+		"refused": {func(context.Context, string) (net.Conn, error) {
+			return nil, &net.OpError{Op: "dial", Err: fmt.Errorf("connect: %w", syscall.ECONNREFUSED)}
+		}, true},
+		"silent": {func(ctx context.Context, _ string) (net.Conn, error) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}, false},
+		"unreachable": {func(context.Context, string) (net.Conn, error) { return nil, syscall.EHOSTUNREACH }, false},
+		"opened": {func(context.Context, string) (net.Conn, error) {
+			c, _ := net.Pipe()
+			return c, nil
+		}, false},
+	} {
+		p := transport.NewPool(tc.dial, transport.DefaultSettings())
+		if got := p.Ended(t.Context(), "a:1"); got != tc.want {
+			t.Errorf("%s: ended %v", name, got)
+		}
+		p.Close()
+	}
+}
+
+// TestManyLookOnce: all requests of a target break off as it ends. They share one look, and
+// a connection that it opened is used by the next request.
+func TestManyLookOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var dials atomic.Int32
+		release := make(chan struct{})
+		p := transport.NewPool(func(context.Context, string) (net.Conn, error) {
+			dials.Add(1)
+			<-release
+			c, _ := net.Pipe()
+			return c, nil
+		}, transport.DefaultSettings())
+		defer p.Close()
+		var asking sync.WaitGroup
+		for range 20 {
+			asking.Go(func() { p.Ended(context.Background(), "a:1") })
+		}
+		synctest.Wait()
+		close(release)
+		asking.Wait()
+		if n := dials.Load(); n != 1 {
+			t.Errorf("%d connections for one look", n)
+		}
+		x, err := p.Open(context.Background(), "a:1", transport.Kept)
+		if err != nil || !x.Reused() {
+			t.Errorf("the connection of the look is not used: %v", err)
+		}
+	})
+}
