Ages, deadlines and timers count the time for which the machine was suspended

Cause: the steady clock stands still while a machine is suspended, so that word of before seemed fresh after and deadlines that had passed seemed to lie ahead. core/clock adds what CLOCK_BOOTTIME shows besides; its timers look again after a suspension.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -10,6 +10,7 @@
 
 	"clovertrail.dev/catalog"
 	"clovertrail.dev/core/call"
+	"clovertrail.dev/core/clock"
 	"clovertrail.dev/core/fault"
 	"clovertrail.dev/retry"
 	"clovertrail.dev/transport"
@@ -22,8 +23,8 @@
 	try        retry.Try
 	exchange   *transport.Exchange
 	answer     call.Answer
-	impatience *time.Timer
-	overdue    *time.Timer
+	impatience *clock.Timer
+	overdue    *clock.Timer
 	last       time.Time     // when the last events came
 	pause      time.Duration // before them
 	gone       bool          // the target's process ended during the attempt
@@ -36,11 +37,11 @@
 	ctx, cancel := context.WithCancelCause(caller)
 	defer cancel(nil)
 	if !a.try.Patience.IsZero() {
-		a.impatience = time.AfterFunc(time.Until(a.try.Patience), func() { cancel(errImpatient) })
+		a.impatience = clock.AfterFunc(a.try.Patience, func() { cancel(errImpatient) })
 		defer a.impatience.Stop()
 	}
 	if aim := a.d.o.route.Aim(); aim > 0 {
-		a.overdue = time.AfterFunc(time.Duration(overdueAims*float64(aim)), a.lease.Overdue)
+		a.overdue = clock.AfterFunc(clock.Now().Add(time.Duration(overdueAims*float64(aim))), a.lease.Overdue)
 		defer a.overdue.Stop()
 	}
 	end, verdict := a.carry(ctx)
@@ -52,7 +53,7 @@
 	}
 	if a.gone = a.ended(ctx, end); a.gone {
 		verdict = Gone
-		a.d.g.parts.Quarantine.Ended(time.Now(), a.d.o.digest, a.lease.Target().ID())
+		a.d.g.parts.Quarantine.Ended(clock.Now(), a.d.o.digest, a.lease.Target().ID())
 	}
 	a.lease.End(verdict)
 	return end
@@ -119,7 +120,7 @@
 func (a *attempt) request(ctx context.Context) *http.Request {
 	o := a.d.o
 	h := passedOn(o.http.Header)
-	a.d.g.parts.Speech.Attempt(time.Now(), h, a.d.told(a.lease.Target(), a.try.Resume))
+	a.d.g.parts.Speech.Attempt(clock.Now(), h, a.d.told(a.lease.Target(), a.try.Resume))
 	if _, given := h["User-Agent"]; !given {
 		h["User-Agent"] = nil // net/http would add its own
 	}
@@ -200,7 +201,7 @@
 func retryAt(resp *http.Response) time.Time {
 	const unsaid = 250 * time.Millisecond // a few requests of a usual target
 	if d, err := time.ParseDuration(resp.Header.Get("Retry-After") + "s"); err == nil && d > 0 {
-		return time.Now().Add(d)
+		return clock.Now().Add(d)
 	}
-	return time.Now().Add(unsaid)
+	return clock.Now().Add(unsaid)
 }
--- a/gateway/delivery.go
+++ b/gateway/delivery.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"clovertrail.dev/core/call"
+	"clovertrail.dev/core/clock"
 	"clovertrail.dev/core/domain"
 	"clovertrail.dev/core/fault"
 	"clovertrail.dev/retry"
@@ -41,7 +42,7 @@
 
 // serve drives the order's machine to its end.
 func (g *Gateway) serve(ctx context.Context, w http.ResponseWriter, o *order) {
-	ctx, cancel := context.WithDeadline(ctx, o.deadline)
+	ctx, cancel := clock.WithDeadline(ctx, o.deadline)
 	defer cancel()
 	d := &delivery{g: g, o: o, w: w, after: o.After(), purse: g.parts.Purse(o.service)}
 	rules := retry.Rules{
@@ -71,11 +72,11 @@
 }
 
 // callerGone tells a caller that left from a deadline that passed.
-func callerGone(ctx context.Context) bool { return ctx.Err() == context.Canceled }
+func callerGone(ctx context.Context) bool { return context.Cause(ctx) == context.Canceled }
 
 // try makes one attempt and returns what to do after it.
 func (d *delivery) try(ctx context.Context, t retry.Try) retry.Command {
-	now := time.Now()
+	now := clock.Now()
 	// Asked before each attempt: what one attempt ended under, the next must not meet.
 	if until, barred := d.g.parts.Quarantine.Barred(now, d.o.digest); barred {
 		return d.course.Barred(now, fault.New(fault.Quarantined, "targets ended under this work").RetryAt(until))
@@ -95,9 +96,9 @@
 	a := &attempt{d: d, lease: lease, try: t}
 	end := a.run(ctx)
 	if _, served := end.(retry.Answering); served {
-		d.g.parts.Quarantine.Served(time.Now(), d.o.digest)
+		d.g.parts.Quarantine.Served(clock.Now(), d.o.digest)
 	}
-	cmd := d.course.Ended(time.Now(), end)
+	cmd := d.course.Ended(clock.Now(), end)
 	d.g.attempted(d.o, a, end, cmd)
 	return cmd
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -8,6 +8,7 @@
 
 	"clovertrail.dev/catalog"
 	"clovertrail.dev/core/call"
+	"clovertrail.dev/core/clock"
 	"clovertrail.dev/core/domain"
 	"clovertrail.dev/core/fault"
 	"clovertrail.dev/retry"
@@ -162,7 +163,7 @@
 	if g.Leaving() {
 		w.Header().Set("Connection", "close")
 	}
-	now := time.Now()
+	now := clock.Now()
 	c, err := g.intake(now, w, r)
 	if err == nil {
 		err = g.fits(now, c)
--- a/gateway/refuse.go
+++ b/gateway/refuse.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"clovertrail.dev/core/clock"
 	"clovertrail.dev/core/fault"
 )
 
@@ -24,7 +25,7 @@
 	h := w.Header()
 	h.Set("Content-Type", "application/problem+json")
 	if f := fault.Find(err); f != nil && a.Ran() == fault.RanNo && !f.When().IsZero() {
-		h.Set("Retry-After", seconds(time.Until(f.When())))
+		h.Set("Retry-After", seconds(clock.Until(f.When())))
 	}
 	raw, _ := json.Marshal(problem{Title: a.Text(), Status: a.Status(), Kind: kind, Ran: a.Ran()}) // plain fields
 	h.Set("Content-Length", strconv.Itoa(len(raw)))
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"clovertrail.dev/core/clock"
 	"clovertrail.dev/retry"
 )
 
@@ -38,7 +39,7 @@
 				return a.broken(ctx, err, true)
 			}
 			buf = buf[:copy(buf, buf[len(whole):])]
-			if a.toMove(time.Now()) {
+			if a.toMove(clock.Now()) {
 				return retry.Moved{}, Neutral
 			}
 		}
@@ -69,8 +70,8 @@
 func (a *attempt) passEvents(resp *http.Response, whole []byte) {
 	a.beginOnce(resp)
 	d := a.d
-	a.notePause(time.Now())
-	d.noteEvents(time.Now(), bytes.Count(whole, eventEnd))
+	a.notePause(clock.Now())
+	d.noteEvents(clock.Now(), bytes.Count(whole, eventEnd))
 	if id := lastID(whole); id != nil {
 		d.after = string(id)
 	}
@@ -115,7 +116,7 @@
 // begin writes the head of the answer.
 func (d *delivery) begin(status int) {
 	d.began, d.status = true, status
-	d.first = time.Now()
+	d.first = clock.Now()
 	d.w.WriteHeader(status)
 }
 
--- a/node/belief.go
+++ b/node/belief.go
@@ -2,9 +2,9 @@
 
 import (
 	"sync"
-	"time"
 
 	"clovertrail.dev/catalog"
+	"clovertrail.dev/core/clock"
 	"clovertrail.dev/core/domain"
 	"clovertrail.dev/membership"
 	"clovertrail.dev/platform"
@@ -55,7 +55,7 @@
 
 // targets takes the whole list of targets.
 func (b *belief) targets(at store.Revision, news []membership.News, source string) {
-	now := time.Now()
+	now := clock.Now()
 	var fresh []membership.News
 	b.fleet.with(func(r *membership.Roster, l *routing.Balancer) {
 		fresh = r.Listed(now, at, news)
@@ -71,7 +71,7 @@
 
 // changes takes changes of the list of targets.
 func (b *belief) changes(at store.Revision, news []membership.News, source string) {
-	now := time.Now()
+	now := clock.Now()
 	var fresh []membership.News
 	b.fleet.with(func(r *membership.Roster, l *routing.Balancer) {
 		for _, n := range news {
--- a/node/entry.go
+++ b/node/entry.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"clovertrail.dev/catalog"
+	"clovertrail.dev/core/clock"
 	"clovertrail.dev/core/domain"
 	"clovertrail.dev/gateway"
 	"clovertrail.dev/membership"
@@ -122,8 +123,8 @@
 
 func (e *Entry) sweep(ctx context.Context) {
 	for ctx.Err() == nil {
-		process.SleepUntil(ctx, time.Now().Add(sweepEvery))
-		e.pool.Sweep(time.Now())
+		clock.SleepUntil(ctx, clock.Now().Add(sweepEvery))
+		e.pool.Sweep(clock.Now())
 	}
 }
 
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -8,6 +8,7 @@
 
 	"clovertrail.dev/admission"
 	"clovertrail.dev/core/call"
+	"clovertrail.dev/core/clock"
 	"clovertrail.dev/core/domain"
 	"clovertrail.dev/core/fault"
 	"clovertrail.dev/gateway"
@@ -138,7 +139,7 @@
 func (f *fleet) Blame(listed domain.ListedID) {
 	f.with(func(r *membership.Roster, _ *routing.Balancer) {
 		if id, ok := r.Start(listed); ok {
-			r.Unreachable(time.Now(), id)
+			r.Unreachable(clock.Now(), id)
 		}
 	})
 }
@@ -157,13 +158,13 @@
 // Load implements gateway.Lease.
 func (p *place) Load(l call.Load) {
 	p.fleet.with(func(_ *membership.Roster, b *routing.Balancer) {
-		b.Report(time.Now(), p.target.ID(), routing.Report{Running: l.Running, Waiting: l.Waiting})
+		b.Report(clock.Now(), p.target.ID(), routing.Report{Running: l.Running, Waiting: l.Waiting})
 	})
 }
 
 // Overdue implements gateway.Lease.
 func (p *place) Overdue() {
-	p.fleet.with(func(r *membership.Roster, b *routing.Balancer) { p.complain(time.Now(), r, b) })
+	p.fleet.with(func(r *membership.Roster, b *routing.Balancer) { p.complain(clock.Now(), r, b) })
 }
 
 // complain holds against the target that it let this box down, unless its whole group
@@ -183,7 +184,7 @@
 
 // Began implements gateway.Lease.
 func (p *place) Began() {
-	p.fleet.with(func(_ *membership.Roster, b *routing.Balancer) { b.Began(time.Now(), p.ticket) })
+	p.fleet.with(func(_ *membership.Roster, b *routing.Balancer) { b.Began(clock.Now(), p.ticket) })
 }
 
 // Drags implements gateway.Lease.
@@ -195,12 +196,12 @@
 
 // Paused implements gateway.Lease.
 func (p *place) Paused(pause, aim time.Duration) {
-	p.fleet.with(func(_ *membership.Roster, b *routing.Balancer) { b.Paused(time.Now(), p.option, pause, aim) })
+	p.fleet.with(func(_ *membership.Roster, b *routing.Balancer) { b.Paused(clock.Now(), p.option, pause, aim) })
 }
 
 // End implements gateway.Lease.
 func (p *place) End(v gateway.Verdict) {
-	now := time.Now()
+	now := clock.Now()
 	p.fleet.with(func(r *membership.Roster, b *routing.Balancer) {
 		b.Ended(now, p.ticket)
 		switch v {
--- a/node/following.go
+++ b/node/following.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"clovertrail.dev/core/clock"
 	"clovertrail.dev/membership"
 	"clovertrail.dev/node/process"
 	"clovertrail.dev/platform"
@@ -61,29 +62,29 @@
 		f.follower.Among(boxes, place)
 		f.follower.Told(f.told())
 		f.follower.CaughtUp(f.known())
-		switch c := f.follower.Next(time.Now()).(type) {
+		switch c := f.follower.Next(clock.Now()).(type) {
 		case follow.List:
 			f.list(ctx)
 		case follow.Watch:
 			f.watch(ctx, c)
 		case follow.Rest:
-			process.SleepUntil(ctx, c.Until)
+			clock.SleepUntil(ctx, c.Until)
 		}
 	}
 }
 
 func (f *following) list(ctx context.Context) {
-	began := time.Now()
+	began := clock.Now()
 	l, err := f.feed.List(ctx, f.kind)
 	f.called("list", began, err)
-	f.follower.Listed(time.Now(), l.At, err)
+	f.follower.Listed(clock.Now(), l.At, err)
 	if err == nil {
 		f.listed(l)
 	}
 }
 
 func (f *following) watch(ctx context.Context, w follow.Watch) {
-	began := time.Now()
+	began := clock.Now()
 	watching, cancel := context.WithCancel(ctx)
 	defer cancel()
 	given := make(chan struct{})
@@ -94,7 +95,7 @@
 		c, err = store.Changes{At: w.Since}, nil // it was given up, which is no fault of the store's
 	}
 	f.called("watch", began, err)
-	now := time.Now()
+	now := clock.Now()
 	f.follower.Watched(now, c.At, err)
 	if err == nil && len(c.Events) > 0 {
 		f.follower.Changed(now)
@@ -117,7 +118,7 @@
 		case <-look.C:
 		}
 		boxes, _ := f.among()
-		if time.Since(began) > f.pace.WaitAmong(boxes)+mindEvery {
+		if clock.Since(began) > f.pace.WaitAmong(boxes)+mindEvery {
 			cancel()
 			return
 		}
@@ -127,7 +128,7 @@
 // called counts a call, and logs when the store is lost or answers again.
 func (f *following) called(call string, began time.Time, err error) {
 	name := call + " " + string(f.kind)
-	f.common.Metrics.Observe(telemetry.StoreCalls, name, time.Since(began))
+	f.common.Metrics.Observe(telemetry.StoreCalls, name, clock.Since(began))
 	if err != nil {
 		f.common.Metrics.Count(telemetry.PlatformCalls, name+" failed", 1)
 	} else {
@@ -149,7 +150,7 @@
 		f.common.Log.Warn("store lost", "kind", f.kind, "known_to", f.follower.At(), "err", err)
 		return
 	}
-	f.common.Log.Info("store answers again", "kind", f.kind, "away", time.Since(f.follower.LostAt()))
+	f.common.Log.Info("store answers again", "kind", f.kind, "away", clock.Since(f.follower.LostAt()))
 }
 
 // followConfiguration follows the operator's configuration.
@@ -201,7 +202,7 @@
 		return at
 	}
 	f.lost = func() {
-		e.fleet.with(func(r *membership.Roster, _ *routing.Balancer) { r.StoreTroubled(time.Now()) })
+		e.fleet.with(func(r *membership.Roster, _ *routing.Balancer) { r.StoreTroubled(clock.Now()) })
 	}
 	return f
 }
--- a/node/leave.go
+++ b/node/leave.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"clovertrail.dev/core/clock"
 	"clovertrail.dev/gateway"
 	"clovertrail.dev/node/process"
 )
@@ -19,15 +20,15 @@
 // connection, closes those that rest, and ends once nothing is in flight, or at the
 // latest shortly before it would be killed.
 func (e *Entry) leave(callers *gateway.Door) error {
-	began := time.Now()
+	began := clock.Now()
 	end := began.Add(e.settings().Bounds.Stop.Std() - process.StopMargin)
 	e.ready.leaving.Store(true)
 	e.gateway.Leave(end)
 	e.common.Log.Info("leaving", "in_flight", e.gateway.InFlight(), "until", end)
-	ctx, cancel := context.WithDeadline(context.Background(), end)
+	ctx, cancel := clock.WithDeadline(context.Background(), end)
 	defer cancel()
-	process.SleepUntil(ctx, began.Add(min(noticed, time.Until(end)/2)))
+	clock.SleepUntil(ctx, began.Add(min(noticed, clock.Until(end)/2)))
 	err := callers.Stop(ctx)
-	e.common.Log.Info("stopped", "in_flight", e.gateway.InFlight(), "after", time.Since(began))
+	e.common.Log.Info("stopped", "in_flight", e.gateway.InFlight(), "after", clock.Since(began))
 	return err
 }
--- a/node/main.go
+++ b/node/main.go
@@ -1,12 +1,14 @@
 package node
 
 import (
+	"context"
 	"fmt"
 	"os"
 	"os/signal"
 	"runtime/debug"
 	"syscall"
 
+	"clovertrail.dev/core/clock"
 	"clovertrail.dev/node/process"
 	"clovertrail.dev/node/rank"
 	"clovertrail.dev/settings"
@@ -38,6 +40,7 @@
 	common  telemetry.Common
 	lines   *telemetry.Lines
 	watch   func(signal <-chan struct{}) // for changes of the settings file
+	woken   func()                       // called after a suspension of the machine
 }
 
 // Main runs the role with the settings file until the platform stops it.
@@ -59,6 +62,7 @@
 	}()
 	leave, changed := onSignal(p.common)
 	go p.watch(changed)
+	go clock.NewWatch(clock.Machine).Run(context.Background(), p.suspended)
 	err = p.process.Run(leave)
 	close(stopped)
 	<-done
@@ -94,6 +98,7 @@
 	}
 	p := newLoaded(f.Current().Box)
 	e := NewEntry(p.common, process.MachineNetwork(), f.Current)
+	p.woken = e.Woken
 	p.process, p.watch = e, func(signal <-chan struct{}) { f.Watch(p.common.Log, signal, e.Took) }
 	return p, nil
 }
@@ -115,5 +120,5 @@
 	lines := telemetry.NewLines(os.Stdout, m, telemetry.LineBytesPerSecond)
 	c := telemetry.New(lines, box)
 	c.Metrics = m
-	return &loaded{common: c, lines: lines}
+	return &loaded{common: c, lines: lines, woken: func() {}}
 }
--- a/node/peering.go
+++ b/node/peering.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"clovertrail.dev/core/clock"
 	"clovertrail.dev/core/domain"
 	"clovertrail.dev/membership"
 	"clovertrail.dev/mesh"
@@ -72,7 +73,7 @@
 func (p *peering) inTouch() (boxes, place int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.boxes.InTouch(time.Now())
+	return p.boxes.InTouch(clock.Now())
 }
 
 // near is how many boxes of the hall, this one included, are in touch.
@@ -82,7 +83,7 @@
 func (p *peering) in(hall domain.HallName) []membership.Contact {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.boxes.In(time.Now(), hall)
+	return p.boxes.In(clock.Now(), hall)
 }
 
 // isolated tells whether this box has lost the boxes of all other data halls.
@@ -126,16 +127,16 @@
 func (p *peering) run(ctx context.Context) {
 	var fullAt time.Time // of the last round that was not only for news
 	for ctx.Err() == nil {
-		full := time.Since(fullAt) >= meetEvery
+		full := clock.Since(fullAt) >= meetEvery
 		if full {
-			fullAt = time.Now()
+			fullAt = clock.Now()
 		}
 		p.round(ctx, !full)
 		select {
 		case <-ctx.Done():
 		case <-p.kick:
-			process.SleepUntil(ctx, time.Now().Add(kickGap))
-		case <-time.After(time.Until(fullAt.Add(meetEvery))):
+			clock.SleepUntil(ctx, clock.Now().Add(kickGap))
+		case <-time.After(clock.Until(fullAt.Add(meetEvery))):
 		}
 	}
 }
@@ -143,7 +144,7 @@
 // round tells some boxes, and asks one of them if this box is behind. Where it is only for
 // news, no other boxes are named.
 func (p *peering) round(ctx context.Context, news bool) {
-	now := time.Now()
+	now := clock.Now()
 	p.mu.Lock()
 	var addresses []string
 	for _, c := range p.boxes.Tell(now, meetMost) {
@@ -206,7 +207,7 @@
 
 // advert is what this box tells: other boxes, too, unless it is only for news.
 func (p *peering) advert(news bool) *mesh.Advert {
-	now := time.Now()
+	now := clock.Now()
 	own := p.level()
 	complaints, works := p.complaints(now), p.entry.quarantine.tell(now)
 	p.mu.Lock()
@@ -280,7 +281,7 @@
 // heard takes an advert. If it shows that this box is behind, a round follows in
 // which it asks.
 func (p *peering) heard(a *mesh.Advert) {
-	now := time.Now()
+	now := clock.Now()
 	own := p.level()
 	p.complained(now, a.Complaints)
 	p.entry.quarantine.heard(now, a.Works, "peer "+string(a.Self.Box))
@@ -306,7 +307,7 @@
 
 // catchUp asks a box that knows more.
 func (p *peering) catchUp(ctx context.Context) {
-	now := time.Now()
+	now := clock.Now()
 	own := p.level()
 	p.mu.Lock()
 	p.noteBehind(now, own)
--- a/node/quarantining.go
+++ b/node/quarantining.go
@@ -8,9 +8,9 @@
 	"time"
 
 	"clovertrail.dev/core/call"
+	"clovertrail.dev/core/clock"
 	"clovertrail.dev/core/domain"
 	"clovertrail.dev/mesh"
-	"clovertrail.dev/node/process"
 	"clovertrail.dev/platform"
 	"clovertrail.dev/quarantine"
 	"clovertrail.dev/store"
@@ -141,7 +141,7 @@
 // ends. As the whole system starts for the first time there is nothing to read.
 func (q *quarantining) run(ctx context.Context, s store.Shelf, first bool) {
 	for !first && ctx.Err() == nil && !q.load(ctx, s) {
-		process.SleepUntil(ctx, time.Now().Add(keepAgain))
+		clock.SleepUntil(ctx, clock.Now().Add(keepAgain))
 	}
 	for {
 		select {
@@ -150,7 +150,7 @@
 		case <-q.wake:
 		}
 		for ctx.Err() == nil && !q.keepNext(ctx, s) {
-			process.SleepUntil(ctx, time.Now().Add(keepAgain))
+			clock.SleepUntil(ctx, clock.Now().Add(keepAgain))
 		}
 	}
 }
@@ -163,7 +163,7 @@
 	if err != nil {
 		return false
 	}
-	now := time.Now()
+	now := clock.Now()
 	for _, r := range l.Records {
 		var kept quarantine.Record
 		if err := json.Unmarshal(r.Spec, &kept); err != nil {
--- a/node/rank/agent.go
+++ b/node/rank/agent.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"clovertrail.dev/core/clock"
 	"clovertrail.dev/core/fault"
 	"clovertrail.dev/experts/rebalance"
 	"clovertrail.dev/mapswitch/orders"
@@ -57,7 +58,7 @@
 		common: c, network: n, settings: now, http: client,
 		engine: platform.NewEngine(s.Engine, client),
 		mesh:   mesh.NewClient(n.Dial),
-		turn:   orders.NewSuccession(time.Now()), helpers: telling.NewHelpers(),
+		turn:   orders.NewSuccession(clock.Now()), helpers: telling.NewHelpers(),
 		picks: telling.NewPicks(), maps: telling.NewPlacements(),
 	}
 }
@@ -93,7 +94,7 @@
 // leave lets an attempt to change maps come to its end, so that the group is not
 // left held.
 func (a *Agent) leave(d *groupDuty, done <-chan struct{}, cancel context.CancelFunc) error {
-	began := time.Now()
+	began := clock.Now()
 	a.common.Log.Info("leaving")
 	d.stop()
 	select {
@@ -102,7 +103,7 @@
 		a.common.Log.Warn("stopped in the midst of a change of maps")
 	}
 	cancel()
-	a.common.Log.Info("stopped", "after", time.Since(began))
+	a.common.Log.Info("stopped", "after", clock.Since(began))
 	return nil
 }
 
@@ -146,10 +147,10 @@
 	}
 	if q.Epoch > a.epoch || a.members == nil {
 		a.common.Log.Info("group learnt", "epoch", q.Epoch, "ranks", len(q.Members), "before", a.epoch)
-		a.turn.Learnt(time.Now())
+		a.turn.Learnt(clock.Now())
 	}
 	a.epoch, a.shape = q.Epoch, q.Shape
-	a.helpers.Learn(time.Now(), q.Helpers)
+	a.helpers.Learn(clock.Now(), q.Helpers)
 	a.members = make(map[int]mesh.Member, len(q.Members))
 	for _, m := range q.Members {
 		a.members[m.Rank] = m
@@ -161,7 +162,7 @@
 	a.mu.Lock()
 	r, at := a.report, a.readAt
 	a.mu.Unlock()
-	if time.Since(at) < age {
+	if clock.Since(at) < age {
 		return r, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, engineWithin)
@@ -179,9 +180,9 @@
 	if before := a.report; before.Rank.Epoch != r.Rank.Epoch || before.Rank.Open != r.Rank.Open {
 		a.common.Log.Info("group changed", "group", r.Rank.Group, "rank", r.Rank.Number, "epoch", r.Rank.Epoch, "open", r.Rank.Open,
 			"epoch_before", before.Rank.Epoch, "open_before", before.Rank.Open, "step", r.State.Step)
-		a.turn.Opened(time.Now())
+		a.turn.Opened(clock.Now())
 	}
-	a.report, a.readAt = r, time.Now()
+	a.report, a.readAt = r, clock.Now()
 	return r, nil
 }
 
@@ -209,7 +210,7 @@
 // read answers the coordinator of the group.
 func (a *Agent) read(ctx context.Context, q *mesh.ReadQuery) (*mesh.RankReport, error) {
 	a.mu.Lock()
-	a.turn.AskedBy(time.Now(), q.From)
+	a.turn.AskedBy(clock.Now(), q.From)
 	a.mu.Unlock()
 	return a.readOwn(ctx, q)
 }
@@ -228,7 +229,7 @@
 		if err != nil {
 			return nil, err
 		}
-		out.Picked = a.picks.Since(time.Now(), telling.Asker{Group: r.Rank.Group, Rank: q.From}, born, counts)
+		out.Picked = a.picks.Since(clock.Now(), telling.Asker{Group: r.Rank.Group, Rank: q.From}, born, counts)
 	}
 	if q.Holds {
 		version, holds, err := a.engine.Holds(ctx)
--- a/node/rank/giving.go
+++ b/node/rank/giving.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"clovertrail.dev/core/clock"
 	"clovertrail.dev/core/fault"
 	"clovertrail.dev/mapswitch/orders"
 	"clovertrail.dev/mesh"
@@ -22,7 +23,7 @@
 func (d *groupDuty) next(ctx context.Context) {
 	long := d.telling()
 	d.coord.SetTelling(long)
-	calls := d.coord.Next(time.Now())
+	calls := d.coord.Next(clock.Now())
 	if d.relays != nil {
 		calls = d.giveMany(ctx, calls, long)
 	}
@@ -40,12 +41,12 @@
 
 // ended takes the end of an attempt.
 func (d *groupDuty) ended(o orders.Outcome) {
-	d.endedAt = time.Now()
+	d.endedAt = clock.Now()
 	d.readAt = time.Time{} // at once: before another change all ranks are to be read
 	d.agent.common.Metrics.Count(telemetry.MapSwitches, string(o.End), 1)
-	took, held := time.Since(o.Began), time.Duration(0)
+	took, held := clock.Since(o.Began), time.Duration(0)
 	if !o.HeldFrom.IsZero() {
-		held = time.Since(o.HeldFrom)
+		held = clock.Since(o.HeldFrom)
 	}
 	if o.End == orders.Committed {
 		d.noteOverhead(took)
@@ -144,7 +145,7 @@
 // the group; the calls come back if none is known.
 func (d *groupDuty) giveThroughHelpers(ctx context.Context, calls []orders.Call) []orders.Call {
 	for len(calls) > 0 {
-		helper := d.agent.helpers.Next(time.Now())
+		helper := d.agent.helpers.Next(clock.Now())
 		if helper == "" {
 			return calls
 		}
@@ -204,7 +205,7 @@
 	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
 	done := orderDone{call: c}
-	helper := d.agent.helpers.Next(time.Now())
+	helper := d.agent.helpers.Next(clock.Now())
 	switch {
 	case underHold(c.Order) && helper != "" && c.Rank == d.rank && isHold(c.Order):
 		done.result, done.err = d.agent.holdThrough(ctx, helper, m, c)
--- a/node/rank/groupduty.go
+++ b/node/rank/groupduty.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"clovertrail.dev/core/clock"
 	"clovertrail.dev/experts/rebalance"
 	"clovertrail.dev/mapswitch/orders"
 	"clovertrail.dev/mesh"
@@ -177,7 +178,7 @@
 }
 
 func (d *groupDuty) take(e event) {
-	now := time.Now()
+	now := clock.Now()
 	switch e := e.(type) {
 	case readDone:
 		d.tookRead(now, e)
@@ -194,7 +195,7 @@
 
 // tick looks at the own engine, decides whether to coordinate, and reads the ranks.
 func (d *groupDuty) tick(ctx context.Context) {
-	now := time.Now()
+	now := clock.Now()
 	if now.Sub(d.readAt) < readEvery && !d.busy() {
 		return
 	}
@@ -220,7 +221,7 @@
 // busy tells that an attempt, or what follows one, waits for something that only
 // reads show.
 func (d *groupDuty) busy() bool {
-	return d.coord != nil && (!d.coord.Idle() || time.Since(d.endedAt) < afterwards)
+	return d.coord != nil && (!d.coord.Idle() || clock.Since(d.endedAt) < afterwards)
 }
 
 // follow starts to coordinate, or stops, as the group and the other ranks want it.
--- a/node/rank/muteranks.go
+++ b/node/rank/muteranks.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"clovertrail.dev/core/clock"
 )
 
 // muteRanks are the ranks whose agents lately did not answer.
@@ -20,7 +22,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if err != nil {
-		m.until[rank] = time.Now().Add(muteFor)
+		m.until[rank] = clock.Now().Add(muteFor)
 	} else {
 		delete(m.until, rank)
 	}
@@ -29,7 +31,7 @@
 func (m *muteRanks) is(rank int) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return time.Now().Before(m.until[rank])
+	return clock.Now().Before(m.until[rank])
 }
 
 func (m *muteRanks) reset() {
--- a/node/rank/orders.go
+++ b/node/rank/orders.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"clovertrail.dev/core/clock"
 	"clovertrail.dev/core/fault"
 	"clovertrail.dev/mapswitch/orders"
 	"clovertrail.dev/mesh"
@@ -14,11 +15,11 @@
 
 // giveOrder gives an order to an engine, counts it and times it.
 func giveOrder(ctx context.Context, c telemetry.Common, e *platform.Engine, call orders.Call) (orders.Result, error) {
-	began := time.Now()
+	began := clock.Now()
 	ctx, cancel := context.WithTimeout(ctx, engineWithin)
 	defer cancel()
 	res, err := e.Order(ctx, call.Epoch, call.Fence, call.Order)
-	c.Metrics.Observe(telemetry.OrderTime, orders.Name(call.Order)+" "+res.String(), time.Since(began))
+	c.Metrics.Observe(telemetry.OrderTime, orders.Name(call.Order)+" "+res.String(), clock.Since(began))
 	return res, err
 }
 
--- a/node/rank/reading.go
+++ b/node/rank/reading.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"clovertrail.dev/core/clock"
 	"clovertrail.dev/mesh"
 	"clovertrail.dev/node/telling"
 )
@@ -27,9 +28,9 @@
 // readRanks reads the ranks that are wanted and not being read already.
 func (d *groupDuty) readRanks(ctx context.Context, wanted func(rank int) bool) {
 	_, known := d.coord.Current()
-	picked := time.Since(d.pickedAt) >= d.pickPause()
+	picked := clock.Since(d.pickedAt) >= d.pickPause()
 	if picked {
-		d.pickedAt = time.Now()
+		d.pickedAt = clock.Now()
 	}
 	q := mesh.ReadQuery{From: d.rank, Picked: picked, Holds: !known}
 	var relayed []int
@@ -42,7 +43,7 @@
 			relayed = append(relayed, r)
 			continue
 		}
-		go d.readRank(ctx, r, m, &q, readDone{rank: r, epoch: d.coord.Epoch(), picked: picked, began: time.Now()})
+		go d.readRank(ctx, r, m, &q, readDone{rank: r, epoch: d.coord.Epoch(), picked: picked, began: clock.Now()})
 	}
 	if len(relayed) > 0 {
 		d.readThrough(ctx, relayed, q)
@@ -61,11 +62,11 @@
 	for _, p := range d.relays.Through(ranks, d.relayed) {
 		if p.Relay == telling.NoRelay {
 			for _, r := range p.Ranks {
-				go d.readRank(ctx, r, d.members[r], &q, readDone{rank: r, epoch: e, picked: q.Picked, began: time.Now()})
+				go d.readRank(ctx, r, d.members[r], &q, readDone{rank: r, epoch: e, picked: q.Picked, began: clock.Now()})
 			}
 			continue
 		}
-		done := gatherDone{part: p, epoch: e, picked: q.Picked, began: time.Now()}
+		done := gatherDone{part: p, epoch: e, picked: q.Picked, began: clock.Now()}
 		go d.gather(ctx, d.members[p.Relay], &mesh.GatherQuery{Epoch: e, Ranks: p.Ranks, Read: q}, done)
 	}
 }
--- a/node/readiness.go
+++ b/node/readiness.go
@@ -6,8 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"clovertrail.dev/core/clock"
 	"clovertrail.dev/core/domain"
-	"clovertrail.dev/node/process"
 	"clovertrail.dev/telemetry"
 )
 
@@ -56,12 +56,12 @@
 // judge keeps the readiness until ctx ends.
 func (e *Entry) judge(ctx context.Context) {
 	for ctx.Err() == nil {
-		now := time.Now()
+		now := clock.Now()
 		stranded := (e.peering.isolated(now) || e.fleet.cutOff(now)) && e.fleet.wanting(now)
 		if before := e.ready.stranded.Swap(stranded); before != stranded {
 			e.common.Log.Warn("cut off without targets", "stranded", stranded, "before", before)
 		}
 		e.noteStandings(now)
-		process.SleepUntil(ctx, now.Add(judgeEvery))
+		clock.SleepUntil(ctx, now.Add(judgeEvery))
 	}
 }
--- a/node/surveying.go
+++ b/node/surveying.go
@@ -7,10 +7,10 @@
 	"sync"
 	"time"
 
+	"clovertrail.dev/core/clock"
 	"clovertrail.dev/core/domain"
 	"clovertrail.dev/membership"
 	"clovertrail.dev/mesh"
-	"clovertrail.dev/node/process"
 	"clovertrail.dev/node/telling"
 	"clovertrail.dev/routing"
 )
@@ -51,7 +51,7 @@
 
 // survey implements mesh.Survey.
 func (s *surveying) survey(_ context.Context, q *mesh.HallQuery) (*mesh.HallReport, error) {
-	r := s.sightings.Tell(time.Now(), q.All)
+	r := s.sightings.Tell(clock.Now(), q.All)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r.Follows = s.role != membership.Follower && s.storeWell != nil && s.storeWell()
@@ -88,7 +88,7 @@
 func (s *surveying) toldOfStore() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.role == membership.Follower && time.Since(s.hubAt) < hubFor
+	return s.role == membership.Follower && clock.Since(s.hubAt) < hubFor
 }
 
 // takeRole looks what this box is to its hall now.
@@ -118,7 +118,7 @@
 
 // asked are the targets that this box is to ask itself.
 func (s *surveying) asked(ranks []domain.Target) map[domain.InstanceID]bool {
-	now, old := time.Now(), s.old()
+	now, old := clock.Now(), s.old()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	out := map[domain.InstanceID]bool{}
@@ -172,7 +172,7 @@
 		} else {
 			pause = s.old() / 2 // a look whether the hubs still tell of the hall
 		}
-		process.SleepUntil(ctx, time.Now().Add(pause))
+		clock.SleepUntil(ctx, clock.Now().Add(pause))
 	}
 }
 
@@ -181,7 +181,7 @@
 	old := s.old()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.outlook.Surveys(time.Now(), hall, old)
+	return s.outlook.Surveys(clock.Now(), hall, old)
 }
 
 // ask asks one box of the hall, if any is in touch.
@@ -214,7 +214,7 @@
 
 // take hands on what the box heard, as of when it heard it.
 func (s *surveying) take(hall domain.HallName, box domain.BoxID, r *mesh.HallReport) {
-	now := time.Now()
+	now := clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.outlook.Answered(hall, box) {
--- a/node/watching.go
+++ b/node/watching.go
@@ -8,12 +8,12 @@
 	"strconv"
 	"time"
 
+	"clovertrail.dev/core/clock"
 	"clovertrail.dev/core/domain"
 	"clovertrail.dev/experts/rebalance"
 	"clovertrail.dev/mapswitch/orders"
 	"clovertrail.dev/membership"
 	"clovertrail.dev/mesh"
-	"clovertrail.dev/node/process"
 	"clovertrail.dev/node/telling"
 	"clovertrail.dev/routing"
 )
@@ -52,7 +52,7 @@
 func (w *watching) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		w.update(ctx)
-		process.SleepUntil(ctx, time.Now().Add(watchEvery))
+		clock.SleepUntil(ctx, clock.Now().Add(watchEvery))
 	}
 }
 
@@ -95,10 +95,10 @@
 		} else {
 			pause = usual
 		}
-		if waits := lesson.Waits(time.Now()); waits > 0 {
+		if waits := lesson.Waits(clock.Now()); waits > 0 {
 			pause = min(pause, waits)
 		}
-		process.SleepUntil(ctx, time.Now().Add(pause))
+		clock.SleepUntil(ctx, clock.Now().Add(pause))
 	}
 }
 
@@ -137,7 +137,7 @@
 	report, err := w.put(ctx, address, &mesh.WatchQuery{Epoch: epoch})
 	if err != nil {
 		if boxSilent(err) {
-			w.entry.fleet.with(func(r *membership.Roster, _ *routing.Balancer) { r.Unreachable(time.Now(), id) })
+			w.entry.fleet.with(func(r *membership.Roster, _ *routing.Balancer) { r.Unreachable(clock.Now(), id) })
 			w.surveying.sightings.Missed(id)
 		}
 		return err
@@ -146,10 +146,10 @@
 		w.otherStart(id, report.Born)
 		return nil
 	}
-	w.surveying.sightings.Saw(time.Now(), id, report)
+	w.surveying.sightings.Saw(clock.Now(), id, report)
 	w.take(id, report)
 	l.Learnt(report.Knows)
-	if !l.Due(time.Now(), epoch) {
+	if !l.Due(clock.Now(), epoch) {
 		return nil
 	}
 	_, err = w.put(ctx, address, w.lesson(id))
@@ -263,7 +263,7 @@
 }
 
 func (w *watching) take(id domain.InstanceID, r *mesh.RankReport) {
-	now := time.Now()
+	now := clock.Now()
 	own := domain.Rank{Group: r.Group, Epoch: uint64(r.State.Epoch), Number: r.Rank, Size: r.Size, Open: r.State.Open}
 	w.entry.fleet.with(func(ros *membership.Roster, b *routing.Balancer) {
 		ros.Reported(now, id, own, uint64(r.State.Step), r.Running > 0)
--- a/transport/ended.go
+++ b/transport/ended.go
@@ -5,6 +5,8 @@
 	"errors"
 	"syscall"
 	"time"
+
+	"clovertrail.dev/core/clock"
 )
 
 const (
@@ -44,7 +46,7 @@
 
 // look gives the look that stands for the address now; mine if the caller has to make it.
 func (p *Pool) look(address string) (l *look, mine bool) {
-	now := time.Now()
+	now := clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if l, ok := p.looks[address]; ok && now.Before(l.until) {
@@ -65,7 +67,7 @@
 	defer cancel()
 	c, err := p.connect(ctx, address)
 	if err == nil {
-		p.put(c, time.Now().Add(p.settings.Idle))
+		p.put(c, clock.Now().Add(p.settings.Idle))
 	}
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
--- a/transport/exchange.go
+++ b/transport/exchange.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"clovertrail.dev/core/clock"
 )
 
 // Exchange is one request and its answer over one connection. One goroutine uses
@@ -128,5 +130,5 @@
 		return
 	}
 	x.conn.sent = false
-	x.pool.put(x.conn, time.Now().Add(keep))
+	x.pool.put(x.conn, clock.Now().Add(keep))
 }
--- a/transport/pool.go
+++ b/transport/pool.go
@@ -9,6 +9,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"clovertrail.dev/core/clock"
 )
 
 // Reuse tells which connections a request may take.
@@ -98,7 +100,7 @@
 		if c == nil {
 			return nil
 		}
-		if time.Now().Before(c.until) && c.read.Buffered() == 0 && quiet(c.net) {
+		if clock.Now().Before(c.until) && c.read.Buffered() == 0 && quiet(c.net) {
 			return c
 		}
 		c.close()
