Quarantine: callers who leave first, lost packets, halls that only the store can tell

A look whose opening packet is lost is made once more. Tried on the way and dropped: counting work that was given up when another box tells of the same target's end; it needs other work at the target.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -51,14 +51,34 @@
 	if callerGone(caller) && verdict != Good {
 		verdict = Neutral
 	}
-	if a.gone = a.ended(ctx, end); a.gone {
+	switch a.gone = a.ended(ctx, end); {
+	case a.gone:
 		verdict = Gone
 		a.d.g.parts.Quarantine.Ended(clock.Now(), a.d.o.digest, a.lease.Target().ID())
+	case ctx.Err() != nil && a.exchange != nil && a.exchange.Sent():
+		a.lookBack()
 	}
 	a.lease.End(verdict)
 	return end
 }
 
+// lookBackAfter is how long after an attempt was given up its target is looked at. Most drop
+// work as its connection closes, and those that do not crash under it within a second; one
+// that did is away for longer than this.
+const lookBackAfter = 1500 * time.Millisecond
+
+// lookBack finds out later whether the target ended under work for which nobody waits any
+// more, as where a caller leaves before the crash. Otherwise nobody ever would: of one
+// who leaves each time all 24 tries reached targets.
+func (a *attempt) lookBack() {
+	parts, work, t := a.d.g.parts, a.d.o.digest, a.lease.Target()
+	clock.AfterFunc(clock.Now().Add(lookBackAfter), func() {
+		if parts.Pool.Ended(context.Background(), t.Address()) {
+			parts.Quarantine.Ended(clock.Now(), work, t.ID())
+		}
+	})
+}
+
 // ended tells whether the target's process ended during the attempt, and not only the
 // attempt's connection. Where a group loses a rank the others cut what they had, and live:
 // what they had is not to be blamed for it.
--- a/gateway/delivery.go
+++ b/gateway/delivery.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -72,7 +73,7 @@
 }
 
 // callerGone tells a caller that left from a deadline that passed.
-func callerGone(ctx context.Context) bool { return context.Cause(ctx) == context.Canceled }
+func callerGone(ctx context.Context) bool { return errors.Is(context.Cause(ctx), context.Canceled) }
 
 // try makes one attempt and returns what to do after it.
 func (d *delivery) try(ctx context.Context, t retry.Try) retry.Command {
--- a/local/fatal_test.go
+++ b/local/fatal_test.go
@@ -26,22 +26,40 @@
 // mostAfterCrashes is how many times such a request may reach targets after that.
 const mostAfterCrashes = 3
 
-// callAgain has a caller who asks for the same over and over, at one box after another.
-func callAgain(path string, tries int, between func(s *local.System, try int)) func(*local.System, *history) {
-	return func(s *local.System, h *history) {
-		time.Sleep(time.Second)
-		for try := range tries {
-			e := entry(s, try)
-			if e.Running() {
-				q := standin.Request{ID: h.id(), Path: path, Key: key, Body: fatal, Within: 2 * time.Second}
-				h.add(asked{request: q, box: e.Name(), at: time.Now(), reply: s.Ask(context.Background(), e, q)})
-			}
-			time.Sleep(300 * time.Millisecond)
-			between(s, try)
+// calls are those of a caller who asks for the same over and over, at one box after another.
+type calls struct {
+	path    string
+	within  time.Duration                  // the caller leaves then
+	box     func(try int) int              // nil for one after another
+	before  func(s *local.System)          // happens before the first try; nil for nothing
+	between func(s *local.System, try int) // happens after each try; nil for nothing
+}
+
+func (c calls) make(s *local.System, h *history) {
+	const tries = 60
+	time.Sleep(time.Second)
+	if c.before != nil {
+		c.before(s)
+	}
+	for try := range tries {
+		e := entry(s, try)
+		if c.box != nil {
+			e = entry(s, c.box(try))
+		}
+		if e.Running() {
+			q := standin.Request{ID: h.id(), Path: c.path, Key: key, Body: fatal, Within: c.within}
+			h.add(asked{request: q, box: e.Name(), at: time.Now(), reply: s.Ask(context.Background(), e, q)})
+		}
+		time.Sleep(300 * time.Millisecond)
+		if c.between != nil {
+			c.between(s, try)
 		}
 	}
 }
 
+// crashAfter is how long a target runs such a request before it crashes.
+const crashAfter = 60 * time.Millisecond
+
 // killAll ends all entry boxes at once, and starts them again.
 func killAll(s *local.System) {
 	for _, e := range s.Entries() {
@@ -53,35 +71,48 @@
 	}
 }
 
+// cutHalls cuts all halls from each other.
+func cutHalls(s *local.System) {
+	halls := s.Halls()
+	for i := range halls {
+		for _, other := range halls[i+1:] {
+			s.Network.SetLink(halls[i], other, local.Silent)
+		}
+	}
+}
+
 // TestARequestThatCrashesTargetsIsNotSentOnForever: once three targets have ended under it
 // and boxes have had time to tell each other, it reaches targets three more times at the most.
 func TestARequestThatCrashesTargetsIsNotSentOnForever(t *testing.T) {
-	nothing := func(*local.System, int) {}
+	const patient = 2 * time.Second
 	for _, tc := range []struct {
-		name    string
-		path    string
-		between func(*local.System, int)
+		name  string
+		halls int // 0 for two
+		calls calls
 	}{
-		{"repeatable", "/again/x", nothing},
-		{"once only", "/once/x", nothing},
-		{"stream", "/stream/x", nothing},
-		{"all boxes die", "/again/x", func(s *local.System, try int) {
+		{"repeatable", 0, calls{path: "/again/x", within: patient}},
+		{"once only", 0, calls{path: "/once/x", within: patient}},
+		{"stream", 0, calls{path: "/stream/x", within: patient}},
+		{"all boxes die", 0, calls{path: "/again/x", within: patient, between: func(s *local.System, try int) {
 			if try%15 == 14 {
 				killAll(s)
 			}
-		}},
-		{"boxes die in turn", "/again/x", func(s *local.System, try int) {
+		}}},
+		{"boxes die in turn", 0, calls{path: "/again/x", within: patient, between: func(s *local.System, try int) {
 			if try%4 == 3 {
 				entry(s, try/4).Kill()
 				_ = entry(s, try/4).Start()
 			}
-		}},
+		}}},
+		{"the caller leaves before the target ends", 0, calls{path: "/again/x", within: crashAfter / 2}},
+		// The caller goes from one hall to the next, each of which only the store can tell.
+		{"halls are cut from each other", 4, calls{path: "/again/x", within: patient, box: func(try int) int { return try / 15 }, before: cutHalls}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			sc := busy()
 			sc.seed, sc.length, sc.paths = 1, 24*time.Second, []string{"/again/y"}
-			sc.operate = callAgain(tc.path, 60, tc.between)
-			sc.fatal = fatal
+			sc.operate = tc.calls.make
+			sc.fatal, sc.halls = fatal, tc.halls
 			sc.run(t, func(s *local.System, h *history) {
 				var at []time.Time
 				for _, r := range s.Runs() {
@@ -111,7 +142,7 @@
 func TestWhoCrashesNothingIsServed(t *testing.T) {
 	sc := busy()
 	sc.seed, sc.length, sc.paths = 1, 24*time.Second, []string{"/again/y", "/stream/y"}
-	sc.operate = callAgain("/again/x", 60, func(*local.System, int) {})
+	sc.operate = calls{path: "/again/x", within: 2 * time.Second}.make
 	sc.fatal = fatal
 	sc.run(t, func(_ *local.System, h *history) {
 		served, failed := 0, 0
--- a/local/scenario_test.go
+++ b/local/scenario_test.go
@@ -56,6 +56,7 @@
 	seed     uint64
 	operate  func(*local.System, *history) // runs beside the callers
 	ranks    int                           // of the group; 0 for the usual few
+	halls    int                           // 0 for two
 	link     float64                       // of their boxes, in Mbit/s; 0 for plenty
 	log      io.Writer                     // takes the lines of all processes
 	fatal    string                        // the body of requests that crash targets; empty for none
@@ -207,8 +208,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		shape := group
 		shape.Ranks = cmp.Or(sc.ranks, group.Ranks)
+		var halls []domain.HallName
+		for i := range cmp.Or(sc.halls, 2) {
+			halls = append(halls, domain.HallName(fmt.Sprintf("hall-%d", i+1)))
+		}
 		sys, err := local.Start(local.Layout{
-			Halls: []domain.HallName{"hall-1", "hall-2"}, Entries: 4, Targets: 4, Group: &shape,
+			Halls: halls, Entries: 4, Targets: 4, Group: &shape,
 			Keys: map[string]string{"org": key}, Bounds: bounds(), Memory: true, Link: sc.link, Log: sc.log,
 		})
 		if err != nil {
@@ -256,7 +261,7 @@
 		if sc.gap > 0 {
 			h.Gap = sc.gap
 		}
-		h.Fatal = sc.fatal
+		h.Fatal, h.Crash = sc.fatal, crashAfter
 	})
 }
 
--- a/node/entry.go
+++ b/node/entry.go
@@ -55,13 +55,14 @@
 	e.pool = transport.NewPool(n.Dial, transport.DefaultSettings())
 	e.mesh = mesh.NewClient(n.Dial)
 	e.engines = process.HTTPClient(n)
-	e.quarantine = newQuarantining(c)
+	e.quarantine = newQuarantining(c,
+		func() { e.peering.tell() },
+		func() bool { return e.peering.isolated(clock.Now()) })
 	e.gateway = gateway.New(gateway.Parts{
 		Common: c, Speech: platform.Speech{}, Fleet: e.fleet, Pool: e.pool, Purse: e.budgets.purse,
 		Quarantine: e.quarantine,
 	})
 	e.peering = newPeering(e)
-	e.quarantine.news = e.peering.tell
 	e.fleet.letDown, e.fleet.ejected = e.peering.tell, e.noteEjected
 	e.surveying = newSurveying(e)
 	e.belief = &belief{common: c, fleet: e.fleet, adopt: e.adopt, moved: e.peering.tell}
--- a/node/quarantining.go
+++ b/node/quarantining.go
@@ -24,7 +24,8 @@
 // Lock order: mu is the only lock, and no I/O is done under it.
 type quarantining struct {
 	common telemetry.Common
-	news   func() // makes this box tell others at once
+	news   func()      // makes this box tell others at once
+	apart  func() bool // tells that this box hears no other hall, so that only the store tells it
 
 	mu       sync.Mutex
 	register *quarantine.Register
@@ -33,9 +34,10 @@
 }
 
 const (
-	// keepAgain is the pause after a call to the store that failed: works in quarantine are
-	// few, and other boxes know of them meanwhile.
-	keepAgain = time.Second
+	// lookEvery is the time between two looks at the store, by a box that has not read it yet
+	// or that hears no other hall, and before a call that failed is made again: a third of the
+	// time in which boxes have to know of each other's findings.
+	lookEvery = time.Second
 	// unkeptMost bounds the records that wait for the store.
 	unkeptMost = 64
 )
@@ -46,8 +48,10 @@
 	sourceStore = "store"
 )
 
-func newQuarantining(c telemetry.Common) *quarantining {
-	return &quarantining{common: c, register: quarantine.NewRegister(), news: func() {}, wake: make(chan struct{}, 1)}
+func newQuarantining(c telemetry.Common, news func(), apart func() bool) *quarantining {
+	return &quarantining{
+		common: c, news: news, apart: apart, register: quarantine.NewRegister(), wake: make(chan struct{}, 1),
+	}
 }
 
 // Barred implements gateway.Quarantine.
@@ -59,9 +63,7 @@
 
 // Ended implements gateway.Quarantine.
 func (q *quarantining) Ended(now time.Time, d call.Digest, id domain.InstanceID) {
-	if q.take(now, quarantine.Word{Digest: d, Target: id, At: now}, sourceOwn) == quarantine.Barred {
-		q.keep(d)
-	}
+	q.take(now, quarantine.Word{Digest: d, Target: id, At: now}, sourceOwn)
 }
 
 // Served implements gateway.Quarantine.
@@ -69,29 +71,38 @@
 	q.take(now, quarantine.Word{Digest: d, At: now}, sourceOwn)
 }
 
-// take takes a word from the source, and logs what it changes.
-func (q *quarantining) take(now time.Time, w quarantine.Word, source string) quarantine.Change {
+// take takes a word from the source, logs what it changes, and sees to it that others hear.
+func (q *quarantining) take(now time.Time, w quarantine.Word, source string) {
 	q.mu.Lock()
 	change := q.register.Take(now, w)
-	ended := q.register.Ended(w.Digest)
-	until, _ := q.register.Barred(now, w.Digest)
+	q.note(now, w, change, source)
+	barred := change == quarantine.Barred
+	if barred && source == sourceOwn {
+		q.keep(w.Digest)
+	}
 	q.mu.Unlock()
+	if barred || source == sourceOwn && change != quarantine.Nothing {
+		q.news()
+	}
+}
+
+// note logs and counts what a word changed; mu is held.
+func (q *quarantining) note(now time.Time, w quarantine.Word, change quarantine.Change, source string) {
+	attrs := []any{"digest", w.Digest, "target", w.Target, "ended", q.register.Ended(w.Digest), "age", now.Sub(w.At), "source", source}
 	switch change {
+	case quarantine.Nothing:
 	case quarantine.News:
 		if w.Target != "" {
-			q.common.Log.Warn("target ended under work", "digest", w.Digest, "target", w.Target, "ended", ended, "age", now.Sub(w.At), "source", source)
+			q.common.Log.Warn("target ended under work", attrs...)
 		}
 	case quarantine.Barred:
+		until, _ := q.register.Barred(now, w.Digest)
 		q.common.Metrics.Count(telemetry.Quarantines, sourceKind(source), 1)
-		q.common.Log.Warn("work in quarantine", "digest", w.Digest, "target", w.Target, "ended", ended, "left", until.Sub(now), "age", now.Sub(w.At), "source", source)
+		q.common.Log.Warn("work in quarantine", append(attrs, "left", until.Sub(now))...)
 	case quarantine.Released:
 		q.common.Metrics.Count(telemetry.Quarantines, "released", 1)
-		q.common.Log.Info("work released from quarantine, it was served", "digest", w.Digest, "age", now.Sub(w.At), "source", source)
+		q.common.Log.Info("work released from quarantine, it was served", attrs...)
 	}
-	if source == sourceOwn && change != quarantine.Nothing || change == quarantine.Barred {
-		q.news()
-	}
-	return change
 }
 
 // sourceKind names the source without the box, so that a counter has few series.
@@ -122,35 +133,39 @@
 	return list
 }
 
-// keep has the store keep what is known of the work.
+// keep has the store keep what this box found out of the work; mu is held.
 func (q *quarantining) keep(d call.Digest) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
 	if len(q.unkept) >= unkeptMost {
 		q.common.Log.Error("quarantine not kept, too many wait for the store", "digest", d, "waiting", len(q.unkept))
 		return
 	}
-	q.unkept = append(q.unkept, quarantine.RecordOf(q.register.Of(d)))
+	words := q.register.Of(d)
+	for i := range words {
+		words[i].At = clock.TimeOfDay(words[i].At)
+	}
+	q.unkept = append(q.unkept, quarantine.RecordOf(words))
 	select {
 	case q.wake <- struct{}{}:
 	default: // it is awake already
 	}
 }
 
-// run reads what the store keeps, and then keeps there what this box finds out, until ctx
-// ends. As the whole system starts for the first time there is nothing to read.
+// run reads what the store keeps, and keeps there what this box finds out, until ctx ends. As
+// the whole system starts for the first time there is nothing to read.
 func (q *quarantining) run(ctx context.Context, s store.Shelf, first bool) {
-	for !first && ctx.Err() == nil && !q.load(ctx, s) {
-		clock.SleepUntil(ctx, clock.Now().Add(keepAgain))
-	}
+	loaded := first
+	look := time.NewTicker(lookEvery)
+	defer look.Stop()
 	for {
+		if !loaded || q.apart() {
+			loaded = q.load(ctx, s) || loaded
+		}
+		q.keepAll(ctx, s)
 		select {
 		case <-ctx.Done():
 			return
 		case <-q.wake:
-		}
-		for ctx.Err() == nil && !q.keepNext(ctx, s) {
-			clock.SleepUntil(ctx, clock.Now().Add(keepAgain))
+		case <-look.C:
 		}
 	}
 }
@@ -163,34 +178,37 @@
 	if err != nil {
 		return false
 	}
-	now := clock.Now()
+	now, day := clock.Now(), time.Now()
 	for _, r := range l.Records {
 		var kept quarantine.Record
 		if err := json.Unmarshal(r.Spec, &kept); err != nil {
 			q.common.Log.Error("quarantine not taken", "record", r.Name, "revision", r.Revision, "err", err)
 			continue
 		}
-		if kept.Over(now) {
+		if kept.Over(day) {
 			q.called("remove", s.Remove(ctx, platform.Quarantines, r.Name))
 			continue
 		}
-		for _, w := range kept.Words(now) {
+		for _, w := range kept.Words(now, day) {
 			q.take(now, w, sourceStore)
 		}
 	}
 	return true
 }
 
-// keepNext keeps the records that wait, and tells whether all are kept.
-func (q *quarantining) keepNext(ctx context.Context, s store.Shelf) bool {
-	for {
-		q.mu.Lock()
-		if len(q.unkept) == 0 {
-			q.mu.Unlock()
-			return true
-		}
-		next := q.unkept[0]
-		q.mu.Unlock()
+// next is the record that waits longest.
+func (q *quarantining) next() (quarantine.Record, bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if len(q.unkept) == 0 {
+		return quarantine.Record{}, false
+	}
+	return q.unkept[0], true
+}
+
+// keepAll keeps the records that wait, until the store fails.
+func (q *quarantining) keepAll(ctx context.Context, s store.Shelf) {
+	for next, ok := q.next(); ok; next, ok = q.next() {
 		spec, err := json.Marshal(next)
 		if err == nil {
 			err = s.Create(ctx, platform.Quarantines, next.Name(), spec)
@@ -200,7 +218,7 @@
 		}
 		q.called("create", err)
 		if err != nil {
-			return false
+			return
 		}
 		q.mu.Lock()
 		q.unkept = q.unkept[1:]
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -19,7 +19,7 @@
 	Ended map[domain.InstanceID]int64 `json:"ended"`
 }
 
-// RecordOf is the record of what a Register knows of a work.
+// RecordOf is the record of what a Register knows of a work, at times of day.
 func RecordOf(of []Word) Record {
 	r := Record{f: recordFields{Ended: map[domain.InstanceID]int64{}}}
 	for _, w := range of {
@@ -32,24 +32,25 @@
 // Name tells the record from those of other works, and of the same with more targets.
 func (r Record) Name() string { return fmt.Sprintf("%s-%d", r.f.Digest, len(r.f.Ended)) }
 
-// Words are what the record says, as of now. Ages are by the time of day, of which boxes may
-// disagree by seconds; quarantines last for minutes.
-func (r Record) Words(now time.Time) []Word {
+// Words are what the record says, as of now, which is the given time of day. Boxes may
+// disagree on that by seconds; quarantines last for minutes.
+func (r Record) Words(now, day time.Time) []Word {
 	var list []Word
 	for id, ms := range r.f.Ended {
-		ago := time.Duration(now.UnixMilli()-ms) * time.Millisecond
+		ago := day.Sub(time.UnixMilli(ms))
 		list = append(list, Word{Digest: r.f.Digest, Target: id, At: now.Add(-max(ago, 0))})
 	}
 	return list
 }
 
-// Over tells that the quarantine, and the time for which it is remembered, have passed.
-func (r Record) Over(now time.Time) bool {
+// Over tells that the quarantine, and the time for which it is remembered, have passed at the
+// time of day.
+func (r Record) Over(day time.Time) bool {
 	var last int64
 	for _, ms := range r.f.Ended {
 		last = max(last, ms)
 	}
-	return now.Sub(time.UnixMilli(last).Add(term(len(r.f.Ended)-enough))) > rememberFor
+	return day.Sub(time.UnixMilli(last).Add(term(len(r.f.Ended)-enough))) > rememberFor
 }
 
 // MarshalJSON implements json.Marshaler.
--- a/quarantine/register_test.go
+++ b/quarantine/register_test.go
@@ -26,8 +26,9 @@
 	return quarantine.Word{Digest: d, Target: domain.InstanceID(target), At: begin.Add(after)}
 }
 
-func served(d call.Digest, after time.Duration) quarantine.Word {
-	return quarantine.Word{Digest: d, At: begin.Add(after)}
+// served is the word that the fatal work was served after all.
+func served(after time.Duration) quarantine.Word {
+	return quarantine.Word{Digest: fatal, At: begin.Add(after)}
 }
 
 // taking gives the register the words, each as it happens.
@@ -57,13 +58,13 @@
 		{"and a third ended then", []quarantine.Word{ended(fatal, "a", 0), ended(fatal, "b", 0), ended(fatal, "c", 2*time.Minute)}, 2 * time.Minute, 22 * time.Minute},
 		{"and a fourth", []quarantine.Word{ended(fatal, "a", 0), ended(fatal, "b", 0), ended(fatal, "c", 2*time.Minute), ended(fatal, "d", 22*time.Minute)},
 			22 * time.Minute, 222 * time.Minute},
-		{"two ended, it was served between", []quarantine.Word{ended(fatal, "a", 0), served(fatal, time.Second), ended(fatal, "b", 2*time.Second)}, 2 * time.Second, 0},
-		{"two ended, it was served after", []quarantine.Word{ended(fatal, "a", 0), ended(fatal, "b", 0), served(fatal, time.Second)}, time.Second, 0},
-		{"served lately, three ended", []quarantine.Word{served(fatal, 0), ended(fatal, "a", time.Second), ended(fatal, "b", time.Second), ended(fatal, "c", time.Second)}, time.Second, 0},
-		{"served lately, four ended", []quarantine.Word{served(fatal, 0), ended(fatal, "a", time.Second), ended(fatal, "b", time.Second), ended(fatal, "c", time.Second), ended(fatal, "d", time.Second)},
+		{"two ended, it was served between", []quarantine.Word{ended(fatal, "a", 0), served(time.Second), ended(fatal, "b", 2*time.Second)}, 2 * time.Second, 0},
+		{"two ended, it was served after", []quarantine.Word{ended(fatal, "a", 0), ended(fatal, "b", 0), served(time.Second)}, time.Second, 0},
+		{"served lately, three ended", []quarantine.Word{served(0), ended(fatal, "a", time.Second), ended(fatal, "b", time.Second), ended(fatal, "c", time.Second)}, time.Second, 0},
+		{"served lately, four ended", []quarantine.Word{served(0), ended(fatal, "a", time.Second), ended(fatal, "b", time.Second), ended(fatal, "c", time.Second), ended(fatal, "d", time.Second)},
 			time.Second, 121 * time.Second},
-		{"served long ago, two ended", []quarantine.Word{served(fatal, 0), ended(fatal, "a", 2*time.Minute), ended(fatal, "b", 2*time.Minute)}, 2 * time.Minute, 4 * time.Minute},
-		{"served before two ended, told late", []quarantine.Word{ended(fatal, "a", 2*time.Second), ended(fatal, "b", 2*time.Second), served(fatal, time.Second)}, 3 * time.Second, 0},
+		{"served long ago, two ended", []quarantine.Word{served(0), ended(fatal, "a", 2*time.Minute), ended(fatal, "b", 2*time.Minute)}, 2 * time.Minute, 4 * time.Minute},
+		{"served before two ended, told late", []quarantine.Word{ended(fatal, "a", 2*time.Second), ended(fatal, "b", 2*time.Second), served(time.Second)}, 3 * time.Second, 0},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			r := taking(quarantine.NewRegister(), tc.words...)
@@ -85,13 +86,13 @@
 		word quarantine.Word
 		want quarantine.Change
 	}{
-		{served(fatal, 0), quarantine.Nothing},
+		{served(0), quarantine.Nothing},
 		{ended(fatal, "a", 2*time.Minute), quarantine.News},
 		{ended(fatal, "a", 2*time.Minute), quarantine.Nothing},
 		{ended(fatal, "b", 2*time.Minute), quarantine.Barred},
 		{ended(fatal, "c", 2*time.Minute), quarantine.Barred},
-		{served(fatal, 3*time.Minute), quarantine.Released},
-		{served(fatal, 3*time.Minute), quarantine.Nothing},
+		{served(3 * time.Minute), quarantine.Released},
+		{served(3 * time.Minute), quarantine.Nothing},
 		{ended(fatal, "d", time.Minute), quarantine.Nothing},
 	} {
 		if got := r.Take(tc.word.At, tc.word); got != tc.want {
@@ -198,7 +199,7 @@
 	}
 	now := begin.Add(time.Minute)
 	other := quarantine.NewRegister()
-	for _, w := range back.Words(now) {
+	for _, w := range back.Words(now, now) {
 		other.Take(now, w)
 	}
 	until, barred := other.Barred(now, fatal)
--- a/transport/ended.go
+++ b/transport/ended.go
@@ -62,12 +62,23 @@
 	return l, true
 }
 
+// refuses looks twice where the first look stays without an answer: one packet may be lost.
 func (p *Pool) refuses(ctx context.Context, address string) bool {
+	refused, answered := p.knock(ctx, address)
+	if !answered {
+		refused, _ = p.knock(ctx, address)
+	}
+	return refused
+}
+
+// knock opens a connection.
+func (p *Pool) knock(ctx context.Context, address string) (refused, answered bool) {
 	ctx, cancel := context.WithTimeout(ctx, lookWithin)
 	defer cancel()
 	c, err := p.connect(ctx, address)
 	if err == nil {
 		p.put(c, clock.Now().Add(p.settings.Idle))
 	}
-	return errors.Is(err, syscall.ECONNREFUSED)
+	refused = errors.Is(err, syscall.ECONNREFUSED)
+	return refused, refused || err == nil
 }
