--- a/cli/logs/explain.go
+++ b/cli/logs/explain.go
@@ -1,6 +1,8 @@
 package logs
 
 import (
+	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -52,7 +54,7 @@
 	last := t.lines[len(t.lines)-1]
 	t.box = last.box
 	t.facts = t.factsAt(s, last)
-	t.cause = causeOf(t.lines)
+	t.cause = causeOf(t.lines) + workOf(s, last)
 	return t, nil
 }
 
@@ -125,7 +127,36 @@
 	for _, l := range lines {
 		if l.msg == "attempt failed" {
 			sentence += "; attempt " + l.Get("attempt") + " at " + l.Get("target") + " ended: " + l.Get("end")
+			if l.Get("target_ended") == "true" {
+				sentence += ", and so did the target's process"
+			}
 		}
 	}
 	return sentence
 }
+
+// workOf tells what became of targets that had the same work up to then, from whichever try of
+// it; empty if none ended.
+func workOf(s *Set, last Line) string {
+	digest := last.Get("digest")
+	if digest == "" {
+		return ""
+	}
+	tries, ended := map[string]bool{}, map[string]bool{}
+	for _, l := range s.lines {
+		if l.Get("digest") != digest || l.at.After(last.at) {
+			continue
+		}
+		if id := l.Get("request"); id != "" {
+			tries[id] = true
+		}
+		if id := l.Get("target"); id != "" && (l.msg == "target ended under work" || l.msg == "work in quarantine") {
+			ended[id] = true
+		}
+	}
+	if len(ended) == 0 {
+		return ""
+	}
+	return fmt.Sprintf("; of its work %d tries are in the lines so far, and under it ended %s",
+		len(tries), strings.Join(slices.Sorted(maps.Keys(ended)), ", "))
+}
--- a/cli/logs/logs_test.go
+++ b/cli/logs/logs_test.go
@@ -183,3 +183,31 @@
 		}
 	})
 }
+
+// TestExplainTellsOfTheSameWork: a try that was refused since targets ended under others of
+// the same work, at other boxes, is told apart from one that met a bad moment.
+func TestExplainTellsOfTheSameWork(t *testing.T) {
+	const lines = `time=2026-05-31T06:24:01.000Z level=WARN msg="attempt failed" box=front-1 request=r1 digest=d target=i-1 attempt=1 resume=false end="lost: unexpected EOF" target_ended=true next="refuse as fate_unknown" after=2ms
+time=2026-05-31T06:24:01.000Z level=WARN msg="target ended under work" box=front-1 digest=d target=i-1 ended=1 age=0s source=own
+time=2026-05-31T06:24:01.001Z level=WARN msg="request refused" box=front-1 request=r1 digest=d route=a service=s organisation=o config=5 kind=fate_unknown err="fate" after=3ms
+time=2026-05-31T06:24:02.000Z level=WARN msg="work in quarantine" box=front-2 digest=d target=i-2 ended=2 left=2m0s age=0s source="peer front-3"
+time=2026-05-31T06:24:03.000Z level=WARN msg="request refused" box=front-2 request=r2 digest=d route=a service=s organisation=o config=5 kind=quarantined err="quarantined: targets ended under this work" after=1ms
+time=2026-05-31T06:24:03.000Z level=WARN msg="request refused" box=front-2 request=r3 digest=e route=a service=s organisation=o config=5 kind=no_target err="no target" after=1ms
+`
+	s, err := logs.Read(strings.NewReader(lines))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for request, want := range map[string]string{
+		"r1": "and so did the target's process; of its work 1 tries are in the lines so far, and under it ended i-1",
+		"r2": "refused as quarantined: Targets ended under this request; it is not sent to more for now.; of its work 2 tries are in the lines so far, and under it ended i-1, i-2",
+	} {
+		x, err := logs.Explain(s, request)
+		if err != nil || !strings.HasSuffix(x.Cause(), want) {
+			t.Errorf("%s: %q, %v", request, x.Cause(), err)
+		}
+	}
+	if x, err := logs.Explain(s, "r3"); err != nil || strings.Contains(x.Cause(), "work") {
+		t.Errorf("other work: %q, %v", x.Cause(), err)
+	}
+}
--- a/mesh/fuzz_test.go
+++ b/mesh/fuzz_test.go
@@ -15,7 +15,7 @@
 func FuzzMessages(f *testing.F) {
 	hold := orders.Step(7)
 	for _, m := range []any{
-		&mesh.Advert{Self: mesh.Contact{Box: "b"}, Complaints: []mesh.Complaint{{Target: "t", By: "b", Ago: 5}}},
+		&mesh.Advert{Self: mesh.Contact{Box: "b"}, Complaints: []mesh.Complaint{{Target: "t", By: "b", Ago: 5}}, Works: []mesh.WorkWord{{Digest: "d", Target: "t", Ago: 5}}},
 		&mesh.Pulled{At: 3, Targets: []mesh.TargetNews{{ID: "t", Revision: 2, Target: &domain.TargetFields{ID: "t"}}}},
 		&mesh.RankReport{Group: "g", Size: 2, Picked: mesh.Pack([]uint64{3, 1000})},
 		&mesh.Gathered{Ranks: []mesh.RankWord{{Rank: 1, Held: &hold}}, Picked: mesh.Pack([]uint64{1})},
