Soak: a caller whose request crashes its targets; callers turned away are always told when to come back

It also found, on the code before: 503 without a time to come back where no target could be reached. TestWhoIsTurnedAwayIsToldWhenToComeBack fails without the mend in retry.Course.

--- a/retry/course.go
+++ b/retry/course.go
@@ -25,6 +25,11 @@
 // not reach at all. Such tries cost a target nothing.
 const reach = 3
 
+// unsaid is after how long a caller comes back where neither a target nor the box says when,
+// as where three targets in a row could not be reached: a few requests of a usual target, by
+// when the box takes them for unreachable and uses others.
+const unsaid = 250 * time.Millisecond
+
 // Course is the machine of one request over its attempts. It decides whether there
 // is another attempt and what the caller may be told when there is none. It says
 // "not run" only if every attempt is proved not to have run.
@@ -185,7 +190,7 @@
 
 // giveUp ends the request. After an attempt that may have run, no kind that claims
 // "not run" is given.
-func (c *Course) giveUp(_ time.Time, err *fault.Error) Command {
+func (c *Course) giveUp(now time.Time, err *fault.Error) Command {
 	if c.passed {
 		return Abort{Err: err}
 	}
@@ -195,5 +200,8 @@
 	if err.When().IsZero() {
 		err = err.RetryAt(c.again)
 	}
+	if err.When().IsZero() && err.Kind().Answer().Ran() == fault.RanNo {
+		err = err.RetryAt(now.Add(unsaid))
+	}
 	return Refuse{Err: err}
 }
--- a/retry/course_test.go
+++ b/retry/course_test.go
@@ -162,6 +162,27 @@
 	}
 }
 
+// TestWhoIsTurnedAwayIsToldWhenToComeBack: whatever nobody ran, also where no target could be
+// reached, none of which says when.
+func TestWhoIsTurnedAwayIsToldWhenToComeBack(t *testing.T) {
+	unreached := retry.Unreached{Err: errLost}
+	for name, ends := range map[string][]retry.End{
+		"no target could be reached": {unreached, unreached, unreached},
+		"a target declined":          {declined, declined},
+		"the time is over":           {retry.Expired{}},
+	} {
+		c := retry.NewCourse(rules(once), &coins{left: 9})
+		cmd := c.Start(begin)
+		for _, e := range ends {
+			cmd = c.Ended(begin, e)
+		}
+		f, refused := cmd.(retry.Refuse)
+		if !refused || f.Err.Kind().Answer().Ran() == fault.RanNo && !f.Err.When().After(begin) {
+			t.Errorf("%s: %s, to come back at %v", name, words(cmd), f.Err.When())
+		}
+	}
+}
+
 // TestNotRunIsOnlySaidWithProof draws any ends: a refusal that claims "not run" comes
 // only if no attempt can have run; a request that may run once has at most one
 // attempt that can have run; and no more attempts reach a target than are allowed.
--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -122,6 +122,7 @@
 		l.checkLeaving(a, broken)
 	}
 	l.checkConfigurations(broken)
+	l.checkFatal(broken)
 	return list
 }
 
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -58,6 +58,9 @@
 	for n := range o.Callers {
 		callers.Go(func() { w.call(calling, n) })
 	}
+	if o.Fatal {
+		callers.Go(func() { w.callFatal(calling) })
+	}
 	rep := Report{Seed: o.Seed}
 	w.act(&rep, began, end.Add(-calmEnd), &acting)
 	acting.Wait()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -21,10 +21,10 @@
 	if out, err := exec.Command("go", "build", "-o", program, "clovertrail.dev/cmd/clovertrail-node").CombinedOutput(); err != nil {
 		t.Fatalf("%v: %s", err, out)
 	}
-	for _, seed := range []uint64{1, 134} {
-		r, err := soak.Run(context.Background(), soak.Options{
-			Program: program, Seed: seed, For: soak.LeastFor + 3*1e9, Dir: t.TempDir(),
-		})
+	for _, o := range []soak.Options{{Seed: 1}, {Seed: 134}, {Seed: 1, Fatal: true}} {
+		seed := o.Seed
+		o.Program, o.For, o.Dir = program, soak.LeastFor+3*1e9, t.TempDir()
+		r, err := soak.Run(context.Background(), o)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/soak/world.go
+++ b/soak/world.go
@@ -23,6 +23,9 @@
 	Boxes, Targets, Callers int
 	// Dir takes settings and logs.
 	Dir string
+	// Fatal adds a caller whose request crashes each target that runs it. What else happens
+	// stays as the seed draws it.
+	Fatal bool
 }
 
 // The usual sizes of a run: a few processes, so that many runs fit on a machine.
@@ -75,6 +78,7 @@
 	hosts         []*host
 	incarnations  int
 	version       int // of the configuration
+	over          bool
 	organisations []organisation
 }
 
@@ -161,6 +165,9 @@
 	in := incarnation{id: fmt.Sprintf("i-%d", w.incarnations), link: k}
 	in.target = standin.NewTarget(in.id, service, w.ledger.ran)
 	in.server = serve(l, in.target)
+	if w.options.Fatal {
+		w.crashes(h, in)
+	}
 	h.now = in
 	w.mu.Unlock()
 	return w.list(h, in, "ready")
@@ -214,6 +221,9 @@
 
 // end stops everything that the run started.
 func (w *world) end() {
+	w.mu.Lock()
+	w.over = true
+	w.mu.Unlock()
 	for _, b := range w.boxes {
 		b.end()
 		b.store.close()
