Adverts in a file of their own; works in quarantine are told in full every three seconds only

Told in each advert one work in quarantine cost a box 2 KB/s, worked out from the size of its words, of the 3 KB/s that a node has for control; now 0.3 KB/s. node/peering.go had grown to 370 lines and had two subjects: its rounds, and what adverts say.

--- a/gateway/fake_test.go
+++ b/gateway/fake_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -319,6 +320,18 @@
 	closes bool // the connection ends with it
 }
 
+// send makes a request of a caller who waits until ctx ends.
+func (r *rig) send(ctx context.Context, path string) (*http.Response, error) {
+	r.t.Helper()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, r.server.URL+path, nil)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	req.Host = "h"
+	req.Header.Set("Id", "1")
+	return http.DefaultTransport.RoundTrip(req)
+}
+
 // ask makes a request with the header lines "Name: value".
 func (r *rig) ask(method, path, body string, headers ...string) answer {
 	r.t.Helper()
--- /dev/null
+++ b/node/adverts.go
@@ -0,0 +1,104 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"clovertrail.dev/core/clock"
+	"clovertrail.dev/core/domain"
+	"clovertrail.dev/membership"
+	"clovertrail.dev/mesh"
+	"clovertrail.dev/routing"
+)
+
+// What boxes say in adverts, and how they take it.
+
+// advert is what this box tells: other boxes, too, unless it is only for news, and with all
+// what the other box may have missed of works in quarantine.
+func (p *peering) advert(news, all bool) *mesh.Advert {
+	now := clock.Now()
+	own := p.level()
+	complaints, works := p.complaints(now), p.entry.quarantine.tell(now, all)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	a := &mesh.Advert{
+		Self: contactOf(p.self, 0), Hall: domain.HallName(p.entry.settings().Hall), Leaving: p.entry.gateway.Leaving(),
+		Config: own.Config, Targets: own.Targets, News: news,
+		Complaints: complaints, Works: works,
+	}
+	if news {
+		return a
+	}
+	for c, ago := range p.boxes.Known(now, passOnMost, passOnFew) {
+		a.Known = append(a.Known, contactOf(c, ago))
+	}
+	return a
+}
+
+func contactOf(c membership.Contact, ago time.Duration) mesh.Contact {
+	return mesh.Contact{Box: c.Box, Address: c.Address, Incarnation: c.Incarnation, Ago: ago, Hall: c.Hall}
+}
+
+func contactFrom(c mesh.Contact) membership.Contact {
+	return membership.Contact{Box: c.Box, Address: c.Address, Incarnation: c.Incarnation, Hall: c.Hall}
+}
+
+// complaints are what boxes hold against targets, to be told to others.
+func (p *peering) complaints(now time.Time) []mesh.Complaint {
+	var list []mesh.Complaint
+	p.entry.fleet.with(func(r *membership.Roster, _ *routing.Balancer) {
+		for _, c := range r.Complaints(now) {
+			list = append(list, mesh.Complaint{Target: c.Target, By: c.By, Ago: now.Sub(c.At)})
+		}
+	})
+	return list
+}
+
+// complained takes what other boxes hold against targets.
+func (p *peering) complained(now time.Time, list []mesh.Complaint) {
+	if len(list) == 0 {
+		return
+	}
+	p.entry.fleet.with(func(r *membership.Roster, _ *routing.Balancer) {
+		for _, c := range list {
+			if r.Complained(now, membership.Complaint{Target: c.Target, By: c.By, At: now.Add(-c.Ago)}) {
+				p.entry.fleet.ejected(c.Target)
+			}
+		}
+	})
+}
+
+// level is how far this box knows what the store holds.
+func (p *peering) level() membership.Level {
+	_, config := p.entry.belief.document()
+	l := membership.Level{Config: config}
+	p.entry.fleet.with(func(r *membership.Roster, _ *routing.Balancer) { l.Targets = r.Newest() })
+	return l
+}
+
+// meet implements mesh.Meet.
+func (p *peering) meet(_ context.Context, a *mesh.Advert) (*mesh.Advert, error) {
+	p.mu.Lock()
+	before := p.boxes.Remembers(a.Self.Box)
+	p.mu.Unlock()
+	p.heard(a)
+	reply := p.advert(a.News, false)
+	reply.Remembered = before
+	return reply, nil
+}
+
+// heard takes an advert. If it shows that this box is behind, a round follows in
+// which it asks.
+func (p *peering) heard(a *mesh.Advert) {
+	now := clock.Now()
+	own := p.level()
+	p.complained(now, a.Complaints)
+	p.entry.quarantine.heard(now, a.Works, "peer "+string(a.Self.Box))
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.boxes.Heard(now, contactFrom(a.Self), a.Hall, membership.Level{Config: a.Config, Targets: a.Targets}, a.Leaving)
+	for _, c := range a.Known {
+		p.boxes.HeardOf(now, contactFrom(c), c.Ago)
+	}
+	p.noteBehind(now, own)
+}
--- a/node/peering.go
+++ b/node/peering.go
@@ -33,6 +33,11 @@
 	// seedEvery is the time between two looks at a seed by a box that knows others: it
 	// joins parts of the system that lost each other.
 	seedEvery = 5 * time.Second
+	// tellAllEvery is the time between two rounds in which a box tells of all works in
+	// quarantine: as long as a box has to catch up after it was cut off, while it hears of
+	// them from eight others on average. Told in each round a work costs a box 2 KB/s, so 0.3
+	// (worked out from the size of its words).
+	tellAllEvery = 3 * time.Second
 )
 
 // peering tells other entry boxes what this one knows, and asks them for what it
@@ -50,6 +55,7 @@
 	life    *membership.Lifetime
 	behind  time.Time
 	seedAt  time.Time
+	allAt   time.Time // of the last round in which all works in quarantine were told
 	shared  int
 }
 
@@ -160,9 +166,13 @@
 		p.entry.budgets.setBoxes(n)
 		p.entry.fleet.with(func(_ *membership.Roster, b *routing.Balancer) { b.Among(n) })
 	}
+	all := now.Sub(p.allAt) >= tellAllEvery
+	if all {
+		p.allAt = now
+	}
 	p.mu.Unlock()
 	for _, a := range addresses {
-		p.start(a, func() { p.call(ctx, a, news) })
+		p.start(a, func() { p.call(ctx, a, news, all) })
 	}
 	p.catchUp(ctx)
 }
@@ -185,10 +195,10 @@
 
 // call exchanges adverts with the box at the address. One that does not answer is
 // tried again in a later round.
-func (p *peering) call(ctx context.Context, address string, news bool) {
+func (p *peering) call(ctx context.Context, address string, news, all bool) {
 	ctx, cancel := context.WithTimeout(ctx, meetWithin)
 	defer cancel()
-	reply, err := mesh.Call[mesh.Advert, mesh.Advert](ctx, p.entry.mesh, address, mesh.Meet, p.advert(news))
+	reply, err := mesh.Call[mesh.Advert, mesh.Advert](ctx, p.entry.mesh, address, mesh.Meet, p.advert(news, all))
 	if err == nil {
 		p.outlive(reply.Remembered)
 		p.heard(reply)
@@ -205,95 +215,6 @@
 	}
 }
 
-// advert is what this box tells: other boxes, too, unless it is only for news.
-func (p *peering) advert(news bool) *mesh.Advert {
-	now := clock.Now()
-	own := p.level()
-	complaints, works := p.complaints(now), p.entry.quarantine.tell(now)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	a := &mesh.Advert{
-		Self: contactOf(p.self, 0), Hall: domain.HallName(p.entry.settings().Hall), Leaving: p.entry.gateway.Leaving(),
-		Config: own.Config, Targets: own.Targets, News: news,
-		Complaints: complaints, Works: works,
-	}
-	if news {
-		return a
-	}
-	for c, ago := range p.boxes.Known(now, passOnMost, passOnFew) {
-		a.Known = append(a.Known, contactOf(c, ago))
-	}
-	return a
-}
-
-func contactOf(c membership.Contact, ago time.Duration) mesh.Contact {
-	return mesh.Contact{Box: c.Box, Address: c.Address, Incarnation: c.Incarnation, Ago: ago, Hall: c.Hall}
-}
-
-func contactFrom(c mesh.Contact) membership.Contact {
-	return membership.Contact{Box: c.Box, Address: c.Address, Incarnation: c.Incarnation, Hall: c.Hall}
-}
-
-// complaints are what boxes hold against targets, to be told to others.
-func (p *peering) complaints(now time.Time) []mesh.Complaint {
-	var list []mesh.Complaint
-	p.entry.fleet.with(func(r *membership.Roster, _ *routing.Balancer) {
-		for _, c := range r.Complaints(now) {
-			list = append(list, mesh.Complaint{Target: c.Target, By: c.By, Ago: now.Sub(c.At)})
-		}
-	})
-	return list
-}
-
-// complained takes what other boxes hold against targets.
-func (p *peering) complained(now time.Time, list []mesh.Complaint) {
-	if len(list) == 0 {
-		return
-	}
-	p.entry.fleet.with(func(r *membership.Roster, _ *routing.Balancer) {
-		for _, c := range list {
-			if r.Complained(now, membership.Complaint{Target: c.Target, By: c.By, At: now.Add(-c.Ago)}) {
-				p.entry.fleet.ejected(c.Target)
-			}
-		}
-	})
-}
-
-// level is how far this box knows what the store holds.
-func (p *peering) level() membership.Level {
-	_, config := p.entry.belief.document()
-	l := membership.Level{Config: config}
-	p.entry.fleet.with(func(r *membership.Roster, _ *routing.Balancer) { l.Targets = r.Newest() })
-	return l
-}
-
-// meet implements mesh.Meet.
-func (p *peering) meet(_ context.Context, a *mesh.Advert) (*mesh.Advert, error) {
-	p.mu.Lock()
-	before := p.boxes.Remembers(a.Self.Box)
-	p.mu.Unlock()
-	p.heard(a)
-	reply := p.advert(a.News)
-	reply.Remembered = before
-	return reply, nil
-}
-
-// heard takes an advert. If it shows that this box is behind, a round follows in
-// which it asks.
-func (p *peering) heard(a *mesh.Advert) {
-	now := clock.Now()
-	own := p.level()
-	p.complained(now, a.Complaints)
-	p.entry.quarantine.heard(now, a.Works, "peer "+string(a.Self.Box))
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.boxes.Heard(now, contactFrom(a.Self), a.Hall, membership.Level{Config: a.Config, Targets: a.Targets}, a.Leaving)
-	for _, c := range a.Known {
-		p.boxes.HeardOf(now, contactFrom(c), c.Ago)
-	}
-	p.noteBehind(now, own)
-}
-
 // noteBehind keeps since when this box is behind; mu is held.
 func (p *peering) noteBehind(now time.Time, own membership.Level) {
 	switch behind := p.boxes.Behind(own); {
--- a/node/quarantining.go
+++ b/node/quarantining.go
@@ -122,12 +122,12 @@
 	}
 }
 
-// tell is what other boxes are to hear.
-func (q *quarantining) tell(now time.Time) []mesh.WorkWord {
+// tell is what other boxes are to hear, and with all, what they may have missed.
+func (q *quarantining) tell(now time.Time, all bool) []mesh.WorkWord {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	var list []mesh.WorkWord
-	for _, w := range q.register.Tell(now) {
+	for _, w := range q.register.Tell(now, all) {
 		list = append(list, mesh.WorkWord{Digest: w.Digest, Target: w.Target, Ago: now.Sub(w.At)})
 	}
 	return list
--- a/quarantine/register.go
+++ b/quarantine/register.go
@@ -162,13 +162,13 @@
 	return list
 }
 
-// Tell is what other boxes are to hear: what was learnt lately, and, for boxes that started
-// or were cut off meanwhile, all of works in quarantine.
-func (r *Register) Tell(now time.Time) []Word {
+// Tell is what other boxes are to hear: what was learnt lately, and, where all is wanted, for
+// boxes that were cut off meanwhile, what is known of works in quarantine.
+func (r *Register) Tell(now time.Time, all bool) []Word {
 	var list []Word
 	for d, x := range r.works {
 		fresh := now.Sub(x.learnt) < tellFor
-		if !fresh && !now.Before(x.until()) {
+		if barred := now.Before(x.until()); !fresh && (!all || !barred) {
 			continue
 		}
 		list = append(list, r.Of(d)...)
