A target counts as ended only if another process there takes connections

A refusal alone proves nothing; now the agent on the target's box, or another box of its hall, must take a connection. TestACutThatRefusesPutsNothingInQuarantine fails without it (6 works).

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -71,9 +71,9 @@
 // more, as where a caller leaves before the crash. Otherwise nobody ever would: of one
 // who leaves each time all 24 tries reached targets.
 func (a *attempt) lookBack() {
-	parts, work, t := a.d.g.parts, a.d.o.digest, a.lease.Target()
+	parts, work, t, witness := a.d.g.parts, a.d.o.digest, a.lease.Target(), a.lease.Witness()
 	clock.AfterFunc(clock.Now().Add(lookBackAfter), func() {
-		if parts.Pool.Ended(context.Background(), t.Address()) {
+		if parts.Pool.Ended(context.Background(), t.Address(), witness) {
 			parts.Quarantine.Ended(clock.Now(), work, t.ID())
 		}
 	})
@@ -85,7 +85,7 @@
 func (a *attempt) ended(ctx context.Context, end retry.End) bool {
 	switch end.(type) {
 	case retry.Lost, retry.Broken:
-		return ctx.Err() == nil && a.d.g.parts.Pool.Ended(ctx, a.lease.Target().Address())
+		return ctx.Err() == nil && a.d.g.parts.Pool.Ended(ctx, a.lease.Target().Address(), a.lease.Witness())
 	default:
 		return false
 	}
--- a/gateway/fake_test.go
+++ b/gateway/fake_test.go
@@ -195,9 +195,10 @@
 	return t
 }
 
-func (*lease) Load(call.Load) {}
-func (*lease) Overdue()       {}
-func (l *lease) Began()       { signal(l.f.began) }
+func (*lease) Witness() string { return "" }
+func (*lease) Load(call.Load)  {}
+func (*lease) Overdue()        {}
+func (l *lease) Began()        { signal(l.f.began) }
 
 // signal puts a value into the channel if there is room: else nobody waits for it.
 func signal(c chan struct{}) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -46,6 +46,9 @@
 type Lease interface {
 	// Target is the target that was chosen.
 	Target() domain.Target
+	// Witness is the address of another process that is reached on the same way as the
+	// target; empty if there is none.
+	Witness() string
 	// Load takes what the target says of its load.
 	Load(l call.Load)
 	// Overdue tells that the answer has not begun although one in time would have long ago.
--- a/local/fatal_test.go
+++ b/local/fatal_test.go
@@ -160,3 +160,26 @@
 		}
 	})
 }
+
+// TestACutThatRefusesPutsNothingInQuarantine: as links between halls are cut with refusals,
+// what was under way over them breaks off and its targets refuse connections, as if all had
+// ended.
+func TestACutThatRefusesPutsNothingInQuarantine(t *testing.T) {
+	sc := busy()
+	sc.seed, sc.callers = 1, 40
+	for n := range 4 {
+		sc.troubles = append(sc.troubles, trouble{kind: "refuse link", at: time.Duration(2+2*n) * time.Second, last: time.Second})
+	}
+	seen := &lines{}
+	sc.log = seen
+	sc.run(t, func(_ *local.System, h *history) {
+		if seen.count("attempt failed") == 0 || h.right() == 0 {
+			t.Error("nothing broke off, or nothing was served: the run shows nothing")
+		}
+		for _, line := range []string{"target ended under work", "work in quarantine", "kind=quarantined"} {
+			if n := seen.count(line); n > 0 {
+				t.Errorf("%d lines %q", n, line)
+			}
+		}
+	})
+}
--- a/node/entry.go
+++ b/node/entry.go
@@ -63,12 +63,24 @@
 		Quarantine: e.quarantine,
 	})
 	e.peering = newPeering(e)
-	e.fleet.letDown, e.fleet.ejected = e.peering.tell, e.noteEjected
+	e.fleet.letDown, e.fleet.ejected, e.fleet.witness = e.peering.tell, e.noteEjected, e.witness
 	e.surveying = newSurveying(e)
 	e.belief = &belief{common: c, fleet: e.fleet, adopt: e.adopt, moved: e.peering.tell}
 	return e
 }
 
+// witness is the address of another process that is reached on the way to the target: the
+// agent on its box, or another entry box of its hall; empty if there is none.
+func (e *Entry) witness(t domain.Target) string {
+	if _, ranked := t.Rank(); ranked && e.settings().AgentPort > 0 {
+		return agentOf(t, e.settings().AgentPort)
+	}
+	for _, c := range e.peering.in(t.Hall()) {
+		return c.Address
+	}
+	return ""
+}
+
 // adopt puts a configuration in force.
 func (e *Entry) adopt(c *catalog.Catalog) {
 	e.gateway.Configure(c)
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -29,6 +29,7 @@
 	askedAt  map[domain.ServiceName]time.Time // when a target of the service was last asked for
 	letDown  func()                           // called when a target let this box down, and others are to hear of it
 	ejected  func(domain.InstanceID)          // called when a target is ejected as several boxes complain of it
+	witness  func(domain.Target) string       // another process that is reached on the way to the target
 }
 
 func newFleet(self domain.BoxID, hall domain.HallName, p membership.RosterPolicy) *fleet {
@@ -37,6 +38,7 @@
 		roster:   membership.NewRoster(self, p),
 		letDown:  func() {},
 		ejected:  func(domain.InstanceID) {},
+		witness:  func(domain.Target) string { return "" },
 		balancer: routing.NewBalancer(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		gate:     admission.NewGate(),
 		askedAt:  map[domain.ServiceName]time.Time{},
@@ -155,6 +157,9 @@
 // Target implements gateway.Lease.
 func (p *place) Target() domain.Target { return p.target }
 
+// Witness implements gateway.Lease.
+func (p *place) Witness() string { return p.fleet.witness(p.target) }
+
 // Load implements gateway.Lease.
 func (p *place) Load(l call.Load) {
 	p.fleet.with(func(_ *membership.Roster, b *routing.Balancer) {
--- a/node/watching.go
+++ b/node/watching.go
@@ -238,14 +238,17 @@
 }
 
 // agentOf is the address of the agent on the target's box.
-func (w *watching) agentOf(t domain.Target) string {
+func agentOf(t domain.Target, port int) string {
 	host, _, err := net.SplitHostPort(t.Address())
 	if err != nil {
 		host = t.Address()
 	}
-	return net.JoinHostPort(host, strconv.Itoa(w.entry.settings().AgentPort))
+	return net.JoinHostPort(host, strconv.Itoa(port))
 }
 
+// agentOf is the address of the agent on the target's box.
+func (w *watching) agentOf(t domain.Target) string { return agentOf(t, w.entry.settings().AgentPort) }
+
 // shape is that of the maps of the service's groups; nil if it has none.
 func (w *watching) shape(svc domain.ServiceName) *rebalance.Shape {
 	c := w.entry.gateway.Catalog()
--- a/transport/ended.go
+++ b/transport/ended.go
@@ -28,8 +28,10 @@
 
 // Ended tells whether the process at the address has ended: its box refuses connections. One
 // that breaks connections off and still listens has not, and of one whose box says nothing
-// that is not known. A connection that opens is kept for the next request.
-func (p *Pool) Ended(ctx context.Context, address string) bool {
+// that is not known. A way there that is cut may refuse connections, too; so the witness,
+// another process there, must take one. It is empty where there is none, and a refusal is
+// believed. A connection that opens is kept for the next request.
+func (p *Pool) Ended(ctx context.Context, address, witness string) bool {
 	l, mine := p.look(address)
 	if !mine {
 		select {
@@ -39,7 +41,8 @@
 			return false
 		}
 	}
-	l.ended = p.refuses(context.WithoutCancel(ctx), address)
+	ctx = context.WithoutCancel(ctx)
+	l.ended = p.refuses(ctx, address) && (witness == "" || p.takes(ctx, witness))
 	close(l.done)
 	return l.ended
 }
@@ -71,6 +74,17 @@
 	return refused
 }
 
+// takes tells whether the witness takes a connection.
+func (p *Pool) takes(ctx context.Context, witness string) bool {
+	ctx, cancel := context.WithTimeout(ctx, lookWithin)
+	defer cancel()
+	c, err := p.connect(ctx, witness)
+	if err == nil {
+		c.close()
+	}
+	return err == nil
+}
+
 // knock opens a connection.
 func (p *Pool) knock(ctx context.Context, address string) (refused, answered bool) {
 	ctx, cancel := context.WithTimeout(ctx, lookWithin)
--- a/transport/ended_test.go
+++ b/transport/ended_test.go
@@ -34,13 +34,37 @@
 		}, false},
 	} {
 		p := transport.NewPool(tc.dial, transport.DefaultSettings())
-		if got := p.Ended(t.Context(), "a:1"); got != tc.want {
+		if got := p.Ended(t.Context(), "a:1", ""); got != tc.want {
 			t.Errorf("%s: ended %v", name, got)
 		}
 		p.Close()
 	}
 }
 
+// TestACutWayRefusesToo: seen on a hall whose links were cut with refusals, where all its boxes
+// took all targets of the others for ended, and put what these had run into quarantine.
+func TestACutWayRefusesToo(t *testing.T) {
+	for name, tc := range map[string]struct {
+		witness string
+		want    bool
+	}{
+		"a process beside it takes connections": {"beside:1", true},
+		"nothing there does":                    {"gone:1", false},
+		"nobody is there to tell":               {"", true},
+	} {
+		p := transport.NewPool(func(_ context.Context, address string) (net.Conn, error) {
+			if address == "beside:1" {
+				c, _ := net.Pipe()
+				return c, nil
+			}
+			return nil, syscall.ECONNREFUSED
+		}, transport.DefaultSettings())
+		if got := p.Ended(t.Context(), "a:1", tc.witness); got != tc.want {
+			t.Errorf("%s: ended %v", name, got)
+		}
+	}
+}
+
 // TestManyLookOnce: all requests of a target break off as it ends. They share one look, and
 // a connection that it opened is used by the next request.
 func TestManyLookOnce(t *testing.T) {
@@ -56,7 +80,7 @@
 		defer p.Close()
 		var asking sync.WaitGroup
 		for range 20 {
-			asking.Go(func() { p.Ended(context.Background(), "a:1") })
+			asking.Go(func() { p.Ended(context.Background(), "a:1", "") })
 		}
 		synctest.Wait()
 		close(release)
