Sight: lines tell whether a target asked for rest, and whether it said that it is leaving

Cause: lines of an attempt that was turned away did not tell a target that is full from one that asked to be sent nothing for a while, so the hypotheses of the incident could not be told apart. Nothing is decided by it yet: where a caller is told when to come back, it is told the same.

--- a/cli/logs/explain.go
+++ b/cli/logs/explain.go
@@ -130,6 +130,12 @@
 			if l.Get("target_ended") == "true" {
 				sentence += ", and so did the target's process"
 			}
+			if rest := l.Duration("rest"); rest > 0 {
+				sentence += ", and the target asked to be sent nothing for " + rest.Round(time.Millisecond).String()
+			}
+			if l.Get("target_leaving") == "true" {
+				sentence += ", and said that it is leaving"
+			}
 		}
 	}
 	return sentence
--- a/core/call/answer.go
+++ b/core/call/answer.go
@@ -1,6 +1,10 @@
 package call
 
-import "clovertrail.dev/core/domain"
+import (
+	"time"
+
+	"clovertrail.dev/core/domain"
+)
 
 // Outcome is what the head of a target's answer says of the request.
 type Outcome int
@@ -48,4 +52,9 @@
 	Status  int
 	Load    *Load           // nil if the target does not tell
 	AtFault domain.ListedID // the target that is to blame for a failure, if it says
+	// Again is when the target asks to be sent something again, which it may ask with any
+	// answer; zero if it does not.
+	Again time.Time
+	// Leaving tells that the target says that it is leaving. It serves what it has.
+	Leaving bool
 }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -157,7 +157,7 @@
 // mine tells the answer to this request from a late one to another. An answer that
 // names no request is the one that is due.
 func (a *attempt) mine(r *http.Response) bool {
-	id := a.d.g.parts.Speech.Answer(r).ID
+	id := a.d.g.parts.Speech.Answer(clock.Now(), r).ID
 	return id == "" || id == a.d.o.ID()
 }
 
@@ -170,7 +170,7 @@
 
 // answered handles an answer whose head has come.
 func (a *attempt) answered(ctx context.Context, resp *http.Response) (retry.End, Verdict) {
-	a.answer = a.d.g.parts.Speech.Answer(resp)
+	a.answer = a.d.g.parts.Speech.Answer(clock.Now(), resp)
 	if l := a.answer.Load; l != nil {
 		a.lease.Load(*l)
 	}
@@ -182,7 +182,7 @@
 		return retry.Declined{Err: fault.New(fault.StaleIncarnation, "another instance stands at %s", a.lease.Target().Address())}, Replaced
 	case call.Declined:
 		drain(resp)
-		return retry.Declined{Err: fault.New(fault.Overloaded, "the target answered %d and did not run it", resp.StatusCode).RetryAt(retryAt(resp))}, Full
+		return retry.Declined{Err: fault.New(fault.Overloaded, "the target answered %d and did not run it", resp.StatusCode).RetryAt(a.retryAt())}, Full
 	case call.Foreign:
 		return retry.Lost{Err: errors.New("the answer is not one of the target's")}, Bad
 	case call.Failed:
@@ -218,10 +218,18 @@
 }
 
 // retryAt is when the target asked to come back, a little later where it did not.
-func retryAt(resp *http.Response) time.Time {
+func (a *attempt) retryAt() time.Time {
 	const unsaid = 250 * time.Millisecond // a few requests of a usual target
-	if d, err := time.ParseDuration(resp.Header.Get("Retry-After") + "s"); err == nil && d > 0 {
-		return clock.Now().Add(d)
+	if !a.answer.Again.IsZero() {
+		return a.answer.Again
 	}
 	return clock.Now().Add(unsaid)
 }
+
+// rest is for how long the target asked to be sent nothing; 0 if it did not.
+func (a *attempt) rest() time.Duration {
+	if a.answer.Again.IsZero() {
+		return 0
+	}
+	return clock.Until(a.answer.Again)
+}
--- a/gateway/fake_test.go
+++ b/gateway/fake_test.go
@@ -43,8 +43,14 @@
 	}
 }
 
-func (speech) Answer(r *http.Response) call.Answer {
-	a := call.Answer{ID: call.ID(r.Header.Get("Id")), Status: r.StatusCode, Outcome: call.Served}
+func (speech) Answer(now time.Time, r *http.Response) call.Answer {
+	a := call.Answer{
+		ID: call.ID(r.Header.Get("Id")), Status: r.StatusCode, Outcome: call.Served,
+		Leaving: r.Header.Get("Leaving") != "",
+	}
+	if rest, err := time.ParseDuration(r.Header.Get("Retry-After") + "s"); err == nil {
+		a.Again = now.Add(rest)
+	}
 	switch {
 	case r.Header.Get("Not-Run") != "":
 		a.Outcome = call.Declined
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -22,8 +22,8 @@
 	Request(now time.Time, r *http.Request) (call.Request, error)
 	// Attempt writes into the headers what the target is told.
 	Attempt(now time.Time, h http.Header, a call.Attempt)
-	// Answer reads the head of a target's answer.
-	Answer(r *http.Response) call.Answer
+	// Answer reads the head of a target's answer, which came now.
+	Answer(now time.Time, r *http.Response) call.Answer
 }
 
 // Query is what is known of a request that looks for a target.
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -25,7 +25,8 @@
 		g.parts.Common.Metrics.Retried(reasons[len(reasons)-1])
 	}
 	g.parts.Common.Log.Warn("attempt failed", "request", o.ID(), "digest", o.digest, "target", a.lease.Target().ID(), "attempt", a.try.Attempt,
-		"resume", a.try.Resume, "end", describe(end), "target_ended", a.gone, "next", describe(cmd), "after", clock.Since(o.arrived))
+		"resume", a.try.Resume, "end", describe(end), "target_ended", a.gone,
+		"rest", a.rest(), "target_leaving", a.answer.Leaving, "next", describe(cmd), "after", clock.Since(o.arrived))
 }
 
 // delivered tells of a request that was answered.
