Mend: what a target asks of a box with its answers holds for what the box sends it later

Cause: a target's word of itself went with the request whose answer brought it. For how long it wants nothing was told to the caller only, and that it is leaving was not read at all, so that the next request was sent by the list, by load and by how attempts end. A target that turns all away seems to have most room, and got seven in ten of all attempts.

Now the roster keeps it for the start that said it: resting until the time, leaving for good. What was chosen before and is not sent yet is asked once more as its connection is up. A caller turned away by a resting target comes back as soon as another takes requests, and one whom no target can have as the first takes work again.

Ruled out: repeated attempts of one request at one target (the attempts of a request are at different targets).

--- a/core/call/answer.go
+++ b/core/call/answer.go
@@ -1,6 +1,7 @@
 package call
 
 import (
+	"net/http"
 	"time"
 
 	"clovertrail.dev/core/domain"
@@ -52,9 +53,18 @@
 	Status  int
 	Load    *Load           // nil if the target does not tell
 	AtFault domain.ListedID // the target that is to blame for a failure, if it says
-	// Again is when the target asks to be sent something again, which it may ask with any
-	// answer; zero if it does not.
+	// Again is when the target asks to be sent something again; zero if it does not.
 	Again time.Time
 	// Leaving tells that the target says that it is leaving. It serves what it has.
 	Leaving bool
 }
+
+// RestUntil is until when the target wants nothing at all from this box; zero if it does not ask
+// for that. Only the status of one that takes no work now means that; with others, as where an
+// organisation has had its share, the time is for that request.
+func (a Answer) RestUntil() time.Time {
+	if a.Status != http.StatusServiceUnavailable {
+		return time.Time{}
+	}
+	return a.Again
+}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -30,6 +30,8 @@
 	gone       bool          // the target's process ended during the attempt
 }
 
+var errUnwanted = errors.New("the target asked for rest, or is leaving, before the request was sent")
+
 var errImpatient = errors.New("the answer did not begin in time")
 
 // run makes the attempt and passes on what it brings.
@@ -113,6 +115,10 @@
 	}
 	a.exchange = x
 	defer x.Close()
+	// A connection may take a second to come up, and the target may have spoken meanwhile.
+	if !a.lease.Wanted(clock.Now()) {
+		return retry.Unreached{Err: errUnwanted}, Neutral
+	}
 	x.Bind(ctx)
 	req := a.request(ctx)
 	if err := x.Send(req); err != nil && !x.Sent() {
@@ -170,9 +176,10 @@
 
 // answered handles an answer whose head has come.
 func (a *attempt) answered(ctx context.Context, resp *http.Response) (retry.End, Verdict) {
-	a.answer = a.d.g.parts.Speech.Answer(clock.Now(), resp)
-	if l := a.answer.Load; l != nil {
-		a.lease.Load(*l)
+	now := clock.Now()
+	a.answer = a.d.g.parts.Speech.Answer(now, resp)
+	if a.answer.Outcome != call.Elsewhere && a.answer.Outcome != call.Foreign {
+		a.lease.Heard(now, a.answer) // the others come from somebody else
 	}
 	if id := a.answer.AtFault; id != "" && id != a.lease.Target().ID().Listed() {
 		a.d.g.parts.Fleet.Blame(id)
@@ -182,7 +189,7 @@
 		return retry.Declined{Err: fault.New(fault.StaleIncarnation, "another instance stands at %s", a.lease.Target().Address())}, Replaced
 	case call.Declined:
 		drain(resp)
-		return retry.Declined{Err: fault.New(fault.Overloaded, "the target answered %d and did not run it", resp.StatusCode).RetryAt(a.retryAt())}, Full
+		return retry.Declined{Err: fault.New(fault.Overloaded, "the target answered %d and did not run it", resp.StatusCode).RetryAt(a.retryAt(now))}, Full
 	case call.Foreign:
 		return retry.Lost{Err: errors.New("the answer is not one of the target's")}, Bad
 	case call.Failed:
@@ -217,19 +224,32 @@
 	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, most)) // a failure shows when the connection is kept
 }
 
-// retryAt is when the target asked to come back, a little later where it did not.
-func (a *attempt) retryAt() time.Time {
+// retryAt is when the caller of a request that the target declined best comes back. One that
+// wants nothing for a while says nothing of the others: where one of them takes requests, callers
+// come back as soon as they can be elsewhere, else as the first takes some again.
+func (a *attempt) retryAt(now time.Time) time.Time {
 	const unsaid = 250 * time.Millisecond // a few requests of a usual target
-	if !a.answer.Again.IsZero() {
+	switch {
+	case a.answer.Again.IsZero():
+		return now.Add(unsaid)
+	case a.answer.RestUntil().IsZero():
 		return a.answer.Again
 	}
-	return clock.Now().Add(unsaid)
+	at := a.d.g.parts.Fleet.TakesAt(now, a.d.o.service)
+	if at.IsZero() {
+		return a.answer.Again
+	}
+	if soonest := now.Add(elsewhere); at.Before(soonest) {
+		return soonest
+	}
+	return at
 }
 
 // rest is for how long the target asked to be sent nothing; 0 if it did not.
 func (a *attempt) rest() time.Duration {
-	if a.answer.Again.IsZero() {
+	until := a.answer.RestUntil()
+	if until.IsZero() {
 		return 0
 	}
-	return clock.Until(a.answer.Again)
+	return clock.Until(until)
 }
--- a/gateway/fake_test.go
+++ b/gateway/fake_test.go
@@ -170,6 +170,9 @@
 	mu       sync.Mutex
 	targets  []*target
 	verdicts []string
+	heard    []string      // what targets said of themselves
+	unwanted []string      // targets that want nothing more once they are chosen
+	takesAt  time.Time     // when a target takes requests
 	began    chan struct{} // gets a value when an answer has begun, while there is room
 }
 
@@ -186,6 +189,8 @@
 
 func (*fleet) Blame(domain.ListedID) {}
 
+func (f *fleet) TakesAt(time.Time, domain.ServiceName) time.Time { return f.takesAt }
+
 type lease struct {
 	f *fleet
 	x *target
@@ -202,9 +207,26 @@
 }
 
 func (*lease) Witness() string { return "" }
-func (*lease) Load(call.Load)  {}
 func (*lease) Overdue()        {}
-func (l *lease) Began()        { signal(l.f.began) }
+
+func (l *lease) Wanted(time.Time) bool {
+	l.f.mu.Lock()
+	defer l.f.mu.Unlock()
+	return !slices.Contains(l.f.unwanted, l.x.name)
+}
+
+func (l *lease) Heard(now time.Time, a call.Answer) {
+	l.f.mu.Lock()
+	defer l.f.mu.Unlock()
+	if a.Leaving {
+		l.f.heard = append(l.f.heard, l.x.name+" leaving")
+	}
+	if until := a.RestUntil(); !until.IsZero() {
+		l.f.heard = append(l.f.heard, l.x.name+" rests "+until.Sub(now).String())
+	}
+}
+
+func (l *lease) Began() { signal(l.f.began) }
 
 // signal puts a value into the channel if there is room: else nobody waits for it.
 func signal(c chan struct{}) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -49,8 +49,12 @@
 	// Witness is the address of another process that is reached on the same way as the
 	// target; empty if there is none.
 	Witness() string
-	// Load takes what the target says of its load.
-	Load(l call.Load)
+	// Wanted tells whether the target may still be sent the attempt: it may have said meanwhile
+	// that it is leaving, or asked for rest.
+	Wanted(now time.Time) bool
+	// Heard takes what the target says of itself with an answer: its load, whether it is
+	// leaving, and for how long it wants nothing.
+	Heard(now time.Time, a call.Answer)
 	// Overdue tells that the answer has not begun although one in time would have long ago.
 	Overdue()
 	// Began tells that the answer has begun.
@@ -91,6 +95,9 @@
 	// Acquire gives a place at a target, or an error of the closed list that says
 	// why there is none.
 	Acquire(now time.Time, q Query) (Lease, error)
+	// TakesAt is when a target of the service takes requests, as far as is known: now, if one
+	// does; zero if it is not known.
+	TakesAt(now time.Time, svc domain.ServiceName) time.Time
 	// Blame tells that a target, named by another, is at fault for a failure.
 	Blame(id domain.ListedID)
 }
--- a/local/rest_test.go
+++ b/local/rest_test.go
@@ -15,7 +15,7 @@
 // asked for was told to the caller and forgotten: nothing that chooses targets knew of it, and
 // one that answers at once and has nothing open looks like the one with the most room. What
 // proved it: this test, in which a box sends such a target up to 113 requests in the time for
-// which it was asked for rest.
+// which it was asked for rest, and none once the roster keeps what they asked for.
 
 const (
 	// restGrace is how long after its answer a target bears what was under way to it.
@@ -122,6 +122,34 @@
 	}
 }
 
+// TestCallersAreToldWhenRestingTargetsTakeWork: where all targets rest, callers who would wait
+// much longer are refused at once, and come back as the first of them takes work again.
+func TestCallersAreToldWhenRestingTargetsTakeWork(t *testing.T) {
+	const rest, spread = 2 * time.Second, 250 * time.Millisecond
+	sc := busy()
+	sc.seed, sc.length, sc.callers, sc.within = 1, 10*time.Second, 16, 30*time.Second
+	sc.paths = []string{"/again/x", "/once/x", "/stream/x"}
+	sc.operate = resting(alone(4), rest, 2*time.Second, 6*time.Second)
+	sc.run(t, func(_ *local.System, h *history) {
+		refused := 0
+		for _, a := range h.asked {
+			if !a.reply.NotRun() {
+				continue
+			}
+			refused++
+			if a.reply.Again <= 0 || a.reply.Again > rest+spread {
+				t.Errorf("%s is told to come back in %v", a.request.ID, a.reply.Again)
+			}
+			if took := a.done.Sub(a.at); took > spread {
+				t.Errorf("%s is refused after %v", a.request.ID, took)
+			}
+		}
+		if refused == 0 || h.right() == 0 {
+			t.Errorf("%d were refused, %d served: the run shows nothing", refused, h.right())
+		}
+	})
+}
+
 // TestATargetThatSaysItIsLeavingGetsNoNewWork: a target says so with each answer, and nothing
 // else tells. What callers ask of a box later than the time to drain after it passed such an
 // answer on does not reach that target from it.
--- /dev/null
+++ b/membership/asked.go
@@ -0,0 +1,57 @@
+package membership
+
+import (
+	"time"
+
+	"clovertrail.dev/core/domain"
+)
+
+// What targets ask of this box with their answers. It holds for the start that said it, whatever
+// the list says: that lags, and does not tell whom a target asked for rest.
+
+// Rests takes that the target wants nothing from this box until the time. Of several times the
+// latest counts: an earlier one may come later from a request that was under way.
+//
+// Told only to the caller whose request was turned away, it left such targets with seven in ten
+// of all attempts, since one that turns all away has nothing open and seems to have most room.
+func (r *Roster) Rests(id domain.InstanceID, until time.Time) {
+	if e, ok := r.of(id); ok && until.After(e.restTo) {
+		e.restTo = until
+	}
+}
+
+// Leaves takes that the target says that it is leaving. It tells whether that was news: the list
+// may have said so before.
+func (r *Roster) Leaves(id domain.InstanceID) bool {
+	e, ok := r.of(id)
+	if !ok || e.leaving {
+		return false
+	}
+	e.leaving = true
+	return e.goneAt.IsZero() && e.target.State() == domain.TargetReady
+}
+
+// Wanted tells whether the target, chosen a while ago, may still be sent new work.
+func (r *Roster) Wanted(now time.Time, id domain.InstanceID) bool {
+	e, ok := r.of(id)
+	if !ok {
+		return false
+	}
+	s := r.standing(now, e)
+	return s != Resting && s != Leaving
+}
+
+// RestsUntil is when the first of the service's targets that rest takes work again; zero if
+// none rests.
+func (r *Roster) RestsUntil(now time.Time, svc domain.ServiceName) time.Time {
+	var first time.Time
+	for _, e := range r.entries {
+		if e.target.Service() != svc || r.standing(now, e) != Resting {
+			continue
+		}
+		if first.IsZero() || e.restTo.Before(first) {
+			first = e.restTo
+		}
+	}
+	return first
+}
--- /dev/null
+++ b/membership/asked_test.go
@@ -0,0 +1,125 @@
+package membership_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"clovertrail.dev/core/domain"
+	"clovertrail.dev/membership"
+)
+
+// TestARestingTargetGetsNothing: a target that asked this box for rest gets nothing until the
+// end of it, whatever else is heard of it meanwhile, and then gets work again.
+func TestARestingTargetGetsNothing(t *testing.T) {
+	const rest = 3 * time.Second
+	for _, tc := range []struct {
+		name string
+		do   func(*membership.Roster)
+		at   time.Duration
+		want membership.Standing
+	}{
+		{"in the midst of it", nil, time.Second, membership.Resting},
+		{"just before its end", nil, rest - 1, membership.Resting},
+		{"at its end", nil, rest, membership.Good},
+		{"an answer of before asks for less", func(r *membership.Roster) { r.Rests("a", start.Add(time.Second)) }, 2 * time.Second, membership.Resting},
+		{"it asks for more", func(r *membership.Roster) { r.Rests("a", start.Add(2*rest)) }, rest, membership.Resting},
+		{"it serves what was under way", func(r *membership.Roster) { r.Succeeded(start, "a") }, time.Second, membership.Resting},
+		{"the list changes", func(r *membership.Roster) { r.Changed(start, ready("a", 2)) }, time.Second, membership.Resting},
+		{"its entry lapses", func(r *membership.Roster) {
+			r.StoreTroubled(start)
+			r.Changed(start, gone("a", 2))
+		}, time.Second, membership.Resting},
+		{"it is out of reach too", func(r *membership.Roster) { r.Unreachable(start, "a") }, 500 * time.Millisecond, membership.Resting},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newRoster()
+			r.Changed(start, ready("a", 1))
+			r.Rests("a", start.Add(rest))
+			if tc.do != nil {
+				tc.do(r)
+			}
+			now := start.Add(tc.at)
+			if got := standings(r, now)["a"]; got != tc.want {
+				t.Errorf("%v, want %v", got, tc.want)
+			}
+			if got := r.Wanted(now, "a"); got != (tc.want == membership.Good) {
+				t.Errorf("wanted: %v", got)
+			}
+		})
+	}
+}
+
+// TestRestsSpareWhoDidNotAsk: the other targets of the service stay in use, those of the same
+// group too, and the floor of ejections does not bring a resting one back.
+func TestRestsSpareWhoDidNotAsk(t *testing.T) {
+	const targets, resting = 8, 6
+	r := newRoster()
+	for i := range targets {
+		id := fmt.Sprintf("t-%d", i)
+		rank := &domain.Rank{Group: "g", Number: i, Size: targets, Open: true}
+		r.Changed(start, membership.News{ID: domain.InstanceID(id), Revision: 1, Target: target(id, domain.TargetReady, rank)})
+		if i < resting {
+			for range 8 { // enough for an ejection
+				r.Failed(start, domain.InstanceID(id))
+			}
+			r.Rests(domain.InstanceID(id), start.Add(time.Duration(9-i)*time.Second))
+		}
+	}
+	now := start.Add(time.Second)
+	for i := range targets {
+		if got := mayBeUsed(r, now, fmt.Sprintf("t-%d", i)); got != (i >= resting) {
+			t.Errorf("target %d may be used: %v", i, got)
+		}
+	}
+	if first := r.RestsUntil(now, "s"); !first.Equal(start.Add(4 * time.Second)) {
+		t.Errorf("the first takes work again at %v", first.Sub(start))
+	}
+	if first := r.RestsUntil(now, "another"); !first.IsZero() {
+		t.Errorf("a target of another service rests until %v", first)
+	}
+}
+
+// TestWhatATargetSaysOfItsLeavingStays: for its start, whatever the list says later; its next
+// start knows nothing of it, nor of rest that the one before asked for.
+func TestWhatATargetSaysOfItsLeavingStays(t *testing.T) {
+	const ready, leaves = domain.TargetReady, domain.TargetLeaving
+	for _, tc := range []struct {
+		name string
+		news []membership.News // after the first start said that it is leaving
+		id   domain.InstanceID // whether it may be used
+		want bool
+	}{
+		{"nothing else", nil, startOf(1), false},
+		{"the list says that it is ready", []membership.News{born(1, ready, 2)}, startOf(1), false},
+		{"its entry goes and comes again", []membership.News{gone("a", 2), born(1, ready, 3)}, startOf(1), false},
+		{"it starts again", []membership.News{born(2, ready, 2)}, startOf(2), true},
+		{"it starts again after the list knew too", []membership.News{born(1, leaves, 2), born(2, ready, 3)}, startOf(2), true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newRoster()
+			r.Changed(start, born(1, ready, 1))
+			r.Rests(startOf(1), start.Add(time.Minute))
+			if !r.Leaves(startOf(1)) {
+				t.Error("it is no news that it is leaving")
+			}
+			if r.Leaves(startOf(1)) {
+				t.Error("it is news twice")
+			}
+			for _, n := range tc.news {
+				r.Changed(start, n)
+			}
+			if got := mayBeUsed(r, start, string(tc.id)); got != tc.want || r.Wanted(start, tc.id) != tc.want {
+				t.Errorf("may be used: %v, wanted: %v", got, r.Wanted(start, tc.id))
+			}
+		})
+	}
+	r := newRoster()
+	r.Changed(start, born(1, leaves, 1))
+	if r.Leaves(startOf(1)) {
+		t.Error("it is news although the list said so")
+	}
+	if r.Leaves(startOf(2)) || r.Wanted(start, startOf(2)) {
+		t.Error("a start that is not known is leaving, or wanted")
+	}
+}
--- a/membership/roster.go
+++ b/membership/roster.go
@@ -72,6 +72,8 @@
 	goneAt   time.Time // zero while it is listed
 	grace    time.Time // until when it may be used although it is gone
 	replaced bool      // another instance answered at its address
+	leaving  bool      // it said so itself
+	restTo   time.Time // until when it wants nothing from this box
 	health   health
 	own      domain.Rank // its own word of its group
 	ownAt    time.Time
--- a/membership/standing.go
+++ b/membership/standing.go
@@ -18,6 +18,8 @@
 	Suspect
 	// Lapsed: its entry vanished while the store was in trouble; it may live.
 	Lapsed
+	// Resting: it asked this box to be sent nothing for a while.
+	Resting
 	// Unreachable: no connection to it could be made a moment ago.
 	Unreachable
 	// Unfit: its group does not step.
@@ -28,11 +30,11 @@
 
 // String gives the name of the standing.
 func (s Standing) String() string {
-	return [...]string{"good", "suspect", "lapsed", "unreachable", "unfit", "leaving"}[s]
+	return [...]string{"good", "suspect", "lapsed", "resting", "unreachable", "unfit", "leaving"}[s]
 }
 
 // Usable tells whether a target of the standing may get new work.
-func (s Standing) Usable() bool { return s < Unreachable }
+func (s Standing) Usable() bool { return s < Resting }
 
 // Ranked is a target with its standing.
 type Ranked struct {
@@ -80,13 +82,12 @@
 // standing is that of the target by itself.
 func (r *Roster) standing(now time.Time, e *entry) Standing {
 	switch {
-	case e.replaced, e.target.State() != domain.TargetReady:
+	case e.replaced, e.leaving, e.target.State() != domain.TargetReady, e.gone(now):
 		return Leaving
+	case now.Before(e.restTo):
+		return Resting
 	case !e.goneAt.IsZero():
-		if now.Before(e.grace) {
-			return Lapsed
-		}
-		return Leaving
+		return Lapsed
 	case e.health.unreachable(now):
 		return Unreachable
 	case e.health.ejected(now), r.muted(now, e):
@@ -96,6 +97,9 @@
 	}
 }
 
+// gone tells that the target is not listed, and is not to be used any more either.
+func (e *entry) gone(now time.Time) bool { return !e.goneAt.IsZero() && !now.Before(e.grace) }
+
 // muted tells that the target used to speak for itself and does no more, as on a box
 // that stands still: requests to it would be accepted and not answered.
 func (r *Roster) muted(now time.Time, e *entry) bool {
--- a/node/entry.go
+++ b/node/entry.go
@@ -64,6 +64,7 @@
 	})
 	e.peering = newPeering(e)
 	e.fleet.letDown, e.fleet.ejected, e.fleet.witness = e.peering.tell, e.noteEjected, e.witness
+	e.fleet.left = e.noteLeft
 	e.surveying = newSurveying(e)
 	e.belief = &belief{common: c, fleet: e.fleet, adopt: e.adopt, moved: e.peering.tell}
 	return e
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -29,6 +29,7 @@
 	askedAt  map[domain.ServiceName]time.Time // when a target of the service was last asked for
 	letDown  func()                           // called when a target let this box down, and others are to hear of it
 	ejected  func(domain.InstanceID)          // called when a target is ejected as several boxes complain of it
+	left     func(domain.InstanceID)          // called when a target says that it is leaving, and nothing did before
 	witness  func(domain.Target) string       // another process that is reached on the way to the target
 }
 
@@ -38,6 +39,7 @@
 		roster:   membership.NewRoster(self, p),
 		letDown:  func() {},
 		ejected:  func(domain.InstanceID) {},
+		left:     func(domain.InstanceID) {},
 		witness:  func(domain.Target) string { return "" },
 		balancer: routing.NewBalancer(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		gate:     admission.NewGate(),
@@ -59,10 +61,8 @@
 	f.askedAt[q.Service] = now
 	options := f.options(now, q.Service, q.Tried)
 	chosen, ok := f.balancer.Pick(now, f.hall, options)
-	left := q.Deadline.Sub(now)
 	if !ok {
-		rest := admission.Outlast(left, rand.Float64())
-		return nil, fault.New(fault.NoTarget, "service %s has no target that takes requests", q.Service).RetryAt(now.Add(rest))
+		return nil, fault.New(fault.NoTarget, "service %s has no target that takes requests", q.Service).RetryAt(f.again(now, q))
 	}
 	if err := f.admit(now, q, chosen); err != nil {
 		return nil, err
@@ -71,6 +71,31 @@
 	return &place{fleet: f, target: t, option: chosen, ticket: f.balancer.Sent(now, chosen)}, nil
 }
 
+// reopenSpread is over which time callers come back to a target that takes work again: a few
+// requests of a usual one, so that those who were refused meanwhile do not all meet it at once.
+const reopenSpread = 250 * time.Millisecond
+
+// again is when a caller best comes back where no target takes requests: as the first that asked
+// for rest does, or as late as the caller heeds if that is sooner, or nobody knows; mu is held.
+func (f *fleet) again(now time.Time, q gateway.Query) time.Time {
+	last := now.Add(admission.Outlast(q.Deadline.Sub(now), rand.Float64()))
+	rested := f.roster.RestsUntil(now, q.Service)
+	if rested.IsZero() || rested.After(last) {
+		return last
+	}
+	return rested.Add(time.Duration(rand.Float64() * float64(reopenSpread)))
+}
+
+// TakesAt implements gateway.Fleet.
+func (f *fleet) TakesAt(now time.Time, svc domain.ServiceName) time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.options(now, svc, nil)) > 0 {
+		return now
+	}
+	return f.roster.RestsUntil(now, svc)
+}
+
 // options are the targets of the service that may get new work; mu is held.
 func (f *fleet) options(now time.Time, svc domain.ServiceName, tried []domain.InstanceID) []routing.Option {
 	var options []routing.Option
@@ -160,10 +185,25 @@
 // Witness implements gateway.Lease.
 func (p *place) Witness() string { return p.fleet.witness(p.target) }
 
-// Load implements gateway.Lease.
-func (p *place) Load(l call.Load) {
-	p.fleet.with(func(_ *membership.Roster, b *routing.Balancer) {
-		b.Report(clock.Now(), p.target.ID(), routing.Report{Running: l.Running, Waiting: l.Waiting})
+// Wanted implements gateway.Lease.
+func (p *place) Wanted(now time.Time) bool {
+	p.fleet.mu.Lock()
+	defer p.fleet.mu.Unlock()
+	return p.fleet.roster.Wanted(now, p.target.ID())
+}
+
+// Heard implements gateway.Lease.
+func (p *place) Heard(now time.Time, a call.Answer) {
+	p.fleet.with(func(r *membership.Roster, b *routing.Balancer) {
+		if l := a.Load; l != nil {
+			b.Report(now, p.target.ID(), routing.Report{Running: l.Running, Waiting: l.Waiting})
+		}
+		if until := a.RestUntil(); !until.IsZero() {
+			r.Rests(p.target.ID(), until)
+		}
+		if a.Leaving && r.Leaves(p.target.ID()) {
+			p.fleet.left(p.target.ID())
+		}
 	})
 }
 
--- a/node/readiness.go
+++ b/node/readiness.go
@@ -53,6 +53,11 @@
 	e.common.Log.Warn("target ejected on complaints", "target", id)
 }
 
+// noteLeft logs that a target says with an answer that it is leaving.
+func (e *Entry) noteLeft(id domain.InstanceID) {
+	e.common.Log.Info("target says it is leaving", "target", id, "source", "answer")
+}
+
 // judge keeps the readiness until ctx ends.
 func (e *Entry) judge(ctx context.Context) {
 	for ctx.Err() == nil {
