Boxes and agents tell each other that a target says it is leaving

Cause, the same one elsewhere: a target's word stayed with the box that had the answer. While the store is away a target that is leaving got its first request from each other box after the time to drain, and it ends soon after that.

Now adverts name for three seconds who lately said so, the first at once, and the agent beside a rank passes on what its engine says with its reports. Before: 1 request too late at a target that stands alone, 2 at a rank that nobody had asked for anything; after: none (TestAllBoxesHearThatATargetIsLeaving, the store silent throughout).

--- a/local/rest_test.go
+++ b/local/rest_test.go
@@ -176,6 +176,60 @@
 	}
 }
 
+// TestAllBoxesHearThatATargetIsLeaving: what one box learns by an answer, or the agent beside a
+// rank by its own questions, holds at all boxes by the end of the time to drain, also while the
+// store is away.
+func TestAllBoxesHearThatATargetIsLeaving(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		leave func(*local.System) *standin.Target
+		path  string
+		first int // requests at one box before the others have any
+	}{
+		{"a target that stands alone", func(s *local.System) *standin.Target { return s.Targets()[0].Target() }, "/again/x", 60},
+		{"a rank of a group, which nobody asks for anything", func(s *local.System) *standin.Target { return s.Group().Target(1) }, standin.GroupPath + "x", 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			var from time.Time
+			var leaver string
+			sc := busy()
+			sc.seed, sc.callers = 1, 0
+			sc.operate = func(s *local.System, h *history) {
+				s.Store.SetTrouble(standin.Silent, 0)
+				x := tc.leave(s)
+				x.Behave(func(h *standin.Habits) { h.Leaving = true })
+				leaver = x.ID()
+				for range tc.first {
+					sc.ask(s, h, entry(s, 0), tc.path)
+				}
+				time.Sleep(bounds().Drain.Std())
+				from = time.Now()
+				for i := range 200 {
+					sc.ask(s, h, entry(s, i), tc.path)
+				}
+			}
+			sc.run(t, func(s *local.System, h *history) {
+				before, late := 0, 0
+				for _, r := range s.Runs() {
+					switch {
+					case r.Target != leaver:
+					case r.At.Before(from):
+						before++
+					default:
+						late++
+					}
+				}
+				if late > 0 {
+					t.Errorf("%d requests reached a target that had been leaving for %v", late, bounds().Drain.Std())
+				}
+				if tc.first > 0 && before == 0 || h.right() < 200 {
+					t.Errorf("it had %d requests before, %d were served: the run shows nothing", before, h.right())
+				}
+			})
+		})
+	}
+}
+
 // checkLeaver looks for requests that a box took too late after it had passed on an answer of
 // the target, which has been leaving since three seconds after the start.
 func checkLeaver(t *testing.T, s *local.System, h *history, leaver domain.InstanceID) {
--- a/membership/asked.go
+++ b/membership/asked.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"slices"
 	"time"
 
 	"clovertrail.dev/core/domain"
@@ -20,17 +21,34 @@
 	}
 }
 
-// Leaves takes that the target says that it is leaving. It tells whether that was news: the list
-// may have said so before.
-func (r *Roster) Leaves(id domain.InstanceID) bool {
+// Leaves takes that the target says that it is leaving, to this box or to another. It tells
+// whether that was news: the list may have said so before.
+func (r *Roster) Leaves(now time.Time, id domain.InstanceID) bool {
 	e, ok := r.of(id)
-	if !ok || e.leaving {
+	if !ok || !e.leftAt.IsZero() {
 		return false
 	}
-	e.leaving = true
+	e.leftAt = now
 	return e.goneAt.IsZero() && e.target.State() == domain.TargetReady
 }
 
+// leaverToldFor is for how long a box tells others that a target is leaving: a few rounds, of
+// which the first comes at once. Each box that hears of it does the same.
+const leaverToldFor = 3 * time.Second
+
+// Leavers are the targets that lately said that they are leaving, in order of their ids, for
+// other boxes: the list may not tell these before the targets end.
+func (r *Roster) Leavers(now time.Time) []domain.InstanceID {
+	var list []domain.InstanceID
+	for _, e := range r.entries {
+		if !e.leftAt.IsZero() && now.Sub(e.leftAt) < leaverToldFor {
+			list = append(list, e.target.ID())
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
 // Wanted tells whether the target, chosen a while ago, may still be sent new work.
 func (r *Roster) Wanted(now time.Time, id domain.InstanceID) bool {
 	e, ok := r.of(id)
--- a/membership/asked_test.go
+++ b/membership/asked_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -100,10 +101,10 @@
 			r := newRoster()
 			r.Changed(start, born(1, ready, 1))
 			r.Rests(startOf(1), start.Add(time.Minute))
-			if !r.Leaves(startOf(1)) {
+			if !r.Leaves(start, startOf(1)) {
 				t.Error("it is no news that it is leaving")
 			}
-			if r.Leaves(startOf(1)) {
+			if r.Leaves(start, startOf(1)) {
 				t.Error("it is news twice")
 			}
 			for _, n := range tc.news {
@@ -116,10 +117,33 @@
 	}
 	r := newRoster()
 	r.Changed(start, born(1, leaves, 1))
-	if r.Leaves(startOf(1)) {
+	if r.Leaves(start, startOf(1)) {
 		t.Error("it is news although the list said so")
 	}
-	if r.Leaves(startOf(2)) || r.Wanted(start, startOf(2)) {
+	if r.Leaves(start, startOf(2)) || r.Wanted(start, startOf(2)) {
 		t.Error("a start that is not known is leaving, or wanted")
 	}
 }
+
+// TestLeaversAreToldForAWhile: to other boxes, from when this box learned of it.
+func TestLeaversAreToldForAWhile(t *testing.T) {
+	r := newRoster()
+	r.Changed(start, ready("a", 1))
+	r.Changed(start, ready("b", 2))
+	r.Leaves(start, "b")
+	r.Leaves(start.Add(time.Second), "a")
+	r.Leaves(start.Add(2*time.Second), "b") // heard again from a box that it told
+	for _, tc := range []struct {
+		at   time.Duration
+		want []domain.InstanceID
+	}{
+		{0, []domain.InstanceID{"a", "b"}},
+		{2999 * time.Millisecond, []domain.InstanceID{"a", "b"}},
+		{3 * time.Second, []domain.InstanceID{"a"}},
+		{4 * time.Second, nil},
+	} {
+		if got := r.Leavers(start.Add(tc.at)); !slices.Equal(got, tc.want) {
+			t.Errorf("after %v: %v, want %v", tc.at, got, tc.want)
+		}
+	}
+}
--- a/membership/roster.go
+++ b/membership/roster.go
@@ -72,7 +72,7 @@
 	goneAt   time.Time // zero while it is listed
 	grace    time.Time // until when it may be used although it is gone
 	replaced bool      // another instance answered at its address
-	leaving  bool      // it said so itself
+	leftAt   time.Time // when this box learned that it says it is leaving; zero if it does not
 	restTo   time.Time // until when it wants nothing from this box
 	health   health
 	own      domain.Rank // its own word of its group
--- a/membership/standing.go
+++ b/membership/standing.go
@@ -82,7 +82,7 @@
 // standing is that of the target by itself.
 func (r *Roster) standing(now time.Time, e *entry) Standing {
 	switch {
-	case e.replaced, e.leaving, e.target.State() != domain.TargetReady, e.gone(now):
+	case e.replaced, !e.leftAt.IsZero(), e.target.State() != domain.TargetReady, e.gone(now):
 		return Leaving
 	case now.Before(e.restTo):
 		return Resting
--- a/mesh/messages.go
+++ b/mesh/messages.go
@@ -65,6 +65,8 @@
 	Known []Contact `json:"known,omitempty"`
 	// Complaints are those that count, of any box.
 	Complaints []Complaint `json:"complaints,omitempty"`
+	// Leavers are targets that lately said, with an answer, that they are leaving.
+	Leavers []domain.InstanceID `json:"leavers,omitempty"`
 	// Works are what is known of works under which targets ended.
 	Works []WorkWord `json:"works,omitempty"`
 }
@@ -207,6 +209,8 @@
 	Running int              `json:"running"`
 	Waiting int              `json:"waiting"`
 	Pace    float64          `json:"pace"`
+	// Leaving tells that the engine says that it is leaving.
+	Leaving bool `json:"leaving,omitempty"`
 	// Picked is how often each expert was chosen by this rank's requests since the
 	// asker asked last; only where Read asks, and missing if that is not known.
 	Picked *Picked `json:"picked,omitempty"`
--- a/node/adverts.go
+++ b/node/adverts.go
@@ -19,12 +19,14 @@
 	now := clock.Now()
 	own := p.level()
 	complaints, works := p.complaints(now), p.entry.quarantine.tell(now, all)
+	var leavers []domain.InstanceID
+	p.entry.fleet.with(func(r *membership.Roster, _ *routing.Balancer) { leavers = r.Leavers(now) })
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	a := &mesh.Advert{
 		Self: contactOf(p.self, 0), Hall: domain.HallName(p.entry.settings().Hall), Leaving: p.entry.gateway.Leaving(),
 		Config: own.Config, Targets: own.Targets, News: news,
-		Complaints: complaints, Works: works,
+		Complaints: complaints, Leavers: leavers, Works: works,
 	}
 	if news {
 		return a
@@ -93,6 +95,9 @@
 	now := clock.Now()
 	own := p.level()
 	p.complained(now, a.Complaints)
+	for _, id := range a.Leavers {
+		p.entry.fleet.leaves(now, id, "peer "+string(a.Self.Box))
+	}
 	p.entry.quarantine.heard(now, a.Works, "peer "+string(a.Self.Box))
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -26,11 +26,11 @@
 	roster   *membership.Roster
 	balancer *routing.Balancer
 	gate     *admission.Gate
-	askedAt  map[domain.ServiceName]time.Time // when a target of the service was last asked for
-	letDown  func()                           // called when a target let this box down, and others are to hear of it
-	ejected  func(domain.InstanceID)          // called when a target is ejected as several boxes complain of it
-	left     func(domain.InstanceID)          // called when a target says that it is leaving, and nothing did before
-	witness  func(domain.Target) string       // another process that is reached on the way to the target
+	askedAt  map[domain.ServiceName]time.Time          // when a target of the service was last asked for
+	letDown  func()                                    // called when a target let this box down, and others are to hear of it
+	ejected  func(domain.InstanceID)                   // called when a target is ejected as several boxes complain of it
+	left     func(id domain.InstanceID, source string) // called when a target says that it is leaving, and nothing did before
+	witness  func(domain.Target) string                // another process that is reached on the way to the target
 }
 
 func newFleet(self domain.BoxID, hall domain.HallName, p membership.RosterPolicy) *fleet {
@@ -39,7 +39,7 @@
 		roster:   membership.NewRoster(self, p),
 		letDown:  func() {},
 		ejected:  func(domain.InstanceID) {},
-		left:     func(domain.InstanceID) {},
+		left:     func(domain.InstanceID, string) {},
 		witness:  func(domain.Target) string { return "" },
 		balancer: routing.NewBalancer(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		gate:     admission.NewGate(),
@@ -171,6 +171,15 @@
 	})
 }
 
+// leaves takes that the target says that it is leaving, as the source tells.
+func (f *fleet) leaves(now time.Time, id domain.InstanceID, source string) {
+	news := false
+	f.with(func(r *membership.Roster, _ *routing.Balancer) { news = r.Leaves(now, id) })
+	if news {
+		f.left(id, source)
+	}
+}
+
 // place is a place at a target. It implements gateway.Lease.
 type place struct {
 	fleet  *fleet
@@ -201,10 +210,10 @@
 		if until := a.RestUntil(); !until.IsZero() {
 			r.Rests(p.target.ID(), until)
 		}
-		if a.Leaving && r.Leaves(p.target.ID()) {
-			p.fleet.left(p.target.ID())
-		}
 	})
+	if a.Leaving {
+		p.fleet.leaves(now, p.target.ID(), "answer")
+	}
 }
 
 // Overdue implements gateway.Lease.
--- a/node/readiness.go
+++ b/node/readiness.go
@@ -53,9 +53,10 @@
 	e.common.Log.Warn("target ejected on complaints", "target", id)
 }
 
-// noteLeft logs that a target says with an answer that it is leaving.
-func (e *Entry) noteLeft(id domain.InstanceID) {
-	e.common.Log.Info("target says it is leaving", "target", id, "source", "answer")
+// noteLeft logs that a target says that it is leaving, and tells other boxes at once.
+func (e *Entry) noteLeft(id domain.InstanceID, source string) {
+	e.common.Log.Info("target says it is leaving", "target", id, "source", source)
+	e.peering.tell()
 }
 
 // judge keeps the readiness until ctx ends.
--- a/node/watching.go
+++ b/node/watching.go
@@ -148,6 +148,9 @@
 	}
 	w.surveying.sightings.Saw(clock.Now(), id, report)
 	w.take(id, report)
+	if report.Leaving {
+		w.entry.fleet.leaves(clock.Now(), id, "agent")
+	}
 	l.Learnt(report.Knows)
 	if !l.Due(clock.Now(), epoch) {
 		return nil
