--- a/cmd/clovertrail-soak/main.go
+++ b/cmd/clovertrail-soak/main.go
@@ -38,6 +38,7 @@
 			&cli.IntFlag{Name: "targets", Usage: "how many targets a run has"},
 			&cli.IntFlag{Name: "callers", Usage: "how many callers a run has"},
 			&cli.BoolFlag{Name: "fatal", Usage: "a caller's request crashes each target that runs it"},
+			&cli.BoolFlag{Name: "asks", Usage: "targets ask for rest, and say with their answers that they are leaving"},
 			&cli.DurationFlag{Name: "for", Value: 30 * time.Second, Usage: "how long a run takes"},
 			&cli.StringFlag{Name: "logs", Value: filepath.Join(os.TempDir(), "clovertrail-soak"), Usage: "the `FOLDER` of settings and logs"},
 		},
@@ -64,7 +65,7 @@
 				seed := first + uint64(n)
 				r, err := soak.Run(ctx, soak.Options{
 					Program: cmd.String("program"), Seed: seed, For: cmd.Duration("for"),
-					Boxes: cmd.Int("boxes"), Targets: cmd.Int("targets"), Callers: cmd.Int("callers"), Fatal: cmd.Bool("fatal"),
+					Boxes: cmd.Int("boxes"), Targets: cmd.Int("targets"), Callers: cmd.Int("callers"), Fatal: cmd.Bool("fatal"), Asks: cmd.Bool("asks"),
 					Dir: filepath.Join(cmd.String("logs"), fmt.Sprintf("seed-%d", seed)),
 				})
 				results <- result{r, err}
--- a/core/call/answer.go
+++ b/core/call/answer.go
@@ -68,3 +68,11 @@
 	}
 	return a.Again
 }
+
+// NoRoom tells that the target id declined the request for want of room, and did not say for how
+// long: neither for the request's own sake nor for another target's, as a rank does whose group
+// has lost one.
+func (a Answer) NoRoom(id domain.ListedID) bool {
+	own := a.AtFault == "" || a.AtFault == id
+	return a.Outcome == Declined && a.Status == http.StatusServiceUnavailable && a.Again.IsZero() && own
+}
--- a/local/rest_test.go
+++ b/local/rest_test.go
@@ -150,6 +150,41 @@
 	})
 }
 
+// TestWhoTurnsAllAwayDoesNotDrawTheLoad: targets turn all away for seven seconds and do not say
+// for how long, as where they are full. They answer at once and have nothing open, and get no more
+// of the attempts than their part of the targets; the others, which have room, serve the callers.
+func TestWhoTurnsAllAwayDoesNotDrawTheLoad(t *testing.T) {
+	const from, to, away = 2 * time.Second, 9 * time.Second, 2
+	sc := busy()
+	sc.seed, sc.length, sc.callers, sc.paths = 1, 12*time.Second, 24, []string{"/again/x", "/once/x", "/stream/x"}
+	sc.operate = resting(alone(away), 0, from, to)
+	sc.run(t, func(s *local.System, h *history) {
+		turned, start := 0, h.asked[0].at
+		for _, x := range alone(away)(s) {
+			turned += len(x.Turned())
+		}
+		asked, refused := 0, 0
+		for _, a := range h.asked {
+			if at := a.at.Sub(start); at < from || at > to {
+				continue
+			}
+			asked++
+			if !a.reply.Right {
+				refused++
+			}
+		}
+		if part := float64(turned) / float64(asked+turned); part > float64(away)/float64(len(s.Targets())) {
+			t.Errorf("%d of %d attempts were at targets that turn all away", turned, asked+turned)
+		}
+		if refused > asked/100 {
+			t.Errorf("%d of %d callers were not served, though half of the targets have room", refused, asked)
+		}
+		if turned == 0 {
+			t.Error("none was turned away: the run shows nothing")
+		}
+	})
+}
+
 // TestATargetThatSaysItIsLeavingGetsNoNewWork: a target says so with each answer, and nothing
 // else tells. What callers ask of a box later than the time to drain after it passed such an
 // answer on does not reach that target from it.
--- a/membership/health.go
+++ b/membership/health.go
@@ -10,6 +10,9 @@
 	ejectedTo time.Time
 	accusedTo time.Time // until when it is on probation after boxes complained of it
 
+	turned   int       // attempts in a row that it turned away for want of room
+	turnedTo time.Time // until when it is taken to have none
+
 	misses    int       // times in a row that it could not be reached
 	missedAt  time.Time // the last of them
 	missingTo time.Time // until when it is not tried
@@ -20,6 +23,7 @@
 	healthSmoothing = 0.2 // weight of one more attempt in the share of failures
 	healthSamples   = 4   // attempts before a share of failures means something
 	maxEjections    = 8   // doublings of an ejection
+	maxTurned       = 8   // doublings of the time for which a target is taken to have no room
 )
 
 func (h *health) add(failed bool) {
@@ -34,6 +38,7 @@
 
 func (h *health) succeeded(now time.Time) {
 	h.reached(now)
+	h.turned = 0
 	if h.failShare < healthSmoothing {
 		h.ejections = 0
 	}
@@ -71,6 +76,19 @@
 
 func (h *health) onProbation(now time.Time) bool { return now.Before(h.accusedTo) }
 
+// turnAway takes that the target turned an attempt away for want of room. One that turns all
+// away has nothing open, and draws the load: with three in ten of the targets of a service doing
+// so for nine seconds, TODO.
+func (h *health) turnAway(now time.Time, p RosterPolicy) {
+	if h.full(now) {
+		return // what was under way as the first was turned away says nothing new
+	}
+	h.turnedTo = now.Add(min(p.TurnedFor<<min(h.turned, maxTurned), p.TurnedMost))
+	h.turned++
+}
+
+func (h *health) full(now time.Time) bool { return now.Before(h.turnedTo) }
+
 // unreach takes that no connection could be made.
 func (h *health) unreach(now time.Time, p RosterPolicy) {
 	if h.unreachable(now) {
--- a/membership/roster.go
+++ b/membership/roster.go
@@ -21,6 +21,10 @@
 	EjectFor, EjectMost time.Duration
 	// MissMost bounds how long a target that could not be reached is not tried.
 	MissMost time.Duration
+	// TurnedFor is for how long a target that turned an attempt away for want of room, and
+	// did not say for how long, is suspect; each further one in a row doubles it, up to
+	// TurnedMost.
+	TurnedFor, TurnedMost time.Duration
 	// FailShare is the share of failures, above that of the service as a whole, from
 	// which a target is ejected.
 	FailShare float64
@@ -55,6 +59,8 @@
 		EjectFor:    time.Second,
 		EjectMost:   8 * time.Second,
 		MissMost:    4 * time.Second,
+		TurnedFor:   250 * time.Millisecond, // a few requests of a usual target
+		TurnedMost:  4 * time.Second,
 		FailShare:   0.25,
 		AccusedFor:  4 * time.Second,
 		Floor:       0.5,
@@ -280,6 +286,14 @@
 	}
 }
 
+// TurnedAway takes an attempt that the target turned away for want of room, without saying for
+// how long.
+func (r *Roster) TurnedAway(now time.Time, id domain.InstanceID) {
+	if e, ok := r.of(id); ok {
+		e.health.turnAway(now, r.policy)
+	}
+}
+
 // Unreachable takes an attempt that could not reach the target at all.
 func (r *Roster) Unreachable(now time.Time, id domain.InstanceID) {
 	if e, ok := r.of(id); ok {
--- a/membership/standing.go
+++ b/membership/standing.go
@@ -14,7 +14,7 @@
 const (
 	// Good: nothing speaks against it.
 	Good Standing = iota
-	// Suspect: it, or a rank of its group, has lately failed.
+	// Suspect: it, or a rank of its group, has lately failed, or it has no room.
 	Suspect
 	// Lapsed: its entry vanished while the store was in trouble; it may live.
 	Lapsed
@@ -90,7 +90,7 @@
 		return Lapsed
 	case e.health.unreachable(now):
 		return Unreachable
-	case e.health.ejected(now), r.muted(now, e):
+	case e.health.ejected(now), e.health.full(now), r.muted(now, e):
 		return Suspect
 	default:
 		return Good
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -210,6 +210,9 @@
 		if until := a.RestUntil(); !until.IsZero() {
 			r.Rests(p.target.ID(), until)
 		}
+		if a.NoRoom(p.target.ID().Listed()) {
+			r.TurnedAway(now, p.target.ID())
+		}
 	})
 	if a.Leaving {
 		p.fleet.leaves(now, p.target.ID(), "answer")
--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -46,11 +46,14 @@
 	stops  map[string][]span    // planned stops, by box
 	left   map[string]time.Time // when the store took that a target leaves
 	config map[int]time.Time    // when the store took a version
+	turned []standin.Turned     // requests that targets turned away which ask for rest
+	said   map[string]time.Time // when a target began to say with its answers that it leaves
 }
 
 func newLedger() *ledger {
 	return &ledger{
 		runs: map[string][]standin.Run{}, stops: map[string][]span{}, left: map[string]time.Time{}, config: map[int]time.Time{},
+		said: map[string]time.Time{},
 	}
 }
 
@@ -123,6 +126,8 @@
 	}
 	l.checkConfigurations(broken)
 	l.checkFatal(broken)
+	l.checkRests(broken)
+	l.checkSaid(broken)
 	return list
 }
 
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -61,6 +61,9 @@
 	if o.Fatal {
 		callers.Go(func() { w.callFatal(calling) })
 	}
+	if o.Asks {
+		acting.Go(func() { w.asking(calling, end.Add(-calmEnd)) })
+	}
 	rep := Report{Seed: o.Seed}
 	w.act(&rep, began, end.Add(-calmEnd), &acting)
 	acting.Wait()
--- a/soak/world.go
+++ b/soak/world.go
@@ -26,6 +26,9 @@
 	// Fatal adds a caller whose request crashes each target that runs it. What else happens
 	// stays as the seed draws it.
 	Fatal bool
+	// Asks lets targets ask for rest, and say with their answers that they are leaving. What
+	// else happens stays as the seed draws it.
+	Asks bool
 }
 
 // The usual sizes of a run: a few processes, so that many runs fit on a machine.
