--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -22,7 +22,7 @@
 	if out, err := exec.Command("go", "build", "-o", program, "clovertrail.dev/cmd/clovertrail-node").CombinedOutput(); err != nil {
 		t.Fatalf("%v: %s", err, out)
 	}
-	for _, o := range []soak.Options{{Seed: 1}, {Seed: 134}, {Seed: 1, Fatal: true}, {Seed: 405, Fatal: true}} {
+	for _, o := range []soak.Options{{Seed: 1}, {Seed: 134}, {Seed: 1, Fatal: true}, {Seed: 405, Fatal: true}, {Seed: 600, Asks: true}} {
 		seed := o.Seed
 		o.Program, o.For, o.Dir = program, soak.LeastFor+3*1e9, t.TempDir()
 		r, err := soak.Run(context.Background(), o)
