--- a/cli/logs/logs_test.go
+++ b/cli/logs/logs_test.go
@@ -211,3 +211,27 @@
 		t.Errorf("other work: %q, %v", x.Cause(), err)
 	}
 }
+
+// TestExplainTellsWhatTargetsAsked: for how long one that turned the attempt away wanted nothing,
+// and that it is leaving; nothing of one that asked for nothing.
+func TestExplainTellsWhatTargetsAsked(t *testing.T) {
+	const line = `time=2026-05-31T06:24:01.000Z level=WARN msg="attempt failed" box=front-1 request=%s digest=d target=i-1 attempt=1 resume=false end="declined: overloaded" target_ended=false rest=%s target_leaving=%v next="refuse as overloaded" after=2ms` + "\n"
+	for _, tc := range []struct {
+		rest    string
+		leaving bool
+		want    string
+	}{
+		{"0s", false, "ended: declined: overloaded"},
+		{"2.999831s", false, ", and the target asked to be sent nothing for 3s"},
+		{"0s", true, ", and said that it is leaving"},
+		{"250ms", true, ", and the target asked to be sent nothing for 250ms, and said that it is leaving"},
+	} {
+		s, err := logs.Read(strings.NewReader(fmt.Sprintf(line, "r1", tc.rest, tc.leaving)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if x, err := logs.Explain(s, "r1"); err != nil || !strings.HasSuffix(x.Cause(), tc.want) {
+			t.Errorf("rest %s, leaving %v: %q, %v", tc.rest, tc.leaving, x.Cause(), err)
+		}
+	}
+}
