Sight: lines tell which limit a target named with its answer

Cause: the lines of a request did not tell whether its target had named a limit, so it could not be told whether the boxes that sent it work knew of one. Nothing is decided by it yet.

--- a/cli/logs/explain.go
+++ b/cli/logs/explain.go
@@ -136,6 +136,9 @@
 			if l.Get("target_leaving") == "true" {
 				sentence += ", and said that it is leaving"
 			}
+			if limit := l.Get("limit"); limit != "" {
+				sentence += ", and the target named a limit of " + limit + " a second"
+			}
 		}
 	}
 	return sentence
--- a/core/call/answer.go
+++ b/core/call/answer.go
@@ -57,6 +57,8 @@
 	Again time.Time
 	// Leaving tells that the target says that it is leaving. It serves what it has.
 	Leaving bool
+	// Limit is how much the target says that it takes; nil if that cannot be read.
+	Limit Limit
 }
 
 // RestUntil is until when the target wants nothing at all from this box; zero if it does not ask
--- a/gateway/delivery.go
+++ b/gateway/delivery.go
@@ -39,6 +39,7 @@
 	last   time.Time     // when the caller got the last events
 	pause  time.Duration // the longest between events
 	held   *answer       // a failed answer that may have to be passed on
+	limit  call.Limit    // that the target of the last attempt named
 }
 
 // serve drives the order's machine to its end.
@@ -96,6 +97,7 @@
 	d.tried = append(d.tried, lease.Target().ID())
 	a := &attempt{d: d, lease: lease, try: t}
 	end := a.run(ctx)
+	d.limit = a.answer.Limit
 	if _, served := end.(retry.Answering); served {
 		d.g.parts.Quarantine.Served(clock.Now(), d.o.digest)
 	}
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -2,6 +2,7 @@
 
 import (
 	"clovertrail.dev/catalog"
+	"clovertrail.dev/core/call"
 	"clovertrail.dev/core/clock"
 	"clovertrail.dev/core/fault"
 	"clovertrail.dev/retry"
@@ -24,9 +25,10 @@
 		reasons := a.d.course.Reasons()
 		g.parts.Common.Metrics.Retried(reasons[len(reasons)-1])
 	}
-	g.parts.Common.Log.Warn("attempt failed", "request", o.ID(), "digest", o.digest, "target", a.lease.Target().ID(), "attempt", a.try.Attempt,
+	attrs := []any{"request", o.ID(), "digest", o.digest, "target", a.lease.Target().ID(), "attempt", a.try.Attempt,
 		"resume", a.try.Resume, "end", describe(end), "target_ended", a.gone,
-		"rest", a.rest(), "target_leaving", a.answer.Leaving, "next", describe(cmd), "after", clock.Since(o.arrived))
+		"rest", a.rest(), "target_leaving", a.answer.Leaving, "next", describe(cmd), "after", clock.Since(o.arrived)}
+	g.parts.Common.Log.Warn("attempt failed", withLimit(attrs, a.answer.Limit)...)
 }
 
 // delivered tells of a request that was answered.
@@ -39,9 +41,18 @@
 	if kind == catalog.Stream {
 		m.Observe(telemetry.Pause, "", d.pause)
 	}
-	g.parts.Common.Log.Info("request answered", "request", o.ID(), "digest", o.digest, "route", o.route.Name(), "organisation", o.org.Name,
+	attrs := []any{"request", o.ID(), "digest", o.digest, "route", o.route.Name(), "organisation", o.org.Name,
 		"target", d.tried[len(d.tried)-1], "status", d.status, "attempts", d.course.Attempts(), "events", d.events, "pause", d.pause,
-		"first", d.first.Sub(o.arrived), "after", clock.Since(o.arrived))
+		"first", d.first.Sub(o.arrived), "after", clock.Since(o.arrived)}
+	g.parts.Common.Log.Info("request answered", withLimit(attrs, d.limit)...)
+}
+
+// withLimit adds the limit that the target named, if it did.
+func withLimit(attrs []any, l call.Limit) []any {
+	if _, named := l.(call.Limited); named {
+		return append(attrs, "limit", l)
+	}
+	return attrs
 }
 
 // aborted tells of an answer that was broken off.
