--- /dev/null
+++ b/local/limit_test.go
@@ -0,0 +1,156 @@
+package local_test
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"clovertrail.dev/local"
+	"clovertrail.dev/platform/standin"
+)
+
+// Two of sixteen targets said with their answers that they take 1.2 and 1.4 requests a second from
+// all boxes together, and were sent what they were sent before: 14 requests within 4 s, of which no
+// box had sent more than five.
+
+const (
+	// limitWindow is the time in which what reaches a target is added up.
+	limitWindow = 4 * time.Second
+	// limitOver and limitSlack are what a target bears beyond its limit: so many times as much,
+	// and so many requests more.
+	limitOver, limitSlack = 1.5, 5
+	// limitNamed is when targets name their limit, and limitEnd when the run ends.
+	limitNamed, limitEnd = 2 * time.Second, 16 * time.Second
+)
+
+// borne is how many requests a target with the limit bears in a window.
+func borne(perSecond float64) int {
+	return int(perSecond*limitWindow.Seconds()*limitOver + limitSlack)
+}
+
+// naming lets the targets name the limit from the time on.
+func naming(targets func(*local.System) []*standin.Target, perSecond float64, from time.Duration) func(*local.System) {
+	return func(s *local.System) {
+		time.Sleep(from)
+		for _, x := range targets(s) {
+			x.Behave(func(h *standin.Habits) { h.Limit = strconv.FormatFloat(perSecond, 'g', -1, 64) })
+		}
+	}
+}
+
+// most is the most requests that reached the target in a window that began at the time or later,
+// and ended by the other.
+func most(arrivals []standin.Arrival, from, to time.Time) int {
+	list := between(arrivals, from, to)
+	worst := 0
+	for i, first := range list {
+		n := 0
+		for _, x := range list[i:] {
+			if x.At.Sub(first.At) < limitWindow {
+				n++
+			}
+		}
+		worst = max(worst, n)
+	}
+	return worst
+}
+
+func between(arrivals []standin.Arrival, from, to time.Time) []standin.Arrival {
+	var list []standin.Arrival
+	for _, x := range arrivals {
+		if !x.At.Before(from) && x.At.Before(to) {
+			list = append(list, x)
+		}
+	}
+	return list
+}
+
+// checkLimit looks that what reached the target between the times was within the limit, and at
+// least the share of what it takes. It tells what was sent beside what is allowed and taken.
+func checkLimit(t *testing.T, name string, arrivals []standin.Arrival, perSecond, share float64, from, to time.Time) {
+	t.Helper()
+	sent, worst := len(between(arrivals, from, to)), most(arrivals, from, to)
+	takes := perSecond * to.Sub(from).Seconds()
+	t.Logf("%s: sent %d, takes %.1f; sent at most %d in %v, bears %d", name, sent, takes, worst, limitWindow, borne(perSecond))
+	if worst > borne(perSecond) {
+		t.Errorf("%s takes %v requests a second, and was sent %d in %v; it bears %d", name, perSecond, worst, limitWindow, borne(perSecond))
+	}
+	if float64(sent) < share*takes {
+		t.Errorf("%s takes %.1f requests in %v, and was sent %d", name, takes, to.Sub(from), sent)
+	}
+}
+
+// TestATargetThatNamesALimitGetsNoMore: from the time to come into touch after it first named its
+// limit, a target gets no more from all boxes together than it bears, and still about what it
+// takes.
+func TestATargetThatNamesALimitGetsNoMore(t *testing.T) {
+	plain := []string{"/again/x", "/once/x", "/stream/x"}
+	for _, tc := range []struct {
+		name      string
+		targets   func(*local.System) []*standin.Target
+		perSecond float64
+		share     float64 // of what it takes, that it gets at least
+		load      scenario
+		also      []trouble
+	}{
+		{"one of four", alone(1), 1.5, 0.8, scenario{}, nil},
+		{"half of them", alone(2), 1.5, 0.8, scenario{}, nil},
+		{"all of a service", alone(4), 1.5, 0.8, scenario{}, nil},
+		{"all of a service, which take more", alone(4), 8, 0.8, scenario{}, nil},
+		{"a rank of a group", ranks(1), 1.5, 0.8, scenario{paths: []string{standin.GroupPath + "x", "/again/x"}}, nil},
+		{"less than a request a box", alone(2), 0.4, 0.6, scenario{entries: 12}, nil},
+		{"many boxes, all of a service", alone(4), 2, 0.8, scenario{entries: 24, callers: 40}, nil},
+		{"streams that may be taken up elsewhere", alone(2), 1.5, 0.8, scenario{paths: []string{"/stream/x"}}, []trouble{
+			{kind: "target breaks", at: time.Second, last: 14 * time.Second, pick: 3}}},
+		{"the others fail", alone(2), 1.5, 0.8, scenario{}, []trouble{
+			{kind: "target fails", at: 3 * time.Second, last: 12 * time.Second, pick: 2},
+			{kind: "target fails", at: 4 * time.Second, last: 11 * time.Second, pick: 3}}},
+		{"boxes die and start again", alone(2), 1.5, 0.5, scenario{}, []trouble{
+			{kind: "kill entry", at: 4 * time.Second, last: time.Second, pick: 0},
+			{kind: "kill entry", at: 6 * time.Second, last: 100 * time.Millisecond, pick: 1},
+			{kind: "kill entry", at: 8 * time.Second, last: 3 * time.Second, pick: 2},
+			{kind: "kill entry", at: 12 * time.Second, last: 50 * time.Millisecond, pick: 3}}},
+		{"all boxes start again at once", alone(4), 1.5, 0.3, scenario{}, []trouble{
+			{kind: "kill entry", at: 8 * time.Second, last: 50 * time.Millisecond, pick: 0},
+			{kind: "kill entry", at: 8 * time.Second, last: 50 * time.Millisecond, pick: 1},
+			{kind: "kill entry", at: 8 * time.Second, last: 50 * time.Millisecond, pick: 2},
+			{kind: "kill entry", at: 8 * time.Second, last: 50 * time.Millisecond, pick: 3}}},
+		{"boxes stop one after another", alone(4), 1.5, 0.5, scenario{}, []trouble{
+			{kind: "stop entry", at: 4 * time.Second, last: time.Second, pick: 0},
+			{kind: "stop entry", at: 7 * time.Second, last: time.Second, pick: 1},
+			{kind: "stop entry", at: 10 * time.Second, last: time.Second, pick: 2}}},
+		{"boxes that do not hear each other", alone(6), 1.5, 0.5, scenario{halls: 3, entries: 6, targets: 6}, []trouble{
+			{kind: "silence link", at: 5 * time.Second, last: 7 * time.Second}}},
+		{"halls refuse each other for moments", alone(4), 4, 0.5, scenario{}, []trouble{
+			{kind: "refuse link", at: 5 * time.Second, last: 50 * time.Millisecond},
+			{kind: "refuse link", at: 7 * time.Second, last: 300 * time.Millisecond},
+			{kind: "refuse link", at: 9 * time.Second, last: 2 * time.Second}}},
+		{"links are slow", alone(2), 1.5, 0.5, scenario{}, []trouble{{kind: "slow link", at: time.Second, last: 14 * time.Second}}},
+		{"the store is away", alone(2), 1.5, 0.8, scenario{}, []trouble{{kind: "store silent", at: time.Second, last: 14 * time.Second}}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			sc := tc.load
+			sc.seed, sc.length, sc.troubles, sc.events, sc.gap = 1, limitEnd, tc.also, 12, 40*time.Millisecond
+			if sc.callers == 0 {
+				sc.callers = 24
+			}
+			if sc.paths == nil {
+				sc.paths = plain
+			}
+			var start time.Time
+			sc.operate = func(s *local.System, _ *history) {
+				start = time.Now()
+				naming(tc.targets, tc.perSecond, limitNamed)(s)
+			}
+			sc.run(t, func(s *local.System, h *history) {
+				from := start.Add(limitNamed + bounds().Contact.Std())
+				for _, x := range tc.targets(s) {
+					checkLimit(t, x.ID(), x.Arrivals(), tc.perSecond, tc.share, from, start.Add(limitEnd))
+				}
+				if h.right() == 0 {
+					t.Error("nothing was served: the run shows nothing")
+				}
+			})
+		})
+	}
+}
--- a/local/scenario_test.go
+++ b/local/scenario_test.go
@@ -57,6 +57,8 @@
 	operate  func(*local.System, *history) // runs beside the callers
 	ranks    int                           // of the group; 0 for the usual few
 	halls    int                           // 0 for two
+	entries  int                           // 0 for four
+	targets  int                           // that stand alone; 0 for four
 	link     float64                       // of their boxes, in Mbit/s; 0 for plenty
 	log      io.Writer                     // takes the lines of all processes
 	fatal    string                        // the body of requests that crash targets; empty for none
@@ -218,7 +220,7 @@
 			halls = append(halls, domain.HallName(fmt.Sprintf("hall-%d", i+1)))
 		}
 		sys, err := local.Start(local.Layout{
-			Halls: halls, Entries: 4, Targets: 4, Group: &shape,
+			Halls: halls, Entries: cmp.Or(sc.entries, 4), Targets: cmp.Or(sc.targets, 4), Group: &shape,
 			Keys: map[string]string{"org": key}, Bounds: bounds(), Memory: true, Link: sc.link, Log: sc.log,
 		})
 		if err != nil {
