Soak: targets that name limits, with what was allowed, sent and served

`--limits` lets one target after another, or all, name a limit of 0 to 40 requests a second for nine seconds. Checked: boxes that had passed such an answer on send a target, together, no more within 4 s than it bears, and it gets half of what it takes at least while nothing is wrong.

--- a/cmd/clovertrail-soak/main.go
+++ b/cmd/clovertrail-soak/main.go
@@ -39,6 +39,7 @@
 			&cli.IntFlag{Name: "callers", Usage: "how many callers a run has"},
 			&cli.BoolFlag{Name: "fatal", Usage: "a caller's request crashes each target that runs it"},
 			&cli.BoolFlag{Name: "asks", Usage: "targets ask for rest, and say with their answers that they are leaving"},
+			&cli.BoolFlag{Name: "limits", Usage: "targets name with their answers how much they take from all boxes together"},
 			&cli.DurationFlag{Name: "for", Value: 30 * time.Second, Usage: "how long a run takes"},
 			&cli.StringFlag{Name: "logs", Value: filepath.Join(os.TempDir(), "clovertrail-soak"), Usage: "the `FOLDER` of settings and logs"},
 		},
@@ -66,7 +67,8 @@
 				r, err := soak.Run(ctx, soak.Options{
 					Program: cmd.String("program"), Seed: seed, For: cmd.Duration("for"),
 					Boxes: cmd.Int("boxes"), Targets: cmd.Int("targets"), Callers: cmd.Int("callers"), Fatal: cmd.Bool("fatal"), Asks: cmd.Bool("asks"),
-					Dir: filepath.Join(cmd.String("logs"), fmt.Sprintf("seed-%d", seed)),
+					Limits: cmd.Bool("limits"),
+					Dir:    filepath.Join(cmd.String("logs"), fmt.Sprintf("seed-%d", seed)),
 				})
 				results <- result{r, err}
 			}()
@@ -92,6 +94,9 @@
 // tell prints a report, and tells whether a promise was broken.
 func tell(r soak.Report) bool {
 	fmt.Printf("seed %d: %d requests, %d served, %d acts, %d violations\n", r.Seed, r.Asked, r.Served, len(r.Acts), len(r.Violations))
+	for _, x := range r.Limits {
+		fmt.Println("  ", x)
+	}
 	for _, v := range r.Violations {
 		fmt.Printf("  %s: %s\n", v.Promise, v.What)
 	}
--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -48,6 +48,8 @@
 	config map[int]time.Time    // when the store took a version
 	turned []standin.Turned     // requests that targets turned away which ask for rest
 	said   map[string]time.Time // when a target began to say with its answers that it leaves
+	limits []limited            // times in which targets named limits
+	notes  []string             // what was sent in them
 }
 
 func newLedger() *ledger {
@@ -128,6 +130,7 @@
 	l.checkFatal(broken)
 	l.checkRests(broken)
 	l.checkSaid(broken)
+	l.checkLimits(broken)
 	return list
 }
 
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -34,6 +34,7 @@
 	Asked      int // requests
 	Served     int
 	Acts       []string // what happened, with the second at which it began
+	Limits     []string // what targets that named limits were sent
 	Violations []Violation
 }
 
@@ -61,6 +62,9 @@
 	if o.Fatal {
 		callers.Go(func() { w.callFatal(calling) })
 	}
+	if o.Limits {
+		acting.Go(func() { w.limiting(calling, end.Add(-calmEnd)) })
+	}
 	if o.Asks {
 		acting.Go(func() { w.asking(calling, end.Add(-calmEnd)) })
 	}
@@ -69,7 +73,7 @@
 	acting.Wait()
 	mended := time.Now()
 	callers.Wait()
-	rep.Violations = w.ledger.violations()
+	rep.Violations, rep.Limits = w.ledger.violations(), w.ledger.notes
 	rep.count(w, mended, end)
 	return rep, ctx.Err()
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -5,6 +5,7 @@
 	"os/exec"
 	"path/filepath"
 	"testing"
+	"time"
 
 	"clovertrail.dev/soak"
 )
@@ -22,9 +23,12 @@
 	if out, err := exec.Command("go", "build", "-o", program, "clovertrail.dev/cmd/clovertrail-node").CombinedOutput(); err != nil {
 		t.Fatalf("%v: %s", err, out)
 	}
-	for _, o := range []soak.Options{{Seed: 1}, {Seed: 134}, {Seed: 1, Fatal: true}, {Seed: 405, Fatal: true}, {Seed: 600, Asks: true}} {
+	for _, o := range []soak.Options{{Seed: 1}, {Seed: 134}, {Seed: 1, Fatal: true}, {Seed: 405, Fatal: true}, {Seed: 600, Asks: true}, {Seed: 800, Limits: true}} {
 		seed := o.Seed
 		o.Program, o.For, o.Dir = program, soak.LeastFor+3*1e9, t.TempDir()
+		if o.Limits {
+			o.For += 6 * time.Second // targets name a limit for longer than that
+		}
 		r, err := soak.Run(context.Background(), o)
 		if err != nil {
 			t.Fatal(err)
--- a/soak/world.go
+++ b/soak/world.go
@@ -29,6 +29,9 @@
 	// Asks lets targets ask for rest, and say with their answers that they are leaving. What
 	// else happens stays as the seed draws it.
 	Asks bool
+	// Limits lets targets name limits with their answers. What else happens stays as the seed
+	// draws it.
+	Limits bool
 }
 
 // The usual sizes of a run: a few processes, so that many runs fit on a machine.
