report sets what targets with limits were sent beside what they allowed and served

Over the lines of all boxes, by target: its limit, what the limit came to in the time for which it was named, requests sent and served, and the most within 4 s.

--- a/cli/logs/logs_test.go
+++ b/cli/logs/logs_test.go
@@ -235,3 +235,32 @@
 		}
 	}
 }
+
+// TestLimitsAreAddedUpOverAllBoxes: what all boxes sent a target while it named limits, beside what
+// these came to; what came before, after or to others does not count.
+func TestLimitsAreAddedUpOverAllBoxes(t *testing.T) {
+	const lines = `time=2026-05-31T06:24:00.000Z level=INFO msg="request answered" box=front-1 request=r0 target=i-1 status=200 attempts=1 after=10ms
+time=2026-05-31T06:24:01.000Z level=INFO msg="target limit" box=front-1 target=i-1 limit=1.5 age=0s source=answer
+time=2026-05-31T06:24:01.100Z level=INFO msg="target limit" box=front-2 target=i-1 limit=1.5 age=100ms source="peer front-1"
+time=2026-05-31T06:24:02.000Z level=INFO msg="request answered" box=front-1 request=r1 target=i-1 limit=1.5 status=200 attempts=1 after=10ms
+time=2026-05-31T06:24:03.000Z level=WARN msg="attempt failed" box=front-2 request=r2 target=i-1 attempt=1 end="failed with 500" after=10ms
+time=2026-05-31T06:24:03.000Z level=INFO msg="request answered" box=front-2 request=r3 target=i-2 status=200 attempts=1 after=10ms
+time=2026-05-31T06:24:05.000Z level=INFO msg="target limit" box=front-2 target=i-1 limit=4 age=0s source=answer
+time=2026-05-31T06:24:07.000Z level=INFO msg="request answered" box=front-2 request=r4 target=i-1 limit=4 status=200 attempts=1 after=10ms
+time=2026-05-31T06:24:11.000Z level=INFO msg="target limit" box=front-1 target=i-1 limit=none age=0s source=answer
+time=2026-05-31T06:24:12.000Z level=INFO msg="request answered" box=front-1 request=r5 target=i-1 status=200 attempts=1 after=10ms
+`
+	s, err := logs.Read(strings.NewReader(lines))
+	if err != nil {
+		t.Fatal(err)
+	}
+	list := s.Limits()
+	if len(list) != 1 {
+		t.Fatalf("%+v", list)
+	}
+	l := list[0]
+	const allowed = 1.5*4 + 4*6
+	if l.Target() != "i-1" || l.PerSecond() != 4 || l.Allowed() != allowed || l.Sent() != 3 || l.Served() != 2 || l.Most() != 2 {
+		t.Errorf("%+v", l)
+	}
+}
--- a/cli/reading.go
+++ b/cli/reading.go
@@ -103,7 +103,11 @@
 	lines, _ := r.Lines()
 	from, to := r.Span()
 	_, _ = fmt.Fprintf(a.out, "%d lines, %s from %s\n", lines, to.Sub(from).Round(time.Second), from.Format(time.RFC3339))
-	for _, t := range reportTables(r) {
+	tables := reportTables(r)
+	if limits := set.Limits(); len(limits) > 0 {
+		tables = append(tables, limitTable(limits))
+	}
+	for _, t := range tables {
 		_, _ = fmt.Fprintln(a.out)
 		if err := a.print(t); err != nil {
 			return err
@@ -124,6 +128,18 @@
 	}
 }
 
+// limitTable sets what targets that named limits were sent beside what they allowed.
+func limitTable(list []logs.Limited) table {
+	t := table{head: []string{"TARGETS WITH LIMITS", "A SECOND", "ALLOWED", "SENT", "SERVED", "MOST IN 4 S"}}
+	for _, l := range list {
+		t.rows = append(t.rows, []string{
+			l.Target(), strconv.FormatFloat(l.PerSecond(), 'g', 4, 64), strconv.FormatFloat(l.Allowed(), 'f', 0, 64),
+			strconv.Itoa(l.Sent()), strconv.Itoa(l.Served()), strconv.Itoa(l.Most()),
+		})
+	}
+	return t
+}
+
 func countTable(head string, list []logs.Count) table {
 	t := table{head: []string{head, ""}}
 	for _, c := range list {
