--- a/membership/issuers.go
+++ b/membership/issuers.go
@@ -28,6 +28,8 @@
 	Boxes int
 	// Apart tells that it goes by its own part of limits.
 	Apart bool
+	// Settled tells that it has run long enough to be an issuer.
+	Settled bool
 }
 
 // Shares takes what the box says of what all share.
@@ -47,17 +49,23 @@
 			first, best = c, at
 		}
 	}
-	if !leaving && !b.since.IsZero() && now.Sub(b.since) >= settleFor {
+	if !leaving && b.Settled(now) {
 		consider(Contact{Box: b.self})
 	}
 	for _, p := range b.boxes {
-		if !p.leaving && now.Sub(p.heardAt) < aliveFor && now.Sub(p.newAt) >= settleFor {
+		settled := p.share.Settled || now.Sub(p.newAt) >= settleFor
+		if !p.leaving && settled && now.Sub(p.heardAt) < aliveFor {
 			consider(p.contact)
 		}
 	}
 	return first
 }
 
+// Settled tells whether this box has run long enough to be an issuer.
+func (b *Boxes) Settled(now time.Time) bool {
+	return !b.since.IsZero() && now.Sub(b.since) >= settleFor
+}
+
 // drawn is the place of the box in the order for the service.
 func drawn(box domain.BoxID, svc domain.ServiceName) uint64 {
 	sum := sha256.Sum256([]byte(string(svc) + "\x00" + string(box)))
--- a/membership/issuers_test.go
+++ b/membership/issuers_test.go
@@ -74,6 +74,24 @@
 	}
 }
 
+// TestABoxThatStartsFindsTheIssuerAtOnce: others have run for long, and tell it so.
+func TestABoxThatStartsFindsTheIssuerAtOnce(t *testing.T) {
+	h, now := newHall(t, 7), time.Unix(1000, 0)
+	h.meet(now, "", "")
+	now = now.Add(time.Minute)
+	h.meet(now, "", "")
+	want := h.issuer(now, "app", "")
+	fresh := membership.NewBoxes("new", rand.New(rand.NewPCG(1, 9)))
+	fresh.Tell(now, 0)
+	for i, b := range h.boxes {
+		fresh.Heard(now, membership.Contact{Box: boxName(i)}, "h", membership.Level{}, false)
+		fresh.Shares(boxName(i), membership.Share{Settled: b.Settled(now)})
+	}
+	if got := fresh.Issuer(now, "app", false).Box; got != want {
+		t.Errorf("a box that has just started takes %q for the issuer, others %s", got, want)
+	}
+}
+
 // TestWhoIsNoIssuer: who leaves, and who is not heard any more.
 func TestWhoIsNoIssuer(t *testing.T) {
 	h, now := newHall(t, 7), time.Unix(1000, 0)
--- a/mesh/messages.go
+++ b/mesh/messages.go
@@ -74,9 +74,10 @@
 	// Limits are what targets said of their limits.
 	Limits []LimitWord `json:"limits,omitempty"`
 	// Sharing is how many boxes share limits, as the sender counts them; Apart tells that it goes
-	// by its own part of them.
+	// by its own part of them, Settled that it has run long enough to be an issuer.
 	Sharing int  `json:"sharing,omitempty"`
 	Apart   bool `json:"apart,omitempty"`
+	Settled bool `json:"settled,omitempty"`
 }
 
 // WorkWord is that a target ended under a work, or that the work was served, so long before
--- a/node/adverts.go
+++ b/node/adverts.go
@@ -33,7 +33,7 @@
 		Self: contactOf(p.self, 0), Hall: domain.HallName(p.entry.settings().Hall), Leaving: p.entry.gateway.Leaving(),
 		Config: own.Config, Targets: own.Targets, News: news,
 		Complaints: complaints, Leavers: leavers, Works: works,
-		Limits: limits, Sharing: p.boxes.Counted(now), Apart: apart,
+		Limits: limits, Sharing: p.boxes.Counted(now), Apart: apart, Settled: p.boxes.Settled(now),
 	}
 	if news {
 		return a
@@ -113,7 +113,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.boxes.Heard(now, contactFrom(a.Self), a.Hall, membership.Level{Config: a.Config, Targets: a.Targets}, a.Leaving)
-	p.boxes.Shares(a.Self.Box, membership.Share{Boxes: a.Sharing, Apart: a.Apart})
+	p.boxes.Shares(a.Self.Box, membership.Share{Boxes: a.Sharing, Apart: a.Apart, Settled: a.Settled})
 	for _, c := range a.Known {
 		p.boxes.HeardOf(now, contactFrom(c), c.Ago)
 	}
--- a/node/entry.go
+++ b/node/entry.go
@@ -67,7 +67,7 @@
 	e.fleet.letDown, e.fleet.ejected, e.fleet.witness = e.peering.tell, e.noteEjected, e.witness
 	e.fleet.left = e.noteLeft
 	e.limiting = newLimiting(e)
-	e.fleet.limited, e.fleet.permits = e.limiting.note, e.limiting.permits
+	e.fleet.limited, e.fleet.permits = e.limiting.named, e.limiting.permits
 	e.surveying = newSurveying(e)
 	e.belief = &belief{common: c, fleet: e.fleet, adopt: e.adopt, moved: e.peering.tell}
 	return e
--- a/node/limiting.go
+++ b/node/limiting.go
@@ -42,8 +42,8 @@
 	return &limiting{entry: e, desk: ratelimit.NewDesk(self, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))}
 }
 
-// note logs that a target has another limit than before, and tells other boxes at once.
-func (l *limiting) note(w ratelimit.Word, source string) {
+// named logs that a target has another limit than before, and tells other boxes at once.
+func (l *limiting) named(w ratelimit.Word, source string) {
 	l.entry.common.Log.Info("target limit", "target", w.Target, "limit", w.Limit, "age", clock.Since(w.At), "source", source)
 	l.entry.peering.tell()
 }
@@ -147,30 +147,34 @@
 	r, err := mesh.Call[mesh.PermitQuery, mesh.PermitReply](ctx, l.entry.mesh, q.issuer.Address, mesh.Permit, ask)
 	now := clock.Now()
 	var g ratelimit.Grant
-	if err == nil && r.Issuer {
+	if err == nil {
 		g = r.Grant(now)
 	}
-	if later := l.answered(now, q, g, err == nil && r.Issuer, err); later {
+	l.mu.Lock()
+	l.note(now, q, r, err)
+	later := q.waited
+	if !later {
+		q.answer <- g
+	}
+	l.mu.Unlock()
+	if later {
 		l.entry.fleet.keep(q.asked, g)
 	}
 }
 
-// answered takes what became of a question, and tells whether the answer is for later requests.
-func (l *limiting) answered(now time.Time, q *question, g ratelimit.Grant, ok bool, err error) (later bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
+// note takes what became of a question; mu is held.
+func (l *limiting) note(now time.Time, q *question, r *mesh.PermitReply, err error) {
 	log := l.entry.common.Log.With("service", q.svc, "peer", q.issuer.Box, "after", now.Sub(q.asked))
 	switch {
-	case !ok && l.desk.Silent(now, q.issuer.Box):
+	case err != nil && l.desk.Silent(now, q.issuer.Box):
 		log.Warn("issuer lost", "err", err)
 		l.entry.peering.tell()
-	case ok && l.desk.Answered(q.svc, q.issuer.Box, now.Sub(q.asked) <= permitWithin):
+	case err == nil && !r.Issuer && l.desk.Declined(now, q.issuer.Box):
+		log.Info("box is not the issuer")
+		l.entry.peering.tell()
+	case err == nil && r.Issuer && l.desk.Answered(q.svc, q.issuer.Box, now.Sub(q.asked) <= permitWithin):
 		log.Info("issuer regained")
 	}
-	if !q.waited {
-		q.answer <- g
-	}
-	return q.waited
 }
 
 // issue hands out permits as the issuer of the service.
--- a/ratelimit/desk.go
+++ b/ratelimit/desk.go
@@ -13,6 +13,9 @@
 	// doubles it, up to silentMost.
 	silentFor, silentMost = time.Second, 8 * time.Second
 	maxSilent             = 3 // doublings
+	// declinedFor is for how long a box is not asked that says it is not the issuer: two see it
+	// differently for no longer than news takes.
+	declinedFor = 200 * time.Millisecond
 	// apartFor is for how long after it went by its own part a box counts as apart: a few rounds
 	// in which boxes tell each other so.
 	apartFor = 2 * time.Second
@@ -137,7 +140,16 @@
 	return silent
 }
 
-// Silent takes that the issuer did not answer, or is none. It tells whether that was news.
+// Declined takes that the box answered that it is not the issuer. It tells whether that was news.
+func (d *Desk) Declined(now time.Time, issuer domain.BoxID) bool {
+	p := d.peer(issuer)
+	p.asking--
+	news := p.silent == 0
+	p.silent, p.until = 1, now.Add(declinedFor)
+	return news
+}
+
+// Silent takes that the issuer did not answer. It tells whether that was news.
 func (d *Desk) Silent(now time.Time, issuer domain.BoxID) bool {
 	p := d.peer(issuer)
 	p.asking--
--- a/ratelimit/desk_test.go
+++ b/ratelimit/desk_test.go
@@ -45,6 +45,14 @@
 	}
 	expect(3*second, other, ratelimit.There{Issuer: other})
 	d.Asked(other)
+	if !d.Declined(at(3*second), other) {
+		t.Error("that it is not the issuer is no news")
+	}
+	expect(3*second, other, ratelimit.Alone{})
+	expect(3*second+200*time.Millisecond, other, ratelimit.Alone{Again: other})
+	d.Asked(other)
+	d.Answered(service, other, true)
+	d.Asked(other)
 	d.Overdue(other)
 	expect(3*second, other, ratelimit.Pending{})
 	d.Answered(service, other, false)
--- a/ratelimit/fleet_test.go
+++ b/ratelimit/fleet_test.go
@@ -113,7 +113,7 @@
 		if now%(5*time.Second) == 0 {
 			n.boxes.Tell(at(now), 0) // forgets those that were lost
 		}
-		shares[n.id] = membership.Share{Boxes: n.boxes.Counted(at(now)), Apart: n.desk.Apart(at(now))}
+		shares[n.id] = membership.Share{Boxes: n.boxes.Counted(at(now)), Apart: n.desk.Apart(at(now)), Settled: n.boxes.Settled(at(now))}
 	}
 	for _, n := range f.nodes {
 		for _, x := range f.nodes {
@@ -172,9 +172,13 @@
 }
 
 func (f *fleet) askAt(n, x *node, now time.Time, wants []ratelimit.Want) (ratelimit.Grant, bool) {
-	if !f.hear(n, x) || !x.desk.Is(x.boxes.Issuer(now, service, false).Box, service) {
+	switch {
+	case !f.hear(n, x):
 		n.desk.Silent(now, x.id)
 		return ratelimit.Grant{}, false
+	case !x.desk.Is(x.boxes.Issuer(now, service, false).Box, service):
+		n.desk.Declined(now, x.id)
+		return ratelimit.Grant{}, false
 	}
 	n.desk.Answered(service, x.id, true)
 	return f.issue(x, now, wants), true
