Streams are not moved to limited targets, and boxes that start are told all limits at once

What a moved stream may go on at is decided in the balancer now, where a limited target does not count; that a request chosen before the limit was known needs a permit is a rule of the register.

--- a/local/invariant_test.go
+++ b/local/invariant_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -214,6 +215,19 @@
 	return bytes.Count(l.text.Bytes(), []byte(part))
 }
 
+// countLines counts the lines that have all the parts.
+func (l *lines) countLines(parts ...string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for line := range strings.Lines(l.text.String()) {
+		if !slices.ContainsFunc(parts, func(part string) bool { return !strings.Contains(line, part) }) {
+			n++
+		}
+	}
+	return n
+}
+
 // TestInvariantSingleMapThroughRelays: nine ranks behind links so narrow that they are read
 // and told through relays, while agents die, relays among them, and links and the store
 // fail.
--- a/local/limit_test.go
+++ b/local/limit_test.go
@@ -286,3 +286,35 @@
 		}
 	}
 }
+
+// TestABoxThatStartsHearsOfLimits: most targets take nothing, which all other boxes know. A box that
+// has just started hears of it from them, and does not send each target a request to find out.
+func TestABoxThatStartsHearsOfLimits(t *testing.T) {
+	const targets, out, atOnce = 24, 20, 60
+	seen := &lines{}
+	foundOut := func() int {
+		return seen.countLines(`msg="target limit" box=entry-0 `, "source=answer")
+	}
+	before, after := 0, 0
+	sc := scenario{seed: 1, targets: targets, callers: 12, length: 5 * time.Second, paths: []string{"/again/x"}, log: seen}
+	sc.operate = func(s *local.System, h *history) {
+		naming(alone(out), 0, 0)(s)
+		time.Sleep(6 * time.Second)
+		box := entry(s, 0)
+		box.Kill()
+		if err := box.Start(); err != nil {
+			t.Error(err)
+		}
+		time.Sleep(100 * time.Millisecond)
+		before = foundOut()
+		for range atOnce {
+			sc.ask(s, h, box, "/again/x")
+		}
+		after = foundOut()
+	}
+	sc.run(t, func(_ *local.System, h *history) {
+		if after > before || h.right() < atOnce {
+			t.Errorf("it found out by itself of %d targets that take nothing; %d requests were served", after-before, h.right())
+		}
+	})
+}
--- a/mesh/messages.go
+++ b/mesh/messages.go
@@ -78,6 +78,9 @@
 	Sharing int  `json:"sharing,omitempty"`
 	Apart   bool `json:"apart,omitempty"`
 	Settled bool `json:"settled,omitempty"`
+	// Blank tells that the sender has just started and heard no other box yet, so that the answer is
+	// to name all limits.
+	Blank bool `json:"blank,omitempty"`
 }
 
 // WorkWord is that a target ended under a work, or that the work was served, so long before
--- a/node/adverts.go
+++ b/node/adverts.go
@@ -33,7 +33,7 @@
 		Self: contactOf(p.self, 0), Hall: domain.HallName(p.entry.settings().Hall), Leaving: p.entry.gateway.Leaving(),
 		Config: own.Config, Targets: own.Targets, News: news,
 		Complaints: complaints, Leavers: leavers, Works: works,
-		Limits: limits, Sharing: p.boxes.Counted(now), Apart: apart, Settled: p.boxes.Settled(now),
+		Limits: limits, Sharing: p.boxes.Counted(now), Apart: apart, Settled: p.boxes.Settled(now), Blank: !p.briefed,
 	}
 	if news {
 		return a
@@ -92,8 +92,8 @@
 	p.mu.Unlock()
 	p.heard(a)
 	reply := p.advert(a.News, false)
-	if before != a.Self.Incarnation {
-		reply.Limits = p.entry.limiting.tell(clock.Now(), math.MaxInt) // it has just started, and knows none
+	if a.Blank {
+		reply.Limits = p.entry.limiting.tell(clock.Now(), math.MaxInt)
 	}
 	reply.Remembered = before
 	return reply, nil
--- a/node/choosing.go
+++ b/node/choosing.go
@@ -45,7 +45,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	if f.limits.Free(chosen.ID) || f.limits.Spend(now, chosen.ID) {
+	if !chosen.Limited || f.limits.Spend(now, chosen.ID) {
 		return f.at(now, chosen), nil, nil
 	}
 	return nil, f.asks(now, chosen, open), nil
@@ -70,7 +70,7 @@
 
 // open tells whether the option may be sent work without asking; mu is held.
 func (f *fleet) open(now time.Time, o routing.Option) bool {
-	return f.limits.Free(o.ID) || f.limits.Has(now, o.ID)
+	return !o.Limited || f.limits.Has(now, o.ID)
 }
 
 // pick chooses among those of the options that are open, or refuses the request; mu is held.
@@ -117,7 +117,7 @@
 // at takes a place at the option; mu is held.
 func (f *fleet) at(now time.Time, o routing.Option) *place {
 	t, _ := f.roster.Get(o.ID) // it was listed a moment ago
-	return &place{fleet: f, target: t, option: o, ticket: f.balancer.Sent(now, o), taken: now, permitted: !f.limits.Free(o.ID)}
+	return &place{fleet: f, target: t, option: o, ticket: f.balancer.Sent(now, o), taken: now, permitted: o.Limited}
 }
 
 // admit refuses a request that would wait too long for a slot; mu is held.
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -69,7 +69,9 @@
 	var options []routing.Option
 	for _, u := range f.roster.Ranked(now, svc) {
 		if u.Standing.Usable() && !slices.Contains(tried, u.Target.ID()) {
-			options = append(options, optionOf(u))
+			o := optionOf(u)
+			o.Limited = !f.limits.Free(o.ID)
+			options = append(options, o)
 		}
 	}
 	return options
--- a/node/peering.go
+++ b/node/peering.go
@@ -57,6 +57,7 @@
 	seedAt  time.Time
 	allAt   time.Time // of the last round in which all works in quarantine were told
 	shared  int
+	briefed bool // a box that knew what there is to know has answered this one
 }
 
 func newPeering(e *Entry) *peering {
@@ -217,9 +218,17 @@
 	if err == nil {
 		p.outlive(reply.Remembered)
 		p.heard(reply)
+		p.brief(reply.Settled)
 	}
 }
 
+// brief takes that a box answered; one that has run for a while knows what there is to know.
+func (p *peering) brief(settled bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.briefed = p.briefed || settled
+}
+
 // outlive makes this process later than the one of this box that another box remembers.
 func (p *peering) outlive(remembered domain.Incarnation) {
 	p.mu.Lock()
--- a/node/place.go
+++ b/node/place.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"slices"
 	"time"
 
 	"clovertrail.dev/core/call"
@@ -37,7 +36,7 @@
 	if !p.fleet.roster.Wanted(now, id) {
 		return false
 	}
-	return p.permitted || p.fleet.limits.Free(id) || p.fleet.limits.Spend(now, id)
+	return p.fleet.limits.Admits(now, id, p.permitted)
 }
 
 // Heard implements gateway.Lease.
@@ -88,9 +87,7 @@
 func (p *place) Drags(now time.Time, tried []domain.InstanceID) bool {
 	p.fleet.mu.Lock()
 	defer p.fleet.mu.Unlock()
-	options := p.fleet.options(now, p.target.Service(), tried)
-	free := slices.DeleteFunc(options, func(o routing.Option) bool { return !p.fleet.limits.Free(o.ID) }) // it must surely find one
-	return p.fleet.balancer.Drags(now, p.option, free)
+	return p.fleet.balancer.Drags(now, p.option, p.fleet.options(now, p.target.Service(), tried))
 }
 
 // Paused implements gateway.Lease.
--- a/ratelimit/register.go
+++ b/ratelimit/register.go
@@ -141,6 +141,12 @@
 	return true
 }
 
+// Admits tells whether a request that was to be sent to the target a while ago, with a permit or
+// while it named no limit, may still be sent. It uses a permit if the target has named one since.
+func (r *Register) Admits(now time.Time, id domain.InstanceID, permitted bool) bool {
+	return permitted || r.Free(id) || r.Spend(now, id)
+}
+
 // Due tells whether it is this box's turn to ask for permits for the target.
 func (r *Register) Due(now time.Time, id domain.InstanceID) bool { return !now.Before(r.Turn(id)) }
 
--- a/ratelimit/register_test.go
+++ b/ratelimit/register_test.go
@@ -171,3 +171,19 @@
 		t.Error("what ended long ago is kept")
 	}
 }
+
+// TestWhatWasChosenBeforeTheLimitNeedsAPermit: a connection may take a second to come up.
+func TestWhatWasChosenBeforeTheLimitNeedsAPermit(t *testing.T) {
+	r := ratelimit.NewRegister(source())
+	if !r.Admits(at(0), limited, false) {
+		t.Error("a target without a limit needs a permit")
+	}
+	r.Take(at(0), word(5, 0))
+	if r.Admits(at(0), limited, false) || !r.Admits(at(0), limited, true) {
+		t.Error("a request goes without a permit, or not with the one that it has")
+	}
+	r.Granted(at(0), limited, 1)
+	if !r.Admits(at(0), limited, false) || r.Admits(at(0), limited, false) {
+		t.Error("it does not use the permit that there is, or uses it twice")
+	}
+}
--- a/routing/balancer.go
+++ b/routing/balancer.go
@@ -17,6 +17,8 @@
 	Slots int
 	// Tier is how little the target is trusted; only the lowest tier is drawn from.
 	Tier int
+	// Limited tells that each request to it needs a permit.
+	Limited bool
 }
 
 // Report is what a target says of its load.
--- a/routing/steps.go
+++ b/routing/steps.go
@@ -86,7 +86,8 @@
 // all ranks while others of the group, among the options, would not. A slow rank gets no
 // new streams, but those that it has hold all others up until they end: for up to 5 s,
 // with a pause of 0.76 s after each event of every stream of the group where its work
-// took 12 times as long.
+// took 12 times as long. A limited target does not count: a stream that is moved may get no
+// permit, and would be cut.
 func (b *Balancer) Drags(now time.Time, o Option, options []Option) bool {
 	s, ok := b.steps[o.Group]
 	if o.Group == "" || !ok || !s.fresh(now) || s.pauses <= 1 {
@@ -94,7 +95,7 @@
 	}
 	fastest := math.Inf(1)
 	for _, x := range options {
-		if x.Group == o.Group && x.ID != o.ID {
+		if x.Group == o.Group && x.ID != o.ID && !x.Limited {
 			fastest = min(fastest, b.load(x.ID).pace)
 		}
 	}
--- a/routing/steps_test.go
+++ b/routing/steps_test.go
@@ -142,15 +142,18 @@
 		pause time.Duration
 		paces map[domain.InstanceID]float64
 		seen  time.Duration // ago
-		want  bool
+		// limited tells that the other ranks name limits.
+		limited bool
+		want    bool
 	}{
-		"slow and late":              {late, map[domain.InstanceID]float64{"a1": 4}, 0, true},
-		"slow and in time":           {inTime, map[domain.InstanceID]float64{"a1": 4}, 0, false},
-		"late but not for its sake":  {late, nil, 0, false},
-		"the other rank is slow":     {late, map[domain.InstanceID]float64{"a2": 4}, 0, false},
-		"both are slow":              {late, map[domain.InstanceID]float64{"a1": 4, "a2": 4}, 0, false},
-		"late a while ago":           {late, map[domain.InstanceID]float64{"a1": 4}, 2 * time.Second, false},
-		"a rank of another group is": {late, map[domain.InstanceID]float64{"a1": 4, "b1": 1}, 0, true},
+		"slow and late":              {late, map[domain.InstanceID]float64{"a1": 4}, 0, false, true},
+		"slow and in time":           {inTime, map[domain.InstanceID]float64{"a1": 4}, 0, false, false},
+		"late but not for its sake":  {late, nil, 0, false, false},
+		"the other rank is slow":     {late, map[domain.InstanceID]float64{"a2": 4}, 0, false, false},
+		"both are slow":              {late, map[domain.InstanceID]float64{"a1": 4, "a2": 4}, 0, false, false},
+		"late a while ago":           {late, map[domain.InstanceID]float64{"a1": 4}, 2 * time.Second, false, false},
+		"a rank of another group is": {late, map[domain.InstanceID]float64{"a1": 4, "b1": 1}, 0, false, true},
+		"the others name limits":     {late, map[domain.InstanceID]float64{"a1": 4}, 0, true, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			b := newBalancer()
@@ -161,6 +164,9 @@
 			for range 5 {
 				b.Paused(start, options[0], tt.pause, gapAim)
 			}
+			for i := range options[1:] {
+				options[1+i].Limited = tt.limited
+			}
 			if got := b.Drags(start.Add(tt.seen), options[0], options); got != tt.want {
 				t.Errorf("got %v", got)
 			}
