--- a/local/limit_test.go
+++ b/local/limit_test.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -318,3 +319,30 @@
 		}
 	})
 }
+
+// TestAllBoxesHearOfALimit: what one box learns by an answer, that a target names a limit or none any
+// more, the others know a second later.
+func TestAllBoxesHearOfALimit(t *testing.T) {
+	seen := &lines{}
+	know := map[string][]int{} // by limit: lines of each box that say so
+	sc := scenario{seed: 1, log: seen}
+	sc.operate = func(s *local.System, h *history) {
+		for _, limit := range []string{"7", "none"} {
+			s.Targets()[0].Target().Behave(func(h *standin.Habits) { h.Limit = strings.TrimSuffix(limit, "none") })
+			for range 40 {
+				sc.ask(s, h, entry(s, 0), "/again/x")
+			}
+			time.Sleep(time.Second)
+			for _, e := range s.Entries() {
+				know[limit] = append(know[limit], seen.countLines(`msg="target limit" box=`+e.Name()+" ", "limit="+limit+" "))
+			}
+		}
+	}
+	sc.run(t, func(*local.System, *history) {
+		for limit, boxes := range know {
+			if slices.Contains(boxes, 0) {
+				t.Errorf("limit %s: %v lines of the boxes say so", limit, boxes)
+			}
+		}
+	})
+}
