--- a/local/limit_test.go
+++ b/local/limit_test.go
@@ -327,6 +327,7 @@
 	know := map[string][]int{} // by limit: lines of each box that say so
 	sc := scenario{seed: 1, log: seen}
 	sc.operate = func(s *local.System, h *history) {
+		time.Sleep(5 * time.Second) // boxes that have just started are told all
 		for _, limit := range []string{"7", "none"} {
 			s.Targets()[0].Target().Behave(func(h *standin.Habits) { h.Limit = strings.TrimSuffix(limit, "none") })
 			for range 40 {
