--- a/admission/gate.go
+++ b/admission/gate.go
@@ -69,9 +69,7 @@
 
 // Outlast is after how long a caller should come back where nobody serves: as late as it
 // heeds. It comes back once, nobody knows when service returns, and the longer it waits
-// the likelier it is served. Counted over 16 s in which a group of ranks was down for 6.4 s,
-// 1,389 of 4,010 callers ended refused with Rest, and 1,286 where they came back in the last
-// eighth of that time.
+// the likelier it is served.
 func Outlast(left time.Duration, spread float64) time.Duration {
 	return later(left, spread, outlastSpread)
 }
--- a/experts/rebalance/layer.go
+++ b/experts/rebalance/layer.go
@@ -81,8 +81,7 @@
 const none = -1
 
 // lookMost is how many ranks are looked at for a new copy, the least loaded first: a
-// copy seldom goes to another. Groups of up to that many ranks are searched whole; in one
-// of 96 ranks it makes a plan three times as fast.
+// copy seldom goes to another, and in groups of more ranks a plan takes a fraction of the time.
 const lookMost = 32
 
 // best finds the change that evens the layer out the most, among ranks that may
--- a/experts/rebalance/planner.go
+++ b/experts/rebalance/planner.go
@@ -44,9 +44,8 @@
 // steepSkew is the skew from which a plan copies no longer than its change takes anyway,
 // though one expert a rank in any case. Each copied makes the steps longer that are long
 // already, and waits for the whole plan; the first copies take most of the skew away, and
-// the next plan does the rest. Measured, a shift of demand brings a group of 32 ranks to
-// 2.5 to 3.2 (docs/EXPERTS.md). Where telling a map takes 0.3 s, as with 96 ranks, and a
-// copy 18 ms, one a rank would need five changes in place of one.
+// the next plan does the rest. Where telling a map takes much longer than a copy, one copy a rank
+// would need many changes in place of one.
 const steepSkew = 2
 
 // mostCopies is MostCopies, or what a steep skew allows of it.
@@ -172,9 +171,9 @@
 
 // progress is the least gain of a change, as a share of the load of an even rank in one
 // layer, over the number of ranks: a change relieves one rank of one layer, and where many
-// are equally hot that shows the less the more there are. Smaller ones are noise of the
-// counts. With a share of all layers together instead, plans for 96 ranks and 16 layers
-// ended at a skew of 1.7; with this one they reach 1.2 (TestPlansOfLargeGroupsBecomeEven).
+// are equally hot that shows the less the more there are, and as a share of all layers together
+// it would end the plans of large groups before they are even. Smaller ones are noise of the
+// counts.
 const progress = 0.05
 
 // least is progress in tokens.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -70,8 +70,8 @@
 const lookBackAfter = 1500 * time.Millisecond
 
 // lookBack finds out later whether the target ended under work for which nobody waits any
-// more, as where a caller leaves before the crash. Otherwise nobody ever would: one who left
-// each time ended 24 targets in 18 s, all that there were.
+// more, as where a caller leaves before the crash. Otherwise nobody ever would, and a caller who
+// left each time would end one target after the other.
 func (a *attempt) lookBack() {
 	parts, work, t, witness := a.d.g.parts, a.d.o.digest, a.lease.Target(), a.lease.Witness()
 	clock.AfterFunc(clock.Now().Add(lookBackAfter), func() {
--- a/gateway/delivery.go
+++ b/gateway/delivery.go
@@ -14,8 +14,8 @@
 )
 
 // patienceAims is after how many times its aim an answer that has not begun is
-// asked for elsewhere. Answers in time begin within one; of those later than this,
-// few were seen to begin at all (docs/design/platform.md).
+// asked for elsewhere. Answers in time begin within one; of those later than this few begin at
+// all (docs/design/platform.md).
 const patienceAims = 3
 
 // overdueAims is after how many times its aim an answer that has not begun is told of to
--- a/gateway/stays.go
+++ b/gateway/stays.go
@@ -10,9 +10,8 @@
 const stayFor = 10 * time.Second
 
 // stays are how long the answers of each route take to their end, by the longest that was
-// seen lately. A box that is to stop lets in only what fits into the time that it has:
-// of streams that usually end within 3 s, one that was let in 4.6 s before the end of a
-// stop, while a slow target made the steps of its group long, was cut off after 42 events.
+// seen lately. A box that is to stop lets in only what fits into the time that it has: while a
+// slow target makes the steps of its group long, streams take longer than they usually do.
 //
 // Lock order: mu is the only lock.
 type stays struct {
--- a/mapswitch/orders/cadence.go
+++ b/mapswitch/orders/cadence.go
@@ -3,10 +3,8 @@
 import "time"
 
 // cadence follows how long the steps of the group are, so that a hold is as many steps
-// ahead as arming needs and no more. A map that waits for three steps of a group with a
-// slow rank, of 0.8 s each, comes 2.4 s late to mend them. Together with moving the
-// streams of that rank (routing.Balancer.Drags) it brought the credit of a day with such a
-// rank from 0.515 to 0.540, mean of three seeds; neither did alone (docs/POLICY.md).
+// ahead as arming needs and no more: a map that waits for several steps of a group with a slow
+// rank comes seconds late to mend them.
 type cadence struct {
 	step   Step // the farthest that was seen to have begun
 	at     time.Time
--- a/mapswitch/orders/observing.go
+++ b/mapswitch/orders/observing.go
@@ -10,9 +10,8 @@
 	// reads takes some ten milliseconds; where it takes longer (SetReach), two of them.
 	seenWithin = 50 * time.Millisecond
 	// seenMost bounds that. A rank whose box stands still from when it was asked to copy
-	// must not count as seen once the others have copied, some 0.2 s later: with 0.5 s, as
-	// slow reads allowed, one of 96 ranks that stood still for 7.6 s kept its group held
-	// for 7.3 s.
+	// must not count as seen once the others have copied: it would keep its group held for as long
+	// as it stands still.
 	seenMost = 150 * time.Millisecond
 )
 
--- a/membership/asked.go
+++ b/membership/asked.go
@@ -13,8 +13,8 @@
 // Rests takes that the target wants nothing from this box until the time. Of several times the
 // latest counts: an earlier one may come later from a request that was under way.
 //
-// Told only to the caller whose request was turned away, it left such targets with seven in ten
-// of all attempts, since one that turns all away has nothing open and seems to have most room.
+// One that turns all away has nothing open and seems to have most room, so that without this it
+// would draw the load.
 func (r *Roster) Rests(id domain.InstanceID, until time.Time) {
 	if e, ok := r.of(id); ok && until.After(e.restTo) {
 		e.restTo = until
--- a/membership/boxes.go
+++ b/membership/boxes.go
@@ -186,8 +186,8 @@
 
 // Known are boxes heard lately, with how long ago, for passing on: up to most of those
 // that are new, since others may not know how to reach them, and up to few of the rest,
-// drawn by chance, so that all are known to live. Others hear them from many boxes: with
-// 16 of them in each advert, adverts were 1.4 KB and half of the bytes between halls.
+// drawn by chance, so that all are known to live. Others hear them from many boxes, and adverts
+// that named them all would be half of the bytes between halls.
 func (b *Boxes) Known(now time.Time, most, few int) map[Contact]time.Duration {
 	list := map[Contact]time.Duration{}
 	rest := 0
--- a/membership/complaints.go
+++ b/membership/complaints.go
@@ -11,11 +11,9 @@
 // Complaints are which boxes a target has lately let down, as boxes tell each other.
 //
 // Where dozens of boxes share dozens of targets, none of them sends enough to one target
-// to tell from its own requests that this one fails: of 38 boxes that sent 224 requests a
-// second to 63 ranks, each met a given rank once in ten seconds. Together they met it
-// three times a second, and a rank that answers nobody is out of use a second after the
-// first who waited for it in vain, in place of failing an eighth of all requests for as
-// long as it lasts.
+// to tell from its own requests that this one fails: each meets it once in many seconds. Together
+// they meet it several times a second, and a rank that answers nobody is out of use soon after the
+// first who waited for it in vain.
 //
 // It is not safe for concurrent use.
 type Complaints struct {
@@ -34,9 +32,8 @@
 	// complaintFor is how long a complaint counts: a target that fails every request
 	// meets several boxes in that time where it gets a few requests a second.
 	complaintFor = 2 * time.Second
-	// accusers are how many boxes must complain for a target to be accused. Where
-	// one in twenty requests fails and a target gets 3.5 a second, three of them fall into
-	// complaintFor in 6 of 1,000 such spans, and two in 50 (worked out, not measured).
+	// accusers are how many boxes must complain for a target to be accused: two fall into
+	// complaintFor by chance where some requests fail everywhere.
 	accusers = 3
 	// tellEach is how many complaints of one target are passed on: more say nothing new.
 	tellEach = accusers
--- a/membership/groups.go
+++ b/membership/groups.go
@@ -104,10 +104,8 @@
 }
 
 // formedAs takes the place of a rank. A group opens with all of its ranks, so what a rank
-// was last heard to say of an earlier formation does not speak against the present one. A
-// box hears its own ranks five times a second and those of other halls less often; where
-// it waited until it had heard the last of 63, it refused its callers for 0.4 to 0.6 s
-// after each opening.
+// was last heard to say of an earlier formation does not speak against the present one: a box
+// hears the ranks of other halls seldom, and would refuse its callers until it had heard the last.
 func (g *groupView) formedAs(p domain.Rank) {
 	switch {
 	case p.Epoch > g.formed:
--- a/membership/health.go
+++ b/membership/health.go
@@ -76,11 +76,8 @@
 
 func (h *health) onProbation(now time.Time) bool { return now.Before(h.accusedTo) }
 
-// turnAway takes that the target turned an attempt away for want of room. One that turns all
-// away has nothing open, and draws the load. Where three in ten of the targets of a service did
-// so for 18 of 34 s, first with all attempts and then with half, 126 to 150 of 1,000 callers were
-// refused while only the fourth in a row spoke against them, and 2 to 7 with this (two fleets,
-// two seeds each).
+// turnAway takes that the target turned an attempt away for want of room. The first speaks
+// against it already: one that turns all away has nothing open, and draws the load.
 func (h *health) turnAway(now time.Time, p RosterPolicy) {
 	if h.full(now) {
 		return // what was under way as the first was turned away says nothing new
--- a/membership/hubs.go
+++ b/membership/hubs.go
@@ -8,10 +8,9 @@
 )
 
 // In a data hall with many entry boxes a few of them, its hubs, ask its targets how they do
-// and hear of the other halls; the rest ask a hub. Thirty boxes that each ask 39 targets
-// twice a second make 2,300 calls a second in a hall, and far targets were heard of only
-// every 2.5 s, so that they were suspect half of the time; with hubs it is 700 calls, and
-// word of every target is under a second old (counted from the paces in node).
+// and hear of the other halls; the rest ask a hub. If all boxes asked, targets would have to be
+// asked so seldom that the word of far ones is too old to trust them; with hubs it is under a
+// second old.
 //
 // Nobody appoints hubs. A box is one if few boxes of its hall that it knows to live come
 // before it in the order of names, so the first few boxes always are, and one more here or
--- a/membership/issuers.go
+++ b/membership/issuers.go
@@ -14,10 +14,11 @@
 // any more, who leaves, and who has just started and does not know the others yet, is none.
 
 const (
-	// aliveFor is how long after the last word of it, from whomever, a box may be an issuer:
-	// longer than it takes to be heard of among dozens of boxes, and about as long as others
-	// wait for permits when it has ended.
+	// aliveFor is how long after the last word of it, from whomever, a box may be an issuer: about
+	// as long as others go by their own parts when it has ended.
 	aliveFor = 2 * TouchFor
+	// aliveEach is how much longer for each box that is known: each is heard of as much more seldom.
+	aliveEach = 50 * time.Millisecond
 	// settleFor is how long a box that has started is no issuer: a few rounds of adverts.
 	settleFor = 2 * time.Second
 )
@@ -54,13 +55,18 @@
 	}
 	for _, p := range b.boxes {
 		settled := p.share.Settled || now.Sub(p.newAt) >= settleFor
-		if !p.leaving && settled && now.Sub(p.heardAt) < aliveFor {
+		if !p.leaving && settled && b.alive(now, p) {
 			consider(p.contact)
 		}
 	}
 	return first
 }
 
+// alive tells that the box was lately heard of.
+func (b *Boxes) alive(now time.Time, p *peer) bool {
+	return now.Sub(p.heardAt) < max(aliveFor, time.Duration(len(b.boxes))*aliveEach)
+}
+
 // Settled tells whether this box has run long enough to be an issuer.
 func (b *Boxes) Settled(now time.Time) bool {
 	return !b.since.IsZero() && now.Sub(b.since) >= settleFor
@@ -91,7 +97,7 @@
 func (b *Boxes) Part(now time.Time) (heard, sharing int) {
 	heard, sharing = 1, b.Counted(now)
 	for _, p := range b.boxes {
-		if now.Sub(p.heardAt) >= aliveFor {
+		if !b.alive(now, p) {
 			continue
 		}
 		sharing = max(sharing, p.share.Boxes)
--- a/membership/outlook.go
+++ b/membership/outlook.go
@@ -9,10 +9,7 @@
 // Outlook decides from whom a box hears how targets do. Those of its own data hall it
 // asks itself. Of another hall it asks one entry box there, which tells of all targets
 // of that hall at once; only a target of which that box has no fresh word is asked
-// itself. So the bytes between halls do not grow with boxes times targets: together with
-// shorter adverts (Boxes.Known), 32 boxes that follow 72 targets in 3 halls sent 45 MB
-// between halls in 54 quiet seconds in place of 134 MB, as the platform counts them
-// (docs/POLICY.md).
+// itself. So the bytes between halls do not grow with boxes times targets.
 //
 // It does no I/O and is not safe for concurrent use.
 type Outlook struct {
--- a/mesh/doc.go
+++ b/mesh/doc.go
@@ -1,6 +1,6 @@
 // Package mesh is what clovertrail's processes say to each other: single calls over
-// DRPC with CBOR bodies. DRPC and not gRPC, because gRPC costs each process 8 MB of
-// memory at rest and DRPC one (docs/design/platform.md has the measurement).
+// DRPC with CBOR bodies. DRPC and not gRPC, for the memory that each process takes at rest
+// (docs/design/platform.md).
 //
 // Every call carries its own deadline in its context. A call whose answer does not
 // come in time loses its connection, and the next one opens another; nothing is
--- a/node/peering.go
+++ b/node/peering.go
@@ -35,8 +35,7 @@
 	seedEvery = 5 * time.Second
 	// tellAllEvery is the time between two rounds in which a box tells of all works in
 	// quarantine: as long as a box has to catch up after it was cut off, while it hears of
-	// them from eight others on average. Told in each round a work costs a box 2 KB/s, so 0.3
-	// (worked out from the size of its words).
+	// them from several others on average.
 	tellAllEvery = 3 * time.Second
 )
 
--- a/node/process/settings.go
+++ b/node/process/settings.go
@@ -94,8 +94,8 @@
 	LeastSaving float64 `json:"least_saving" min:"0" max:"1"`
 }
 
-// DefaultAgentSettings returns the default settings of an agent. Those of planning
-// are the best of the trials in docs/EXPERTS.md.
+// DefaultAgentSettings returns the default settings of an agent; docs/EXPERTS.md has the grounds
+// of those of planning.
 func DefaultAgentSettings() AgentSettings {
 	return AgentSettings{
 		Bounds:      DefaultBounds(),
--- a/node/rank/orders.go
+++ b/node/rank/orders.go
@@ -40,9 +40,7 @@
 // through gives an order to a rank's engine by way of a helper. A box that stops dead in
 // the moment in which it gives an order under a hold leaves in doubt what its own engine
 // was told, and until it is back the group is held; a box without a rank of the group
-// leaves no doubt, since every engine can still be asked. Where a coordinator's box stood
-// still for 4 s as its group was held, the group was held 3.8 to 3.9 s in three plays of
-// three, and the callers of 6 to 14 seconds after it were lost (docs/POLICY.md).
+// leaves no doubt, since every engine can still be asked.
 func (a *Agent) through(ctx context.Context, helper string, m mesh.Member, c orders.Call) (orders.Result, error) {
 	call := mesh.CallOf(c)
 	call.Engine = m.Target
--- a/node/rank/reading.go
+++ b/node/rank/reading.go
@@ -17,9 +17,8 @@
 // its link for it to use relays: several times the pause between two readings.
 const relayFrom = 3 * readEvery
 
-// relayedPicks is the least pause between two questions what was chosen by way of relays:
-// a change of such a group takes 0.3 s and more, and each answer of an engine is 20 KB that
-// its agent reads.
+// relayedPicks is the least pause between two questions what was chosen by way of relays: a
+// change of such a group takes longer, and each answer of an engine is large.
 const relayedPicks = 200 * time.Millisecond
 
 // errNotRelayed says that a relay did not hear the rank.
--- a/node/telling/doc.go
+++ b/node/telling/doc.go
@@ -4,8 +4,7 @@
 //
 // A coordinator tells every rank each map and asks each rank what was chosen, several
 // times a second. Told whole, that fills the narrow links of target boxes from a few
-// dozen ranks on: 32 ranks with 12 layers of 128 experts came to three times what
-// 8 Mbit/s carry, orders came too late, and other ranks took the coordinator for lost.
+// dozen ranks on: orders come too late, and other ranks take the coordinator for lost.
 //
 // The package does no I/O.
 //
--- a/node/telling/lesson.go
+++ b/node/telling/lesson.go
@@ -26,9 +26,9 @@
 const lessonBoxes = 30
 
 // lessonSpread bounds the wait of a box before it tells an agent that does not know its
-// group. Of thirty boxes that start together the first few tell it, and the rest find
-// that it knows: 10 KB each, from all of them at once, fill 6 Mbit/s for 0.4 s, in which a
-// group that was just formed cannot be read.
+// group. Of dozens of boxes that start together the first few tell it, and the rest find
+// that it knows: from all of them at once it would fill the agent's link, and a group that was
+// just formed could not be read meanwhile.
 const lessonSpread = 400 * time.Millisecond
 
 // NewLesson returns that of a box that has not asked the agent. The chance, from 0 up to
@@ -37,8 +37,7 @@
 	return &Lesson{chance: chance, wait: time.Duration(chance * float64(lessonSpread))}
 }
 
-// Among tells how many boxes ask the agent. Where three do, an agent that must learn of
-// its group formed anew does so 0.3 s sooner than where they wait as thirty have to.
+// Among tells how many boxes ask the agent: the fewer, the sooner each may tell it.
 func (l *Lesson) Among(boxes int) {
 	spread := lessonSpread * time.Duration(min(boxes, lessonBoxes)) / lessonBoxes
 	l.wait = time.Duration(l.chance * float64(spread))
--- a/node/telling/relays.go
+++ b/node/telling/relays.go
@@ -13,10 +13,8 @@
 const partMost = 10
 
 // Relays part the ranks of a large group, hall by hall, so that its coordinator speaks to
-// one agent of each part, its relay, and that one to the others. A coordinator of 96 ranks
-// behind 6 Mbit/s needs 0.4 s of its whole link to hear once what every rank chose, and
-// 1.2 s to tell every rank a map; with relays 40 ms and 0.2 s, and between halls a tenth
-// of the bytes (worked out from the sizes in docs/CAPACITY.md).
+// one agent of each part, its relay, and that one to the others. Otherwise the coordinator's link
+// would be the bound on how often a map can change (docs/CAPACITY.md).
 //
 // One goroutine owns it.
 type Relays struct {
--- a/quarantine/recent.go
+++ b/quarantine/recent.go
@@ -6,8 +6,8 @@
 	"clovertrail.dev/core/call"
 )
 
-// recentMost is how many works that were served are remembered, the latest: those of some ten
-// seconds of a box, in 40 KB.
+// recentMost is how many works that were served are remembered, the latest: those of some seconds
+// of a box.
 const recentMost = 256
 
 // recent is when works were last served, of those served last.
--- a/quarantine/register.go
+++ b/quarantine/register.go
@@ -10,19 +10,16 @@
 )
 
 const (
-	// enough is under how many ended targets work is barred. Where a target ends by itself
-	// every other day, work that lasts two seconds meets another such end once in 100,000
-	// times (worked out); a third target would cost one more group, of which a small deployment
-	// has two, for some four seconds. A caller who asked on and on ended 24 targets in 18 s, and
-	// ends two with it (counted in the whole system in memory).
+	// enough is under how many ended targets work is barred. One may have ended by itself; a third
+	// would cost one more group, of which a small deployment has two.
 	enough = 2
 	// enoughServed is the same for work that was served within servedFor before: many requests
 	// may ask for the same, some of which then run beside one that crashes targets, again and
 	// again. It must not be out of all bounds, since a new program may fail on old work.
 	enoughServed = 4
 	servedFor    = time.Minute
-	// firstTerm is the first quarantine. The target that a try after it may cost is back after
-	// 3.4 s and its group open 0.7 s later (as logged by boxes): one in thirty of it.
+	// firstTerm is the first quarantine: many times as long as the target that a try after it may
+	// cost is away.
 	firstTerm = 2 * time.Minute
 	// longer is how many times longer each further one is: a day of tries after quarantines
 	// then ends three targets more.
@@ -32,8 +29,8 @@
 	// rememberFor is how long a work is remembered after the last that was learnt of it, or
 	// after its quarantine: a caller who asks each few minutes is still found out.
 	rememberFor = time.Hour
-	// worksMost bounds how many works are remembered, at some 300 bytes each. One ended target
-	// leaves as many as it had slots and places to wait.
+	// worksMost bounds how many works are remembered. One ended target leaves as many as it had
+	// slots and places to wait.
 	worksMost = 1024
 	// tellFor is how long what is new of a work is told on: six rounds of adverts, in which
 	// each box tells eight others.
--- a/routing/groups.go
+++ b/routing/groups.go
@@ -36,10 +36,7 @@
 // A group of the own data hall is taken while it has room. Else one is drawn among those
 // that have room: boxes see loads late, and if all took the one that looks least loaded,
 // groups would get more and less by turns. Else it is the one with the least to do for its
-// size and the length of its steps. Near overload, with groups in one hall each, the first
-// rule brought what is answered in time from 89 and 92 to 95 and 99 in 100 of what is asked
-// for, measured over whole days of 60 and more machines; the second, with groups over all
-// halls, the credit of such days from 0.60 and 0.70 to 0.63 and 0.71 (docs/POLICY.md).
+// size and the length of its steps. docs/POLICY.md has what each rule buys near overload.
 func (b *Balancer) group(now time.Time, hall domain.HallName, options []Option) []Option {
 	all := b.groupLoads(now, options)
 	if len(all) == 1 {
--- a/routing/steps.go
+++ b/routing/steps.go
@@ -52,10 +52,8 @@
 
 // slowBy is how many times the pace of the fastest rank of its group a rank must have to
 // be left out. A rank that runs any stream has to make the fixed part of each step, which
-// for a slow one takes longer by its pace, and the whole group waits for it. Measured,
-// one of 32 ranks with 2 streams and a pace of 4.8 took steps from 60 to 180 ms
-// (docs/EXPERTS.md); a rank left out costs the others its share of the streams, an eighth
-// in the smallest groups.
+// for a slow one takes longer by its pace, and the whole group waits for it (docs/EXPERTS.md). A
+// rank left out costs the others no more than its share of the streams.
 const slowBy = 1.25
 
 // brisk leaves out the ranks that would make the steps of their groups longer. Experts
@@ -84,9 +82,7 @@
 
 // Drags tells whether the option makes the steps of its group too long for the streams of
 // all ranks while others of the group, among the options, would not. A slow rank gets no
-// new streams, but those that it has hold all others up until they end: for up to 5 s,
-// with a pause of 0.76 s after each event of every stream of the group where its work
-// took 12 times as long. A limited target does not count: a stream that is moved may get no
+// new streams, but those that it has hold all others up until they end. A limited target does not count: a stream that is moved may get no
 // permit, and would be cut.
 func (b *Balancer) Drags(now time.Time, o Option, options []Option) bool {
 	s, ok := b.steps[o.Group]
@@ -104,8 +100,8 @@
 
 // Steps tells that the option's group is seen to step, or that it stands alone: while a
 // group stands still, what goes wrong at one rank is not that rank's fault. Long steps do
-// not excuse a rank: with complaints only where steps took less than 0.8 of the longest
-// pause in time, ranks that answered nobody while demand shifted were found 4 s later.
+// not excuse a rank: while demand shifts they are long everywhere, and a rank that answers nobody
+// would be found seconds later.
 func (b *Balancer) Steps(now time.Time, o Option) bool {
 	if o.Group == "" {
 		return true
