--- a/node/fleet.go
+++ b/node/fleet.go
@@ -199,7 +199,7 @@
 // granted takes permits that were asked for at the time, and tells for which target one is used at
 // once; empty if there is none.
 func (f *fleet) granted(asked time.Time, g ratelimit.Grant) domain.InstanceID {
-	if g.Permits > 0 {
+	if g.Permits > 0 && !ratelimit.Lapsed(clock.Now(), asked) {
 		g.Permits--
 		f.keep(asked, g)
 		return g.Target
--- a/node/limiting.go
+++ b/node/limiting.go
@@ -21,8 +21,9 @@
 type limiting struct {
 	entry *Entry
 
-	mu   sync.Mutex
-	desk *ratelimit.Desk
+	mu     sync.Mutex
+	desk   *ratelimit.Desk
+	kicked time.Time // other boxes were last told of a limit at once
 }
 
 const (
@@ -35,6 +36,9 @@
 	// toldEach is how many limits a box tells with each round besides those that are news, for
 	// boxes that started or were cut off meanwhile.
 	toldEach = 2
+	// kickEvery is the least time between two rounds that come at once for news of limits. A target
+	// may name one with every other answer.
+	kickEvery = 100 * time.Millisecond
 )
 
 func newLimiting(e *Entry) *limiting {
@@ -44,8 +48,17 @@
 
 // named logs that a target has another limit than before, and tells other boxes at once.
 func (l *limiting) named(w ratelimit.Word, source string) {
-	l.entry.common.Log.Info("target limit", "target", w.Target, "limit", w.Limit, "age", clock.Since(w.At), "source", source)
-	l.entry.peering.tell()
+	now := clock.Now()
+	l.entry.common.Log.Info("target limit", "target", w.Target, "limit", w.Limit, "age", now.Sub(w.At), "source", source)
+	l.mu.Lock()
+	kick := now.Sub(l.kicked) >= kickEvery
+	if kick {
+		l.kicked = now
+	}
+	l.mu.Unlock()
+	if kick {
+		l.entry.peering.tell()
+	}
 }
 
 // permits implements permitting.
--- a/ratelimit/register.go
+++ b/ratelimit/register.go
@@ -141,12 +141,17 @@
 	return true
 }
 
-// Admits tells whether a request that was to be sent to the target a while ago, with a permit or
-// while it named no limit, may still be sent. It uses a permit if the target has named one since.
-func (r *Register) Admits(now time.Time, id domain.InstanceID, permitted bool) bool {
-	return permitted || r.Free(id) || r.Spend(now, id)
+// Admits tells whether a request that was to be sent to the target at the time, with a permit or
+// while it named no limit, may still be sent. If it needs another permit and there is one, it uses
+// that.
+func (r *Register) Admits(now time.Time, id domain.InstanceID, permitted bool, at time.Time) bool {
+	return permitted && !Lapsed(now, at) || r.Free(id) || r.Spend(now, id)
 }
 
+// Lapsed tells that a permit that was asked for at the time may not be used any more, as where the
+// box stood still meanwhile.
+func Lapsed(now, asked time.Time) bool { return now.Sub(asked) >= permitFor }
+
 // Due tells whether it is this box's turn to ask for permits for the target.
 func (r *Register) Due(now time.Time, id domain.InstanceID) bool { return !now.Before(r.Turn(id)) }
 
--- a/ratelimit/register_test.go
+++ b/ratelimit/register_test.go
@@ -175,15 +175,18 @@
 // TestWhatWasChosenBeforeTheLimitNeedsAPermit: a connection may take a second to come up.
 func TestWhatWasChosenBeforeTheLimitNeedsAPermit(t *testing.T) {
 	r := ratelimit.NewRegister(source())
-	if !r.Admits(at(0), limited, false) {
+	if !r.Admits(at(0), limited, false, at(0)) {
 		t.Error("a target without a limit needs a permit")
 	}
 	r.Take(at(0), word(5, 0))
-	if r.Admits(at(0), limited, false) || !r.Admits(at(0), limited, true) {
+	if r.Admits(at(0), limited, false, at(0)) || !r.Admits(at(0), limited, true, at(0)) {
 		t.Error("a request goes without a permit, or not with the one that it has")
 	}
+	if r.Admits(at(3*time.Second), limited, true, at(0)) {
+		t.Error("a box that stood still uses a permit of three seconds ago")
+	}
 	r.Granted(at(0), limited, 1)
-	if !r.Admits(at(0), limited, false) || r.Admits(at(0), limited, false) {
+	if !r.Admits(at(0), limited, false, at(0)) || r.Admits(at(0), limited, false, at(0)) {
 		t.Error("it does not use the permit that there is, or uses it twice")
 	}
 }
