When callers come back to targets that take work again is decided in admission

It was decided in the shell of an entry box, with a spread of its own; a target that turns requests away and does not say for how long is left to the course of the request, which knows what to say.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -37,6 +37,9 @@
 	restSpread, outlastSpread = 0.5, 0.0625
 	// leastRest is the least time that a refused caller is sent away for.
 	leastRest = 100 * time.Millisecond
+	// reopenSpread is over which time callers come back to a target that takes work again: a few
+	// requests of a usual one, so that those who were refused meanwhile do not all meet it at once.
+	reopenSpread = 250 * time.Millisecond
 )
 
 // NewGate returns a gate that has seen no request.
@@ -74,6 +77,17 @@
 	return later(left, spread, outlastSpread)
 }
 
+// Reopens is after how long a caller should come back where no target takes requests: as the first
+// does again, if that is known and not later than the caller heeds, else as late as it heeds. in is
+// until then, and 0 if nobody knows.
+func Reopens(in, left time.Duration, spread float64) time.Duration {
+	last := Outlast(left, spread)
+	if in <= 0 || in > last {
+		return last
+	}
+	return in + time.Duration(spread*float64(reopenSpread))
+}
+
 // Between is after how long a refused caller should come back where room comes bit by bit from a
 // time on: anywhere between that and as late as it heeds, so that callers come as the room does.
 func Between(from, left time.Duration, spread float64) time.Duration {
--- a/admission/gate_test.go
+++ b/admission/gate_test.go
@@ -87,3 +87,36 @@
 		}
 	}
 }
+
+// TestCallersComeBackAsTargetsTakeWorkAgain: where it is known when, and they can wait for it.
+func TestCallersComeBackAsTargetsTakeWorkAgain(t *testing.T) {
+	const left, most = 9 * time.Second, 3 * time.Second
+	for _, tc := range []struct {
+		name   string
+		in     time.Duration
+		lo, hi time.Duration
+	}{
+		{"soon", time.Second, time.Second, 1250 * time.Millisecond},
+		{"nobody knows", 0, most * 9 / 10, most},
+		{"later than they heed", 4 * time.Second, most * 9 / 10, most},
+	} {
+		for _, spread := range []float64{0, 0.5, 0.99} {
+			if rest := admission.Reopens(tc.in, left, spread); rest < tc.lo || rest > tc.hi {
+				t.Errorf("%s, spread %v: back after %v", tc.name, spread, rest)
+			}
+		}
+	}
+}
+
+// TestCallersComeBackBetweenTheFirstTurnAndWhatTheyHeed: evenly, whatever the turn.
+func TestCallersComeBackBetweenTheFirstTurnAndWhatTheyHeed(t *testing.T) {
+	const left, most = 9 * time.Second, 3 * time.Second
+	for _, tc := range []struct{ from, first time.Duration }{
+		{-time.Second, 100 * time.Millisecond}, {time.Second, time.Second}, {5 * time.Second, most * 9 / 10},
+	} {
+		lo, mid, hi := admission.Between(tc.from, left, 0), admission.Between(tc.from, left, 0.5), admission.Between(tc.from, left, 1)
+		if lo < tc.first || hi > most || mid-lo != hi-mid {
+			t.Errorf("from %v: between %v and %v, with %v in the middle", tc.from, lo, hi, mid)
+		}
+	}
+}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -224,15 +224,12 @@
 	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, most)) // a failure shows when the connection is kept
 }
 
-// retryAt is when the caller of a request that the target declined best comes back. One that
+// retryAt is when the caller of a request that the target declined best comes back; zero if the
+// target does not say. One that
 // wants nothing for a while says nothing of the others: where one of them takes requests, callers
 // come back as soon as they can be elsewhere, else as the first takes some again.
 func (a *attempt) retryAt(now time.Time) time.Time {
-	const unsaid = 250 * time.Millisecond // a few requests of a usual target
-	switch {
-	case a.answer.Again.IsZero():
-		return now.Add(unsaid)
-	case a.answer.RestUntil().IsZero():
+	if a.answer.RestUntil().IsZero() {
 		return a.answer.Again
 	}
 	at := a.d.g.parts.Fleet.TakesAt(now, a.d.o.service)
--- a/node/choosing.go
+++ b/node/choosing.go
@@ -132,19 +132,13 @@
 		RetryAt(now.Add(rest))
 }
 
-// reopenSpread is over which time callers come back to a target that takes work again: a few
-// requests of a usual one, so that those who were refused meanwhile do not all meet it at once.
-const reopenSpread = 250 * time.Millisecond
-
-// again is when a caller best comes back where no target takes requests: as the first that asked
-// for rest does, or as late as the caller heeds if that is sooner, or nobody knows; mu is held.
+// again is when a caller comes back where no target takes requests; mu is held.
 func (f *fleet) again(now time.Time, q gateway.Query) time.Time {
-	last := now.Add(admission.Outlast(q.Deadline.Sub(now), rand.Float64()))
-	rested := f.roster.RestsUntil(now, q.Service)
-	if rested.IsZero() || rested.After(last) {
-		return last
+	in := time.Duration(0)
+	if rested := f.roster.RestsUntil(now, q.Service); !rested.IsZero() {
+		in = rested.Sub(now)
 	}
-	return rested.Add(time.Duration(rand.Float64() * float64(reopenSpread)))
+	return now.Add(admission.Reopens(in, q.Deadline.Sub(now), rand.Float64()))
 }
 
 // TakesAt implements gateway.Fleet.
