--- a/node/limiting.go
+++ b/node/limiting.go
@@ -31,7 +31,7 @@
 	// of the shortest time in which callers want theirs.
 	permitWithin = 50 * time.Millisecond
 	// silentAfter is after how long an issuer that has not answered counts as silent: what it hands
-	// out has lapsed by then.
+	// out has nearly lapsed by then.
 	silentAfter = 400 * time.Millisecond
 	// toldEach is how many limits a box tells with each round besides those that are news, for
 	// boxes that started or were cut off meanwhile.
@@ -123,9 +123,9 @@
 	answer chan ratelimit.Grant
 }
 
-// ask asks the issuer. The request waits for the answer no longer than others would notice, and not
-// at all where permits are asked for ahead; what comes later is kept. That the caller leaves
-// meanwhile does not mean that the issuer is silent.
+// ask asks the issuer. The request waits for the answer for permitWithin at the most, and not at all
+// where permits are asked for ahead; what comes later is kept for other requests. If the caller
+// leaves meanwhile the answer is waited for all the same: the issuer is not silent for that.
 func (l *limiting) ask(ctx context.Context, svc domain.ServiceName, issuer membership.Contact, words []ratelimit.Word, ahead bool) ratelimit.Grant {
 	q := &question{svc: svc, issuer: issuer, asked: clock.Now(), waited: ahead, answer: make(chan ratelimit.Grant, 1)}
 	go l.put(context.WithoutCancel(ctx), q, words)
@@ -175,7 +175,7 @@
 	}
 }
 
-// note takes what became of a question; mu is held.
+// note takes what became of a question, and logs what is new about its issuer; mu is held.
 func (l *limiting) note(now time.Time, q *question, r *mesh.PermitReply, err error) {
 	log := l.entry.common.Log.With("service", q.svc, "peer", q.issuer.Box, "after", now.Sub(q.asked))
 	switch {
