--- a/demo/play.go
+++ b/demo/play.go
@@ -119,9 +119,12 @@
 	return r, s.Close()
 }
 
+// startFor is what the boxes have to start.
+const startFor = time.Second
+
 // load lets requests come and faults happen until the time of the workload is over.
 func (w Workload) load(ctx context.Context, s *local.System, seed uint64, r *Result, tell func(string)) {
-	began := time.Now().Add(time.Second) // the boxes start in the meantime
+	began := time.Now().Add(startFor)
 	ctx, cancel := context.WithDeadline(ctx, began.Add(time.Duration(w.Seconds)*time.Second))
 	defer cancel()
 	var all sync.WaitGroup
--- a/gateway/intake.go
+++ b/gateway/intake.go
@@ -27,6 +27,10 @@
 	digest   call.Digest // empty until the body was read
 }
 
+// configuredWithin is after how long a caller comes back to a box that has no configuration yet: one
+// that has just started usually has it by then.
+const configuredWithin = time.Second
+
 // intake finds out what the request is and whether it may be served. The order is
 // never nil, so that a refusal can be logged with what is known.
 func (g *Gateway) intake(now time.Time, w http.ResponseWriter, r *http.Request) (*order, error) {
@@ -38,7 +42,7 @@
 	o.Request = req
 	c := g.Catalog()
 	if c == nil {
-		return o, fault.New(fault.NotInForce, "no configuration is known yet").RetryAt(now.Add(time.Second))
+		return o, fault.New(fault.NotInForce, "no configuration is known yet").RetryAt(now.Add(configuredWithin))
 	}
 	if err := g.admit(o, c); err != nil {
 		return o, err
--- a/membership/roster.go
+++ b/membership/roster.go
@@ -51,10 +51,14 @@
 	ForgetAfter time.Duration
 }
 
+// graceTenths is the part of the grace to drain for which a lapsed target is used, in tenths: the
+// rest is for requests that are on their way.
+const graceTenths = 6
+
 // DefaultRosterPolicy fits a platform that gives grace to drain.
 func DefaultRosterPolicy(grace time.Duration) RosterPolicy {
 	return RosterPolicy{
-		Grace:       grace * 6 / 10, // the rest is for requests that are on their way
+		Grace:       grace * graceTenths / 10,
 		Trouble:     3 * time.Second,
 		EjectFor:    time.Second,
 		EjectMost:   8 * time.Second,
--- a/node/following.go
+++ b/node/following.go
@@ -43,15 +43,23 @@
 // callers waiting, and asks the store at once.
 const firstPause = 600 * time.Millisecond
 
+const (
+	// storePause is the first pause after the store failed, and storePauseMost the longest.
+	storePause, storePauseMost = 100 * time.Millisecond, time.Second
+	// pauseShare, waitShare and gatherShare are how many pauses, watches and roundups of changes fit
+	// into the bound that each serves.
+	pauseShare, waitShare, gatherShare = 4, 2, 8
+)
+
 // pace fits the bounds: a watch that was silently lost while the store was in
 // trouble is noticed before the bounds hold again.
 func pace(b process.Bounds) follow.Pace {
 	return follow.Pace{
-		Wait:       b.Contact.Std() / 2,
+		Wait:       b.Contact.Std() / waitShare,
 		MostWait:   mostWait,
-		FirstPause: 100 * time.Millisecond,
-		MostPause:  min(time.Second, b.ConfigApply.Std()/4),
-		Gather:     b.Drain.Std() / 8, // the rest is for telling targets' leaving on
+		FirstPause: storePause,
+		MostPause:  min(storePauseMost, b.ConfigApply.Std()/pauseShare),
+		Gather:     b.Drain.Std() / gatherShare, // the rest is for telling targets' leaving on
 	}
 }
 
--- a/node/rank/relaying.go
+++ b/node/rank/relaying.go
@@ -111,6 +111,9 @@
 	return mesh.Dealt{Result: reply.Result}
 }
 
+// dealMost bounds how long orders are handed out for another group, whatever its coordinator asks.
+const dealMost = time.Second
+
 // DealOut gives one order to all engines that the call names, for the coordinator of a
 // group that is not the own.
 func DealOut(ctx context.Context, c telemetry.Common, client *http.Client, call *mesh.DealCall) (*mesh.DealReply, error) {
@@ -118,7 +121,7 @@
 	if o == nil {
 		return nil, fault.New(fault.BadRequest, "a call without an order")
 	}
-	ctx, cancel := context.WithTimeout(ctx, min(call.Left, time.Second))
+	ctx, cancel := context.WithTimeout(ctx, min(call.Left, dealMost))
 	defer cancel()
 	reply := &mesh.DealReply{Dealt: make([]mesh.Dealt, len(call.Engines))}
 	var gives sync.WaitGroup
