Adverts tell of shares only while there are limits

Found in reading: each advert had grown by some 18 bytes, for what is of use only while a target names a limit. It is a word without names of fields now, and missing while there is none; a box that has just started has it with the first answer.

--- a/mesh/messages.go
+++ b/mesh/messages.go
@@ -73,13 +73,10 @@
 	Works []WorkWord `json:"works,omitempty"`
 	// Limits are what targets said of their limits.
 	Limits []LimitWord `json:"limits,omitempty"`
-	// Sharing is how many boxes share limits, as the sender counts them; Apart tells that it goes
-	// by its own part of them, Settled that it has run long enough to be an issuer.
-	Sharing int  `json:"sharing,omitempty"`
-	Apart   bool `json:"apart,omitempty"`
-	Settled bool `json:"settled,omitempty"`
-	// Blank tells that the sender has just started and heard no other box yet, so that the answer is
-	// to name all limits.
+	// Share is how the sender shares limits; missing while it knows none.
+	Share *ShareWord `json:"share,omitempty"`
+	// Blank tells that the sender has just started and was told of no limits yet, so that the answer
+	// is to name all, and has a share.
 	Blank bool `json:"blank,omitempty"`
 }
 
--- a/mesh/permits.go
+++ b/mesh/permits.go
@@ -38,6 +38,16 @@
 	return out, ok && w.Ago >= 0
 }
 
+// ShareWord is how a box shares limits with the others. It goes with every advert while there are
+// limits, so it is written without names of fields.
+type ShareWord struct {
+	_ struct{} `cbor:",toarray"`
+	// Boxes are how many share them, as it counts.
+	Boxes int
+	// Apart tells that it goes by its own part, Settled that it has run long enough to be an issuer.
+	Apart, Settled bool
+}
+
 // PermitQuery asks the issuer of the service for permits for the first target that has any, in the
 // order of the wants.
 type PermitQuery struct {
--- a/node/adverts.go
+++ b/node/adverts.go
@@ -25,6 +25,7 @@
 	own := p.level()
 	complaints, works := p.complaints(now), p.entry.quarantine.tell(now, all)
 	limits, apart := p.entry.limiting.tell(now, others), p.entry.limiting.apart(now)
+	limited := p.entry.fleet.knowsLimits()
 	var leavers []domain.InstanceID
 	p.entry.fleet.with(func(r *membership.Roster, _ *routing.Balancer) { leavers = r.Leavers(now) })
 	p.mu.Lock()
@@ -33,7 +34,10 @@
 		Self: contactOf(p.self, 0), Hall: domain.HallName(p.entry.settings().Hall), Leaving: p.entry.gateway.Leaving(),
 		Config: own.Config, Targets: own.Targets, News: news,
 		Complaints: complaints, Leavers: leavers, Works: works,
-		Limits: limits, Sharing: p.boxes.Counted(now), Apart: apart, Settled: p.boxes.Settled(now), Blank: !p.briefed,
+		Limits: limits, Blank: !p.briefed,
+	}
+	if limited {
+		a.Share = p.share(now, apart)
 	}
 	if news {
 		return a
@@ -44,6 +48,11 @@
 	return a
 }
 
+// share is how this box shares limits; mu is held.
+func (p *peering) share(now time.Time, apart bool) *mesh.ShareWord {
+	return &mesh.ShareWord{Boxes: p.boxes.Counted(now), Apart: apart, Settled: p.boxes.Settled(now)}
+}
+
 func contactOf(c membership.Contact, ago time.Duration) mesh.Contact {
 	return mesh.Contact{Box: c.Box, Address: c.Address, Incarnation: c.Incarnation, Ago: ago, Hall: c.Hall}
 }
@@ -52,6 +61,14 @@
 	return membership.Contact{Box: c.Box, Address: c.Address, Incarnation: c.Incarnation, Hall: c.Hall}
 }
 
+// shareFrom gives nothing for a box that knows no limits.
+func shareFrom(w *mesh.ShareWord) membership.Share {
+	if w == nil {
+		return membership.Share{}
+	}
+	return membership.Share{Boxes: w.Boxes, Apart: w.Apart, Settled: w.Settled}
+}
+
 // complaints are what boxes hold against targets, to be told to others.
 func (p *peering) complaints(now time.Time) []mesh.Complaint {
 	var list []mesh.Complaint
@@ -92,13 +109,23 @@
 	p.mu.Unlock()
 	p.heard(a)
 	reply := p.advert(a.News, false)
+	reply.Remembered = before
 	if a.Blank {
-		reply.Limits = p.entry.limiting.tell(clock.Now(), math.MaxInt)
+		p.brief(reply)
 	}
-	reply.Remembered = before
 	return reply, nil
 }
 
+// brief adds to an advert what a box that has just started is to know of limits.
+func (p *peering) brief(reply *mesh.Advert) {
+	now := clock.Now()
+	reply.Limits = p.entry.limiting.tell(now, math.MaxInt)
+	apart := p.entry.limiting.apart(now)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	reply.Share = p.share(now, apart)
+}
+
 // heard takes an advert. If it shows that this box is behind, a round follows in
 // which it asks.
 func (p *peering) heard(a *mesh.Advert) {
@@ -113,7 +140,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.boxes.Heard(now, contactFrom(a.Self), a.Hall, membership.Level{Config: a.Config, Targets: a.Targets}, a.Leaving)
-	p.boxes.Shares(a.Self.Box, membership.Share{Boxes: a.Sharing, Apart: a.Apart, Settled: a.Settled})
+	p.boxes.Shares(a.Self.Box, shareFrom(a.Share))
 	for _, c := range a.Known {
 		p.boxes.HeardOf(now, contactFrom(c), c.Ago)
 	}
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -189,6 +189,13 @@
 	return list
 }
 
+// knowsLimits tells whether there are limits, or were lately.
+func (f *fleet) knowsLimits() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.limits.Known()
+}
+
 // tellLimits are words of limits for other boxes.
 func (f *fleet) tellLimits(now time.Time, others int) []ratelimit.Word {
 	f.mu.Lock()
--- a/node/peering.go
+++ b/node/peering.go
@@ -56,7 +56,7 @@
 	seedAt  time.Time
 	allAt   time.Time // of the last round in which all works in quarantine were told
 	shared  int
-	briefed bool // a box that knew what there is to know has answered this one
+	briefed bool // a box that has run for a while has told this one all limits
 }
 
 func newPeering(e *Entry) *peering {
@@ -217,15 +217,15 @@
 	if err == nil {
 		p.outlive(reply.Remembered)
 		p.heard(reply)
-		p.brief(reply.Settled)
+		p.noteBriefed(reply)
 	}
 }
 
-// brief takes that a box answered; one that has run for a while knows what there is to know.
-func (p *peering) brief(settled bool) {
+// noteBriefed takes the answer of a box; one that has run for a while told all limits.
+func (p *peering) noteBriefed(reply *mesh.Advert) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.briefed = p.briefed || settled
+	p.briefed = p.briefed || reply.Share != nil && reply.Share.Settled
 }
 
 // outlive makes this process later than the one of this box that another box remembers.
--- a/ratelimit/register.go
+++ b/ratelimit/register.go
@@ -200,17 +200,8 @@
 	return append(news, rest[:min(len(rest), others)]...)
 }
 
-// Limited are the targets that name a limit, in order of their ids.
-func (r *Register) Limited() []domain.InstanceID {
-	var list []domain.InstanceID
-	for id := range r.entries {
-		if !r.Free(id) {
-			list = append(list, id)
-		}
-	}
-	slices.Sort(list)
-	return list
-}
+// Known tells whether any target names a limit, or did until lately.
+func (r *Register) Known() bool { return len(r.entries) > 0 }
 
 // Forget drops limits that have long ended, and those of targets that are not in keep.
 func (r *Register) Forget(now time.Time, keep func(domain.InstanceID) bool) {
