Log the era of the store, and documents and lists that are ignored for their revision

The logs could not show whether the store had been restored, to which revision it went back, nor that a configuration or a list of targets was passed over. The era that every answer of the store states is read and logged when it rises; an ignored document or list has a line with its revision and the one known. Gauge clovertrail_store_era. No decision goes by it yet.

--- a/cli/status.go
+++ b/cli/status.go
@@ -28,7 +28,7 @@
 func (a *app) status(ctx context.Context, c *ucli.Command) error {
 	ctx, cancel := context.WithTimeout(ctx, statusWithin)
 	defer cancel()
-	feed := platform.NewStore(c.String("store"), http.DefaultClient)
+	feed := platform.NewStore(c.String("store"), http.DefaultClient, nil)
 	configs, err := feed.List(ctx, platform.Configurations)
 	if err != nil {
 		return fmt.Errorf("configuration: %w", err)
--- a/node/belief.go
+++ b/node/belief.go
@@ -43,6 +43,8 @@
 		b.common.Log.Info("configuration in force", "version", c.Version(), "revision", rev, "source", source, "before", before)
 		b.adopt(c)
 		b.moved()
+	case rev < before:
+		b.common.Log.Warn("configuration ignored, a later revision is in force", "revision", rev, "source", source, "in_force", before)
 	}
 }
 
@@ -57,7 +59,14 @@
 func (b *belief) targets(at store.Revision, news []membership.News, source string) {
 	now := clock.Now()
 	var fresh []membership.News
-	b.fleet.with(func(r *membership.Roster, _ *routing.Balancer) { fresh = r.Listed(now, at, news) })
+	var known store.Revision
+	b.fleet.with(func(r *membership.Roster, _ *routing.Balancer) {
+		known = r.At()
+		fresh = r.Listed(now, at, news)
+	})
+	if at < known {
+		b.common.Log.Warn("list of targets ignored, a later revision is known", "revision", at, "source", source, "known", known)
+	}
 	b.fleet.forget(now)
 	b.logNews(fresh, source)
 }
--- a/node/entry.go
+++ b/node/entry.go
@@ -42,6 +42,7 @@
 	surveying *surveying
 
 	quarantine *quarantining
+	eras       *eras
 	limiting   *limiting
 
 	standings map[domain.InstanceID]membership.Standing // as they were last logged; judge's own
@@ -56,6 +57,7 @@
 	e.pool = transport.NewPool(n.Dial, transport.DefaultSettings())
 	e.mesh = mesh.NewClient(n.Dial)
 	e.engines = process.HTTPClient(n)
+	e.eras = &eras{common: c}
 	e.quarantine = newQuarantining(c,
 		func() { e.peering.tell() },
 		func() bool { return e.peering.isolated(clock.Now()) })
@@ -115,7 +117,7 @@
 	}
 	go e.peering.run(ctx)
 	e.common.Log.Info("started", "hall", e.settings().Hall, "callers", e.settings().Callers, "peers", e.settings().Peers, "store", e.settings().Store)
-	kept := platform.NewStore(e.settings().Store, process.HTTPClient(e.network))
+	kept := platform.NewStore(e.settings().Store, process.HTTPClient(e.network), e.eras.stated)
 	e.follow(ctx, kept)
 	go e.quarantine.run(ctx, kept, e.settings().FirstStart)
 	go e.sweep(ctx)
--- a/store/feed.go
+++ b/store/feed.go
@@ -25,6 +25,10 @@
 // Revision numbers the changes of the whole store. It grows by one with each.
 type Revision uint64
 
+// Era numbers the lives of the store. It rises by one each time the store comes back from a
+// copy, after which revisions are given out again. Zero stands for an era that is not stated.
+type Era uint64
+
 // Kind names a kind of record.
 type Kind string
 
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -34,6 +34,7 @@
 // The gauges.
 const (
 	ConfigSeq Name = "clovertrail_config_seq"     // reason: empty
+	StoreEra  Name = "clovertrail_store_era"      // reason: empty
 	StepSkew  Name = "clovertrail_step_time_skew" // reason: the group; max over mean
 )
 
