A failing test: configurations are in force after the store was restored from a copy

What callers see: after the store came back from an older copy, versions that it acknowledged are in force on no box, until its revisions pass those of before.

--- /dev/null
+++ b/local/restore_test.go
@@ -0,0 +1,153 @@
+package local_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"clovertrail.dev/local"
+	"clovertrail.dev/platform/standin"
+)
+
+// restore is one way in which the store comes back from an older copy.
+type restore struct {
+	name   string
+	lost   int           // versions acknowledged after the copy was taken
+	away   time.Duration // of the store, before it comes back
+	later  int           // changes after the restore and before the one that is judged
+	times  int           // restores in a row; 0 for one
+	header func(era uint64) []string
+	alone  bool // the boxes of one hall reach the store, those of the other only these
+	starts bool // a box is killed as the store comes back, and starts again
+	others bool // a target is listed over and over, so that revisions pass those of before at once
+}
+
+func evenEras(era uint64) []string {
+	if era%2 == 0 {
+		return []string{fmt.Sprint(era)}
+	}
+	return nil
+}
+
+var restores = []restore{
+	{name: "one version lost", lost: 1, away: time.Second},
+	{name: "eight versions lost", lost: 8, away: 2500 * time.Millisecond},
+	{name: "nothing lost", away: time.Second},
+	{name: "without an outage", lost: 4},
+	{name: "revisions have passed those of before", lost: 3, others: true},
+	{name: "the change that is judged passes the revisions of before", lost: 3, later: 3, away: time.Second},
+	{name: "twice in a row", lost: 5, times: 2, away: time.Second},
+	{name: "three times, each without an outage", lost: 3, times: 3},
+	{name: "answers never state the era", lost: 6, away: time.Second, header: func(uint64) []string { return nil }},
+	{name: "answers of the second era do not state it", lost: 6, away: time.Second, times: 2, header: func(era uint64) []string {
+		if era == 2 {
+			return nil
+		}
+		return []string{fmt.Sprint(era)}
+	}},
+	{name: "eras that are no numbers", lost: 6, away: time.Second, header: func(era uint64) []string { return []string{fmt.Sprint("era ", era)} }},
+	{name: "only some eras are stated", lost: 6, away: time.Second, times: 2, header: evenEras},
+	{name: "half of the boxes are cut off from the store", lost: 6, away: time.Second, alone: true},
+	{name: "a box starts as the store comes back", lost: 6, away: time.Second, starts: true},
+}
+
+// TestConfigurationIsInForceAfterARestore guards against acknowledged configurations that are
+// ignored, or reverted, because the store came back from an older copy and gives out again
+// revisions that boxes have seen, and against boxes that press the store with calls meanwhile.
+func TestConfigurationIsInForceAfterARestore(t *testing.T) {
+	for _, way := range restores {
+		t.Run(way.name, func(t *testing.T) {
+			sc := busy()
+			sc.seed, sc.length, sc.operate = 1, 0, way.operate
+			sc.run(t, func(_ *local.System, h *history) {
+				for _, f := range h.faults {
+					t.Error(f)
+				}
+			})
+		})
+	}
+}
+
+// callsMost bounds the calls of a box within the bound of a configuration, with several changes,
+// refusals and listings in it. One that asks without a pause makes hundreds.
+const callsMost = 60
+
+// storeTakes is how long an answer of the store takes.
+const storeTakes = 4 * time.Millisecond
+
+func (way restore) operate(s *local.System, h *history) {
+	s.Store.SetTrouble(standin.Sound, storeTakes)
+	if way.header != nil {
+		s.Store.SetEraHeader(way.header)
+	}
+	served := map[string]int{} // by life of a box
+	if way.alone {
+		s.Network.SetLink(s.Halls()[1], local.StoreHall, local.Refused)
+		defer s.Network.SetLink(s.Halls()[1], local.StoreHall, local.Open)
+	}
+	way.configure(s, h) // so that the copy holds one that is in force
+	for range max(way.times, 1) {
+		way.restore(s, h, served)
+		before := s.Store.Calls()
+		version := way.configure(s, h)
+		for range way.later {
+			version = way.configure(s, h)
+		}
+		time.Sleep(bounds().ConfigApply.Std())
+		if calls := s.Store.Calls() - before; calls > callsMost*len(s.Entries()) {
+			h.fault("%d calls to the store of %d boxes", calls, len(s.Entries()))
+		}
+		for _, e := range s.Entries() {
+			if r := (scenario{}).ask(s, h, e, standin.VersionPath(version)); !r.Right {
+				h.fault("%s answers %d on the route of version %d after the bound", e.Name(), r.Status, version)
+			}
+			served[e.Life()] = version
+		}
+	}
+}
+
+// restore takes a copy of the store, lets it lose versions, and brings the copy back.
+func (way restore) restore(s *local.System, h *history, served map[string]int) {
+	held := s.Store.Copy()
+	version := 0
+	for range way.lost {
+		version = way.configure(s, h)
+	}
+	time.Sleep(time.Second)
+	for _, e := range s.Entries() {
+		if version > 0 {
+			served[e.Life()] = version
+		}
+	}
+	s.Store.SetTrouble(standin.Silent, 0)
+	time.Sleep(way.away)
+	if way.starts {
+		e := s.Entries()[0]
+		e.Kill()
+		_ = e.Start() // it does not run, so that it can be started
+	}
+	s.Store.Restore(held)
+	for range 2 * way.lost {
+		if way.others {
+			_ = s.Targets()[0].ListAgain() // an object of the test's own, which the store takes
+		}
+	}
+	s.Store.SetTrouble(standin.Sound, storeTakes)
+	time.Sleep(way.away)
+	for _, e := range s.Entries() {
+		before := served[e.Life()]
+		if before > 0 && !(scenario{}).ask(s, h, e, standin.VersionPath(before)).Right {
+			h.fault("%s served version %d and does not know its route after the restore", e.Name(), before)
+		}
+	}
+}
+
+// configure writes the next version and gives boxes a moment to take it.
+func (way restore) configure(s *local.System, h *history) int {
+	version, err := s.Configure()
+	if err != nil {
+		h.fault("%v", err)
+	}
+	time.Sleep(100 * time.Millisecond)
+	return version
+}
