--- a/bench/slopes.go
+++ b/bench/slopes.go
@@ -10,6 +10,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"clovertrail.dev/catalog"
 	"clovertrail.dev/core/domain"
 	"clovertrail.dev/experts/rebalance"
 	"clovertrail.dev/mapswitch/orders"
@@ -17,6 +18,7 @@
 	"clovertrail.dev/mesh"
 	"clovertrail.dev/node/telling"
 	"clovertrail.dev/routing"
+	"clovertrail.dev/store"
 )
 
 // begin is when all measurements begin.
@@ -99,7 +101,8 @@
 	for i := range boxes {
 		b.Heard(begin, contact(i), "hall", membership.Level{}, false)
 	}
-	a := &mesh.Advert{Self: mesh.Contact{Box: "entry-hall-0", Address: "10.1.0.40:7340", Incarnation: domain.Incarnation(begin.UnixNano())}, Hall: "hall-1", Config: 90_000, Targets: 90_000}
+	far := store.PositionOf(3, 90_000)
+	a := &mesh.Advert{Self: mesh.Contact{Box: "entry-hall-0", Address: "10.1.0.40:7340", Incarnation: domain.Incarnation(begin.UnixNano())}, Hall: "hall-1", Config: catalog.Edition{Version: 90_000, At: far}, Targets: far, Era: far.Era()}
 	for c, ago := range b.Known(begin.Add(membership.NewFor), 16, 2) {
 		a.Known = append(a.Known, mesh.Contact{Box: c.Box, Address: c.Address, Incarnation: c.Incarnation, Ago: ago})
 	}
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -176,7 +176,7 @@
 		t.Error("a holder that met nothing has a catalog")
 	}
 	for i, tc := range tests {
-		moved, err := h.Offer([]byte(tc.raw), tc.rev, decode)
+		moved, err := h.Offer([]byte(tc.raw), store.PositionOf(1, tc.rev), decode)
 		if moved != tc.moved || (err != nil) != tc.fails {
 			t.Errorf("%d: moved %v, %v", i, moved, err)
 		}
@@ -196,3 +196,43 @@
 	fmt.Println(found.Name(), ok)
 	// Output: advice true
 }
+
+// TestAnOlderCopyDoesNotRevertTheConfiguration guards against an earlier version that comes into
+// force because the store, restored from a copy, has it at a later position.
+func TestAnOlderCopyDoesNotRevertTheConfiguration(t *testing.T) {
+	steps := []struct {
+		version catalog.Version
+		at      store.Position
+		moved   bool
+	}{
+		{88, store.PositionOf(1, 63), true},
+		{86, store.PositionOf(2, 60), false}, // the copy
+		{88, store.PositionOf(2, 61), false}, // written again
+		{90, store.PositionOf(2, 62), true},
+		{89, store.PositionOf(1, 64), false}, // a late answer
+		{88, store.PositionOf(3, 10), false},
+		{90, store.PositionOf(3, 11), false},
+		{92, store.PositionOf(3, 12), true},
+		{96, store.PositionOf(0, 5), true}, // no era is known
+	}
+	decode := func(raw []byte) (*catalog.Catalog, error) {
+		var v catalog.Version
+		_, err := fmt.Sscan(string(raw), &v)
+		if err != nil {
+			return nil, err
+		}
+		return catalog.New(catalog.Document{Version: v})
+	}
+	var h catalog.Holder
+	highest := catalog.Version(0)
+	for _, s := range steps {
+		moved, err := h.Offer([]byte(fmt.Sprint(s.version)), s.at, decode)
+		if err != nil || moved != s.moved {
+			t.Errorf("version %d at %v: in force %v, %v", s.version, s.at, moved, err)
+		}
+		highest = max(highest, s.version)
+		if v := h.Current().Version(); v != highest && s.version != 89 {
+			t.Errorf("version %d in force after %d", v, highest)
+		}
+	}
+}
--- a/cli/status.go
+++ b/cli/status.go
@@ -45,7 +45,7 @@
 		if err != nil {
 			return err
 		}
-		_, _ = fmt.Fprintf(a.out, "configuration %d, revision %d\n\n", d.Version(), r.Revision)
+		_, _ = fmt.Fprintf(a.out, "configuration %d, revision %d\n\n", d.Version(), r.At.Revision())
 	}
 	t := table{head: []string{"TARGET", "SERVICE", "HALL", "STATE", "ADDRESS", "GROUP", "RANK"}}
 	for _, r := range targets.Records {
--- a/membership/asked_test.go
+++ b/membership/asked_test.go
@@ -59,7 +59,7 @@
 	for i := range targets {
 		id := fmt.Sprintf("t-%d", i)
 		rank := &domain.Rank{Group: "g", Number: i, Size: targets, Open: true}
-		r.Changed(start, membership.News{ID: domain.InstanceID(id), Revision: 1, Target: target(id, domain.TargetReady, rank)})
+		r.Changed(start, membership.News{ID: domain.InstanceID(id), At: pos(1), Target: target(id, domain.TargetReady, rank)})
 		if i < resting {
 			for range 8 { // enough for an ejection
 				r.Failed(start, domain.InstanceID(id))
--- a/membership/boxes.go
+++ b/membership/boxes.go
@@ -5,6 +5,7 @@
 	"sort"
 	"time"
 
+	"clovertrail.dev/catalog"
 	"clovertrail.dev/core/domain"
 	"clovertrail.dev/store"
 )
@@ -22,8 +23,17 @@
 
 // Level is how far a box knows what the store holds.
 type Level struct {
-	Config  store.Revision // of the configuration in force there
-	Targets store.Revision // of the last change of a target that it knows
+	Config  catalog.Edition // of the configuration in force there
+	Targets store.Position  // of the last change of a target that it knows
+}
+
+// later has the later configuration and the later list of the two.
+func (l Level) later(other Level) Level {
+	if other.Config.After(l.Config) {
+		l.Config = other.Config
+	}
+	l.Targets = store.Later(l.Targets, other.Targets)
+	return l
 }
 
 // Boxes are the other entry boxes as one of them sees them: whom to tell news, whom
@@ -82,7 +92,7 @@
 		p.level, p.newAt, p.share = Level{}, now, Share{}
 	}
 	p.contact, p.hall, p.leaving = c, hall, leaving
-	p.level = Level{Config: max(p.level.Config, l.Config), Targets: max(p.level.Targets, l.Targets)}
+	p.level = p.level.later(l)
 	p.directAt, p.heardAt = now, now
 }
 
@@ -241,7 +251,9 @@
 	return false
 }
 
-func (l Level) ahead(own Level) bool { return l.Config > own.Config || l.Targets > own.Targets }
+func (l Level) ahead(own Level) bool {
+	return l.Config.After(own.Config) || l.Targets.After(own.Targets)
+}
 
 // In are the boxes of the data hall that were lately heard of and are not leaving, in an
 // order that chance changes. Boxes of other halls seldom hear each other directly, so
--- a/membership/boxes_test.go
+++ b/membership/boxes_test.go
@@ -6,8 +6,10 @@
 	"testing"
 	"time"
 
+	"clovertrail.dev/catalog"
 	"clovertrail.dev/core/domain"
 	"clovertrail.dev/membership"
+	"clovertrail.dev/store"
 )
 
 var start = time.Unix(1_800_000_000, 0)
@@ -38,12 +40,12 @@
 
 func TestAskingWaitsForTheStoreAndThenAsksWhoKnowsMore(t *testing.T) {
 	b := newBoxes()
-	own := membership.Level{Config: 5, Targets: 7}
+	own := membership.Level{Config: edition(5), Targets: pos(7)}
 	b.Heard(start, contact("level", 1), "near", own, false)
 	if b.Behind(own) {
 		t.Error("behind a box that knows as much")
 	}
-	b.Heard(start, contact("ahead", 1), "near", membership.Level{Config: 5, Targets: 8}, false)
+	b.Heard(start, contact("ahead", 1), "near", membership.Level{Config: edition(5), Targets: pos(8)}, false)
 	if !b.Behind(own) {
 		t.Error("not behind")
 	}
@@ -61,13 +63,13 @@
 
 func TestARestartedBoxIsNotTakenForWhatItKnewBefore(t *testing.T) {
 	b := newBoxes()
-	own := membership.Level{Config: 5}
-	b.Heard(start, contact("a", 1), "near", membership.Level{Config: 9}, false)
+	own := membership.Level{Config: edition(5)}
+	b.Heard(start, contact("a", 1), "near", membership.Level{Config: edition(9)}, false)
 	b.Heard(start, contact("a", 2), "near", membership.Level{}, false)
 	if b.Behind(own) {
 		t.Error("still ahead after it started again")
 	}
-	b.Heard(start, contact("a", 1), "near", membership.Level{Config: 9}, false)
+	b.Heard(start, contact("a", 1), "near", membership.Level{Config: edition(9)}, false)
 	if b.Behind(own) {
 		t.Error("the word of its earlier start counts")
 	}
@@ -154,3 +156,8 @@
 		t.Errorf("it knows %d of the 20 boxes of its hall", n)
 	}
 }
+
+// edition is that of the version, as the store has it at the revision of the same number.
+func edition(v catalog.Version) catalog.Edition {
+	return catalog.Edition{Version: v, At: pos(store.Revision(v))}
+}
--- a/membership/roster.go
+++ b/membership/roster.go
@@ -78,12 +78,12 @@
 // entry is what is known of the latest start under one listed id.
 type entry struct {
 	target   domain.Target
-	revision store.Revision
-	goneAt   time.Time // zero while it is listed
-	grace    time.Time // until when it may be used although it is gone
-	replaced bool      // another instance answered at its address
-	leftAt   time.Time // when this box learned that it says it is leaving; zero if it does not
-	restTo   time.Time // until when it wants nothing from this box
+	at       store.Position // of its last change
+	goneAt   time.Time      // zero while it is listed
+	grace    time.Time      // until when it may be used although it is gone
+	replaced bool           // another instance answered at its address
+	leftAt   time.Time      // when this box learned that it says it is leaving; zero if it does not
+	restTo   time.Time      // until when it wants nothing from this box
 	health   health
 	own      domain.Rank // its own word of its group
 	ownAt    time.Time
@@ -93,14 +93,14 @@
 // Roster is the set of targets as one entry box sees it, each named by its
 // instance. It merges the platform's list, what other boxes say of the list, what
 // targets say of themselves, and how attempts end. News of a listed id is ordered by
-// when the start was born that it speaks of and, within one start, by the store's
-// revisions, so that it does not matter from whom and in which order it comes: an entry
+// when the start was born that it speaks of and, within one start, by positions of the
+// store, so that it does not matter from whom and in which order it comes: an entry
 // that a start wrote and that reaches the store late says nothing of the next one. It
 // is not safe for concurrent use.
 type Roster struct {
 	policy    RosterPolicy
-	at        store.Revision // up to which the list is known
-	newest    store.Revision // of the last change in it
+	at        store.Position // up to which the list is known
+	newest    store.Position // of the last change in it
 	entries   map[domain.ListedID]*entry
 	byService map[domain.ServiceName]*health
 	heardAt   time.Time // when any target spoke for itself last
@@ -121,11 +121,11 @@
 	}
 }
 
-// At is the revision up to which the list is known.
-func (r *Roster) At() store.Revision { return r.at }
+// At is the position up to which the list is known.
+func (r *Roster) At() store.Position { return r.at }
 
-// Newest is the revision of the last change that is known.
-func (r *Roster) Newest() store.Revision { return r.newest }
+// Newest is the position of the last change that is known.
+func (r *Roster) Newest() store.Position { return r.newest }
 
 // StoreTroubled tells that the store is away, or was until now.
 func (r *Roster) StoreTroubled(now time.Time) { r.storeBack = now }
@@ -135,19 +135,19 @@
 type News struct {
 	// ID is the start that the entry speaks of. Where there is no target it may be no
 	// more than the listed id, and speaks of whichever start stands under that.
-	ID       domain.InstanceID
-	Revision store.Revision
-	Target   *domain.Target // nil if there is none
+	ID     domain.InstanceID
+	At     store.Position
+	Target *domain.Target // nil if there is none
 	// Unusable tells that the entry is there and names no target to use: it came from
 	// another writer, or cannot be read. The target is used no more at once, also while the
 	// store is in trouble.
 	Unusable bool
 }
 
-// Listed takes the whole list as it was at the revision. A list older than what is
+// Listed takes the whole list as it was at the position. A list older than what is
 // known is passed over. It returns the news in it.
-func (r *Roster) Listed(now time.Time, at store.Revision, list []News) []News {
-	if at < r.at {
+func (r *Roster) Listed(now time.Time, at store.Position, list []News) []News {
+	if r.at.After(at) {
 		return nil
 	}
 	present := make(map[domain.ListedID]bool, len(list))
@@ -157,18 +157,18 @@
 		fresh = append(fresh, r.Changed(now, n)...)
 	}
 	for id, e := range r.entries {
-		if !present[id] && e.goneAt.IsZero() && e.revision <= at {
-			fresh = append(fresh, r.Changed(now, News{ID: domain.InstanceID(id), Revision: at})...)
+		if !present[id] && e.goneAt.IsZero() && !e.at.After(at) {
+			fresh = append(fresh, r.Changed(now, News{ID: domain.InstanceID(id), At: at})...)
 		}
 	}
-	r.at = max(r.at, at)
+	r.at = store.Later(r.at, at)
 	r.forget(now)
 	return fresh
 }
 
 // Changed takes one change of the list, and returns it if it was news.
 func (r *Roster) Changed(now time.Time, n News) []News {
-	r.at, r.newest = max(r.at, n.Revision), max(r.newest, n.Revision)
+	r.at, r.newest = store.Later(r.at, n.At), store.Later(r.newest, n.At)
 	e, known := r.entries[n.ID.Listed()]
 	if !known {
 		e = &entry{}
@@ -180,13 +180,13 @@
 	if known && !e.before(n) {
 		return nil
 	}
-	e.revision = max(e.revision, n.Revision)
+	e.at = store.Later(e.at, n.At)
 	if n.Target == nil {
 		r.vanish(now, e, n.Unusable)
 		return []News{n}
 	}
 	if e.target.ID() != n.Target.ID() {
-		*e = entry{revision: e.revision} // nothing of the start before holds for this one
+		*e = entry{at: e.at} // nothing of the start before holds for this one
 	}
 	e.target = *n.Target
 	e.goneAt, e.grace = time.Time{}, time.Time{}
@@ -194,12 +194,12 @@
 }
 
 // before tells that what is known comes before the news: that speaks of a later start, or
-// of the same at a later revision. The entry of an earlier start that reached the store
+// of the same at a later position. The entry of an earlier start that reached the store
 // late is passed over.
 func (e *entry) before(n News) bool {
 	born, own := n.ID.Born(), e.target.ID().Born()
-	if n.Target == nil || born == own || !e.goneAt.IsZero() && n.Revision < e.revision {
-		return n.Revision > e.revision
+	if n.Target == nil || born == own || !e.goneAt.IsZero() && e.at.After(n.At) {
+		return n.At.After(e.at)
 	}
 	return born > own
 }
@@ -233,8 +233,8 @@
 	}
 }
 
-// CaughtUp tells that all changes up to the revision have been taken.
-func (r *Roster) CaughtUp(at store.Revision) { r.at = max(r.at, at) }
+// CaughtUp tells that all changes up to the position have been taken.
+func (r *Roster) CaughtUp(at store.Position) { r.at = store.Later(r.at, at) }
 
 // Reported takes a target's own word, spoken at the time, of its place in a group, of
 // the last step that the group has begun, and of whether it has requests to work on. It
@@ -328,7 +328,7 @@
 	for _, e := range r.entries {
 		if e.goneAt.IsZero() {
 			t := e.target
-			list = append(list, News{ID: t.ID(), Revision: e.revision, Target: &t})
+			list = append(list, News{ID: t.ID(), At: e.at, Target: &t})
 		}
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
--- a/membership/roster_test.go
+++ b/membership/roster_test.go
@@ -30,15 +30,15 @@
 }
 
 func ready(id string, rev store.Revision) membership.News {
-	return membership.News{ID: domain.InstanceID(id), Revision: rev, Target: target(id, domain.TargetReady, nil)}
+	return membership.News{ID: domain.InstanceID(id), At: pos(rev), Target: target(id, domain.TargetReady, nil)}
 }
 
 func leaving(id string, rev store.Revision) membership.News {
-	return membership.News{ID: domain.InstanceID(id), Revision: rev, Target: target(id, domain.TargetLeaving, nil)}
+	return membership.News{ID: domain.InstanceID(id), At: pos(rev), Target: target(id, domain.TargetLeaving, nil)}
 }
 
 func gone(id string, rev store.Revision) membership.News {
-	return membership.News{ID: domain.InstanceID(id), Revision: rev}
+	return membership.News{ID: domain.InstanceID(id), At: pos(rev)}
 }
 
 // standings are those of the service's targets, by id; leaving ones are left out.
@@ -84,20 +84,20 @@
 
 func TestAListTakesAwayWhatIsNotInIt(t *testing.T) {
 	r := newRoster()
-	r.Listed(start, 10, []membership.News{ready("a", 1), ready("b", 2)})
-	fresh := r.Listed(start, 20, []membership.News{ready("b", 2), ready("c", 15)})
+	r.Listed(start, pos(10), []membership.News{ready("a", 1), ready("b", 2)})
+	fresh := r.Listed(start, pos(20), []membership.News{ready("b", 2), ready("c", 15)})
 	if len(fresh) != 2 { // c came, a went
 		t.Errorf("news: %+v", fresh)
 	}
 	if mayBeUsed(r, start, "a") || !mayBeUsed(r, start, "b") || !mayBeUsed(r, start, "c") {
 		t.Errorf("got %v", standings(r, start))
 	}
-	if r.Listed(start, 15, []membership.News{ready("a", 1)}) != nil {
+	if r.Listed(start, pos(15), []membership.News{ready("a", 1)}) != nil {
 		t.Error("an older list brought news")
 	}
 	r.Changed(start, ready("d", 30)) // known from a peer, past the next list
-	r.Listed(start, 30, nil)
-	r.Listed(start, 25, nil)
+	r.Listed(start, pos(30), nil)
+	r.Listed(start, pos(25), nil)
 	if mayBeUsed(r, start, "b") {
 		t.Error("an empty list left a target")
 	}
@@ -215,7 +215,7 @@
 func group(r *membership.Roster, rev store.Revision, epoch uint64, open bool) {
 	for i, id := range []string{"r0", "r1"} {
 		rank := &domain.Rank{Group: "g", Epoch: epoch, Number: i, Size: 2, Open: open}
-		r.Changed(start, membership.News{ID: domain.InstanceID(id), Revision: rev + store.Revision(i), Target: target(id, domain.TargetReady, rank)})
+		r.Changed(start, membership.News{ID: domain.InstanceID(id), At: pos(rev + store.Revision(i)), Target: target(id, domain.TargetReady, rank)})
 	}
 }
 
@@ -308,7 +308,7 @@
 		if err != nil {
 			panic(err) // the fields are constant
 		}
-		r.Changed(now, membership.News{ID: t.ID(), Revision: store.Revision(i + 1), Target: &t})
+		r.Changed(now, membership.News{ID: t.ID(), At: pos(store.Revision(i + 1)), Target: &t})
 		r.Reported(now, t.ID(), domain.Rank{}, 1, true)
 	}
 }
@@ -428,3 +428,6 @@
 		t.Error("it spoke again and is not used")
 	}
 }
+
+// pos is the position of the revision in the first era.
+func pos(rev store.Revision) store.Position { return store.PositionOf(1, rev) }
--- a/membership/starts_test.go
+++ b/membership/starts_test.go
@@ -24,12 +24,12 @@
 // born is news of a start of "a".
 func born(at domain.Born, state domain.TargetState, rev store.Revision) membership.News {
 	id := startOf(at)
-	return membership.News{ID: id, Revision: rev, Target: target(string(id), state, nil)}
+	return membership.News{ID: id, At: pos(rev), Target: target(string(id), state, nil)}
 }
 
 // unusable is an entry of "a" that names no target, at revision 2.
 func unusable() membership.News {
-	return membership.News{ID: "a", Revision: 2, Unusable: true}
+	return membership.News{ID: "a", At: pos(2), Unusable: true}
 }
 
 func TestNewsOfAnEarlierStartSaysNothingOfALaterOne(t *testing.T) {
@@ -106,7 +106,7 @@
 	if mayBeUsed(r, start, "a") {
 		t.Error("used as if its entry had lapsed with the store")
 	}
-	fresh := r.Listed(start, 5, []membership.News{unusable(), ready("b", 3)})
+	fresh := r.Listed(start, pos(5), []membership.News{unusable(), ready("b", 3)})
 	if len(fresh) != 1 || mayBeUsed(r, start, "a") || !mayBeUsed(r, start, "b") {
 		t.Errorf("a listing says otherwise than a change: %v", fresh)
 	}
--- a/mesh/fuzz_test.go
+++ b/mesh/fuzz_test.go
@@ -20,7 +20,7 @@
 		&mesh.Advert{Self: mesh.Contact{Box: "b"}, Complaints: []mesh.Complaint{{Target: "t", By: "b", Ago: 5}}, Works: []mesh.WorkWord{{Digest: "d", Target: "t", Ago: 5}}, Limits: []mesh.LimitWord{{Target: "t", Ago: 5}}},
 		&mesh.PermitQuery{Service: "s", Wants: []mesh.LimitWord{{Target: "t", Ago: 5}}},
 		&mesh.PermitReply{Issuer: true, Target: "t", Permits: 2, Turns: []mesh.PermitTurn{{Target: "u", In: 5}}},
-		&mesh.Pulled{At: 3, Targets: []mesh.TargetNews{{ID: "t", Revision: 2, Target: &domain.TargetFields{ID: "t"}}}},
+		&mesh.Pulled{At: pos(3), Targets: []mesh.TargetNews{{ID: "t", At: pos(2), Target: &domain.TargetFields{ID: "t"}}}},
 		&mesh.RankReport{Group: "g", Size: 2, Picked: mesh.Pack([]uint64{3, 1000})},
 		&mesh.Gathered{Ranks: []mesh.RankWord{{Rank: 1, Held: &hold}}, Picked: mesh.Pack([]uint64{1})},
 		&mesh.HallReport{Targets: []mesh.Sighting{{ID: "t"}}},
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -8,10 +8,12 @@
 	"testing"
 	"time"
 
+	"clovertrail.dev/catalog"
 	"clovertrail.dev/core/domain"
 	"clovertrail.dev/mapswitch/orders"
 	"clovertrail.dev/membership"
 	"clovertrail.dev/mesh"
+	"clovertrail.dev/store"
 )
 
 // serve runs a server with the handlers and gives its address.
@@ -60,8 +62,8 @@
 	})
 	address, client := serve(t, m), newClient(t)
 	for range 3 { // over a kept connection too
-		got, err := mesh.Call[mesh.Advert, mesh.Advert](within(t), client, address, mesh.Meet, &mesh.Advert{Hall: "near", Config: 7})
-		if err != nil || got.Hall != "near!" || got.Config != 7 {
+		got, err := mesh.Call[mesh.Advert, mesh.Advert](within(t), client, address, mesh.Meet, &mesh.Advert{Hall: "near", Config: catalog.Edition{Version: 7, At: pos(8)}, Era: 1})
+		if err != nil || got.Hall != "near!" || got.Config != (catalog.Edition{Version: 7, At: pos(8)}) || got.Era != 1 {
 			t.Fatalf("got %+v, %v", got, err)
 		}
 	}
@@ -106,8 +108,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	news := []membership.News{{ID: "i-1", Revision: 9, Target: &target}, {ID: "i-2", Revision: 10}}
-	p := &mesh.Pulled{At: 10, Targets: mesh.ListOf(news)}
+	news := []membership.News{{ID: "i-1", At: pos(9), Target: &target}, {ID: "i-2", At: pos(10)}}
+	p := &mesh.Pulled{At: pos(10), Targets: mesh.ListOf(news)}
 	back, err := p.News()
 	if err != nil || !reflect.DeepEqual(back, news) {
 		t.Errorf("got %+v, %v", back, err)
@@ -117,3 +119,6 @@
 		t.Error("a target without an address was taken")
 	}
 }
+
+// pos is the position of the revision in the first era.
+func pos(rev store.Revision) store.Position { return store.PositionOf(1, rev) }
--- a/mesh/messages.go
+++ b/mesh/messages.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"clovertrail.dev/catalog"
 	"clovertrail.dev/core/call"
 	"clovertrail.dev/core/domain"
 	"clovertrail.dev/experts/rebalance"
@@ -53,10 +54,12 @@
 	Self    Contact         `json:"self"`
 	Hall    domain.HallName `json:"hall"`
 	Leaving bool            `json:"leaving,omitempty"`
-	// Config is the revision of its configuration; Targets that of the last change of
-	// a target that it knows.
-	Config  store.Revision `json:"config"`
-	Targets store.Revision `json:"targets"`
+	// Config is the edition of its configuration; Targets the position of the last change
+	// of a target that it knows.
+	Config  catalog.Edition `json:"config"`
+	Targets store.Position  `json:"targets"`
+	// Era is the latest era of the store that it knows of.
+	Era store.Era `json:"era,omitempty"`
 	// Remembered is the incarnation under which the sender of an answer knew the asker
 	// before, so that one that started again can come after it.
 	Remembered domain.Incarnation `json:"remembered,omitempty"`
@@ -100,27 +103,27 @@
 
 // PullQuery tells what the asker has.
 type PullQuery struct {
-	Config  store.Revision `json:"config"`
-	Targets store.Revision `json:"targets"`
+	Config  catalog.Edition `json:"config"`
+	Targets store.Position  `json:"targets"`
 }
 
 // Document is the configuration as the store keeps it.
 type Document struct {
-	Revision store.Revision `json:"revision"`
-	Raw      []byte         `json:"raw"`
+	At  store.Position `json:"at"`
+	Raw []byte         `json:"raw"`
 }
 
 // TargetNews is a line of a list of targets.
 type TargetNews struct {
-	ID       domain.InstanceID    `json:"id"`
-	Revision store.Revision       `json:"revision"`
-	Target   *domain.TargetFields `json:"target,omitempty"` // nil if it is gone
+	ID     domain.InstanceID    `json:"id"`
+	At     store.Position       `json:"at"`
+	Target *domain.TargetFields `json:"target,omitempty"` // nil if it is gone
 }
 
 // Pulled is what is newer than what the asker has.
 type Pulled struct {
 	Config  *Document      `json:"config,omitempty"`
-	At      store.Revision `json:"at"` // of the targets; 0 if the asker has them all
+	At      store.Position `json:"at"` // of the targets; zero if the asker has them all
 	Targets []TargetNews   `json:"targets,omitempty"`
 }
 
@@ -128,7 +131,7 @@
 func ListOf(news []membership.News) []TargetNews {
 	list := make([]TargetNews, 0, len(news))
 	for _, n := range news {
-		t := TargetNews{ID: n.ID, Revision: n.Revision}
+		t := TargetNews{ID: n.ID, At: n.At}
 		if n.Target != nil {
 			f := n.Target.Fields()
 			t.Target = &f
@@ -142,7 +145,7 @@
 func (p *Pulled) News() ([]membership.News, error) {
 	list := make([]membership.News, 0, len(p.Targets))
 	for _, t := range p.Targets {
-		n := membership.News{ID: t.ID, Revision: t.Revision}
+		n := membership.News{ID: t.ID, At: t.At}
 		if t.Target != nil {
 			target, err := domain.NewTarget(*t.Target)
 			if err != nil {
--- a/node/adverts.go
+++ b/node/adverts.go
@@ -10,6 +10,7 @@
 	"clovertrail.dev/membership"
 	"clovertrail.dev/mesh"
 	"clovertrail.dev/routing"
+	"clovertrail.dev/store"
 )
 
 // What boxes say in adverts, and how they take it.
@@ -33,7 +34,7 @@
 	a := &mesh.Advert{
 		Self: contactOf(p.self, 0), Hall: domain.HallName(p.entry.settings().Hall), Leaving: p.entry.gateway.Leaving(),
 		Config: own.Config, Targets: own.Targets, News: news,
-		Complaints: complaints, Leavers: leavers, Works: works,
+		Era: p.entry.timeline.latest().Era(), Complaints: complaints, Leavers: leavers, Works: works,
 		Limits: limits, Blank: !p.briefed,
 	}
 	if limited {
@@ -96,8 +97,8 @@
 
 // level is how far this box knows what the store holds.
 func (p *peering) level() membership.Level {
-	_, config := p.entry.belief.document()
-	l := membership.Level{Config: config}
+	_, edition := p.entry.belief.document()
+	l := membership.Level{Config: edition}
 	p.entry.fleet.with(func(r *membership.Roster, _ *routing.Balancer) { l.Targets = r.Newest() })
 	return l
 }
@@ -130,6 +131,7 @@
 // which it asks.
 func (p *peering) heard(a *mesh.Advert) {
 	now := clock.Now()
+	p.entry.timeline.observe(store.PositionOf(a.Era, 0), "peer "+string(a.Self.Box))
 	own := p.level()
 	p.complained(now, a.Complaints)
 	for _, id := range a.Leavers {
--- a/node/belief.go
+++ b/node/belief.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"bytes"
 	"sync"
 
 	"clovertrail.dev/catalog"
@@ -28,51 +29,51 @@
 }
 
 // configuration takes a document from the source.
-func (b *belief) configuration(raw []byte, rev store.Revision, source string) {
+func (b *belief) configuration(raw []byte, at store.Position, source string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	before := b.holder.Revision()
-	moved, err := b.holder.Offer(raw, rev, platform.DecodeConfiguration)
+	before := b.holder.Edition()
+	moved, err := b.holder.Offer(raw, at, platform.DecodeConfiguration)
 	switch {
 	case err != nil:
-		b.common.Log.Error("configuration not taken", "revision", rev, "source", source, "in_force", before, "err", err)
+		b.common.Log.Error("configuration not taken", "at", at, "source", source, "in_force", before.Version, "err", err)
 	case moved:
 		c := b.holder.Current()
 		b.common.Metrics.Count(telemetry.ConfigApplied, source, 1)
 		b.common.Metrics.Set(telemetry.ConfigSeq, "", float64(c.Version()))
-		b.common.Log.Info("configuration in force", "version", c.Version(), "revision", rev, "source", source, "before", before)
+		b.common.Log.Info("configuration in force", "version", c.Version(), "at", at, "source", source, "before", before.Version)
 		b.adopt(c)
 		b.moved()
-	case rev < before:
-		b.common.Log.Warn("configuration ignored, a later revision is in force", "revision", rev, "source", source, "in_force", before)
+	case !bytes.Equal(raw, b.holder.Raw()):
+		b.common.Log.Warn("configuration ignored, a later one is in force", "at", at, "source", source, "in_force", before.Version)
 	}
 }
 
 // document is the configuration in force as the store keeps it.
-func (b *belief) document() ([]byte, store.Revision) {
+func (b *belief) document() ([]byte, catalog.Edition) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.holder.Raw(), b.holder.Revision()
+	return b.holder.Raw(), b.holder.Edition()
 }
 
 // targets takes the whole list of targets.
-func (b *belief) targets(at store.Revision, news []membership.News, source string) {
+func (b *belief) targets(at store.Position, news []membership.News, source string) {
 	now := clock.Now()
 	var fresh []membership.News
-	var known store.Revision
+	var known store.Position
 	b.fleet.with(func(r *membership.Roster, _ *routing.Balancer) {
 		known = r.At()
 		fresh = r.Listed(now, at, news)
 	})
-	if at < known {
-		b.common.Log.Warn("list of targets ignored, a later revision is known", "revision", at, "source", source, "known", known)
+	if known.After(at) {
+		b.common.Log.Warn("list of targets ignored, a later one is known", "at", at, "source", source, "known", known)
 	}
 	b.fleet.forget(now)
 	b.logNews(fresh, source)
 }
 
 // changes takes changes of the list of targets.
-func (b *belief) changes(at store.Revision, news []membership.News, source string) {
+func (b *belief) changes(at store.Position, news []membership.News, source string) {
 	now := clock.Now()
 	var fresh []membership.News
 	b.fleet.with(func(r *membership.Roster, _ *routing.Balancer) {
@@ -91,11 +92,11 @@
 	}
 	for _, n := range fresh {
 		if n.Target == nil {
-			b.common.Log.Info("target gone", "target", n.ID, "revision", n.Revision, "source", source, "unusable", n.Unusable)
+			b.common.Log.Info("target gone", "target", n.ID, "at", n.At, "source", source, "unusable", n.Unusable)
 			continue
 		}
 		t := *n.Target
-		attrs := []any{"target", n.ID, "state", t.State(), "service", t.Service(), "address", t.Address(), "revision", n.Revision, "source", source}
+		attrs := []any{"target", n.ID, "state", t.State(), "service", t.Service(), "address", t.Address(), "at", n.At, "source", source}
 		if g, ok := t.Rank(); ok {
 			attrs = append(attrs, "group", g.Group, "epoch", g.Epoch, "rank", g.Number, "open", g.Open)
 		}
@@ -108,7 +109,7 @@
 func (b *belief) decodeTargets(events []store.Event) []membership.News {
 	var list []membership.News
 	for _, e := range events {
-		n := membership.News{ID: domain.InstanceID(e.Record.Name), Revision: e.Record.Revision}
+		n := membership.News{ID: domain.InstanceID(e.Record.Name), At: e.Record.At}
 		if !e.Removed {
 			n = b.decodeTarget(n, e.Record)
 		}
@@ -120,7 +121,7 @@
 func (b *belief) decodeTarget(n membership.News, r store.Record) membership.News {
 	t, err := platform.DecodeTarget(r)
 	if err != nil {
-		b.common.Log.Error("target not taken", "target", r.Name, "revision", r.Revision, "err", err)
+		b.common.Log.Error("target not taken", "target", r.Name, "at", r.At, "err", err)
 		n.Unusable = true
 		return n
 	}
--- a/node/entry.go
+++ b/node/entry.go
@@ -42,7 +42,7 @@
 	surveying *surveying
 
 	quarantine *quarantining
-	eras       *eras
+	timeline   *timeline
 	limiting   *limiting
 
 	standings map[domain.InstanceID]membership.Standing // as they were last logged; judge's own
@@ -57,7 +57,7 @@
 	e.pool = transport.NewPool(n.Dial, transport.DefaultSettings())
 	e.mesh = mesh.NewClient(n.Dial)
 	e.engines = process.HTTPClient(n)
-	e.eras = &eras{common: c}
+	e.timeline = &timeline{common: c}
 	e.quarantine = newQuarantining(c,
 		func() { e.peering.tell() },
 		func() bool { return e.peering.isolated(clock.Now()) })
@@ -117,7 +117,10 @@
 	}
 	go e.peering.run(ctx)
 	e.common.Log.Info("started", "hall", e.settings().Hall, "callers", e.settings().Callers, "peers", e.settings().Peers, "store", e.settings().Store)
-	kept := platform.NewStore(e.settings().Store, process.HTTPClient(e.network), e.eras.stated)
+	kept := completing{
+		Shelf:    platform.NewStore(e.settings().Store, process.HTTPClient(e.network), e.timeline.stated),
+		timeline: e.timeline,
+	}
 	e.follow(ctx, kept)
 	go e.quarantine.run(ctx, kept, e.settings().FirstStart)
 	go e.sweep(ctx)
--- a/node/following.go
+++ b/node/following.go
@@ -29,7 +29,8 @@
 	lost     func()                    // called while the store does not answer
 	among    func() (boxes, place int) // that tell each other what they learn
 	told     func() bool               // another box follows the store for this one
-	known    func() store.Revision     // up to which the kind is known here, from whomever
+	known    func() store.Position     // up to which the kind is known here, from whomever
+	era      func() store.Era          // the latest that this box has learned of
 	wasLost  bool
 	well     atomic.Bool // the store answered last
 }
@@ -70,6 +71,7 @@
 		f.follower.Among(boxes, place)
 		f.follower.Told(f.told())
 		f.follower.CaughtUp(f.known())
+		f.follower.Learned(f.era())
 		switch c := f.follower.Next(clock.Now()).(type) {
 		case follow.List:
 			f.list(ctx)
@@ -97,15 +99,14 @@
 	defer cancel()
 	given := make(chan struct{})
 	defer close(given)
-	go f.mind(given, cancel, began)
+	go f.mind(given, cancel, began, w)
 	c, err := f.feed.Watch(watching, f.kind, w.Since, w.Wait)
 	if err != nil && watching.Err() != nil && ctx.Err() == nil {
 		c, err = store.Changes{At: w.Since}, nil // it was given up, which is no fault of the store's
 	}
 	f.called("watch", began, err)
 	now := clock.Now()
-	f.follower.Watched(now, c.At, err)
-	if err == nil && len(c.Events) > 0 {
+	if f.follower.Watched(now, c.At, err) && len(c.Events) > 0 {
 		f.follower.Changed(now)
 		f.changed(c)
 	}
@@ -115,8 +116,10 @@
 const mindEvery = 250 * time.Millisecond
 
 // mind gives a watch up that was to wait long since many boxes share the watching, once
-// too few of them are left: nobody would tell this box that it was silently dropped.
-func (f *following) mind(given <-chan struct{}, cancel context.CancelFunc, began time.Time) {
+// too few of them are left: nobody would tell this box that it was silently dropped. It gives one
+// up, too, that was begun before the store was restored.
+func (f *following) mind(given <-chan struct{}, cancel context.CancelFunc, began time.Time, w follow.Watch) {
+	era := f.era()
 	look := time.NewTicker(mindEvery)
 	defer look.Stop()
 	for {
@@ -126,7 +129,8 @@
 		case <-look.C:
 		}
 		boxes, _ := f.among()
-		if clock.Since(began) > f.pace.WaitAmong(boxes)+mindEvery {
+		restored := f.era() > era || f.known().Era() > w.Since.Era()
+		if restored || clock.Since(began) > f.pace.WaitAmong(boxes)+mindEvery {
 			cancel()
 			return
 		}
@@ -165,7 +169,7 @@
 func (e *Entry) followConfiguration(feed store.Feed) *following {
 	take := func(r store.Record) {
 		if r.Name == platform.Configuration {
-			e.belief.configuration(r.Spec, r.Revision, "store")
+			e.belief.configuration(r.Spec, r.At, "store")
 		}
 	}
 	f := e.following(feed, platform.Configurations)
@@ -182,9 +186,9 @@
 		}
 	}
 	f.lost = func() {}
-	f.known = func() store.Revision {
-		_, at := e.belief.document()
-		return at
+	f.known = func() store.Position {
+		_, edition := e.belief.document()
+		return edition.At
 	}
 	return f
 }
@@ -198,14 +202,14 @@
 			events = append(events, store.Event{Record: r})
 		}
 		if l.Nameless > 0 {
-			e.common.Log.Error("records without a name", "kind", platform.Targets, "records", l.Nameless, "revision", l.At)
+			e.common.Log.Error("records without a name", "kind", platform.Targets, "records", l.Nameless, "at", l.At)
 		}
 		e.belief.targets(l.At, e.belief.decodeTargets(events), "store")
 	}
 	f.changed = func(c store.Changes) {
 		e.belief.changes(c.At, e.belief.decodeTargets(c.Events), "store")
 	}
-	f.known = func() (at store.Revision) {
+	f.known = func() (at store.Position) {
 		e.fleet.with(func(r *membership.Roster, _ *routing.Balancer) { at = r.At() })
 		return at
 	}
@@ -227,7 +231,7 @@
 	return &following{
 		pace:   p,
 		common: e.common, feed: feed, kind: kind, among: e.surveying.followers, told: e.surveying.toldOfStore,
-		follower: follow.New(p, rnd),
+		follower: follow.New(p, rnd), era: func() store.Era { return e.timeline.latest().Era() },
 	}
 }
 
--- a/node/peering.go
+++ b/node/peering.go
@@ -275,9 +275,9 @@
 	}
 	source := "peer " + string(c.Box)
 	if got.Config != nil {
-		p.entry.belief.configuration(got.Config.Raw, got.Config.Revision, source)
+		p.entry.belief.configuration(got.Config.Raw, got.Config.At, source)
 	}
-	if got.At == 0 {
+	if got.At.IsZero() {
 		return
 	}
 	news, err := got.News()
@@ -291,11 +291,11 @@
 // pull implements mesh.Pull.
 func (p *peering) pull(_ context.Context, q *mesh.PullQuery) (*mesh.Pulled, error) {
 	out := &mesh.Pulled{}
-	if raw, rev := p.entry.belief.document(); rev > q.Config {
-		out.Config = &mesh.Document{Revision: rev, Raw: raw}
+	if raw, edition := p.entry.belief.document(); edition.After(q.Config) {
+		out.Config = &mesh.Document{At: edition.At, Raw: raw}
 	}
 	p.entry.fleet.with(func(r *membership.Roster, _ *routing.Balancer) {
-		if r.Newest() > q.Targets {
+		if r.Newest().After(q.Targets) {
 			out.At, out.Targets = r.Newest(), mesh.ListOf(r.All())
 		}
 	})
--- a/node/quarantining.go
+++ b/node/quarantining.go
@@ -182,7 +182,7 @@
 	for _, r := range l.Records {
 		var kept quarantine.Record
 		if err := json.Unmarshal(r.Spec, &kept); err != nil {
-			q.common.Log.Error("quarantine not taken", "record", r.Name, "revision", r.Revision, "err", err)
+			q.common.Log.Error("quarantine not taken", "record", r.Name, "at", r.At, "err", err)
 			continue
 		}
 		if kept.Over(day) {
--- a/store/feed.go
+++ b/store/feed.go
@@ -22,7 +22,8 @@
 	"github.com/zeebo/errs"
 )
 
-// Revision numbers the changes of the whole store. It grows by one with each.
+// Revision numbers the changes of the whole store. It rises by one with each, and goes back when
+// the store comes back from a copy; a Position orders those of different eras.
 type Revision uint64
 
 // Era numbers the lives of the store. It rises by one each time the store comes back from a
@@ -49,16 +50,17 @@
 
 // Record is an object as the store keeps it, with the body that its writer gave.
 type Record struct {
-	Kind     Kind
-	Name     string
-	Revision Revision // of its last change
-	Spec     []byte   // nil if the record cannot be read
+	Kind Kind
+	Name string
+	At   Position // of its last change
+	Spec []byte   // nil if the record cannot be read
 }
 
-// Listing is all records of a kind at a revision.
+// Listing is all records of a kind at a position. The era of the positions is zero if the answer
+// does not state it.
 type Listing struct {
 	Records []Record
-	At      Revision
+	At      Position
 	// Nameless is how many records cannot even tell their names.
 	Nameless int
 }
@@ -69,10 +71,11 @@
 	Removed bool
 }
 
-// Changes are the events of a kind after a revision, oldest first, up to another.
+// Changes are the events of a kind after a position, oldest first, up to another. In a later era
+// they are those after the revision of the same number. The era is zero if it is not stated.
 type Changes struct {
 	Events []Event
-	At     Revision
+	At     Position
 }
 
 // Feed is how a box follows a kind of record. Every call counts against the
@@ -80,10 +83,10 @@
 type Feed interface {
 	// List returns the whole kind as it is now.
 	List(ctx context.Context, kind Kind) (Listing, error)
-	// Watch waits until the kind changes after the revision, at most for wait, and
+	// Watch waits until the kind changes after the position, at most for wait, and
 	// returns what changed; nothing if the wait ended first. It returns
 	// ErrHistoryLost if the store has forgotten changes since then.
-	Watch(ctx context.Context, kind Kind, since Revision, wait time.Duration) (Changes, error)
+	Watch(ctx context.Context, kind Kind, since Position, wait time.Duration) (Changes, error)
 }
 
 // Shelf keeps records of the system's own kinds. A call without an answer may have been done,
--- a/store/follow/follower.go
+++ b/store/follow/follower.go
@@ -33,9 +33,9 @@
 // List asks to list the kind.
 type List struct{}
 
-// Watch asks for the changes since a revision.
+// Watch asks for the changes since a position.
 type Watch struct {
-	Since store.Revision
+	Since store.Position
 	Wait  time.Duration
 }
 
@@ -59,18 +59,21 @@
 	// lostHistory: the store no longer knows what came after what is known here, so that
 	// only a listing helps.
 	lostHistory bool
-	at          store.Revision
-	failures    int
-	restTo      time.Time
-	goodAt      time.Time // of the last success
-	lostAt      time.Time // of the first failure since; zero while all is well
+	// relisted: the kind was listed for a lost history, and no watch was answered since.
+	relisted bool
+	at       store.Position
+	learned  store.Era // the latest era of the store that this box has learned of
+	failures int
+	restTo   time.Time
+	goodAt   time.Time // of the last success
+	lostAt   time.Time // of the first failure since; zero while all is well
 }
 
 // New returns a follower that has seen nothing.
 func New(p Pace, rnd *rand.Rand) *Follower { return &Follower{pace: p, rand: rnd, boxes: 1} }
 
-// At is the revision up to which the kind is known.
-func (f *Follower) At() store.Revision { return f.at }
+// At is the position up to which the kind is known.
+func (f *Follower) At() store.Position { return f.at }
 
 // GoodAt is when the store last answered; zero for never.
 func (f *Follower) GoodAt() time.Time { return f.goodAt }
@@ -172,28 +175,63 @@
 }
 
 // Listed takes the end of a List.
-func (f *Follower) Listed(now time.Time, at store.Revision, err error) {
+func (f *Follower) Listed(now time.Time, at store.Position, err error) {
 	if err != nil {
 		f.failed(now)
 		return
 	}
+	f.relisted = f.lostHistory
 	f.listed, f.lostHistory = true, false
-	f.at = at
+	f.at = store.Later(f.at, at)
 	f.spread = true
+	pauses := f.failures
 	f.answered(now)
+	if f.relisted {
+		f.failures = pauses // a watch from there may be refused again
+	}
 }
 
-// Watched takes the end of a Watch.
-func (f *Follower) Watched(now time.Time, at store.Revision, err error) {
+// Watched takes the end of a Watch. The result tells whether its changes follow what is known.
+// In a later era they do not, even if the store has the revision: what it lost and what it was
+// given since then are missing.
+func (f *Follower) Watched(now time.Time, at store.Position, err error) bool {
+	lost := errors.Is(err, store.ErrHistoryLost)
 	switch {
-	case errors.Is(err, store.ErrHistoryLost):
-		f.listed, f.lostHistory = false, true
-		f.answered(now)
-	case err != nil:
+	case err != nil && !lost:
 		f.failed(now)
+		return false
+	case lost || at.Era() > f.at.Era():
+		f.loseHistory(now)
+		return false
 	default:
-		f.at = max(f.at, at)
+		f.at, f.relisted = store.Later(f.at, at), false
 		f.answered(now)
+		return true
+	}
+}
+
+// loseHistory has the kind listed anew, at once unless it was only just listed for that: a store
+// that has no history of what it listed a moment ago is in trouble.
+func (f *Follower) loseHistory(now time.Time) {
+	f.listed, f.lostHistory = false, true
+	if f.relisted {
+		f.pause(now)
+	} else {
+		f.failures = 0
+	}
+	f.goodAt, f.lostAt = now, time.Time{}
+}
+
+// Learned takes the latest era of the store that this box has learned of. In a later era than
+// the one up to which the kind is known, it is listed anew; once for each era, since other boxes
+// may report one that the store itself does not state.
+func (f *Follower) Learned(era store.Era) {
+	if era <= f.learned {
+		return
+	}
+	f.learned = era
+	if f.listed && era > f.at.Era() {
+		f.listed, f.lostHistory = false, true
 	}
 }
 
@@ -203,11 +241,12 @@
 	f.restTo = now.Add(f.pace.Gather)
 }
 
-// CaughtUp tells that peers gave all that the store held at the revision; 0 if none did.
-func (f *Follower) CaughtUp(at store.Revision) {
-	if at > 0 && !f.lostHistory {
-		f.listed = true
-		f.at = max(f.at, at)
+// CaughtUp tells that peers gave all that the store held at the position; zero if none did. It
+// does not replace the history that the store lost within an era.
+func (f *Follower) CaughtUp(at store.Position) {
+	if !at.IsZero() && (!f.lostHistory || at.Era() > f.at.Era()) {
+		f.listed, f.lostHistory = true, false
+		f.at = store.Later(f.at, at)
 	}
 }
 
@@ -220,6 +259,11 @@
 	if f.lostAt.IsZero() {
 		f.lostAt = now
 	}
+	f.pause(now)
+}
+
+// pause rests before the next call, longer after each failure.
+func (f *Follower) pause(now time.Time) {
 	f.spread = true
 	pause := min(f.pace.FirstPause<<min(f.failures, 16), f.pace.MostPause)
 	f.failures++
--- a/store/follow/follower_test.go
+++ b/store/follow/follower_test.go
@@ -25,25 +25,25 @@
 	if _, ok := f.Next(start).(follow.List); !ok {
 		t.Fatal("does not begin with a listing")
 	}
-	f.Listed(start, 40, nil)
+	f.Listed(start, pos(40), nil)
 	w, ok := f.Next(start).(follow.Watch)
-	if !ok || w.Since != 40 {
+	if !ok || w.Since != pos(40) {
 		t.Fatalf("got %+v", f.Next(start))
 	}
-	f.Watched(start, 43, nil)
-	if w = f.Next(start).(follow.Watch); w.Since != 43 {
-		t.Errorf("watches from %d, want 43", w.Since)
+	f.Watched(start, pos(43), nil)
+	if w = f.Next(start).(follow.Watch); w.Since != pos(43) {
+		t.Errorf("watches from %v, want 43", w.Since)
 	}
-	f.Watched(start, 41, nil) // an older answer
-	if w = f.Next(start).(follow.Watch); w.Since != 43 {
-		t.Errorf("went back to %d", w.Since)
+	f.Watched(start, pos(41), nil) // an older answer
+	if w = f.Next(start).(follow.Watch); w.Since != pos(43) {
+		t.Errorf("went back to %v", w.Since)
 	}
 }
 
 func TestLostHistoryIsListedAnewAtOnce(t *testing.T) {
 	f := newFollower()
-	f.Listed(start, 40, nil)
-	f.Watched(start, 0, store.ErrHistoryLost)
+	f.Listed(start, pos(40), nil)
+	f.Watched(start, store.Position{}, store.ErrHistoryLost)
 	if _, ok := f.Next(start).(follow.List); !ok {
 		t.Errorf("got %+v", f.Next(start))
 	}
@@ -51,10 +51,10 @@
 
 func TestPausesGrowUpToTheMostAndEndWithSuccess(t *testing.T) {
 	f := newFollower()
-	f.Listed(start, 40, nil)
+	f.Listed(start, pos(40), nil)
 	now := start
 	for i := range 12 {
-		f.Watched(now, 0, store.ErrUnavailable)
+		f.Watched(now, store.Position{}, store.ErrUnavailable)
 		r, ok := f.Next(now).(follow.Rest)
 		if !ok {
 			t.Fatalf("failure %d: %+v", i, f.Next(now))
@@ -64,18 +64,18 @@
 			t.Errorf("failure %d: a pause of %v, want about %v", i, d, usual)
 		}
 		now = r.Until
-		if w, ok := f.Next(now).(follow.Watch); !ok || w.Since != 40 {
+		if w, ok := f.Next(now).(follow.Watch); !ok || w.Since != pos(40) {
 			t.Fatalf("after the pause: %+v", f.Next(now))
 		}
 	}
 	if !f.LostAt().Equal(start) {
 		t.Errorf("lost at %v, want the first failure", f.LostAt())
 	}
-	f.Watched(now, 41, nil)
+	f.Watched(now, pos(41), nil)
 	if !f.LostAt().IsZero() || !f.GoodAt().Equal(now) {
 		t.Error("a success does not end the trouble")
 	}
-	f.Watched(now, 0, errors.New("again"))
+	f.Watched(now, store.Position{}, errors.New("again"))
 	if d := f.Next(now).(follow.Rest).Until.Sub(now); d > pace.FirstPause*3/2 {
 		t.Errorf("the first pause after a success is %v", d)
 	}
@@ -86,8 +86,8 @@
 	list := make([]*follow.Follower, boxes)
 	for i := range list {
 		list[i] = follow.New(pace, rand.New(rand.NewPCG(uint64(i), 7)))
-		list[i].Listed(start, 1, nil)
-		list[i].Watched(start, 2, nil)
+		list[i].Listed(start, pos(1), nil)
+		list[i].Watched(start, pos(2), nil)
 		list[i].Changed(start)
 		list[i].Among(boxes, i)
 	}
@@ -102,7 +102,7 @@
 			switch c := f.Next(now).(type) {
 			case follow.Watch:
 				now = now.Add(c.Wait)
-				f.Watched(now, 2, nil)
+				f.Watched(now, pos(2), nil)
 				ends = append(ends, now.Sub(start))
 			case follow.Rest:
 				now = c.Until
@@ -126,7 +126,7 @@
 		t.Errorf("one box makes %.1f calls a second", alone)
 	}
 	f := newFollower()
-	f.Listed(start, 1, nil)
+	f.Listed(start, pos(1), nil)
 	f.Among(1000, 999)
 	if w := f.Next(start).(follow.Watch); w.Wait > pace.MostWait {
 		t.Errorf("waits %v, the most is %v", w.Wait, pace.MostWait)
@@ -155,8 +155,8 @@
 	p := pace
 	p.Gather = 250 * time.Millisecond
 	f := follow.New(p, rand.New(rand.NewPCG(1, 2)))
-	f.Listed(start, 1, nil)
-	f.Watched(start, 2, nil)
+	f.Listed(start, pos(1), nil)
+	f.Watched(start, pos(2), nil)
 	f.Changed(start)
 	if r, ok := f.Next(start).(follow.Rest); !ok || !r.Until.Equal(start.Add(p.Gather)) {
 		t.Errorf("after a change: %+v", f.Next(start))
@@ -175,14 +175,14 @@
 	if _, ok := f.Next(start).(follow.Rest); !ok {
 		t.Fatalf("at its start it does %v", f.Next(start))
 	}
-	f.CaughtUp(7)
+	f.CaughtUp(pos(7))
 	f.Told(true)
 	if c, ok := f.Next(start.Add(time.Minute)).(follow.Rest); !ok || c.Until.Sub(start) > time.Minute+time.Second {
 		t.Errorf("while it is told it does %v", f.Next(start.Add(time.Minute)))
 	}
-	f.CaughtUp(9)
+	f.CaughtUp(pos(9))
 	f.Told(false)
-	if w, ok := f.Next(start.Add(2 * time.Minute)).(follow.Watch); !ok || w.Since != 9 {
+	if w, ok := f.Next(start.Add(2 * time.Minute)).(follow.Watch); !ok || w.Since != pos(9) {
 		t.Errorf("told no more it does %v, want a watch since 9", f.Next(start.Add(2*time.Minute)))
 	}
 }
@@ -193,7 +193,7 @@
 	p.First = time.Second
 	f := follow.New(p, rand.New(rand.NewPCG(3, 4)))
 	f.Next(start)
-	f.CaughtUp(0)
+	f.CaughtUp(store.Position{})
 	if _, ok := f.Next(start.Add(time.Second)).(follow.List); !ok {
 		t.Errorf("after its first pause it does %v", f.Next(start.Add(time.Second)))
 	}
@@ -202,10 +202,111 @@
 // TestPeersDoNotStandInForALostHistory: what they know may be as old.
 func TestPeersDoNotStandInForALostHistory(t *testing.T) {
 	f := follow.New(pace, rand.New(rand.NewPCG(3, 4)))
-	f.Listed(start, 5, nil)
-	f.Watched(start, 0, store.ErrHistoryLost)
-	f.CaughtUp(6)
+	f.Listed(start, pos(5), nil)
+	f.Watched(start, store.Position{}, store.ErrHistoryLost)
+	f.CaughtUp(pos(6))
 	if _, ok := f.Next(start.Add(time.Minute)).(follow.List); !ok {
 		t.Errorf("after its history was lost it does %v", f.Next(start.Add(time.Minute)))
 	}
 }
+
+// pos is the position of the revision in the first era.
+func pos(rev store.Revision) store.Position { return store.PositionOf(1, rev) }
+
+// TestALaterEraIsListedAnew guards against watches that go on from a revision of before a
+// restore, so that what the store lost, and what it was given before it passed that revision,
+// stays unknown.
+func TestALaterEraIsListedAnew(t *testing.T) {
+	later := store.PositionOf(2, 50)
+	tests := []struct {
+		name string
+		tell func(f *follow.Follower)
+		list bool
+		from store.Position // of the watch, if it is not listed
+	}{
+		{"a watch is answered in it", func(f *follow.Follower) {
+			if f.Watched(start, later, nil) {
+				t.Error("the changes are taken for those that follow")
+			}
+		}, true, store.Position{}},
+		{"the revision is not there", func(f *follow.Follower) { f.Watched(start, store.Position{}, store.ErrHistoryLost) }, true, store.Position{}},
+		{"another answer states it", func(f *follow.Follower) { f.Learned(2) }, true, store.Position{}},
+		{"it is stated again", func(f *follow.Follower) {
+			f.Learned(2)
+			f.Listed(start, later, nil)
+			f.Learned(2)
+		}, false, later},
+		{"the next follows at once", func(f *follow.Follower) {
+			f.Learned(2)
+			f.Listed(start, later, nil)
+			f.Learned(3)
+		}, true, store.Position{}},
+		{"another box reports one that the store does not state", func(f *follow.Follower) {
+			f.Learned(9)
+			f.Listed(start, later, nil)
+			f.Learned(9)
+		}, false, later},
+		{"other boxes have all that is in it", func(f *follow.Follower) {
+			f.Learned(2)
+			f.CaughtUp(later)
+		}, false, later},
+		{"other boxes have all, after the history was lost", func(f *follow.Follower) {
+			f.Watched(start, store.Position{}, store.ErrHistoryLost)
+			f.CaughtUp(later)
+		}, false, later},
+		{"other boxes have what was before", func(f *follow.Follower) {
+			f.Watched(start, store.Position{}, store.ErrHistoryLost)
+			f.CaughtUp(pos(90))
+		}, true, store.Position{}},
+		{"a late answer of the era before", func(f *follow.Follower) {
+			f.Listed(start, later, nil)
+			f.Watched(start, pos(90), nil)
+		}, false, later},
+		{"a late listing of the era before", func(f *follow.Follower) {
+			f.CaughtUp(later)
+			f.Listed(start, pos(90), nil)
+		}, false, later},
+	}
+	for _, tc := range tests {
+		f := newFollower()
+		f.Listed(start, pos(60), nil)
+		f.Learned(1)
+		tc.tell(f)
+		switch c := f.Next(start).(type) {
+		case follow.List:
+			if !tc.list {
+				t.Errorf("%s: listed", tc.name)
+			}
+		case follow.Watch:
+			if tc.list || c.Since != tc.from {
+				t.Errorf("%s: watched from %v", tc.name, c.Since)
+			}
+		default:
+			t.Errorf("%s: %+v", tc.name, c)
+		}
+	}
+}
+
+// TestAStoreThatLosesEachHistoryIsNotPressed guards against a listing and a refused watch in turn
+// without a pause.
+func TestAStoreThatLosesEachHistoryIsNotPressed(t *testing.T) {
+	f := newFollower()
+	f.Listed(start, pos(40), nil)
+	now, calls := start, 0
+	for now.Before(start.Add(10 * time.Second)) {
+		switch c := f.Next(now).(type) {
+		case follow.List:
+			f.Listed(now, pos(40), nil)
+		case follow.Watch:
+			f.Watched(now, store.Position{}, store.ErrHistoryLost)
+		case follow.Rest:
+			now = c.Until
+			continue
+		}
+		calls++
+		now = now.Add(time.Millisecond)
+	}
+	if calls > 100 {
+		t.Errorf("%d calls in ten seconds", calls)
+	}
+}
