An older copy of the store neither revives targets that left nor loses those that live

What callers saw: after a restore, targets that had left by what the store said before were sent work again, 21 to 26 requests in a second of four boxes, since the copy still had them as ready; a target whose entry came after the copy was lost until it wrote again.

Cause: the first list after a restore was taken for news. It is as old as the copy, and says less than what is known for every target that changed since.

Now an entry of that list does not bring back a start that was gone or leaving, nor an earlier formation of its group; a change after the list does, and so does a second list once the entries of targets that are gone have lapsed (five seconds). A start that was leaving never is ready again. A ready target that the copy lacks is used until the time by which one that lives has written its entry again. An entry that is removed a second time grants no further grace.

--- a/local/restore_test.go
+++ b/local/restore_test.go
@@ -151,3 +151,88 @@
 	time.Sleep(100 * time.Millisecond)
 	return version
 }
+
+// TestTargetsAfterARestore guards against leaving targets that get new work, and living ones that
+// get none, because the store came back from an older copy.
+func TestTargetsAfterARestore(t *testing.T) {
+	leave := func(s *local.System) { _ = s.Targets()[0].Leave() }
+	again := func(s *local.System) { _ = s.Targets()[0].StartAgain() }
+	list := func(s *local.System) { _ = s.Targets()[0].ListAgain() }
+	listOthers := func(s *local.System) {
+		for range 8 {
+			_ = s.Targets()[1].ListAgain()
+		}
+	}
+	none := func(*local.System) {}
+	for _, tc := range []struct {
+		name   string
+		before func(*local.System) // after the copy was taken
+		at     func(*local.System) // as the store comes back
+		later  func(*local.System) // a second after that
+		left   bool                // the target left before the restore
+		stays  bool                // the target lives throughout
+		cut    bool                // one hall is cut off from the store
+	}{
+		{name: "it leaves after the restore", before: listOthers, at: none, later: leave},
+		{name: "it leaves right at the restore", before: listOthers, at: leave, later: none},
+		{name: "it leaves after the restore, and half of the boxes hear it from others", before: listOthers, at: none, later: leave, cut: true},
+		{name: "it had left, and is ready in the copy", before: leave, at: none, later: leave, left: true},
+		{name: "it had left, and revisions have passed those of before", before: leave, at: listOthers, later: leave, left: true},
+		{name: "its entry had gone, and is in the copy", before: func(s *local.System) { s.Targets()[0].Vanish() }, at: none, later: func(s *local.System) { s.Targets()[0].Vanish() }, left: true},
+		{name: "it started after the copy, and writes again", before: again, at: none, later: list, stays: true},
+		{name: "it lives throughout", before: listOthers, at: none, later: none, stays: true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			var left, restored time.Time
+			sc := busy()
+			sc.paths, sc.length, sc.seed = []string{"/again/x", "/once/x"}, 16*time.Second, 1
+			sc.operate = func(s *local.System, _ *history) {
+				s.Store.SetTrouble(standin.Sound, storeTakes)
+				if tc.cut {
+					s.Network.SetLink(s.Halls()[1], local.StoreHall, local.Refused)
+				}
+				time.Sleep(time.Second)
+				held := s.Store.Copy()
+				tc.before(s)
+				left = time.Now()
+				time.Sleep(2 * time.Second)
+				s.Store.SetTrouble(standin.Busy, storeTakes)
+				time.Sleep(time.Second)
+				s.Store.Restore(held)
+				tc.at(s)
+				if !tc.left {
+					left = time.Now()
+				}
+				s.Store.SetTrouble(standin.Sound, storeTakes)
+				restored = time.Now()
+				time.Sleep(time.Second)
+				tc.later(s)
+				if !tc.left {
+					left = time.Now()
+				}
+			}
+			sc.run(t, func(s *local.System, _ *history) {
+				late, since := 0, map[time.Duration]bool{} // by seconds after the restore
+				for _, r := range s.Runs() {
+					if r.Target != s.Targets()[0].ID() {
+						continue
+					}
+					if r.At.Sub(left) > bounds().Drain.Std() {
+						late++
+					}
+					if r.At.After(restored) {
+						since[r.At.Sub(restored).Truncate(time.Second)] = true
+					}
+				}
+				if !tc.stays && late > 0 {
+					t.Errorf("%d requests reached it after it had left", late)
+				}
+				for second := range 6 {
+					if tc.stays && !since[time.Duration(second)*time.Second] {
+						t.Errorf("no request reached it in second %d after the restore", second)
+					}
+				}
+			})
+		})
+	}
+}
--- a/membership/roster.go
+++ b/membership/roster.go
@@ -106,6 +106,9 @@
 	heardAt   time.Time // when any target spoke for itself last
 	let       *Complaints
 	storeBack time.Time // when the store last came back, or now while it is away
+	// restoredAt is when the first list of a later era was taken, and restoredTo its position.
+	restoredAt time.Time
+	restoredTo store.Position
 }
 
 // SetPolicy changes the bounds from now on.
@@ -150,6 +153,7 @@
 	if r.at.After(at) {
 		return nil
 	}
+	r.enter(now, at)
 	present := make(map[domain.ListedID]bool, len(list))
 	var fresh []News
 	for _, n := range list {
@@ -177,12 +181,13 @@
 	if n.Target != nil && n.ID.Born() == 0 && e.target.ID().Born() != 0 {
 		n.Target, n.Unusable = nil, true // who said once when it was born always does
 	}
-	if known && !e.before(n) {
+	if known && (!e.before(n) || r.outdated(now, e, n)) {
 		return nil
 	}
+	lost := r.restored(e, n)
 	e.at = store.Later(e.at, n.At)
 	if n.Target == nil {
-		r.vanish(now, e, n.Unusable)
+		r.vanish(now, e, lost, n.Unusable)
 		return []News{n}
 	}
 	if e.target.ID() != n.Target.ID() {
@@ -224,11 +229,21 @@
 
 // vanish: an entry that goes while the store is well, or after its target said
 // that it is leaving, means that the target is leaving. One that goes while the
-// store is in trouble may only have lapsed.
-func (r *Roster) vanish(now time.Time, e *entry, unusable bool) {
+// store is in trouble may only have lapsed. One that the restored store has lost is written
+// again by a target that lives.
+func (r *Roster) vanish(now time.Time, e *entry, lost, unusable bool) {
+	if !e.goneAt.IsZero() && !unusable {
+		return // it is gone already, and no longer to be used for being removed again
+	}
 	e.goneAt, e.grace = now, time.Time{}
+	if unusable || e.target.State() != domain.TargetReady {
+		return
+	}
 	troubled := !r.storeBack.IsZero() && now.Sub(r.storeBack) < r.policy.Trouble
-	if troubled && !unusable && e.target.State() == domain.TargetReady {
+	switch {
+	case lost:
+		e.grace = r.restoredAt.Add(r.policy.Trouble)
+	case troubled:
 		e.grace = now.Add(r.policy.Grace)
 	}
 }
--- a/node/following.go
+++ b/node/following.go
@@ -35,6 +35,9 @@
 	well     atomic.Bool // the store answered last
 }
 
+// settleSlack is how much later than the roster has settled the targets are listed once more.
+const settleSlack = 500 * time.Millisecond
+
 // mostWait is under the longest wait that the store takes, 30 s.
 const mostWait = 25 * time.Second
 
@@ -60,6 +63,7 @@
 		MostWait:   mostWait,
 		FirstPause: storePause,
 		MostPause:  min(storePauseMost, b.ConfigApply.Std()/pauseShare),
+		Settle:     membership.SettleFor + settleSlack,
 		Gather:     b.Drain.Std() / gatherShare, // the rest is for telling targets' leaving on
 	}
 }
@@ -70,7 +74,7 @@
 		boxes, place := f.among()
 		f.follower.Among(boxes, place)
 		f.follower.Told(f.told())
-		f.follower.CaughtUp(f.known())
+		f.follower.CaughtUp(clock.Now(), f.known())
 		f.follower.Learned(f.era())
 		switch c := f.follower.Next(clock.Now()).(type) {
 		case follow.List:
@@ -227,6 +231,7 @@
 	}
 	if kind == platform.Configurations {
 		p.Gather = 0 // it seldom changes, and is to be in force at once
+		p.Settle = 0 // its version orders it
 	}
 	return &following{
 		pace:   p,
--- a/store/follow/follower.go
+++ b/store/follow/follower.go
@@ -21,6 +21,9 @@
 	// First bounds the pause of a box that starts before it lists, drawn by chance: where
 	// others tell it meanwhile what they know, it need not ask the store at all.
 	First time.Duration
+	// Settle is how long after the store was restored the kind is listed once more: what the
+	// copy had and nobody wrote again has lapsed by then. Zero for never.
+	Settle time.Duration
 	// Gather is the pause after a watch that brought changes: more of them often follow,
 	// and each would end the watches of all boxes.
 	Gather time.Duration
@@ -63,6 +66,7 @@
 	relisted bool
 	at       store.Position
 	learned  store.Era // the latest era of the store that this box has learned of
+	settleAt time.Time // when the kind is to be listed once more; zero for never
 	failures int
 	restTo   time.Time
 	goodAt   time.Time // of the last success
@@ -90,6 +94,9 @@
 		}
 	}
 	switch {
+	case !f.settleAt.IsZero() && !now.Before(f.settleAt) && !now.Before(f.restTo):
+		f.settleAt = time.Time{}
+		return List{}
 	case f.told:
 		return Rest{Until: now.Add(toldLook)}
 	case now.Before(f.restTo):
@@ -98,6 +105,9 @@
 		return List{}
 	default:
 		w := Watch{Since: f.at, Wait: f.wait()}
+		if !f.settleAt.IsZero() {
+			w.Wait = min(w.Wait, f.settleAt.Sub(now))
+		}
 		f.spread = false
 		return w
 	}
@@ -182,7 +192,7 @@
 	}
 	f.relisted = f.lostHistory
 	f.listed, f.lostHistory = true, false
-	f.at = store.Later(f.at, at)
+	f.advance(now, at)
 	f.spread = true
 	pauses := f.failures
 	f.answered(now)
@@ -243,13 +253,21 @@
 
 // CaughtUp tells that peers gave all that the store held at the position; zero if none did. It
 // does not replace the history that the store lost within an era.
-func (f *Follower) CaughtUp(at store.Position) {
+func (f *Follower) CaughtUp(now time.Time, at store.Position) {
 	if !at.IsZero() && (!f.lostHistory || at.Era() > f.at.Era()) {
 		f.listed, f.lostHistory = true, false
-		f.at = store.Later(f.at, at)
+		f.advance(now, at)
 	}
 }
 
+// advance takes that the kind is known up to the position.
+func (f *Follower) advance(now time.Time, at store.Position) {
+	if !f.at.IsZero() && at.Era() > f.at.Era() && f.pace.Settle > 0 {
+		f.settleAt = now.Add(f.pace.Settle)
+	}
+	f.at = store.Later(f.at, at)
+}
+
 func (f *Follower) answered(now time.Time) {
 	f.failures = 0
 	f.goodAt, f.lostAt = now, time.Time{}
--- a/store/follow/follower_test.go
+++ b/store/follow/follower_test.go
@@ -175,12 +175,12 @@
 	if _, ok := f.Next(start).(follow.Rest); !ok {
 		t.Fatalf("at its start it does %v", f.Next(start))
 	}
-	f.CaughtUp(pos(7))
+	f.CaughtUp(start, pos(7))
 	f.Told(true)
 	if c, ok := f.Next(start.Add(time.Minute)).(follow.Rest); !ok || c.Until.Sub(start) > time.Minute+time.Second {
 		t.Errorf("while it is told it does %v", f.Next(start.Add(time.Minute)))
 	}
-	f.CaughtUp(pos(9))
+	f.CaughtUp(start, pos(9))
 	f.Told(false)
 	if w, ok := f.Next(start.Add(2 * time.Minute)).(follow.Watch); !ok || w.Since != pos(9) {
 		t.Errorf("told no more it does %v, want a watch since 9", f.Next(start.Add(2*time.Minute)))
@@ -193,7 +193,7 @@
 	p.First = time.Second
 	f := follow.New(p, rand.New(rand.NewPCG(3, 4)))
 	f.Next(start)
-	f.CaughtUp(store.Position{})
+	f.CaughtUp(start, store.Position{})
 	if _, ok := f.Next(start.Add(time.Second)).(follow.List); !ok {
 		t.Errorf("after its first pause it does %v", f.Next(start.Add(time.Second)))
 	}
@@ -204,7 +204,7 @@
 	f := follow.New(pace, rand.New(rand.NewPCG(3, 4)))
 	f.Listed(start, pos(5), nil)
 	f.Watched(start, store.Position{}, store.ErrHistoryLost)
-	f.CaughtUp(pos(6))
+	f.CaughtUp(start, pos(6))
 	if _, ok := f.Next(start.Add(time.Minute)).(follow.List); !ok {
 		t.Errorf("after its history was lost it does %v", f.Next(start.Add(time.Minute)))
 	}
@@ -248,22 +248,22 @@
 		}, false, later},
 		{"other boxes have all that is in it", func(f *follow.Follower) {
 			f.Learned(2)
-			f.CaughtUp(later)
+			f.CaughtUp(start, later)
 		}, false, later},
 		{"other boxes have all, after the history was lost", func(f *follow.Follower) {
 			f.Watched(start, store.Position{}, store.ErrHistoryLost)
-			f.CaughtUp(later)
+			f.CaughtUp(start, later)
 		}, false, later},
 		{"other boxes have what was before", func(f *follow.Follower) {
 			f.Watched(start, store.Position{}, store.ErrHistoryLost)
-			f.CaughtUp(pos(90))
+			f.CaughtUp(start, pos(90))
 		}, true, store.Position{}},
 		{"a late answer of the era before", func(f *follow.Follower) {
 			f.Listed(start, later, nil)
 			f.Watched(start, pos(90), nil)
 		}, false, later},
 		{"a late listing of the era before", func(f *follow.Follower) {
-			f.CaughtUp(later)
+			f.CaughtUp(start, later)
 			f.Listed(start, pos(90), nil)
 		}, false, later},
 	}
@@ -310,3 +310,32 @@
 		t.Errorf("%d calls in ten seconds", calls)
 	}
 }
+
+// TestAfterARestoreTheKindIsListedOnceMore guards against entries of the copy that nobody writes
+// again, and that stay as they were taken at the restore.
+func TestAfterARestoreTheKindIsListedOnceMore(t *testing.T) {
+	settling := pace
+	settling.Settle = 5 * time.Second
+	for _, told := range []bool{false, true} {
+		f := follow.New(settling, rand.New(rand.NewPCG(1, 2)))
+		f.Listed(start, pos(60), nil)
+		f.Told(told)
+		f.CaughtUp(start, store.PositionOf(2, 40))
+		var listed []time.Duration
+		for now := start; now.Before(start.Add(20 * time.Second)); {
+			switch c := f.Next(now).(type) {
+			case follow.List:
+				listed = append(listed, now.Sub(start))
+				f.Listed(now, store.PositionOf(2, 45), nil)
+			case follow.Watch:
+				now = now.Add(c.Wait)
+				f.Watched(now, store.PositionOf(2, 45), nil)
+			case follow.Rest:
+				now = c.Until
+			}
+		}
+		if len(listed) != 1 || listed[0] < settling.Settle || listed[0] > settling.Settle+time.Second {
+			t.Errorf("told by another box %v: listed after %v", told, listed)
+		}
+	}
+}
