Quarantines that the restored store has lost are written again

What callers saw, had all boxes died after a restore: work that crashes its targets was sent on, as the store had lost the record of it and nobody wrote it again.

Each box that knows works in quarantine lists the records once, at a moment within five seconds of the restore that it draws by itself, and creates those that are missing; the first one to do so spares the others, and a box that knows of none makes no call. 150 boxes: at most 50 listings a second.

--- a/local/restore_test.go
+++ b/local/restore_test.go
@@ -1,6 +1,7 @@
 package local_test
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -236,3 +237,57 @@
 		})
 	}
 }
+
+// TestQuarantinesAreWrittenAgainAfterARestore guards against work that crashes its targets and is
+// sent on, once all boxes have died, because the store lost what they had written there.
+func TestQuarantinesAreWrittenAgainAfterARestore(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		kills    bool // the box that found the work dies before the restore
+		restores int
+	}{{"all boxes live", false, 1}, {"the box that found it has died", true, 1}, {"twice", false, 2}} {
+		t.Run(tc.name, func(t *testing.T) {
+			sc := busy()
+			sc.seed, sc.length, sc.paths, sc.fatal = 1, 24*time.Second, []string{"/again/y"}, fatal
+			sc.operate = func(s *local.System, h *history) {
+				s.Store.SetTrouble(standin.Sound, storeTakes)
+				held := s.Store.Copy()
+				e := entry(s, 0)
+				s.Ask(context.Background(), e, standin.Request{ID: h.id(), Path: "/again/x", Key: key, Body: fatal, Within: 2 * time.Second})
+				time.Sleep(2 * time.Second)
+				if len(s.Store.Names("quarantine")) == 0 {
+					h.fault("nothing was kept, so the test shows nothing")
+				}
+				if tc.kills {
+					e.Kill()
+				}
+				for range tc.restores {
+					s.Store.Restore(held)
+					before := s.Store.Calls()
+					time.Sleep(time.Second)
+					if calls := s.Store.Calls() - before; calls > 20*len(s.Entries()) {
+						h.fault("%d calls of %d boxes in the first second", calls, len(s.Entries()))
+					}
+				}
+				time.Sleep(8 * time.Second)
+				if len(s.Store.Names("quarantine")) == 0 {
+					h.fault("the quarantine was not written again")
+				}
+				killAll(s)
+				time.Sleep(3 * time.Second)
+				before := len(s.Runs())
+				s.Ask(context.Background(), entry(s, 1), standin.Request{ID: h.id(), Path: "/again/x", Key: key, Body: fatal, Within: 2 * time.Second})
+				for _, r := range s.Runs()[before:] {
+					if r.Body == fatal {
+						h.fault("%s ran it again", r.Target)
+					}
+				}
+			}
+			sc.run(t, func(_ *local.System, h *history) {
+				for _, f := range h.faults {
+					t.Error(f)
+				}
+			})
+		})
+	}
+}
--- a/node/entry.go
+++ b/node/entry.go
@@ -60,7 +60,8 @@
 	e.timeline = &timeline{common: c}
 	e.quarantine = newQuarantining(c,
 		func() { e.peering.tell() },
-		func() bool { return e.peering.isolated(clock.Now()) })
+		func() bool { return e.peering.isolated(clock.Now()) },
+		func() store.Era { return e.timeline.latest().Era() })
 	e.gateway = gateway.New(gateway.Parts{
 		Common: c, Speech: platform.Speech{}, Fleet: e.fleet, Pool: e.pool, Purse: e.budgets.purse,
 		Quarantine: e.quarantine,
--- a/node/quarantining.go
+++ b/node/quarantining.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -24,11 +25,13 @@
 // Lock order: mu is the only lock, and no I/O is done under it.
 type quarantining struct {
 	common telemetry.Common
-	news   func()      // makes this box tell others at once
-	apart  func() bool // tells that this box hears no other hall, so that only the store tells it
+	news   func()           // makes this box tell others at once
+	apart  func() bool      // tells that this box hears no other hall, so that only the store tells it
+	era    func() store.Era // the latest of the store that this box has learned of
 
 	mu       sync.Mutex
 	register *quarantine.Register
+	rewriter *quarantine.Rewriter
 	unkept   []quarantine.Record // that this box is to keep in the store
 	wake     chan struct{}
 }
@@ -48,9 +51,10 @@
 	sourceStore = "store"
 )
 
-func newQuarantining(c telemetry.Common, news func(), apart func() bool) *quarantining {
+func newQuarantining(c telemetry.Common, news func(), apart func() bool, era func() store.Era) *quarantining {
 	return &quarantining{
-		common: c, news: news, apart: apart, register: quarantine.NewRegister(), wake: make(chan struct{}, 1),
+		common: c, news: news, apart: apart, era: era, register: quarantine.NewRegister(),
+		rewriter: quarantine.NewRewriter(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))), wake: make(chan struct{}, 1),
 	}
 }
 
@@ -139,17 +143,22 @@
 		q.common.Log.Error("quarantine not kept, too many wait for the store", "digest", d, "waiting", len(q.unkept))
 		return
 	}
-	words := q.register.Of(d)
-	for i := range words {
-		words[i].At = clock.TimeOfDay(words[i].At)
-	}
-	q.unkept = append(q.unkept, quarantine.RecordOf(words))
+	q.unkept = append(q.unkept, q.record(d))
 	select {
 	case q.wake <- struct{}{}:
 	default: // it is awake already
 	}
 }
 
+// record is what the store is to keep of the work; mu is held.
+func (q *quarantining) record(d call.Digest) quarantine.Record {
+	words := q.register.Of(d)
+	for i := range words {
+		words[i].At = clock.TimeOfDay(words[i].At)
+	}
+	return quarantine.RecordOf(words)
+}
+
 // run reads what the store keeps, and keeps there what this box finds out, until ctx ends. As
 // the whole system starts for the first time there is nothing to read.
 func (q *quarantining) run(ctx context.Context, s store.Shelf, first bool) {
@@ -157,7 +166,7 @@
 	look := time.NewTicker(lookEvery)
 	defer look.Stop()
 	for {
-		if !loaded || q.apart() {
+		if !loaded || q.apart() || q.toCompare() {
 			loaded = q.load(ctx, s) || loaded
 		}
 		q.keepAll(ctx, s)
@@ -170,6 +179,38 @@
 	}
 }
 
+// toCompare tells whether the store was restored and may have lost what this box knows.
+func (q *quarantining) toCompare() bool {
+	now, era := clock.Now(), q.era()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.rewriter.Learned(now, era)
+	if !q.rewriter.Due(now) {
+		return false
+	}
+	if len(q.register.Kept(now)) == 0 {
+		q.rewriter.Compared()
+		return false
+	}
+	return true
+}
+
+// compare has what the restored store has lost written again. names are those of its records.
+func (q *quarantining) compare(now time.Time, names map[string]bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if !q.rewriter.Due(now) {
+		return
+	}
+	q.rewriter.Compared()
+	for _, d := range q.register.Kept(now) {
+		if !names[q.record(d).Name()] {
+			q.common.Log.Warn("quarantine lost by the store, writing it again", "digest", d)
+			q.keep(d)
+		}
+	}
+}
+
 // load takes what the store keeps, and tells whether it answered. What is over there is taken
 // away: nothing else does.
 func (q *quarantining) load(ctx context.Context, s store.Shelf) bool {
@@ -178,8 +219,9 @@
 	if err != nil {
 		return false
 	}
-	now, day := clock.Now(), time.Now()
+	now, day, names := clock.Now(), time.Now(), map[string]bool{}
 	for _, r := range l.Records {
+		names[r.Name] = true
 		var kept quarantine.Record
 		if err := json.Unmarshal(r.Spec, &kept); err != nil {
 			q.common.Log.Error("quarantine not taken", "record", r.Name, "at", r.At, "err", err)
@@ -193,6 +235,7 @@
 			q.take(now, w, sourceStore)
 		}
 	}
+	q.compare(now, names)
 	return true
 }
 
--- a/quarantine/register.go
+++ b/quarantine/register.go
@@ -158,6 +158,19 @@
 	return list
 }
 
+// Kept are the works that the store is to keep, sorted: those in quarantine, and those whose
+// quarantine is over and still counts for the next one.
+func (r *Register) Kept(now time.Time) []call.Digest {
+	var list []call.Digest
+	for d, x := range r.works {
+		if until := x.until(); !until.IsZero() && now.Sub(until) <= rememberFor {
+			list = append(list, d)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
 // Tell is what other boxes are to hear: what was learnt lately, and, where all is wanted, for
 // boxes that were cut off meanwhile, what is known of works in quarantine.
 func (r *Register) Tell(now time.Time, all bool) []Word {
