--- a/cmd/clovertrail-soak/main.go
+++ b/cmd/clovertrail-soak/main.go
@@ -40,6 +40,7 @@
 			&cli.BoolFlag{Name: "fatal", Usage: "a caller's request crashes each target that runs it"},
 			&cli.BoolFlag{Name: "asks", Usage: "targets ask for rest, and say with their answers that they are leaving"},
 			&cli.BoolFlag{Name: "limits", Usage: "targets name with their answers how much they take from all boxes together"},
+			&cli.BoolFlag{Name: "restores", Usage: "the store comes back from older copies"},
 			&cli.DurationFlag{Name: "for", Value: 30 * time.Second, Usage: "how long a run takes"},
 			&cli.StringFlag{Name: "logs", Value: filepath.Join(os.TempDir(), "clovertrail-soak"), Usage: "the `FOLDER` of settings and logs"},
 		},
@@ -67,8 +68,8 @@
 				r, err := soak.Run(ctx, soak.Options{
 					Program: cmd.String("program"), Seed: seed, For: cmd.Duration("for"),
 					Boxes: cmd.Int("boxes"), Targets: cmd.Int("targets"), Callers: cmd.Int("callers"), Fatal: cmd.Bool("fatal"), Asks: cmd.Bool("asks"),
-					Limits: cmd.Bool("limits"),
-					Dir:    filepath.Join(cmd.String("logs"), fmt.Sprintf("seed-%d", seed)),
+					Limits: cmd.Bool("limits"), Restores: cmd.Bool("restores"),
+					Dir: filepath.Join(cmd.String("logs"), fmt.Sprintf("seed-%d", seed)),
 				})
 				results <- result{r, err}
 			}()
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -65,6 +65,9 @@
 	if o.Limits {
 		acting.Go(func() { w.limiting(calling, end.Add(-calmEnd)) })
 	}
+	if o.Restores {
+		acting.Go(func() { w.restoring(calling, end.Add(-calmEnd)) })
+	}
 	if o.Asks {
 		acting.Go(func() { w.asking(calling, end.Add(-calmEnd)) })
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -23,11 +23,11 @@
 	if out, err := exec.Command("go", "build", "-o", program, "clovertrail.dev/cmd/clovertrail-node").CombinedOutput(); err != nil {
 		t.Fatalf("%v: %s", err, out)
 	}
-	for _, o := range []soak.Options{{Seed: 1}, {Seed: 134}, {Seed: 1, Fatal: true}, {Seed: 405, Fatal: true}, {Seed: 600, Asks: true}, {Seed: 800, Limits: true}} {
+	for _, o := range []soak.Options{{Seed: 1}, {Seed: 134}, {Seed: 1, Fatal: true}, {Seed: 405, Fatal: true}, {Seed: 600, Asks: true}, {Seed: 800, Limits: true}, {Seed: 901, Restores: true}} {
 		seed := o.Seed
 		o.Program, o.For, o.Dir = program, soak.LeastFor+3*1e9, t.TempDir()
-		if o.Limits {
-			o.For += 6 * time.Second // targets name a limit for longer than that
+		if o.Limits || o.Restores {
+			o.For += 6 * time.Second // a limit, or a copy and what follows a restore, last longer than that
 		}
 		r, err := soak.Run(context.Background(), o)
 		if err != nil {
--- a/soak/world.go
+++ b/soak/world.go
@@ -32,6 +32,9 @@
 	// Limits lets targets name limits with their answers. What else happens stays as the seed
 	// draws it.
 	Limits bool
+	// Restores lets the store come back from older copies. What else happens stays as the seed
+	// draws it.
+	Restores bool
 }
 
 // The usual sizes of a run: a few processes, so that many runs fit on a machine.
@@ -56,9 +59,10 @@
 
 // host is a place for a target, one incarnation after the other.
 type host struct {
-	hall string
-	busy sync.Mutex // while its target leaves or is down
-	now  incarnation
+	hall  string
+	busy  sync.Mutex // while its target leaves or is down
+	now   incarnation
+	state string // as its target last wrote it
 }
 
 // incarnation is one life of a target, with the link before it.
@@ -80,6 +84,8 @@
 	server  *http.Server
 	boxes   []*box
 
+	configuring sync.Mutex // taken before mu
+
 	mu            sync.Mutex
 	hosts         []*host
 	incarnations  int
@@ -181,10 +187,19 @@
 
 // list writes a target's entry.
 func (w *world) list(h *host, in incarnation, state string) error {
-	_, err := w.store.Put("servers", in.id, in.target.Object(in.link.address(), h.hall, state))
+	w.mu.Lock()
+	if h.now.id == in.id {
+		h.state = state
+	}
+	w.mu.Unlock()
+	_, err := w.store.Put("servers", in.id, in.entry(h, state))
 	return err
 }
 
+func (in incarnation) entry(h *host, state string) map[string]any {
+	return in.target.Object(in.link.address(), h.hall, state)
+}
+
 // end closes what the incarnation listens at.
 func (in incarnation) end() {
 	in.link.close()
@@ -200,17 +215,29 @@
 
 // configure writes the next configuration: each version adds a route of its own.
 func (w *world) configure() error {
+	w.configuring.Lock()
+	defer w.configuring.Unlock()
 	w.mu.Lock()
 	w.version++
 	version := w.version
 	w.mu.Unlock()
-	if _, err := w.store.Put("config", "main", standin.Configuration(version, service, w.keys())); err != nil {
+	if err := w.put(version); err != nil {
 		return err
 	}
 	w.ledger.configured(version)
 	return nil
 }
 
+// put writes the configuration of the version.
+func (w *world) put(version int) error {
+	_, err := w.store.Put("config", "main", w.document(version))
+	return err
+}
+
+func (w *world) document(version int) map[string]any {
+	return standin.Configuration(version, service, w.keys())
+}
+
 func (w *world) keys() map[string]string {
 	keys := map[string]string{}
 	for _, o := range w.organisations {
