--- a/admission/gate.go
+++ b/admission/gate.go
@@ -45,7 +45,7 @@
 // NewGate returns a gate that has seen no request.
 func NewGate() *Gate { return &Gate{longest: map[string]time.Duration{}} }
 
-// Admit tells whether the request is sent on; if not, after how long its caller
+// Admit reports whether the request is sent on; if not, after how long its caller
 // should come back. spread is from 0 up to 1 and keeps callers that were refused
 // together from coming back together.
 func (g *Gate) Admit(a Ask, spread float64) (bool, time.Duration) {
--- a/catalog/edition.go
+++ b/catalog/edition.go
@@ -15,7 +15,7 @@
 	At      store.Position
 }
 
-// After tells whether the edition is to replace the other one.
+// After reports whether the edition is to replace the other one.
 func (e Edition) After(other Edition) bool {
 	return cmp.Or(cmp.Compare(e.Version, other.Version), e.At.Compare(other.At)) > 0
 }
--- a/catalog/route.go
+++ b/catalog/route.go
@@ -8,7 +8,7 @@
 	"clovertrail.dev/core/fault"
 )
 
-// Kind tells what may be repeated of a route's requests.
+// Kind reports what may be repeated of a route's requests.
 type Kind int
 
 // The kinds of route.
@@ -18,7 +18,7 @@
 	// Repeatable: a request may run more than once.
 	Repeatable
 	// Stream: the answer is a series of events. A request runs at most once unless
-	// the route says that its streams may be resumed.
+	// the route reports that its streams may be resumed.
 	Stream
 )
 
@@ -54,13 +54,13 @@
 	Priority int           // 0 is the most urgent
 	Attempts int           // targets that one request may be sent to
 	Open     bool          // needs no key
-	// Resumable tells that a stream may be taken up by another target after its
+	// Resumable reports that a stream may be taken up by another target after its
 	// last whole event.
 	Resumable bool
 	Backends  []Backend
 }
 
-// Route tells how requests for a host and the beginning of a path are served.
+// Route reports how requests for a host and the beginning of a path are served.
 type Route struct {
 	f     RouteFields
 	total float64 // of the weights
@@ -99,7 +99,7 @@
 // Name is the operator's name for the route.
 func (r Route) Name() string { return r.f.Name }
 
-// Kind tells what may be repeated.
+// Kind reports what may be repeated.
 func (r Route) Kind() Kind { return r.f.Kind }
 
 // Timeout is how long a request may be held before its final answer.
@@ -117,14 +117,14 @@
 // Attempts is how many targets one request may be sent to.
 func (r Route) Attempts() int { return r.f.Attempts }
 
-// Open tells that its requests need no key.
+// Open reports that its requests need no key.
 func (r Route) Open() bool { return r.f.Open }
 
-// MayRepeat tells whether a request may run more than once from its beginning. A
+// MayRepeat reports whether a request may run more than once from its beginning. A
 // stream that may be resumed may also be run anew before its first event.
 func (r Route) MayRepeat() bool { return r.f.Kind == Repeatable || r.MayResume() }
 
-// MayResume tells whether a broken stream may be taken up by another target.
+// MayResume reports whether a broken stream may be taken up by another target.
 func (r Route) MayResume() bool { return r.f.Kind == Stream && r.f.Resumable }
 
 // Backend chooses the service for one request; draw is from 0 up to 1.
--- a/cli/logs/belief.go
+++ b/cli/logs/belief.go
@@ -14,11 +14,11 @@
 	store     map[string]Line // by kind of record: lost, or answers again
 	standing  map[string]Line // by target
 	listed    map[string]Line // by target: listed or gone
-	tellers   map[string]Line // by data hall: who tells of it, or that nobody does
+	tellers   map[string]Line // by data hall: who reports it, or that nobody does
 	readiness Line            // "cut off without targets"
 }
 
-// groupMap is the last that agents told of a group.
+// groupMap is the last that agents reported of a group.
 type groupMap struct {
 	change Line            // "map change ended"
 	plan   Line            // "map proposed"
@@ -50,7 +50,7 @@
 	}
 }
 
-// groups is what agents told of all groups.
+// groups is what agents reported of all groups.
 type groups map[string]*groupMap
 
 func (g groups) of(name string) *groupMap {
--- a/cli/logs/explain.go
+++ b/cli/logs/explain.go
@@ -12,7 +12,7 @@
 	"clovertrail.dev/core/fault"
 )
 
-// ErrUnknown says that no line has the request.
+// ErrUnknown reports that no line has the request.
 var ErrUnknown = errs.Class("unknown request")
 
 // Timeline is what happened to one request.
@@ -61,8 +61,8 @@
 // clock is how times are named in a sentence.
 const clock = "15:04:05.000"
 
-// unknown says that no line has the request, and names the boxes that may have taken their
-// word of it with them: a box logs a request as it ends.
+// unknown reports that no line has the request, and names the boxes that may have taken their
+// news of it with them: a box logs a request as it ends.
 func unknown(s *Set, request string) error {
 	var boxes []string
 	for _, l := range s.Died() {
@@ -144,7 +144,7 @@
 	return sentence
 }
 
-// workOf tells what became of targets that had the same work up to then, from whichever try of
+// workOf reports what became of targets that had the same work up to then, from whichever try of
 // it; empty if none ended.
 func workOf(s *Set, last Line) string {
 	digest := last.Get("digest")
--- a/cli/logs/limits.go
+++ b/cli/logs/limits.go
@@ -21,7 +21,7 @@
 	from, to  time.Time
 }
 
-// limitWindow is the time in which the most requests are told of.
+// limitWindow is the time of which the largest number of requests is reported.
 const limitWindow = 4 * time.Second
 
 // Target is its id.
@@ -70,7 +70,7 @@
 	return list
 }
 
-// noteLimit adds what a line says of a target's limit. Boxes tell each other, so that most lines
+// noteLimit adds what a line says of a target's limit. Boxes notify each other, so that most lines
 // say what is known.
 func noteLimit(spells []limitSpell, l Line) []limitSpell {
 	at := l.at.Add(-l.Duration("age"))
--- a/cli/reading.go
+++ b/cli/reading.go
@@ -47,7 +47,7 @@
 	return a.damaged(set.Damaged())
 }
 
-// damaged tells of lines that were passed over, if there were any.
+// damaged reports lines that were passed over, if there were any.
 func (a *app) damaged(n int) error {
 	if n == 0 {
 		return nil
--- a/cmd/clovertrail-soak/main.go
+++ b/cmd/clovertrail-soak/main.go
@@ -1,4 +1,4 @@
-// Command clovertrail-soak runs the soak for a number of seeds and tells what it found:
+// Command clovertrail-soak runs the soak for a number of seeds and reports what it found:
 //
 //	go build -o target/ ./cmd/clovertrail-node
 //	go run ./cmd/clovertrail-soak --program target/clovertrail-node --seeds 50
@@ -92,7 +92,7 @@
 	return nil
 }
 
-// tell prints a report, and tells whether a promise was broken.
+// tell prints a report, and reports whether a promise was broken.
 func tell(r soak.Report) bool {
 	fmt.Printf("seed %d: %d requests, %d served, %d acts, %d violations\n", r.Seed, r.Asked, r.Served, len(r.Acts), len(r.Violations))
 	for _, x := range r.Limits {
--- a/core/call/answer.go
+++ b/core/call/answer.go
@@ -14,14 +14,14 @@
 const (
 	// Served: the target ran the request and answers it.
 	Served Outcome = iota + 1
-	// Failed: the target ran the request, and says that it could not serve it.
+	// Failed: the target ran the request, and reports that it could not serve it.
 	Failed
 	// Declined: the target did not run the request and never will.
 	Declined
 	// Elsewhere: another instance stands at the address; it did not run it.
 	Elsewhere
 	// Foreign: the answer is not one that a target gives, or belongs to another
-	// request. It says nothing.
+	// request. It reports nothing.
 	Foreign
 )
 
@@ -41,7 +41,7 @@
 	}
 }
 
-// Load is how busy a target says it is.
+// Load is how busy a target reports that it is.
 type Load struct {
 	Running, Waiting, Slots int
 }
@@ -55,9 +55,9 @@
 	AtFault domain.ListedID // the target that is to blame for a failure, if it says
 	// Again is when the target asks to be sent something again; zero if it does not.
 	Again time.Time
-	// Leaving tells that the target says that it is leaving. It serves what it has.
+	// Leaving reports that the target reports that it is leaving. It serves what it has.
 	Leaving bool
-	// Limit is how much the target says that it takes; nil if that cannot be read.
+	// Limit is how much the target reports that it takes; nil if that cannot be read.
 	Limit Limit
 }
 
@@ -71,7 +71,7 @@
 	return a.Again
 }
 
-// NoRoom tells that the target id declined the request for want of room, and did not say for how
+// NoRoom reports that the target id declined the request for want of room, and did not say for how
 // long: neither for the request's own sake nor for another target's, as a rank does whose group
 // has lost one.
 func (a Answer) NoRoom(id domain.ListedID) bool {
--- a/core/clock/clock_test.go
+++ b/core/clock/clock_test.go
@@ -100,7 +100,7 @@
 }
 
 // TestAWatchRunsUntilItsClocksFail: what it finds counts in the times of this package before
-// it is told of.
+// it tells of.
 func TestAWatchRunsUntilItsClocksFail(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		began, looks := clock.Now(), 0
--- a/core/clock/doc.go
+++ b/core/clock/doc.go
@@ -18,6 +18,6 @@
 //
 //	go clock.NewWatch(clock.Machine).Run(ctx, func(d time.Duration) { log("suspended", d) })
 //	deadline := clock.Now().Add(wait)
-//	ctx, cancel := clock.WithDeadline(ctx, deadline) // context.Cause tells that it passed
+//	ctx, cancel := clock.WithDeadline(ctx, deadline) // context.Cause reports that it passed
 //	age := clock.Since(heard)
 package clock
--- a/core/clock/watch.go
+++ b/core/clock/watch.go
@@ -72,8 +72,8 @@
 	return d, nil
 }
 
-// Run looks until ctx ends, and tells of each suspension once the times of this package
-// count it. An error is told of once, and ends it: the clocks cannot be read here.
+// Run looks until ctx ends, and reports each suspension once the times of this package
+// count it. An error is reported once, and ends it: the clocks cannot be read here.
 func (w *Watch) Run(ctx context.Context, told func(d time.Duration, err error)) {
 	tick := time.NewTicker(lookEvery)
 	defer tick.Stop()
--- a/core/domain/target.go
+++ b/core/domain/target.go
@@ -31,7 +31,7 @@
 	Number int `json:"number"`
 	// Size is how many ranks the group has.
 	Size int `json:"size"`
-	// Open tells that all ranks step together, so that the group takes requests.
+	// Open reports that all ranks step together, so that the group takes requests.
 	Open bool `json:"open"`
 }
 
--- a/core/fault/table.go
+++ b/core/fault/table.go
@@ -2,7 +2,7 @@
 
 import "net/http"
 
-// Ran tells what is known about whether a request ran.
+// Ran reports what is known about whether a request ran.
 type Ran string
 
 // The three values of Ran. RanNo is a promise, so it is only in rows whose kind
@@ -23,7 +23,7 @@
 // Status is the HTTP status that callers and operators receive.
 func (a Answer) Status() int { return a.status }
 
-// Ran tells whether the request ran.
+// Ran reports whether the request ran.
 func (a Answer) Ran() Ran { return a.ran }
 
 // Text is the sentence shown to the caller.
--- a/demo/doc.go
+++ b/demo/doc.go
@@ -1,4 +1,4 @@
-// Package demo runs the whole system of package local under a workload and tells how it
+// Package demo runs the whole system of package local under a workload and reports how it
 // went: requests served, refused and why, latency, how even the ranks of the group were
 // against the bound that their places allow, and what keeping them so took.
 //
--- a/demo/play.go
+++ b/demo/play.go
@@ -98,7 +98,7 @@
 	l.also = nil
 }
 
-// Play runs the workload; log takes the lines of all processes, tell what goes wrong, and
+// Play runs the workload; log takes the lines of all processes, report what goes wrong, and
 // stay is called before the system ends. Each may be nil.
 func Play(ctx context.Context, w Workload, seed uint64, log io.Writer, tell func(string), stay func(*local.System)) (*Result, error) {
 	if tell == nil {
@@ -169,8 +169,8 @@
 	return kinds[0]
 }
 
-// ask makes a request at a box that says it is ready, as the platform's balancer would,
-// and once more if the caller is told when to come back.
+// ask makes a request at a box that reports that it is ready, as the platform's balancer would,
+// and once more if the caller is informed when to come back.
 func (w Workload) ask(s *local.System, r *Result, kind string, pick int, id string) {
 	q := standin.Request{ID: id, Path: paths[kind], Key: key, Body: "text", Within: within}
 	reply := s.Ask(context.Background(), ready(s, pick), q)
--- a/demo/result.go
+++ b/demo/result.go
@@ -99,7 +99,7 @@
 	return nil
 }
 
-// Print tells how the run went.
+// Print reports how the run went.
 func (r *Result) Print(out io.Writer) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -139,7 +139,7 @@
 	_, _ = fmt.Fprintf(out, format, args...) // a closed terminal ends nothing
 }
 
-// PrintAddresses tells how to reach a system that stays up.
+// PrintAddresses reports how to reach a system that stays up.
 func PrintAddresses(out io.Writer, s *local.System) {
 	e := s.Entries()[0]
 	printf(out, "\nThe system stays up; end it with Ctrl-C. Try:\n")
--- a/experts/rebalance/estimate.go
+++ b/experts/rebalance/estimate.go
@@ -53,7 +53,7 @@
 	return load
 }
 
-// Settled tells that the last report was no jump in any layer, so that the shares
+// Settled reports that the last report was no jump in any layer, so that the shares
 // are not a mixture of before and after a shift.
 func (e *Estimate) Settled() bool {
 	for _, l := range e.layers {
--- a/experts/rebalance/planner.go
+++ b/experts/rebalance/planner.go
@@ -66,7 +66,7 @@
 	least         float64
 }
 
-// Worth tells whether to go over to the plan's map.
+// Worth reports whether to go over to the plan's map.
 func (p Plan) Worth() bool { return p.Moves > 0 && p.saved > p.least }
 
 // Saved is the share of the horizon that the plan saves.
--- a/experts/rebalance/planner_test.go
+++ b/experts/rebalance/planner_test.go
@@ -48,7 +48,7 @@
 	return load
 }
 
-// check tells what is wrong with a map that follows another.
+// check reports what is wrong with a map that follows another.
 func check(s rebalance.Shape, before, after rebalance.Map, mostCopies int) error {
 	copies := make([]int, s.Ranks)
 	for l := range after {
--- a/gateway/asked_test.go
+++ b/gateway/asked_test.go
@@ -48,7 +48,7 @@
 }
 
 // TestATargetThatSpokeMeanwhileIsNotSentTheRequest: it was chosen before it asked for rest, or
-// said that it is leaving; nothing of the request reaches it, and another gets it.
+// reported that it is leaving; nothing of the request reaches it, and another gets it.
 func TestATargetThatSpokeMeanwhileIsNotSentTheRequest(t *testing.T) {
 	for _, path := range []string{"/once/", "/repeat/"} {
 		a, b := newTarget(t, "a", ok), newTarget(t, "b", ok)
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -81,7 +81,7 @@
 	})
 }
 
-// ended tells whether the target's process ended during the attempt, and not only the
+// ended reports whether the target's process ended during the attempt, and not only the
 // attempt's connection. Where a group loses a rank the others cut what they had, and live:
 // what they had is not to be blamed for it.
 func (a *attempt) ended(ctx context.Context, end retry.End) bool {
@@ -226,7 +226,7 @@
 
 // retryAt is when the caller of a request that the target declined best comes back; zero if the
 // target does not say. One that
-// wants nothing for a while says nothing of the others: where one of them takes requests, callers
+// wants nothing for a while reports nothing about the others: where one of them takes requests, callers
 // come back as soon as they can be elsewhere, else as the first takes some again.
 func (a *attempt) retryAt(now time.Time) time.Time {
 	if a.answer.RestUntil().IsZero() {
--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -7,8 +7,8 @@
 	"time"
 )
 
-// TestWhoseTargetEnded: a connection that breaks off says nothing of its target's process. Only
-// work whose target refuses connections after it is told of as what the target ended under;
+// TestWhoseTargetEnded: a connection that breaks off reports nothing about its target's process. Only
+// work whose target refuses connections after it is reported as what the target ended under;
 // work at a target that lives and cuts it off, as ranks do whose group lost another, is not.
 func TestWhoseTargetEnded(t *testing.T) {
 	one := rawChunk(marked("id: 1\ndata: x\n\n"))
--- a/gateway/delivery.go
+++ b/gateway/delivery.go
@@ -18,7 +18,7 @@
 // all (docs/design/platform.md).
 const patienceAims = 3
 
-// overdueAims is after how many times its aim an answer that has not begun is told of to
+// overdueAims is after how many times its aim an answer that has not begun is reported to
 // other boxes, which may see the same of its target.
 const overdueAims = 1.5
 
--- a/gateway/door.go
+++ b/gateway/door.go
@@ -88,7 +88,7 @@
 	}
 }
 
-// note is told of each connection's states.
+// note receives each connection's states.
 func (d *Door) note(n net.Conn, s http.ConnState) {
 	c, ok := n.(*doorConn)
 	if !ok {
@@ -124,7 +124,7 @@
 	}
 }
 
-// stopping tells whether Stop was called.
+// stopping reports whether Stop was called.
 func (d *Door) stopping() bool {
 	select {
 	case <-d.shut:
@@ -193,7 +193,7 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
-// waits tells that no request has been read on the connection that is not answered.
+// waits reports that no request has been read on the connection that is not answered.
 func (d *Door) waits(c *doorConn) bool {
 	s := d.state(c)
 	return s == http.StateIdle || s == http.StateNew
--- a/gateway/fake_test.go
+++ b/gateway/fake_test.go
@@ -170,7 +170,7 @@
 	mu       sync.Mutex
 	targets  []*target
 	verdicts []string
-	heard    []string      // what targets said of themselves
+	heard    []string      // what targets reported about themselves
 	unwanted []string      // targets that want nothing more once they are chosen
 	takesAt  time.Time     // when a target takes requests
 	began    chan struct{} // gets a value when an answer has begun, while there is room
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -32,7 +32,7 @@
 	Service domain.ServiceName
 	// Tried are instances that had an attempt of the request.
 	Tried []domain.InstanceID
-	// First tells that this is the first attempt; a further one is not refused for
+	// First reports that this is the first attempt; a further one is not refused for
 	// want of room.
 	First bool
 	Route string
@@ -50,20 +50,20 @@
 	// Witness is the address of another process that is reached on the same way as the
 	// target; empty if there is none.
 	Witness() string
-	// Wanted tells whether the target may still be sent the attempt: it may have said meanwhile
+	// Wanted reports whether the target may still be sent the attempt: it may have said meanwhile
 	// that it is leaving, or asked for rest, or named a limit.
 	Wanted(now time.Time) bool
-	// Heard takes what the target says of itself with an answer: its load, whether it is
+	// Heard takes what the target reports about itself with an answer: its load, whether it is
 	// leaving, for how long it wants nothing, and how much it takes.
 	Heard(now time.Time, a call.Answer)
-	// Overdue tells that the answer has not begun although one in time would have long ago.
+	// Overdue reports that the answer has not begun although one in time would have long ago.
 	Overdue()
-	// Began tells that the answer has begun.
+	// Began reports that the answer has begun.
 	Began()
-	// Paused tells of the time between two events of the answer, and of the longest
+	// Paused reports the time between two events of the answer, and of the longest
 	// that is in time; 0 for none.
 	Paused(pause, aim time.Duration)
-	// Drags tells whether streams are to be moved from this target to others: it makes the
+	// Drags reports whether streams are to be moved from this target to others: it makes the
 	// steps of its group too long for all of them.
 	Drags(now time.Time, tried []domain.InstanceID) bool
 	// End gives the place back, with how the attempt spoke for the target.
@@ -75,13 +75,13 @@
 
 // The verdicts.
 const (
-	// Neutral says nothing: the caller left, or the request itself was at fault.
+	// Neutral reports nothing: the caller left, or the request itself was at fault.
 	Neutral Verdict = iota
 	// Good: it served.
 	Good
 	// Bad: it could be reached, and let the attempt down.
 	Bad
-	// Full: it said that it had no room.
+	// Full: it reported that it had no room.
 	Full
 	// Unreachable: no connection could be made.
 	Unreachable
@@ -99,7 +99,7 @@
 	// TakesAt is when a target of the service takes requests, as far as is known: now, if one
 	// does; zero if it is not known.
 	TakesAt(now time.Time, svc domain.ServiceName) time.Time
-	// Blame tells that a target, named by another, is at fault for a failure.
+	// Blame reports that a target, named by another, is at fault for a failure.
 	Blame(id domain.ListedID)
 }
 
@@ -150,7 +150,7 @@
 // likely does not fit into the time until the end is not let in any more.
 func (g *Gateway) Leave(end time.Time) { g.leaving.Store(&end) }
 
-// Leaving tells whether Leave was called.
+// Leaving reports whether Leave was called.
 func (g *Gateway) Leaving() bool { return g.leaving.Load() != nil }
 
 // elsewhere is after how long a caller that was not let in comes back, to another box:
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -9,14 +9,14 @@
 	"clovertrail.dev/telemetry"
 )
 
-// refused tells of a request that was refused.
+// refused reports a request that was refused.
 func (g *Gateway) refused(o *order, err error) {
 	g.parts.Common.Metrics.Refused(fault.KindOf(err))
 	g.parts.Common.Log.Warn("request refused", "request", o.ID(), "digest", o.digest, "route", o.route.Name(), "service", o.service,
 		"organisation", o.org.Name, "config", o.version, "kind", fault.KindOf(err), "err", err, "after", clock.Since(o.arrived))
 }
 
-// attempted tells of an attempt that was not the end of its request.
+// attempted reports an attempt that was not the end of its request.
 func (g *Gateway) attempted(o *order, a *attempt, end retry.End, cmd retry.Command) {
 	if _, ok := cmd.(retry.Deliver); ok {
 		return
@@ -31,7 +31,7 @@
 	g.parts.Common.Log.Warn("attempt failed", withLimit(attrs, a.answer.Limit)...)
 }
 
-// delivered tells of a request that was answered.
+// delivered reports a request that was answered.
 func (g *Gateway) delivered(o *order, d *delivery) {
 	g.stays.ended(clock.Now(), o.route.Name(), clock.Since(o.arrived))
 	m, kind := g.parts.Common.Metrics, o.route.Kind()
@@ -55,14 +55,14 @@
 	return attrs
 }
 
-// aborted tells of an answer that was broken off.
+// aborted reports an answer that was broken off.
 func (g *Gateway) aborted(o *order, d *delivery, err *fault.Error) {
 	g.parts.Common.Metrics.Count(telemetry.Answers, "broken", 1)
 	g.parts.Common.Log.Warn("answer broken off", "request", o.ID(), "digest", o.digest, "route", o.route.Name(), "service", o.service,
 		"attempts", d.course.Attempts(), "events", d.events, "kind", err.Kind(), "err", err, "after", clock.Since(o.arrived))
 }
 
-// left tells of a caller whose connection ended before its answer: it did not wait, or
+// left reports a caller whose connection ended before its answer: it did not wait, or
 // the time that this box had for its stop was over.
 func (g *Gateway) left(o *order, d *delivery) {
 	if end := g.leaving.Load(); end != nil && !clock.Now().Before(*end) {
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -20,7 +20,7 @@
 	body []byte
 }
 
-// errShort says that less came than was announced.
+// errShort reports that less came than was announced.
 var errShort = errors.New("the answer ended early")
 
 // plain reads the answer and passes it on once it is whole, or longer than is held.
@@ -52,7 +52,7 @@
 	return retry.Failed{Status: resp.StatusCode}, Bad
 }
 
-// readHeld reads up to heldBytes, and tells whether that was all.
+// readHeld reads up to heldBytes, and reports whether that was all.
 func readHeld(resp *http.Response) (body []byte, whole bool, err error) {
 	size := int64(heldBytes)
 	if n := resp.ContentLength; n >= 0 && n < size {
--- a/gateway/stays.go
+++ b/gateway/stays.go
@@ -35,7 +35,7 @@
 	}
 }
 
-// fits tells whether an answer of the route that begins now most likely ends in time.
+// fits reports whether an answer of the route that begins now most likely ends in time.
 func (s *stays) fits(now time.Time, route string, end time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -78,7 +78,7 @@
 	_, _ = d.w.Write(whole) // a caller that is gone is noticed when it is flushed
 }
 
-// notePause tells of the time since the attempt's last events.
+// notePause reports the time since the attempt's last events.
 func (a *attempt) notePause(now time.Time) {
 	if !a.last.IsZero() {
 		a.pause = now.Sub(a.last)
@@ -87,7 +87,7 @@
 	a.last = now
 }
 
-// toMove tells whether the stream goes on at another target, which is paid for then:
+// toMove reports whether the stream goes on at another target, which is paid for then:
 // its events come too late, and that is this target's fault.
 func (a *attempt) toMove(now time.Time) bool {
 	aim := a.d.o.route.GapAim()
--- a/local/boxes.go
+++ b/local/boxes.go
@@ -51,7 +51,7 @@
 	return h.dead
 }
 
-// Running tells whether the process was started and neither stopped nor killed.
+// Running reports whether the process was started and neither stopped nor killed.
 func (p *life) Running() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -122,7 +122,7 @@
 // MetricsURL is where its counters are read.
 func (e *EntryBox) MetricsURL() string { return "http://" + e.settings.Metrics + "/metrics" }
 
-// Ready tells whether it says that it takes callers.
+// Ready reports whether it reports that it takes callers.
 func (e *EntryBox) Ready(ctx context.Context) bool {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.settings.Ready+"/", nil)
 	if err != nil {
--- a/local/fatal_test.go
+++ b/local/fatal_test.go
@@ -19,7 +19,7 @@
 // fatal is the body of a request that crashes whatever runs it.
 const fatal = "fatal"
 
-// graceAfterCrashes is how long boxes have to tell each other of a request under which
+// graceAfterCrashes is how long boxes have to notify each other of a request under which
 // enough targets have ended.
 const graceAfterCrashes = 3 * time.Second
 
@@ -82,7 +82,7 @@
 }
 
 // TestARequestThatCrashesTargetsIsNotSentOnForever: once three targets have ended under it
-// and boxes have had time to tell each other, it reaches targets three more times at the most.
+// and boxes have had time to notify each other, it reaches targets three more times at the most.
 func TestARequestThatCrashesTargetsIsNotSentOnForever(t *testing.T) {
 	const patient = 2 * time.Second
 	for _, tc := range []struct {
--- a/local/limit_test.go
+++ b/local/limit_test.go
@@ -73,7 +73,7 @@
 }
 
 // checkLimit looks that what reached the target between the times was within the limit, and at
-// least the share of what it takes. It tells what was sent beside what is allowed and taken.
+// least the share of what it takes. It reports what was sent beside what is allowed and taken.
 func checkLimit(t *testing.T, name string, arrivals []standin.Arrival, perSecond, share float64, from, to time.Time) {
 	t.Helper()
 	sent, worst := len(between(arrivals, from, to)), most(arrivals, from, to)
@@ -289,7 +289,7 @@
 }
 
 // TestABoxThatStartsHearsOfLimits: most targets take nothing, which all other boxes know. A box that
-// has just started hears of it from them, and does not send each target a request to find out.
+// has just started learns of it from them, and does not send each target a request to find out.
 func TestABoxThatStartsHearsOfLimits(t *testing.T) {
 	const targets, out, atOnce = 24, 20, 60
 	seen := &lines{}
--- a/local/network.go
+++ b/local/network.go
@@ -152,7 +152,7 @@
 	return l, link, nil
 }
 
-// hang waits as for a host that says nothing.
+// hang waits as for a host that reports nothing.
 func (h *Host) hang(ctx context.Context, address string) error {
 	wait := time.NewTimer(connectFor)
 	defer wait.Stop()
--- a/local/rest_test.go
+++ b/local/rest_test.go
@@ -185,7 +185,7 @@
 	})
 }
 
-// TestATargetThatSaysItIsLeavingGetsNoNewWork: a target says so with each answer, and nothing
+// TestATargetThatSaysItIsLeavingGetsNoNewWork: a target reports it with each answer, and nothing
 // else tells. What callers ask of a box later than the time to drain after it passed such an
 // answer on does not reach that target from it.
 func TestATargetThatSaysItIsLeavingGetsNoNewWork(t *testing.T) {
@@ -277,7 +277,7 @@
 			start = a.at
 		}
 	}
-	passed := map[string]time.Time{} // by box: when it first passed on an answer that said so
+	passed := map[string]time.Time{} // by box: when it first passed on an answer that reported it
 	var at []asked
 	for _, r := range s.Runs() {
 		a, known := byID[r.ID]
--- a/local/restart_test.go
+++ b/local/restart_test.go
@@ -45,7 +45,7 @@
 }
 
 // TestAReadyBoxTakesManyCallersAtOnce: seven callers come on connections of their own as
-// soon as a box says that it is ready, right after it was killed, after it was cut from the
+// soon as a box reports that it is ready, right after it was killed, after it was cut from the
 // store, and while it is. Each is answered within the time for which the platform waits.
 func TestAReadyBoxTakesManyCallersAtOnce(t *testing.T) {
 	const callers, within = 7, 2 * time.Second
--- a/mapswitch/orders/attempt.go
+++ b/mapswitch/orders/attempt.go
@@ -43,7 +43,7 @@
 	Regrouped End = "regrouped"
 )
 
-// Outcome tells how an attempt went.
+// Outcome reports how an attempt went.
 type Outcome struct {
 	Version  Version
 	End      End
@@ -71,7 +71,7 @@
 	k.job.done = true
 }
 
-// done tells that all jobs of the phase are.
+// done reports that all jobs of the phase are.
 func (c *Coordinator) done() bool {
 	for _, r := range c.ranks {
 		if !r.job.done {
--- a/mapswitch/orders/coordinator.go
+++ b/mapswitch/orders/coordinator.go
@@ -70,13 +70,13 @@
 // Epoch is the formation of the group that this coordinator is for.
 func (c *Coordinator) Epoch() Epoch { return c.epoch }
 
-// Idle tells that no attempt is under way.
+// Idle reports that no attempt is under way.
 func (c *Coordinator) Idle() bool { return c.phase == idle }
 
 // Phase names where the attempt stands, for logs.
 func (c *Coordinator) Phase() string { return c.phase.String() }
 
-// Holding tells that this coordinator has its rank hold a step.
+// Holding reports that this coordinator has its rank hold a step.
 func (c *Coordinator) Holding() bool { return c.phase >= holding }
 
 // Current is the map in use, as far as it is known.
@@ -89,12 +89,12 @@
 	}
 }
 
-// SetTelling tells how long a map takes to reach all ranks, beside what any order
+// SetTelling sets how long a map takes to reach all ranks, beside what any order
 // takes: maps of large groups fill a narrow link for a while.
 func (c *Coordinator) SetTelling(d time.Duration) { c.telling = d }
 
-// SetReach tells how long the slowest of a round of reads takes. Where that is longer than
-// seenWithin, as through relays in a group of a hundred ranks, the word of all ranks is
+// SetReach sets how long the slowest of a round of reads takes. Where that is longer than
+// seenWithin, as through relays in a group of a hundred ranks, the news of all ranks is
 // never so fresh at once, and no map would ever change.
 func (c *Coordinator) SetReach(d time.Duration) { c.reach = d }
 
@@ -125,7 +125,7 @@
 	return c.floor
 }
 
-// Settled tells that an attempt can be begun: none is under way, and every rank is known,
+// Settled reports that an attempt can be begun: none is under way, and every rank is known,
 // steps, and has nothing armed or held.
 func (c *Coordinator) Settled() bool {
 	if c.phase != idle {
--- a/mapswitch/orders/doc.go
+++ b/mapswitch/orders/doc.go
@@ -11,7 +11,7 @@
 //  2. The coordinator's own rank holds a step a little ahead. From here on no rank
 //     can reach that step.
 //  3. Every rank arms the version for that step. Lost orders are repeated.
-//  4. Once all have said so, the hold is let go. If a rank refuses instead, every
+//  4. Once all have reported it, the hold is let go. If a rank refuses instead, every
 //     rank disarms and prepares one more new version, which makes all orders of the
 //     failed attempt void wherever they may still be under way, and only then is the
 //     hold let go.
--- a/mapswitch/orders/model/group.go
+++ b/mapswitch/orders/model/group.go
@@ -41,7 +41,7 @@
 	broken      string
 }
 
-// NewGroup returns a group that was just formed; checksFence tells whether its engines
+// NewGroup returns a group that was just formed; checksFence reports whether its engines
 // refuse orders with a lower fence than one that they have seen.
 func NewGroup(ranks int, checksFence bool) *Group {
 	g := &Group{epoch: 1, checksFence: checksFence}
@@ -55,13 +55,13 @@
 // Step is the last step that was begun.
 func (g *Group) Step() orders.Step { return g.step }
 
-// Broken says which step was begun on two maps; empty if none was.
+// Broken states which step was begun on two maps; empty if none was.
 func (g *Group) Broken() string { return g.broken }
 
 // Using is the map that the rank uses; nil for the first.
 func (g *Group) Using(r int) orders.Placement { return g.ranks[r].using }
 
-// Copying tells whether the rank copies experts for a map.
+// Copying reports whether the rank copies experts for a map.
 func (g *Group) Copying(r int) bool { return g.ranks[r].copying != 0 }
 
 // Copied ends the copying of a rank.
@@ -98,7 +98,7 @@
 	return true
 }
 
-// State is what a rank says of itself.
+// State is what a rank reports about itself.
 func (g *Group) State(number int) orders.State {
 	r := g.ranks[number]
 	s := orders.State{Epoch: g.epoch, Open: true, Step: g.step, Map: r.inUse, Prepared: r.prepared}
--- a/mapswitch/orders/numbers.go
+++ b/mapswitch/orders/numbers.go
@@ -7,7 +7,7 @@
 // A version is above all that any rank of the group is seen to have, and differs from
 // those of every other process by the rank and by a salt, drawn at the start: orders of a
 // process that is gone may still be on their way. A fence is above this process's own and,
-// as soon as a rank says that it has seen a higher one, above that within a few attempts.
+// as soon as a rank reports that it has seen a higher one, above that within a few attempts.
 type Numbers struct {
 	salt Version
 	last Fence
--- a/mapswitch/orders/observing.go
+++ b/mapswitch/orders/observing.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// How fresh the word of the ranks must be.
+// How fresh the news of the ranks must be.
 const (
 	// seenWithin is how long ago each rank must have been read for the group to be held:
 	// one that was reached a moment ago can most likely be asked to arm, too. A rank that
@@ -38,7 +38,7 @@
 	return s.Armed.Version
 }
 
-// Awaits tells that the attempt goes on once the rank is seen to have taken a step:
+// Awaits reports that the attempt goes on once the rank is seen to have taken a step:
 // to have copied, or to hold no more; or once it is read again.
 func (c *Coordinator) Awaits(now time.Time, r int) bool {
 	switch c.phase {
@@ -51,7 +51,7 @@
 	}
 }
 
-// Ready tells that all ranks have copied and the group is to be held as soon as all
+// Ready reports that all ranks have copied and the group is to be held as soon as all
 // have been read.
 func (c *Coordinator) Ready() bool {
 	if c.phase != preparing {
--- a/mapswitch/orders/order.go
+++ b/mapswitch/orders/order.go
@@ -15,7 +15,7 @@
 	Fence uint64
 )
 
-// Placement says which experts each rank holds: by layer, then by rank.
+// Placement states which experts each rank holds: by layer, then by rank.
 type Placement [][][]int
 
 // Order is what an engine is asked to do. The set is closed: Prepare, Arm, Disarm,
@@ -112,7 +112,7 @@
 	Step    Step    `json:"step"`
 }
 
-// State is what a rank says of itself. It must have been read from the rank itself
+// State is what a rank reports about itself. It must have been read from the rank itself
 // just now, not from a copy.
 type State struct {
 	Epoch    Epoch   `json:"epoch"`
--- a/mapswitch/orders/seen_test.go
+++ b/mapswitch/orders/seen_test.go
@@ -15,7 +15,7 @@
 	for _, tc := range []struct {
 		name  string
 		reach time.Duration // that a round of reads takes
-		quiet time.Duration // the rank's last word is so old
+		quiet time.Duration // the rank's last report is so old
 		held  bool
 	}{
 		{"a small group, read just now", 10 * ms, 40 * ms, true},
--- a/mapswitch/orders/succession.go
+++ b/mapswitch/orders/succession.go
@@ -35,7 +35,7 @@
 // AskedBy takes that the rank read this one.
 func (s *Succession) AskedBy(now time.Time, rank int) { s.askedBy[rank] = now }
 
-// Leads tells whether the rank is to coordinate now. Where all ranks of a group of 96
+// Leads reports whether the rank is to coordinate now. Where all ranks of a group of 96
 // began as it opened, each of them read all others, which filled the links of some for
 // some seconds, until their engines were taken for gone.
 func (s *Succession) Leads(now time.Time, rank int) bool {
--- a/membership/accusing.go
+++ b/membership/accusing.go
@@ -7,7 +7,7 @@
 )
 
 // LetDown takes that the target had a request of this box and did not answer it as it
-// should, in a way that is its own fault. It tells whether other boxes should hear of it
+// should, in a way that is its own fault. It reports whether other boxes should learn of it
 // at once, and whether the target is ejected now.
 func (r *Roster) LetDown(now time.Time, id domain.InstanceID) (tell, ejected bool) {
 	e, ok := r.of(id)
@@ -19,7 +19,7 @@
 	return first && !r.sharedTrouble(now, e.target.Service()), ejected
 }
 
-// Complained takes another box's complaint, and tells whether its target is ejected now.
+// Complained takes another box's complaint, and reports whether its target is ejected now.
 func (r *Roster) Complained(now time.Time, c Complaint) bool {
 	e, ok := r.of(c.Target)
 	if !ok {
@@ -46,7 +46,7 @@
 	return true
 }
 
-// sharedTrouble tells that too many targets of the service are complained of at once, or
+// sharedTrouble reports that too many targets of the service are complained of at once, or
 // out of use already, for one more to be ejected.
 func (r *Roster) sharedTrouble(now time.Time, svc domain.ServiceName) bool {
 	blamed, ejected, all := 0, 0, 0
--- a/membership/asked.go
+++ b/membership/asked.go
@@ -21,8 +21,8 @@
 	}
 }
 
-// Leaves takes that the target says that it is leaving, to this box or to another. It tells
-// whether that was news: the list may have said so before.
+// Leaves takes that the target reports that it is leaving, to this box or to another. It tells
+// whether that was news: the list may have reported it before.
 func (r *Roster) Leaves(now time.Time, id domain.InstanceID) bool {
 	e, ok := r.of(id)
 	if !ok || !e.leftAt.IsZero() {
@@ -32,11 +32,11 @@
 	return e.goneAt.IsZero() && e.target.State() == domain.TargetReady
 }
 
-// leaverToldFor is for how long a box tells others that a target is leaving: a few rounds, of
-// which the first comes at once. Each box that hears of it does the same.
+// leaverToldFor is for how long a box notifies others that a target is leaving: a few rounds, of
+// which the first comes at once. Each box that learns of it does the same.
 const leaverToldFor = 3 * time.Second
 
-// Leavers are the targets that lately said that they are leaving, in order of their ids, for
+// Leavers are the targets that lately reported that they are leaving, in order of their ids, for
 // other boxes: the list may not tell these before the targets end.
 func (r *Roster) Leavers(now time.Time) []domain.InstanceID {
 	var list []domain.InstanceID
@@ -49,7 +49,7 @@
 	return list
 }
 
-// Wanted tells whether the target, chosen a while ago, may still be sent new work.
+// Wanted reports whether the target, chosen a while ago, may still be sent new work.
 func (r *Roster) Wanted(now time.Time, id domain.InstanceID) bool {
 	e, ok := r.of(id)
 	if !ok {
--- a/membership/asked_test.go
+++ b/membership/asked_test.go
@@ -11,7 +11,7 @@
 )
 
 // TestARestingTargetGetsNothing: a target that asked this box for rest gets nothing until the
-// end of it, whatever else is heard of it meanwhile, and then gets work again.
+// end of it, whatever else is learned of it meanwhile, and then gets work again.
 func TestARestingTargetGetsNothing(t *testing.T) {
 	const rest = 3 * time.Second
 	for _, tc := range []struct {
@@ -87,7 +87,7 @@
 	const ready, leaves = domain.TargetReady, domain.TargetLeaving
 	for _, tc := range []struct {
 		name string
-		news []membership.News // after the first start said that it is leaving
+		news []membership.News // after the first start reported that it is leaving
 		id   domain.InstanceID // whether it may be used
 		want bool
 	}{
--- a/membership/boxes.go
+++ b/membership/boxes.go
@@ -51,8 +51,8 @@
 	hall     domain.HallName // empty until it spoke for itself
 	level    Level
 	leaving  bool
-	directAt time.Time // its own last word
-	heardAt  time.Time // the last word of it, from whomever
+	directAt time.Time // its own last report
+	heardAt  time.Time // the last news of it, from whomever
 	newAt    time.Time // it, or its present process, became known
 	askedAt  time.Time // it was last asked for news
 	share    Share
@@ -60,10 +60,10 @@
 
 // Times of Boxes.
 const (
-	// ShareFor is how long after its last word a box still counts among those that
+	// ShareFor is how long after its last report a box still counts among those that
 	// share a bound. It is long: a box that is cut off goes on spending its share.
 	ShareFor = 20 * time.Second
-	// TouchFor is how long after its own last word a box is in touch: a few rounds of
+	// TouchFor is how long after its own last report a box is in touch: a few rounds of
 	// adverts.
 	TouchFor = 2 * time.Second
 	// NewFor is how long a box counts as new: several rounds of adverts.
@@ -82,7 +82,7 @@
 	return &Boxes{self: self, rand: rnd, boxes: map[domain.BoxID]*peer{}}
 }
 
-// Heard takes a box's own word.
+// Heard takes a box's own report.
 func (b *Boxes) Heard(now time.Time, c Contact, hall domain.HallName, l Level, leaving bool) {
 	p := b.peer(now, c)
 	if p == nil || c.Incarnation < p.contact.Incarnation {
@@ -96,7 +96,7 @@
 	p.directAt, p.heardAt = now, now
 }
 
-// Remembers is the latest incarnation of the box that was heard of; 0 if none was.
+// Remembers is the latest incarnation of the box that was learned of; 0 if none was.
 func (b *Boxes) Remembers(box domain.BoxID) domain.Incarnation {
 	if p, ok := b.boxes[box]; ok {
 		return p.contact.Incarnation
@@ -104,7 +104,7 @@
 	return 0
 }
 
-// HeardOf takes another box's word that a box was heard so long ago.
+// HeardOf takes another box's report that a box was heard so long ago.
 func (b *Boxes) HeardOf(now time.Time, c Contact, ago time.Duration) {
 	p := b.peer(now, c)
 	if p == nil || ago < 0 || c.Incarnation < p.contact.Incarnation {
@@ -161,7 +161,7 @@
 	return boxes, place
 }
 
-// Elsewhere tells whether boxes of other data halls are known, and when one of them
+// Elsewhere reports whether boxes of other data halls are known, and when one of them
 // last spoke for itself.
 func (b *Boxes) Elsewhere(now time.Time, hall domain.HallName) (known bool, last time.Time) {
 	for _, p := range b.boxes {
@@ -241,7 +241,7 @@
 	return best.contact, true
 }
 
-// Behind tells whether any box knows more than own.
+// Behind reports whether any box knows more than own.
 func (b *Boxes) Behind(own Level) bool {
 	for _, p := range b.boxes {
 		if p.level.ahead(own) {
@@ -255,9 +255,9 @@
 	return l.Config.After(own.Config) || l.Targets.After(own.Targets)
 }
 
-// In are the boxes of the data hall that were lately heard of and are not leaving, in an
+// In are the boxes of the data hall that were lately learned of and are not leaving, in an
 // order that chance changes. Boxes of other halls seldom hear each other directly, so
-// another's word of one counts here, for twice as long as a box's own.
+// another's news of one counts here, for twice as long as a box's own.
 func (b *Boxes) In(now time.Time, hall domain.HallName) []Contact {
 	var list []Contact
 	for _, c := range b.Tell(now, len(b.boxes)) {
--- a/membership/complaints.go
+++ b/membership/complaints.go
@@ -8,7 +8,7 @@
 	"clovertrail.dev/core/domain"
 )
 
-// Complaints are which boxes a target has lately let down, as boxes tell each other.
+// Complaints are which boxes a target has lately let down, as boxes notify each other.
 //
 // Where dozens of boxes share dozens of targets, none of them sends enough to one target
 // to tell from its own requests that this one fails: each meets it once in many seconds. Together
@@ -51,7 +51,7 @@
 	return &Complaints{self: self, against: map[domain.InstanceID]map[domain.BoxID]time.Time{}}
 }
 
-// Own takes that the target let this box down. It tells whether others should hear of it
+// Own takes that the target let this box down. It reports whether others should learn of it
 // at once: it is the first time for so long.
 func (c *Complaints) Own(now time.Time, id domain.InstanceID) bool {
 	before, known := c.against[id][c.self]
--- a/membership/doc.go
+++ b/membership/doc.go
@@ -2,7 +2,7 @@
 // are, and from whom a box hears how targets do.
 //
 // A Roster merges the platform's list of targets, what other boxes say of it, what
-// targets say of themselves, and how attempts end, into a standing of each target. Boxes
+// targets report about themselves, and how attempts end, into a standing of each target. Boxes
 // are the other entry boxes; an Outlook decides whom to ask about other data halls. None
 // of them does I/O or reads a clock.
 //
--- a/membership/groups.go
+++ b/membership/groups.go
@@ -6,14 +6,14 @@
 	"clovertrail.dev/core/domain"
 )
 
-// progress is how far a rank says that its group has stepped.
+// progress is how far a rank reports that its group has stepped.
 type progress struct {
 	step    uint64
 	at      time.Time // since when it has stood at the step with work to do
 	movedAt time.Time // when it was last seen to step
 }
 
-// stalled tells that the group has not stepped for longer than a step takes.
+// stalled reports that the group has not stepped for longer than a step takes.
 func (p progress) stalled(now time.Time, after time.Duration) bool {
 	return !p.at.IsZero() && now.Sub(p.at) > after
 }
@@ -34,7 +34,7 @@
 // groupView is what the ranks of a group say of it together.
 type groupView struct {
 	formed    uint64    // the latest epoch in which a rank says, or is listed, to be
-	broken    bool      // a rank in that epoch says that the group is not open
+	broken    bool      // a rank in that epoch reports that the group is not open
 	stalled   bool      // a rank has stood at one step, or has not been heard, for long
 	epoch     uint64    // the latest of which a rank spoke
 	step      uint64    // the farthest in it
@@ -44,7 +44,7 @@
 
 // standing: a group of which a rank is out of reach may have lost that rank, until
 // it is seen to go on without a pause. Ranks step together, so a group of which any
-// rank was lately seen to step does not stand still, however old the word of another.
+// rank was lately seen to step does not stand still, however old the news of another.
 func (g *groupView) standing(now time.Time, p RosterPolicy) Standing {
 	switch {
 	case g == nil:
@@ -81,7 +81,7 @@
 	return views
 }
 
-// moved takes how far a rank says that the group is. What a rank said of an earlier
+// moved takes how far a rank reports that the group is. What a rank said of an earlier
 // formation does not count.
 func (g *groupView) moved(e *entry) {
 	p := e.progress
@@ -94,7 +94,7 @@
 	}
 }
 
-// place is that of the rank by its own word where that is fresh and not of an earlier
+// place is that of the rank by its own report where that is fresh and not of an earlier
 // formation than the list knows of, else by the list.
 func (r *Roster) place(now time.Time, e *entry, listed domain.Rank) domain.Rank {
 	if !e.ownAt.IsZero() && now.Sub(e.ownAt) < r.policy.ReportFresh && e.own.Epoch >= listed.Epoch {
--- a/membership/halls.go
+++ b/membership/halls.go
@@ -73,7 +73,7 @@
 	}
 }
 
-// CutOff tells that every data hall with targets but the own has fallen silent.
+// CutOff reports that every data hall with targets but the own has fallen silent.
 func (r *Roster) CutOff(now time.Time, own domain.HallName) bool {
 	others := 0
 	for name, v := range r.halls(now) {
--- a/membership/health.go
+++ b/membership/health.go
@@ -44,7 +44,7 @@
 	}
 }
 
-// worse tells that it fails more often than the whole by more than the share.
+// worse reports that it fails more often than the whole by more than the share.
 func (h *health) worse(whole *health, share float64) bool {
 	return h.samples >= healthSamples && h.failShare > whole.failShare+share
 }
@@ -80,7 +80,7 @@
 // against it already: one that turns all away has nothing open, and draws the load.
 func (h *health) turnAway(now time.Time, p RosterPolicy) {
 	if h.full(now) {
-		return // what was under way as the first was turned away says nothing new
+		return // what was under way as the first was turned away reports nothing new
 	}
 	h.turnedTo = now.Add(min(p.TurnedFor<<min(h.turned, maxTurned), p.TurnedMost))
 	h.turned++
--- a/membership/hubs.go
+++ b/membership/hubs.go
@@ -8,13 +8,13 @@
 )
 
 // In a data hall with many entry boxes a few of them, its hubs, ask its targets how they do
-// and hear of the other halls; the rest ask a hub. If all boxes asked, targets would have to be
-// asked so seldom that the word of far ones is too old to trust them; with hubs it is under a
+// and learn of the other halls; the rest ask a hub. If all boxes asked, targets would have to be
+// asked so seldom that the news of far ones is too old to trust them; with hubs it is under a
 // second old.
 //
 // Nobody appoints hubs. A box is one if few boxes of its hall that it knows to live come
 // before it in the order of names, so the first few boxes always are, and one more here or
-// there does no harm. A box that no hub tells of a target asks the target itself.
+// there does no harm. A box to which no hub reports a target asks the target itself.
 
 const (
 	// hubsFrom is how many boxes of a hall must be in touch for it to have hubs: with
@@ -24,7 +24,7 @@
 	HubsEach = 3
 )
 
-// Role is what a box does for the word of targets in its hall.
+// Role is what a box does for the news of targets in its hall.
 type Role int
 
 // The roles.
@@ -62,7 +62,7 @@
 	return before
 }
 
-// HubsOf are those of a hall's boxes that can tell of all its targets: its hubs, or all
+// HubsOf are those of a hall's boxes that can report all its targets: its hubs, or all
 // where it has none.
 func HubsOf(boxes []Contact) []Contact {
 	if len(boxes) < hubsFrom {
--- a/membership/hubs_test.go
+++ b/membership/hubs_test.go
@@ -48,7 +48,7 @@
 // TestABoxThatKnowsFewIsAHubRatherThanNone: views differ while boxes start, and the first
 // of them must not count on others that do not know that they come first.
 func TestABoxThatKnowsFewIsAHubRatherThanNone(t *testing.T) {
-	others := hallOf(30, 17)[8:] // it has not heard of the first eight
+	others := hallOf(30, 17)[8:] // it has not learned of the first eight
 	if r := membership.RoleOf("b17", others); r != membership.Follower {
 		t.Errorf("with nine of its hall before it, it is a %v", r)
 	}
--- a/membership/issuers.go
+++ b/membership/issuers.go
@@ -14,22 +14,22 @@
 // any more, who leaves, and who has just started and does not know the others yet, is none.
 
 const (
-	// aliveFor is how long after the last word of it, from whomever, a box may be an issuer: about
+	// aliveFor is how long after the last news of it, from whomever, a box may be an issuer: about
 	// as long as others go by their own parts when it has ended.
 	aliveFor = 2 * TouchFor
-	// aliveEach is how much longer for each box that is known: each is heard of as much more seldom.
+	// aliveEach is how much longer for each box that is known: each is learned of as much more seldom.
 	aliveEach = 50 * time.Millisecond
 	// settleFor is how long a box that has started is no issuer: a few rounds of adverts.
 	settleFor = 2 * time.Second
 )
 
-// Share is what a box tells others of the limits that all share.
+// Share is what a box reports to others about the limits that all share.
 type Share struct {
 	// Boxes are how many boxes share them, as it counts them.
 	Boxes int
-	// Apart tells that it goes by its own part of limits.
+	// Apart reports that it goes by its own part of limits.
 	Apart bool
-	// Settled tells that it has run long enough to be an issuer.
+	// Settled reports that it has run long enough to be an issuer.
 	Settled bool
 }
 
@@ -62,12 +62,12 @@
 	return first
 }
 
-// alive tells that the box was lately heard of.
+// alive reports that the box was lately learned of.
 func (b *Boxes) alive(now time.Time, p *peer) bool {
 	return now.Sub(p.heardAt) < max(aliveFor, time.Duration(len(b.boxes))*aliveEach)
 }
 
-// Settled tells whether this box has run long enough to be an issuer.
+// Settled reports whether this box has run long enough to be an issuer.
 func (b *Boxes) Settled(now time.Time) bool {
 	return !b.since.IsZero() && now.Sub(b.since) >= settleFor
 }
@@ -79,7 +79,7 @@
 }
 
 // Counted is how many boxes share limits, this one included, as far as it knows. Those that it lost
-// count until they are forgotten, unless they said that they are leaving: they may be cut off, and
+// count until they are forgotten, unless they reported that they are leaving: they may be cut off, and
 // go on.
 func (b *Boxes) Counted(now time.Time) int {
 	n := 1
--- a/membership/lifetime.go
+++ b/membership/lifetime.go
@@ -18,7 +18,7 @@
 func (l *Lifetime) Incarnation() domain.Incarnation { return l.incarnation }
 
 // Remembered takes the incarnation under which another box knew this box before it was
-// asked; 0 if it did not. The result tells that the process has another one from now on.
+// asked; 0 if it did not. The result reports that the process has another one from now on.
 func (l *Lifetime) Remembered(n domain.Incarnation) bool {
 	later := n > l.incarnation || n == l.incarnation && !l.answered
 	l.answered = true
--- a/membership/outlook.go
+++ b/membership/outlook.go
@@ -7,7 +7,7 @@
 )
 
 // Outlook decides from whom a box hears how targets do. Those of its own data hall it
-// asks itself. Of another hall it asks one entry box there, which tells of all targets
+// asks itself. Of another hall it asks one entry box there, which reports all targets
 // of that hall at once; only a target of which that box has no fresh word is asked
 // itself. So the bytes between halls do not grow with boxes times targets.
 //
@@ -19,7 +19,7 @@
 	told  map[domain.InstanceID]time.Time // when a target was heard last, by another box
 }
 
-// outpost is the entry box that tells of a hall.
+// outpost is the entry box that reports on a hall.
 type outpost struct {
 	box    domain.BoxID // that answered last; empty if none does
 	failed domain.BoxID // that did not answer last; empty if the last one did
@@ -56,7 +56,7 @@
 	return other, other.Box != ""
 }
 
-// Answered takes that the box told of its hall. The result tells that it is another box
+// Answered takes that the box reported on its hall. The result reports that it is another box
 // than before.
 func (o *Outlook) Answered(h domain.HallName, by domain.BoxID) bool {
 	p := o.outpost(h)
@@ -65,7 +65,7 @@
 	return moved
 }
 
-// Failed takes that the box did not tell of its hall. The result tells that it was the
+// Failed takes that the box did not report its hall. The result reports that it was the
 // one that told until now.
 func (o *Outlook) Failed(h domain.HallName, box domain.BoxID) bool {
 	p := o.outpost(h)
@@ -87,8 +87,8 @@
 // Become sets the role of this box in its hall.
 func (o *Outlook) Become(r Role) { o.role = r }
 
-// Asks tells whether this box is to ask the target itself: it stands in the own hall and
-// no hub asks it, nobody tells of its hall, or who does has not heard it for so long. A
+// Asks reports whether this box is to ask the target itself: it stands in the own hall and
+// no hub asks it, nobody reports its hall, or who does has not heard it for so long. A
 // follower whose hub is lost does not ask at once: it hears from another hub meanwhile, and
 // all followers of a hall would ask all targets.
 func (o *Outlook) Asks(now time.Time, h domain.HallName, id domain.InstanceID, old time.Duration) bool {
@@ -103,9 +103,9 @@
 	}
 }
 
-// Surveys tells whether this box is to ask another how the targets of the hall do. A
+// Surveys reports whether this box is to ask another how the targets of the hall do. A
 // follower asks a hub of its own hall, and boxes of another hall only while the hubs have
-// no fresh word of that.
+// no fresh news of that.
 func (o *Outlook) Surveys(now time.Time, h domain.HallName, old time.Duration) bool {
 	switch {
 	case h == o.own:
--- a/membership/outlook_test.go
+++ b/membership/outlook_test.go
@@ -10,7 +10,7 @@
 
 const old = time.Second
 
-// TestOutlook: a box asks the targets of its own hall, and lets one box tell of each
+// TestOutlook: a box asks the targets of its own hall, and lets one box report each
 // other hall for as long as that box answers and hears its targets.
 func TestOutlook(t *testing.T) {
 	for name, tt := range map[string]struct {
@@ -86,13 +86,13 @@
 	}
 }
 
-// TestFollowersRelyOnTheirHubs: one of thirty boxes of a hall, whose hub tells of all halls
+// TestFollowersRelyOnTheirHubs: one of thirty boxes of a hall, whose hub reports on all halls
 // four times a second, until it does no more.
 func TestFollowersRelyOnTheirHubs(t *testing.T) {
 	ms := time.Millisecond
 	for _, tt := range []struct {
 		name            string
-		after           time.Duration // the hub's last word
+		after           time.Duration // the hub's last report
 		failed          bool
 		near, far       bool // it asks targets there itself
 		surveys, ofNear bool // it asks boxes of the other hall, and the hubs of its own
--- a/membership/roster.go
+++ b/membership/roster.go
@@ -36,7 +36,7 @@
 	Spread float64
 	// Floor is the share of a service's targets that ejections leave in use.
 	Floor float64
-	// ReportFresh is for how long a target's own word of its group goes before the
+	// ReportFresh is for how long a target's own news of its group goes before the
 	// list's, which lags.
 	ReportFresh time.Duration
 	// MutedAfter is for how long a target that spoke for itself may be silent, while
@@ -82,20 +82,20 @@
 	goneAt   time.Time      // zero while it is listed
 	grace    time.Time      // until when it may be used although it is gone
 	replaced bool           // another instance answered at its address
-	leftAt   time.Time      // when this box learned that it says it is leaving; zero if it does not
+	leftAt   time.Time      // when this box learned that it reports that it is leaving; zero if it does not
 	restTo   time.Time      // until when it wants nothing from this box
 	health   health
-	own      domain.Rank // its own word of its group
+	own      domain.Rank // its own news of its group
 	ownAt    time.Time
 	progress progress
 }
 
 // Roster is the set of targets as one entry box sees it, each named by its
 // instance. It merges the platform's list, what other boxes say of the list, what
-// targets say of themselves, and how attempts end. News of a listed id is ordered by
+// targets report about themselves, and how attempts end. News of a listed id is ordered by
 // when the start was born that it speaks of and, within one start, by positions of the
 // store, so that it does not matter from whom and in which order it comes: an entry
-// that a start wrote and that reaches the store late says nothing of the next one. It
+// that a start wrote and that reaches the store late reports nothing about the next one. It
 // is not safe for concurrent use.
 type Roster struct {
 	policy    RosterPolicy
@@ -130,7 +130,7 @@
 // Newest is the position of the last change that is known.
 func (r *Roster) Newest() store.Position { return r.newest }
 
-// StoreTroubled tells that the store is away, or was until now.
+// StoreTroubled records that the store is away, or was until now.
 func (r *Roster) StoreTroubled(now time.Time) { r.storeBack = now }
 
 // News is one change of the list: a target as it stands now, or none where its
@@ -141,7 +141,7 @@
 	ID     domain.InstanceID
 	At     store.Position
 	Target *domain.Target // nil if there is none
-	// Unusable tells that the entry is there and names no target to use: it came from
+	// Unusable reports that the entry is there and names no target to use: it came from
 	// another writer, or cannot be read. The target is used no more at once, also while the
 	// store is in trouble.
 	Unusable bool
@@ -198,7 +198,7 @@
 	return []News{n}
 }
 
-// before tells that what is known comes before the news: that speaks of a later start, or
+// before reports that what is known comes before the news: that speaks of a later start, or
 // of the same at a later position. The entry of an earlier start that reached the store
 // late is passed over.
 func (e *entry) before(n News) bool {
@@ -248,12 +248,12 @@
 	}
 }
 
-// CaughtUp tells that all changes up to the position have been taken.
+// CaughtUp records that all changes up to the position have been taken.
 func (r *Roster) CaughtUp(at store.Position) { r.at = store.Later(r.at, at) }
 
-// Reported takes a target's own word, spoken at the time, of its place in a group, of
+// Reported takes a target's own report, spoken at the time, of its place in a group, of
 // the last step that the group has begun, and of whether it has requests to work on. It
-// tells whether that was news: word may come through other boxes, and late.
+// reports whether that was news: word may come through other boxes, and late.
 func (r *Roster) Reported(at time.Time, id domain.InstanceID, own domain.Rank, step uint64, working bool) bool {
 	e, ok := r.of(id)
 	if !ok || !at.After(e.ownAt) {
@@ -270,7 +270,7 @@
 	return true
 }
 
-// Replaced tells that another instance answered at the target's address.
+// Replaced records that another instance answered at the target's address.
 func (r *Roster) Replaced(id domain.InstanceID) {
 	if e, ok := r.of(id); ok {
 		e.replaced = true
@@ -320,7 +320,7 @@
 	}
 }
 
-// Missed takes another box's word that it could not reach the target at all since the
+// Missed takes another box's report that it could not reach the target at all since the
 // target spoke at the time. It counts unless the target has spoken later.
 func (r *Roster) Missed(now time.Time, id domain.InstanceID, spoke time.Time) {
 	if e, ok := r.of(id); ok && !e.ownAt.After(spoke) {
--- a/membership/standing.go
+++ b/membership/standing.go
@@ -33,7 +33,7 @@
 	return [...]string{"good", "suspect", "lapsed", "resting", "unreachable", "unfit", "leaving"}[s]
 }
 
-// Usable tells whether a target of the standing may get new work.
+// Usable reports whether a target of the standing may get new work.
 func (s Standing) Usable() bool { return s < Resting }
 
 // Ranked is a target with its standing.
@@ -97,10 +97,10 @@
 	}
 }
 
-// gone tells that the target is not listed, and is not to be used any more either.
+// gone reports that the target is not listed, and is not to be used any more either.
 func (e *entry) gone(now time.Time) bool { return !e.goneAt.IsZero() && !now.Before(e.grace) }
 
-// muted tells that the target used to speak for itself and does no more, as on a box
+// muted reports that the target used to speak for itself and does no more, as on a box
 // that stands still: requests to it would be accepted and not answered.
 func (r *Roster) muted(now time.Time, e *entry) bool {
 	return !e.ownAt.IsZero() && now.Sub(e.ownAt) > r.policy.MutedAfter && r.heardAt.Sub(e.ownAt) > r.policy.MutedAfter
--- a/membership/starts_test.go
+++ b/membership/starts_test.go
@@ -113,7 +113,7 @@
 }
 
 // TestStartsInAnyOrder delivers what the store held of one target, lost, late, doubled and
-// out of order. Whatever comes: a start is used only if no later one was heard of, and once
+// out of order. Whatever comes: a start is used only if no later one was learned of, and once
 // all is known it is what the last entry of the last start says.
 func TestStartsInAnyOrder(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
--- a/mesh/messages.go
+++ b/mesh/messages.go
@@ -49,7 +49,7 @@
 	Hall domain.HallName `json:"hall,omitempty"`
 }
 
-// Advert is what an entry box tells of itself and of others.
+// Advert is what an entry box reports itself and of others.
 type Advert struct {
 	Self    Contact         `json:"self"`
 	Hall    domain.HallName `json:"hall"`
@@ -63,10 +63,10 @@
 	// Remembered is the incarnation under which the sender of an answer knew the asker
 	// before, so that one that started again can come after it.
 	Remembered domain.Incarnation `json:"remembered,omitempty"`
-	// News tells that it is sent because something changed, and names no other boxes; nor
+	// News reports that it is sent because something changed, and names no other boxes; nor
 	// does its answer.
 	News bool `json:"news,omitempty"`
-	// Known are other boxes that it has heard of lately.
+	// Known are other boxes that it has learned of lately.
 	Known []Contact `json:"known,omitempty"`
 	// Complaints are those that count, of any box.
 	Complaints []Complaint `json:"complaints,omitempty"`
@@ -78,7 +78,7 @@
 	Limits []LimitWord `json:"limits,omitempty"`
 	// Share is how the sender shares limits; missing while it knows none.
 	Share *ShareWord `json:"share,omitempty"`
-	// Blank tells that the sender has just started and was told of no limits yet, so that the answer
+	// Blank reports that the sender has just started and was sent no limits yet, so that the answer
 	// is to name all, and has a share.
 	Blank bool `json:"blank,omitempty"`
 }
@@ -101,7 +101,7 @@
 	Ago    time.Duration
 }
 
-// PullQuery tells what the asker has.
+// PullQuery reports what the asker has.
 type PullQuery struct {
 	Config  catalog.Edition `json:"config"`
 	Targets store.Position  `json:"targets"`
@@ -164,9 +164,9 @@
 	All bool `json:"all,omitempty"`
 }
 
-// HallReport is what an entry box heard of targets.
+// HallReport is what an entry box learned of targets.
 type HallReport struct {
-	// Follows tells that this box follows the store, which answers it, and will tell what
+	// Follows reports that this box follows the store, which answers it, and will report what
 	// changes there.
 	Follows bool       `json:"follows,omitempty"`
 	Targets []Sighting `json:"targets"`
@@ -184,7 +184,7 @@
 	Step             orders.Step
 	Running, Waiting int
 	Pace             float32
-	// Missing tells that nothing came back from its box since.
+	// Missing reports that nothing came back from its box since.
 	Missing bool
 }
 
@@ -221,7 +221,7 @@
 	Running int              `json:"running"`
 	Waiting int              `json:"waiting"`
 	Pace    float64          `json:"pace"`
-	// Leaving tells that the engine says that it is leaving.
+	// Leaving reports that the engine reports that it is leaving.
 	Leaving bool `json:"leaving,omitempty"`
 	// Picked is how often each expert was chosen by this rank's requests since the
 	// asker asked last; only where Read asks, and missing if that is not known.
--- a/mesh/permits.go
+++ b/mesh/permits.go
@@ -13,7 +13,7 @@
 type LimitWord struct {
 	_      struct{} `cbor:",toarray"`
 	Target domain.InstanceID
-	// PerSecond is missing where the target says that it has no limit any more.
+	// PerSecond is missing where the target reports that it has no limit any more.
 	PerSecond *float64
 	Ago       time.Duration
 }
@@ -44,7 +44,7 @@
 	_ struct{} `cbor:",toarray"`
 	// Boxes are how many share them, as it counts.
 	Boxes int
-	// Apart tells that it goes by its own part, Settled that it has run long enough to be an issuer.
+	// Apart reports that it goes by its own part, Settled that it has run long enough to be an issuer.
 	Apart, Settled bool
 }
 
@@ -59,7 +59,7 @@
 
 // PermitReply is what the asker gets.
 type PermitReply struct {
-	// Issuer tells that the box is the issuer, as far as it knows; else it hands out nothing.
+	// Issuer reports that the box is the issuer, as far as it knows; else it hands out nothing.
 	Issuer  bool              `json:"issuer"`
 	Target  domain.InstanceID `json:"target,omitempty"` // empty if there is no permit
 	Permits int               `json:"permits,omitempty"`
--- a/mesh/relayed.go
+++ b/mesh/relayed.go
@@ -16,7 +16,7 @@
 	Read  ReadQuery    `json:"read"`
 }
 
-// Gathered is what the ranks said that answered.
+// Gathered is what the ranks reported that answered.
 type Gathered struct {
 	Ranks []RankWord `json:"ranks"`
 	// Picked is what these ranks chose together since the asker asked last; missing if
@@ -24,7 +24,7 @@
 	Picked *Picked `json:"picked,omitempty"`
 }
 
-// RankWord is what a rank says of itself, without names of fields, since there are
+// RankWord is what a rank reports about itself, without names of fields, since there are
 // dozens in a message.
 type RankWord struct {
 	_             struct{} `cbor:",toarray"`
--- a/mesh/server.go
+++ b/mesh/server.go
@@ -48,7 +48,7 @@
 	return drpcerr.WithCode(drpc.Error.New("the map %d, from which another is told, is not known here", base), unknownBase)
 }
 
-// IsUnknownBase tells that the other process knows no map from which one was told.
+// IsUnknownBase reports that the other process knows no map from which one was told.
 func IsUnknownBase(err error) bool { return drpcerr.Code(err) == unknownBase }
 
 // HandleRPC implements drpc.Handler.
--- a/node/choosing.go
+++ b/node/choosing.go
@@ -68,7 +68,7 @@
 	return f.at(now, chosen), nil
 }
 
-// open tells whether the option may be sent work without asking; mu is held.
+// open reports whether the option may be sent work without asking; mu is held.
 func (f *fleet) open(now time.Time, o routing.Option) bool {
 	return !o.Limited || f.limits.Has(now, o.ID)
 }
--- a/node/entry_test.go
+++ b/node/entry_test.go
@@ -157,7 +157,7 @@
 	})
 }
 
-// ready tells whether the box says that it takes callers.
+// ready reports whether the box reports that it takes callers.
 func (b *box) ready() bool {
 	resp, err := b.rig.client.Get("http://" + b.settings.Ready + "/")
 	if err != nil {
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -28,9 +28,9 @@
 	gate     *admission.Gate
 	limits   *ratelimit.Register
 	askedAt  map[domain.ServiceName]time.Time          // when a target of the service was last asked for
-	letDown  func()                                    // called when a target let this box down, and others are to hear of it
+	letDown  func()                                    // called when a target let this box down, and others are to learn of it
 	ejected  func(domain.InstanceID)                   // called when a target is ejected as several boxes complain of it
-	left     func(id domain.InstanceID, source string) // called when a target says that it is leaving, and nothing did before
+	left     func(id domain.InstanceID, source string) // called when a target reports that it is leaving, and nothing did before
 	witness  func(domain.Target) string                // another process that is reached on the way to the target
 	limited  func(w ratelimit.Word, source string)     // called when a target has another limit than before
 	permits  permitting
@@ -93,7 +93,7 @@
 // wantedFor is how long after a request a service counts as asked for.
 const wantedFor = 15 * time.Second
 
-// wanting tells whether a service that is asked for has no target to be used.
+// wanting reports whether a service that is asked for has no target to be used.
 func (f *fleet) wanting(now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -105,7 +105,7 @@
 	return false
 }
 
-// cutOff tells whether no other data hall is heard.
+// cutOff reports whether no other data hall is heard.
 func (f *fleet) cutOff(now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -129,7 +129,7 @@
 	})
 }
 
-// leaves takes that the target says that it is leaving, as the source tells.
+// leaves takes that the target reports that it is leaving, as the source tells.
 func (f *fleet) leaves(now time.Time, id domain.InstanceID, source string) {
 	news := false
 	f.with(func(r *membership.Roster, _ *routing.Balancer) { news = r.Leaves(now, id) })
@@ -189,7 +189,7 @@
 	return list
 }
 
-// knowsLimits tells whether there are limits, or were lately.
+// knowsLimits reports whether there are limits, or were lately.
 func (f *fleet) knowsLimits() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/node/following.go
+++ b/node/following.go
@@ -27,7 +27,7 @@
 	listed   func(store.Listing)
 	changed  func(store.Changes)
 	lost     func()                    // called while the store does not answer
-	among    func() (boxes, place int) // that tell each other what they learn
+	among    func() (boxes, place int) // that notify each other what they learn
 	told     func() bool               // another box follows the store for this one
 	known    func() store.Position     // up to which the kind is known here, from whomever
 	era      func() store.Era          // the latest that this box has learned of
--- a/node/leave.go
+++ b/node/leave.go
@@ -11,11 +11,11 @@
 
 const (
 	// noticed is how long the platform takes to send no new callers to a box that
-	// says it is not ready: two questions, a second apart, and their answers.
+	// reports that it is not ready: two questions, a second apart, and their answers.
 	noticed = 3 * time.Second
 )
 
-// leave is a planned stop: the box says that it is not ready and goes on serving
+// leave is a planned stop: the box reports that it is not ready and goes on serving
 // callers that still come until the platform has noticed. Then it takes no new
 // connection, closes those that rest, and ends once nothing is in flight, or at the
 // latest shortly before it would be killed.
--- a/node/limiting.go
+++ b/node/limiting.go
@@ -23,7 +23,7 @@
 
 	mu     sync.Mutex
 	desk   *ratelimit.Desk
-	kicked time.Time // other boxes were last told of a limit at once
+	kicked time.Time // other boxes were last informed of a limit at once
 }
 
 const (
@@ -46,7 +46,7 @@
 	return &limiting{entry: e, desk: ratelimit.NewDesk(self, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))}
 }
 
-// named logs that a target has another limit than before, and tells other boxes at once.
+// named logs that a target has another limit than before, and notifies other boxes at once.
 func (l *limiting) named(w ratelimit.Word, source string) {
 	now := clock.Now()
 	l.entry.common.Log.Info("target limit", "target", w.Target, "limit", w.Limit, "age", now.Sub(w.At), "source", source)
@@ -105,7 +105,7 @@
 	return issuer, way
 }
 
-// is tells whether this box is the service's issuer, which is the box.
+// is reports whether this box is the service's issuer, which is the box.
 func (l *limiting) is(issuer domain.BoxID, svc domain.ServiceName) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -117,7 +117,7 @@
 	svc    domain.ServiceName
 	issuer membership.Contact
 	asked  time.Time
-	// waited tells that the request waits no more, and that what comes is for later ones. It is
+	// waited reports that the request waits no more, and that what comes is for later ones. It is
 	// guarded by limiting's mu.
 	waited bool
 	answer chan ratelimit.Grant
@@ -228,7 +228,7 @@
 	return mesh.ReplyOf(now, l.issue(now, q.Service, l.entry.fleet.words(asked))), nil
 }
 
-// heard takes what another box tells of limits, and returns it.
+// heard takes what another box reports about limits, and returns it.
 func (l *limiting) heard(now time.Time, list []mesh.LimitWord, source string) []ratelimit.Word {
 	var words []ratelimit.Word
 	for _, m := range list {
@@ -240,7 +240,7 @@
 	return words
 }
 
-// tell is what other boxes are to hear of limits: news, and so many others.
+// tell is what other boxes are to learn of limits: news, and so many others.
 func (l *limiting) tell(now time.Time, others int) []mesh.LimitWord {
 	var list []mesh.LimitWord
 	for _, w := range l.entry.fleet.tellLimits(now, others) {
@@ -249,7 +249,7 @@
 	return list
 }
 
-// apart tells whether this box goes by its own part of limits.
+// apart reports whether this box goes by its own part of limits.
 func (l *limiting) apart(now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/node/main.go
+++ b/node/main.go
@@ -70,7 +70,7 @@
 }
 
 // onSignal gives a channel that is closed when the platform stops the process, and one
-// on which it says that the settings file has changed.
+// on which it reports that the settings file has changed.
 func onSignal(c telemetry.Common) (leave, changed chan struct{}) {
 	leave, changed = make(chan struct{}), make(chan struct{}, 1)
 	signals := make(chan os.Signal, 1)
--- a/node/peering.go
+++ b/node/peering.go
@@ -28,13 +28,13 @@
 	meetMost = 8
 	// passOnMost is how many other boxes an advert names, and passOnFew how many of them
 	// are not new. A box hears a few dozen adverts a second, so that even of hundreds of
-	// boxes each is heard of within the time in which it counts.
+	// boxes each is learned of within the time in which it counts.
 	passOnMost, passOnFew = 16, 2
 	// seedEvery is the time between two looks at a seed by a box that knows others: it
 	// joins parts of the system that lost each other.
 	seedEvery = 5 * time.Second
-	// tellAllEvery is the time between two rounds in which a box tells of all works in
-	// quarantine: as long as a box has to catch up after it was cut off, while it hears of
+	// tellAllEvery is the time between two rounds in which a box reports all works in
+	// quarantine: as long as a box has to catch up after it was cut off, while it learns of
 	// them from several others on average.
 	tellAllEvery = 3 * time.Second
 )
@@ -74,7 +74,7 @@
 	}
 }
 
-// inTouch is how many boxes tell each other news now, this one included, and the place
+// inTouch is how many boxes send each other news now, this one included, and the place
 // of this one among them.
 func (p *peering) inTouch() (boxes, place int) {
 	p.mu.Lock()
@@ -106,7 +106,7 @@
 	return p.boxes.In(clock.Now(), hall)
 }
 
-// isolated tells whether this box has lost the boxes of all other data halls.
+// isolated reports whether this box has lost the boxes of all other data halls.
 func (p *peering) isolated(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/node/place.go
+++ b/node/place.go
@@ -18,7 +18,7 @@
 	option routing.Option
 	ticket *routing.Ticket
 	taken  time.Time
-	// permitted tells that the target has a limit, and that there is a permit for the attempt.
+	// permitted reports that the target has a limit, and that there is a permit for the attempt.
 	permitted bool
 }
 
--- a/node/process/servers.go
+++ b/node/process/servers.go
@@ -43,7 +43,7 @@
 	return s.Serve(&http.Server{Handler: c.Metrics.Handler(), ReadHeaderTimeout: catalog.DefaultLimits().Header}, address)
 }
 
-// Fail tells how a server ended. Only the first counts, and none once the process leaves.
+// Fail reports how a server ended. Only the first counts, and none once the process leaves.
 func Fail(failed chan<- error, err error) {
 	select {
 	case failed <- err:
--- a/node/process/settings.go
+++ b/node/process/settings.go
@@ -27,7 +27,7 @@
 	Metrics string `json:"metrics"`
 	// Store is the address of the platform's store, host:port.
 	Store string `json:"store" required:"true"`
-	// FirstStart tells that the whole system starts for the first time, so that no caller waits and a box can wait for others to tell it what the store holds.
+	// FirstStart reports that the whole system starts for the first time, so that no caller waits and a box can wait for others to tell it what the store holds.
 	FirstStart bool `json:"first_start"`
 	// AgentPort is the port of agents on the boxes of targets; 0 where there are none.
 	AgentPort int `json:"agent_port" min:"0" max:"65535"`
@@ -37,7 +37,7 @@
 
 // Bounds are what the platform holds the system to.
 type Bounds struct {
-	// Drain is how long after word of a target's leaving it may still get new work.
+	// Drain is how long after news of a target's leaving it may still get new work.
 	Drain settings.Duration `json:"drain" min:"100ms" max:"10m"`
 	// Stop is how long after a request to stop the process is killed.
 	Stop settings.Duration `json:"stop" min:"1s" max:"1h"`
--- a/node/quarantining.go
+++ b/node/quarantining.go
@@ -18,15 +18,15 @@
 	"clovertrail.dev/telemetry"
 )
 
-// quarantining guards what the box knows of works under which targets ended, tells other boxes
+// quarantining guards what the box knows of works under which targets ended, notifies other boxes
 // and keeps it in the store: all boxes may die at once, and must not send such work again
 // then. It implements gateway.Quarantine.
 //
 // Lock order: mu is the only lock, and no I/O is done under it.
 type quarantining struct {
 	common telemetry.Common
-	news   func()           // makes this box tell others at once
-	apart  func() bool      // tells that this box hears no other hall, so that only the store tells it
+	news   func()           // makes this box notify others at once
+	apart  func() bool      // reports that this box hears no other hall, so that only the store tells it
 	era    func() store.Era // the latest of the store that this box has learned of
 
 	mu       sync.Mutex
@@ -179,7 +179,7 @@
 	}
 }
 
-// toCompare tells whether the store was restored and may have lost what this box knows.
+// toCompare reports whether the store was restored and may have lost what this box knows.
 func (q *quarantining) toCompare() bool {
 	now, era := clock.Now(), q.era()
 	q.mu.Lock()
@@ -211,7 +211,7 @@
 	}
 }
 
-// load takes what the store keeps, and tells whether it answered. What is over there is taken
+// load takes what the store keeps, and reports whether it answered. What is over there is taken
 // away: nothing else does.
 func (q *quarantining) load(ctx context.Context, s store.Shelf) bool {
 	l, err := s.List(ctx, platform.Quarantines)
--- a/node/rank/agent.go
+++ b/node/rank/agent.go
@@ -278,7 +278,7 @@
 	return giveOrder(ctx, a.common, e, c)
 }
 
-// leads tells whether this rank is to coordinate.
+// leads reports whether this rank is to coordinate.
 func (a *Agent) leads(now time.Time, rank int) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/node/rank/giving.go
+++ b/node/rank/giving.go
@@ -234,7 +234,7 @@
 	return ok
 }
 
-// underHold tells of an order that is given while the group is held or that holds it:
+// underHold reports an order that is given while the group is held or that holds it:
 // all but those that copy, which change nothing yet.
 func underHold(o orders.Order) bool {
 	_, copies := o.(orders.Prepare)
--- a/node/rank/groupduty.go
+++ b/node/rank/groupduty.go
@@ -218,7 +218,7 @@
 	}
 }
 
-// busy tells that an attempt, or what follows one, waits for something that only
+// busy reports that an attempt, or what follows one, waits for something that only
 // reads show.
 func (d *groupDuty) busy() bool {
 	return d.coord != nil && (!d.coord.Idle() || clock.Since(d.endedAt) < afterwards)
--- a/node/rank/orders.go
+++ b/node/rank/orders.go
@@ -81,7 +81,7 @@
 	}
 }
 
-// holds tells whether the own engine holds the step of the call.
+// holds reports whether the own engine holds the step of the call.
 func (a *Agent) holds(ctx context.Context, c orders.Call) bool {
 	r, err := a.look(ctx, 0)
 	h, ok := c.Order.(orders.Hold)
--- a/node/rank/reading.go
+++ b/node/rank/reading.go
@@ -21,7 +21,7 @@
 // change of such a group takes longer, and each answer of an engine is large.
 const relayedPicks = 200 * time.Millisecond
 
-// errNotRelayed says that a relay did not hear the rank.
+// errNotRelayed reports that a relay did not hear the rank.
 var errNotRelayed = errors.New("its relay did not hear it")
 
 // readRanks reads the ranks that are wanted and not being read already.
@@ -49,7 +49,7 @@
 	}
 }
 
-// relayed tells whether the rank is spoken to by way of a relay. One that was not heard is
+// relayed reports whether the rank is spoken to by way of a relay. One that was not heard is
 // spoken to by itself until it is, so that it does not keep its relay waiting.
 func (d *groupDuty) relayed(r int) bool {
 	return d.relays != nil && r != d.rank && !d.unread[r] && !d.mute.is(r)
@@ -161,7 +161,7 @@
 	d.coord.SetReach(d.reach)
 }
 
-// observe takes what a rank says of itself; false if that is of another formation.
+// observe takes what a rank reports about itself; false if that is of another formation.
 func (d *groupDuty) observe(now time.Time, rank int, r *mesh.RankReport) bool {
 	if !d.coord.Observe(now, rank, r.State) {
 		return false
@@ -194,7 +194,7 @@
 // countBytes is what an answer with counts takes on the wire.
 func (d *groupDuty) countBytes() int { return d.shape.Layers*d.shape.Experts*pickBytes + reportBytes }
 
-// useRelays tells whether a reading of all ranks, each by itself, would take too long.
+// useRelays reports whether a reading of all ranks, each by itself, would take too long.
 func (d *groupDuty) useRelays() bool { return d.sending(d.size*d.countBytes(), linkShare) > relayFrom }
 
 // sending is how long so many bytes take on a share of this box's link.
--- a/node/rank/relaying.go
+++ b/node/rank/relaying.go
@@ -14,7 +14,7 @@
 )
 
 // relayWithin bounds a read that a relay makes for the coordinator: less than the
-// coordinator waits for the relay, so that one silent rank does not cost the word of the
+// coordinator waits for the relay, so that one silent rank does not cost the news of the
 // others.
 const relayWithin = readWithin * 3 / 5
 
@@ -97,7 +97,7 @@
 	var reply *mesh.OrderReply
 	var err error
 	if o.Prepare != nil {
-		prepare := *o.Prepare // the own agent makes it whole; the others are told what changed
+		prepare := *o.Prepare // the own agent makes it whole; the others receive what changed
 		o.Prepare = &prepare
 	}
 	if m.Agent == a.settings().Peers {
--- a/node/readiness.go
+++ b/node/readiness.go
@@ -53,7 +53,7 @@
 	e.common.Log.Warn("target ejected on complaints", "target", id)
 }
 
-// noteLeft logs that a target says that it is leaving, and tells other boxes at once.
+// noteLeft logs that a target reports that it is leaving, and notifies other boxes at once.
 func (e *Entry) noteLeft(id domain.InstanceID, source string) {
 	e.common.Log.Info("target says it is leaving", "target", id, "source", source)
 	e.peering.tell()
--- a/node/surveying.go
+++ b/node/surveying.go
@@ -18,14 +18,14 @@
 const (
 	// surveyWithin bounds a question to a box of another hall.
 	surveyWithin = watchWithin
-	// toldFor is how old another box's word of a target may be before this box asks the
+	// toldFor is how old another box's news of a target may be before this box asks the
 	// target itself: several questions to the target and to that box. It is under the
 	// time after which a silent target is suspect.
 	toldFor = time.Second
 )
 
 // surveying hears from other entry boxes how targets do: of each other data hall from one
-// box there, or in a hall with hubs of all halls from one of these. It tells others what it
+// box there, or in a hall with hubs of all halls from one of these. It notifies others what it
 // heard (membership.Outlook and membership.RoleOf decide whom to ask).
 //
 // Lock order: mu, then the fleet's.
@@ -37,7 +37,7 @@
 	outlook   *membership.Outlook
 	role      membership.Role
 	place     int       // of this box among those of its hall, in the order of names
-	hubAt     time.Time // when a hub of the hall last said that it follows the store
+	hubAt     time.Time // when a hub of the hall last reported that it follows the store
 	storeWell func() bool
 	halls     map[domain.HallName]bool // that are followed
 }
@@ -58,14 +58,14 @@
 	return r, nil
 }
 
-// follows tells how to find out whether this box follows the store and is answered.
+// follows reports how to find out whether this box follows the store and is answered.
 func (s *surveying) follows(well func() bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.storeWell = well
 }
 
-// hubFor is how long after a hub said that it follows the store a follower relies on it:
+// hubFor is how long after a hub reported that it follows the store a follower relies on it:
 // a few of its questions to the hub.
 const hubFor = time.Second
 
@@ -84,7 +84,7 @@
 	return membership.HubsEach * len(halls), hall*membership.HubsEach + at
 }
 
-// toldOfStore tells that a hub of the hall follows the store for this box.
+// toldOfStore reports that a hub of the hall follows the store for this box.
 func (s *surveying) toldOfStore() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -109,7 +109,7 @@
 
 func (s *surveying) hall() domain.HallName { return domain.HallName(s.entry.settings().Hall) }
 
-// is tells whether this box has the role.
+// is reports whether this box has the role.
 func (s *surveying) is(r membership.Role) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -143,7 +143,7 @@
 	return everyAmong(boxes)
 }
 
-// old is how old another box's word may be: in a hall with hubs it comes by way of two
+// old is how old another box's report may be: in a hall with hubs it comes by way of two
 // boxes after that which heard it.
 func (s *surveying) old() time.Duration { return max(toldFor, 2*(watchEvery+s.every())) }
 
@@ -170,13 +170,13 @@
 		if s.surveys(hall) {
 			s.ask(ctx, hall)
 		} else {
-			pause = s.old() / 2 // a look whether the hubs still tell of the hall
+			pause = s.old() / 2 // a look whether the hubs still report the hall
 		}
 		clock.SleepUntil(ctx, clock.Now().Add(pause))
 	}
 }
 
-// surveys tells whether this box is to ask another about the hall now.
+// surveys reports whether this box is to ask another about the hall now.
 func (s *surveying) surveys(hall domain.HallName) bool {
 	old := s.old()
 	s.mu.Lock()
--- a/node/suspended.go
+++ b/node/suspended.go
@@ -7,7 +7,7 @@
 	"clovertrail.dev/telemetry"
 )
 
-// suspended tells that the machine was suspended, or that nobody can tell whether it is.
+// suspended reports that the machine was suspended, or that this cannot be found out.
 func (p *loaded) suspended(d time.Duration, err error) {
 	if err != nil {
 		p.common.Log.Error("clocks not read, suspensions of the machine go unnoticed", "err", err)
--- a/node/telling/counter.go
+++ b/node/telling/counter.go
@@ -27,7 +27,7 @@
 	clear(c.fresh)
 }
 
-// Add takes what a rank chose, or nil if that could not be had, and tells whether
+// Add takes what a rank chose, or nil if that could not be had, and reports whether
 // all ranks have reported since the last take.
 func (c *Counter) Add(rank int, p *mesh.Picked) bool { return c.AddSum([]int{rank}, p) }
 
--- a/node/telling/lesson.go
+++ b/node/telling/lesson.go
@@ -7,7 +7,7 @@
 )
 
 // teachEvery is the time between two times that an agent is told again who is in its
-// group though it knows that: the others that it was told of may be gone.
+// group though it knows that: the others of which it was informed may be gone.
 const teachEvery = 5 * time.Second
 
 // Lesson is what an entry box told an agent of its group: dozens of ranks, which need
@@ -37,7 +37,7 @@
 	return &Lesson{chance: chance, wait: time.Duration(chance * float64(lessonSpread))}
 }
 
-// Among tells how many boxes ask the agent: the fewer, the sooner each may tell it.
+// Among sets how many boxes ask the agent: the fewer, the sooner each may tell it.
 func (l *Lesson) Among(boxes int) {
 	spread := lessonSpread * time.Duration(min(boxes, lessonBoxes)) / lessonBoxes
 	l.wait = time.Duration(l.chance * float64(spread))
@@ -52,7 +52,7 @@
 	return max(l.lacks.Add(l.wait).Sub(now), 0)
 }
 
-// Due tells whether the agent of a rank in the epoch is to be told now; it then counts
+// Due reports whether the agent of a rank in the epoch is to be told now; it then counts
 // as told. An agent is asked what it knows just before: another box may have told it.
 func (l *Lesson) Due(now time.Time, e orders.Epoch) bool {
 	if l.knows == e {
@@ -73,5 +73,5 @@
 	return true
 }
 
-// Learnt takes the epoch for which the agent says that it knows its group.
+// Learnt takes the epoch for which the agent reports that it knows its group.
 func (l *Lesson) Learnt(e orders.Epoch) { l.heard, l.knows = true, e }
--- a/node/telling/placements.go
+++ b/node/telling/placements.go
@@ -107,5 +107,5 @@
 	}
 }
 
-// All tells that the agents of so many other ranks have a map each.
+// All reports that the agents of so many other ranks have a map each.
 func (t *Told) All(ranks int) bool { return len(t.ranks) >= ranks-1 }
--- a/node/telling/relays.go
+++ b/node/telling/relays.go
@@ -59,7 +59,7 @@
 // Parts is how many parts there are.
 func (r *Relays) Parts() int { return len(r.parts) }
 
-// Through says through whom each of the ranks is spoken to. fit tells whether a rank's
+// Through says through whom each of the ranks is spoken to. fit reports whether a rank's
 // agent may be a relay; the first that is speaks for its part, counted from a place that
 // differs from one coordinator to the next: where two are at work for a moment, they do
 // not lean on the same agents.
--- a/node/telling/sightings.go
+++ b/node/telling/sightings.go
@@ -8,12 +8,12 @@
 	"clovertrail.dev/mesh"
 )
 
-// sightingFor is how long after it was last heard a target is still told of: long
+// sightingFor is how long after it was last heard a target is still reported: long
 // enough that others see its silence grow, and short of what a box that is gone
 // for good costs in every answer.
 const sightingFor = 10 * time.Second
 
-// Sightings are what this box heard of targets, from those that it asks itself and from
+// Sightings are what this box learned of targets, from those that it asks itself and from
 // other boxes, kept for boxes that ask it.
 //
 // Lock order: mu is the only lock.
@@ -42,7 +42,7 @@
 	}}
 }
 
-// Told takes what another box heard of a target at the time.
+// Told takes what another box learned of a target at the time.
 func (s *Sightings) Told(at time.Time, w mesh.Sighting) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/node/telling/telling_test.go
+++ b/node/telling/telling_test.go
@@ -113,7 +113,7 @@
 	}
 }
 
-// TestAnAgentThatStartsAgainIsToldTheWholeMap: it says that it does not know the map
+// TestAnAgentThatStartsAgainIsToldTheWholeMap: it reports that it does not know the map
 // from which the next was told, and prepares nothing.
 func TestAnAgentThatStartsAgainIsToldTheWholeMap(t *testing.T) {
 	l := newLine(t)
--- a/node/watching.go
+++ b/node/watching.go
@@ -56,7 +56,7 @@
 	}
 }
 
-// update starts and ends the loops: a box that hears of a target from others keeps none,
+// update starts and ends the loops: a box that learns of a target from others keeps none,
 // so that a hundred boxes do not each wake twice a second for each of 200 targets.
 func (w *watching) update(ctx context.Context) {
 	w.surveying.takeRole(ctx)
@@ -160,7 +160,7 @@
 }
 
 // otherStart takes that the engine is not the start that was asked about. A later one has
-// taken its place, and gets work once the list names it; an earlier one says nothing.
+// taken its place, and gets work once the list names it; an earlier one reports nothing.
 func (w *watching) otherStart(id domain.InstanceID, born domain.Born) {
 	w.entry.common.Log.Warn("word of another start", "target", id, "born", born)
 	if born > id.Born() {
@@ -175,7 +175,7 @@
 	return mesh.Call[mesh.WatchQuery, mesh.RankReport](ctx, w.mesh, address, mesh.Watch, q)
 }
 
-// boxSilent tells that nothing at all came back from the box: not even a refusal of
+// boxSilent reports that nothing at all came back from the box: not even a refusal of
 // the connection, as from a box on which only the agent is down.
 func boxSilent(err error) bool {
 	var op *net.OpError
@@ -194,7 +194,7 @@
 	return w.agentOf(target), orders.Epoch(own.Epoch), true
 }
 
-// helpersNear is how many entry boxes of this hall an agent is told of as helpers: orders
+// helpersNear is how many entry boxes of this hall an agent is sent as helpers: orders
 // for a group of a hundred ranks are handed out by a few at once.
 const helpersNear = 8
 
--- a/quarantine/doc.go
+++ b/quarantine/doc.go
@@ -25,6 +25,6 @@
 //	}
 //	switch r.Take(now, quarantine.Word{Digest: digest, Target: id, At: now}) {
 //	case quarantine.News, quarantine.Barred:
-//		// tell other boxes r.Tell(now, false)
+//		// notify other boxes r.Tell(now, false)
 //	}
 package quarantine
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -43,7 +43,7 @@
 	return list
 }
 
-// Over tells that the quarantine, and the time for which it is remembered, have passed at the
+// Over reports that the quarantine, and the time for which it is remembered, have passed at the
 // time of day.
 func (r Record) Over(day time.Time) bool {
 	var last int64
--- a/quarantine/register.go
+++ b/quarantine/register.go
@@ -55,7 +55,7 @@
 const (
 	// Nothing: it was known, or does not matter any more.
 	Nothing Change = iota
-	// News: other boxes are to hear of it.
+	// News: other boxes are to learn of it.
 	News
 	// Barred: the work is in quarantine now, or for longer.
 	Barred
@@ -82,7 +82,7 @@
 	return &Register{works: map[call.Digest]*work{}, served: recent{at: map[call.Digest]time.Time{}}}
 }
 
-// Take takes a word of this box, of another or of the store.
+// Take takes a news of this box, of another or of the store.
 func (r *Register) Take(now time.Time, w Word) Change {
 	if w.Target == "" {
 		return r.cleared(now, w)
@@ -134,7 +134,7 @@
 	return 0
 }
 
-// Barred tells whether the work is in quarantine, and until when.
+// Barred reports whether the work is in quarantine, and until when.
 func (r *Register) Barred(now time.Time, d call.Digest) (until time.Time, barred bool) {
 	x, known := r.works[d]
 	if !known {
--- a/quarantine/rewriter.go
+++ b/quarantine/rewriter.go
@@ -33,8 +33,8 @@
 	w.era = era
 }
 
-// Due tells whether the box is to list what the store keeps now.
+// Due reports whether the box is to list what the store keeps now.
 func (w *Rewriter) Due(now time.Time) bool { return !w.dueAt.IsZero() && !now.Before(w.dueAt) }
 
-// Compared tells that what the store keeps was listed, and what is missing is being written.
+// Compared records that what the store keeps was listed, and what is missing is being written.
 func (w *Rewriter) Compared() { w.dueAt = time.Time{} }
--- a/ratelimit/bank.go
+++ b/ratelimit/bank.go
@@ -14,7 +14,7 @@
 	// burstFor what it takes in that time comes on top: a target bears half as much again as its
 	// limit for some seconds, and a few requests more.
 	burst, burstFor = 2.0, 250 * time.Millisecond
-	// leastRate is the requests a second that any target gets. Only its answers tell that the limit
+	// leastRate is the requests a second that any target gets. Only its answers report that the limit
 	// is over.
 	leastRate = 0.2
 	// batchFor is for how long permits are handed out at once: a box that asks for each request
--- a/ratelimit/bank_test.go
+++ b/ratelimit/bank_test.go
@@ -67,7 +67,7 @@
 }
 
 // TestRatesOfLimits: a target that takes hardly anything or nothing is tried now and then all the
-// same, since only its answers tell that this is over.
+// same, since only its answers report that this is over.
 func TestRatesOfLimits(t *testing.T) {
 	for _, tc := range []struct {
 		limit       call.Limit
--- a/ratelimit/desk.go
+++ b/ratelimit/desk.go
@@ -13,31 +13,31 @@
 	// doubles it, up to silentMost.
 	silentFor, silentMost = time.Second, 8 * time.Second
 	maxSilent             = 3 // doublings
-	// declinedFor is for how long a box is not asked that says it is not the issuer: two see it
+	// declinedFor is for how long a box is not asked that reports that it is not the issuer: two see it
 	// differently for no longer than news takes.
 	declinedFor = 200 * time.Millisecond
 	// apartFor is for how long after it went by its own part a box counts as apart: a few rounds
-	// in which boxes tell each other so.
+	// in which boxes notify each other so.
 	apartFor = 2 * time.Second
 )
 
 // Way is where a box gets permits for the targets of a service.
 type Way interface{ way() }
 
-// Here tells that this box is the issuer.
+// Here reports that this box is the issuer.
 type Here struct{}
 
-// There tells that another box is the issuer, and is to be asked. One that is slow is asked ahead:
+// There reports that another box is the issuer, and is to be asked. One that is slow is asked ahead:
 // the request does not wait for the answer, and what it brings is for those that come later.
 type There struct {
 	Issuer domain.BoxID
 	Ahead  bool
 }
 
-// Pending tells that a slow issuer is being asked already.
+// Pending reports that a slow issuer is being asked already.
 type Pending struct{}
 
-// Alone tells that no issuer is known or answers, and that this box goes by its own part. Where Again
+// Alone reports that no issuer is known or answers, and that this box goes by its own part. Where Again
 // is set it is time to find out whether that issuer answers again.
 type Alone struct{ Again domain.BoxID }
 
@@ -140,7 +140,7 @@
 	return silent
 }
 
-// Declined takes that the box answered that it is not the issuer. It tells whether that was news.
+// Declined takes that the box answered that it is not the issuer. It reports whether that was news.
 func (d *Desk) Declined(now time.Time, issuer domain.BoxID) bool {
 	p := d.peer(issuer)
 	p.asking--
@@ -149,7 +149,7 @@
 	return news
 }
 
-// Silent takes that the issuer did not answer. It tells whether that was news.
+// Silent takes that the issuer did not answer. It reports whether that was news.
 func (d *Desk) Silent(now time.Time, issuer domain.BoxID) bool {
 	p := d.peer(issuer)
 	p.asking--
@@ -158,7 +158,7 @@
 	return p.silent == 1
 }
 
-// Is tells whether this box is the issuer of the service, which is the box. One that is not any
+// Is reports whether this box is the issuer of the service, which is the box. One that is not any
 // more forgets what it handed out: it does not know what the other does.
 func (d *Desk) Is(issuer domain.BoxID, svc domain.ServiceName) bool {
 	if issuer == d.self {
@@ -203,5 +203,5 @@
 	return g
 }
 
-// Apart tells whether this box goes by its own part, so that no issuer speaks for it.
+// Apart reports whether this box goes by its own part, so that no issuer speaks for it.
 func (d *Desk) Apart(now time.Time) bool { return !d.ownAt.IsZero() && now.Sub(d.ownAt) < apartFor }
--- a/ratelimit/doc.go
+++ b/ratelimit/doc.go
@@ -13,7 +13,7 @@
 // where boxes lose each other, the issuers on both sides together hand out no more than the limit.
 // A box that does not reach its issuer goes by its own part.
 //
-// A [Register] is what a box knows: which targets named which limit, the newest word of whomever
+// A [Register] is what a box knows: which targets named which limit, the newest news of whomever
 // winning, and its permits and turns. A [Bank] holds buckets. Both are state machines without I/O;
 // the asking is done in node.
 //
--- a/ratelimit/fleet_test.go
+++ b/ratelimit/fleet_test.go
@@ -125,7 +125,7 @@
 	}
 }
 
-// permit tells whether the box may send a request to the target now.
+// permit reports whether the box may send a request to the target now.
 func (f *fleet) permit(n *node, d time.Duration) bool {
 	now := at(d)
 	wants := []ratelimit.Want{{Target: limited, Rate: ratelimit.Rate(call.Limited{PerSecond: f.limit})}}
@@ -309,7 +309,7 @@
 	}
 }
 
-// TestWaysToShareALimit tells what the ways come to, and holds what the one in use is chosen for.
+// TestWaysToShareALimit reports what the ways come to, and holds what the one in use is chosen for.
 func TestWaysToShareALimit(t *testing.T) {
 	names := map[way]string{byIssuer: "issuer", byParts: "own parts", saving: "own parts, saved up"}
 	for _, tc := range []struct {
--- a/ratelimit/register.go
+++ b/ratelimit/register.go
@@ -15,10 +15,10 @@
 	// permitFor is how long a permit may be kept before it is used: a little longer than boxes
 	// take to hear that a limit has changed, so that what all of them keep adds little.
 	permitFor = 500 * time.Millisecond
-	// newsFor is for how long a box tells others that a limit was named, changed or ended: a few
-	// rounds, of which the first comes at once. Each box that hears of it does the same.
+	// newsFor is for how long a box notifies others that a limit was named, changed or ended: a few
+	// rounds, of which the first comes at once. Each box that learns of it does the same.
 	newsFor = 3 * time.Second
-	// endedFor is for how long it is remembered that a limit has ended, so that older word of it
+	// endedFor is for how long it is remembered that a limit has ended, so that older news of it
 	// does not bring it back.
 	endedFor = time.Minute
 	// sameWithin is by which part a limit may change and count as the same: boxes do not tell each
@@ -26,7 +26,7 @@
 	sameWithin = 0.1
 )
 
-// same tells that two rates are nearly the same.
+// same reports that two rates are nearly the same.
 func same(a, b float64) bool { return math.Abs(a-b) <= sameWithin*max(a, b) }
 
 // Word is what a target said of its limit at a time.
@@ -45,7 +45,7 @@
 // entry is what is known of one target, whose start the id names.
 type entry struct {
 	limit     call.Limit
-	at        time.Time // the target said so last
+	at        time.Time // the target reported it last
 	changedAt time.Time // this box learned that it is another than before
 
 	permits int       // that may be used
@@ -73,7 +73,7 @@
 	}
 }
 
-// Take takes a word, of this box or another, and tells whether the target has another limit now.
+// Take takes a word, of this box or another, and reports whether the target has another limit now.
 // The newest word counts, in whatever order they come.
 func (r *Register) Take(now time.Time, w Word) bool {
 	e, ok := r.entries[w.Target]
@@ -111,7 +111,7 @@
 	return l.PerSecond, limited
 }
 
-// Word is the newest word of the target; false if it never named a limit.
+// Word is the newest news of the target; false if it never named a limit.
 func (r *Register) Word(id domain.InstanceID) (Word, bool) {
 	e, ok := r.entries[id]
 	if !ok {
@@ -120,13 +120,13 @@
 	return Word{Target: id, Limit: e.limit, At: e.at}, true
 }
 
-// Free tells that the target may be sent work without a permit.
+// Free reports that the target may be sent work without a permit.
 func (r *Register) Free(id domain.InstanceID) bool {
 	_, limited := r.Limit(id)
 	return !limited
 }
 
-// Has tells whether there is a permit for the target.
+// Has reports whether there is a permit for the target.
 func (r *Register) Has(now time.Time, id domain.InstanceID) bool {
 	e, ok := r.entries[id]
 	return ok && e.permits > 0 && now.Before(e.until)
@@ -141,18 +141,18 @@
 	return true
 }
 
-// Admits tells whether a request that was to be sent to the target at the time, with a permit or
+// Admits reports whether a request that was to be sent to the target at the time, with a permit or
 // while it named no limit, may still be sent. If it needs another permit and there is one, it uses
 // that.
 func (r *Register) Admits(now time.Time, id domain.InstanceID, permitted bool, at time.Time) bool {
 	return permitted && !Lapsed(now, at) || r.Free(id) || r.Spend(now, id)
 }
 
-// Lapsed tells that a permit that was asked for at the time may not be used any more, as where the
+// Lapsed reports that a permit that was asked for at the time may not be used any more, as where the
 // box stood still meanwhile.
 func Lapsed(now, asked time.Time) bool { return now.Sub(asked) >= permitFor }
 
-// Due tells whether it is this box's turn to ask for permits for the target.
+// Due reports whether it is this box's turn to ask for permits for the target.
 func (r *Register) Due(now time.Time, id domain.InstanceID) bool { return !now.Before(r.Turn(id)) }
 
 // Turn is when this box may get a permit for the target; zero if nothing is known against now.
@@ -200,7 +200,7 @@
 	return append(news, rest[:min(len(rest), others)]...)
 }
 
-// Known tells whether any target names a limit, or did until lately.
+// Known reports whether any target names a limit, or did until lately.
 func (r *Register) Known() bool { return len(r.entries) > 0 }
 
 // Forget drops limits that have long ended, and those of targets that are not in keep.
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -6,7 +6,7 @@
 type Purse interface {
 	// Request counts a request that arrived.
 	Request(now time.Time)
-	// Take spends one retry, and tells whether there was one.
+	// Take spends one retry, and reports whether there was one.
 	Take(now time.Time) bool
 }
 
@@ -47,7 +47,7 @@
 	b.tokens = min(b.cap, b.tokens+b.share)
 }
 
-// Take spends one retry, and tells whether there was one.
+// Take spends one retry, and reports whether there was one.
 func (b *Budget) Take(now time.Time) bool {
 	b.fill(now)
 	if b.tokens < 1 {
--- a/retry/command.go
+++ b/retry/command.go
@@ -19,7 +19,7 @@
 	// Patience is when to give the attempt up if its answer has not begun; zero for
 	// never before the deadline.
 	Patience time.Time
-	// Movable tells that the answer, once the caller has a part of it, may be taken up at
+	// Movable reports that the answer, once the caller has a part of it, may be taken up at
 	// another target while this one still gives it.
 	Movable bool
 }
--- a/retry/course.go
+++ b/retry/course.go
@@ -8,9 +8,9 @@
 
 // Rules are what a route allows for one request.
 type Rules struct {
-	// Repeat tells that the request may run more than once from its beginning.
+	// Repeat reports that the request may run more than once from its beginning.
 	Repeat bool
-	// Resume tells that a broken stream may be taken up by another target.
+	// Resume reports that a broken stream may be taken up by another target.
 	Resume bool
 	// Attempts is how many targets the request may be sent to.
 	Attempts int
@@ -25,13 +25,13 @@
 // not reach at all. Such tries cost a target nothing.
 const reach = 3
 
-// unsaid is after how long a caller comes back where neither a target nor the box says when,
+// unsaid is after how long a caller comes back where neither a target nor the box states when,
 // as where three targets in a row could not be reached: a few requests of a usual target, by
 // when the box takes them for unreachable and uses others.
 const unsaid = 250 * time.Millisecond
 
 // Course is the machine of one request over its attempts. It decides whether there
-// is another attempt and what the caller may be told when there is none. It says
+// is another attempt and what the caller may be answered when there is none. It says
 // "not run" only if every attempt is proved not to have run.
 type Course struct {
 	rules    Rules
--- a/retry/course_test.go
+++ b/retry/course_test.go
@@ -163,7 +163,7 @@
 }
 
 // TestWhoIsTurnedAwayIsToldWhenToComeBack: whatever nobody ran, also where no target could be
-// reached, none of which says when.
+// reached, none of which states when.
 func TestWhoIsTurnedAwayIsToldWhenToComeBack(t *testing.T) {
 	unreached := retry.Unreached{Err: errLost}
 	for name, ends := range map[string][]retry.End{
@@ -258,7 +258,7 @@
 }
 
 // TestBarredWorkEndsAsItStands: before any attempt it did not run; after one that may have run
-// nobody says so; and what the caller has a part of is broken off.
+// nobody reports it; and what the caller has a part of is broken off.
 func TestBarredWorkEndsAsItStands(t *testing.T) {
 	for name, tc := range map[string]struct {
 		ends []retry.End
--- a/retry/doc.go
+++ b/retry/doc.go
@@ -1,5 +1,5 @@
 // Package retry decides, for one request, whether and where another attempt is made,
-// and what the caller may be told when none is.
+// and what the caller may be answered when none is.
 //
 // It is the one place that says "not run". It does so only with proof: no attempt was
 // sent, or each target that was sent one has promised that it did not run it and never
--- a/routing/balancer.go
+++ b/routing/balancer.go
@@ -17,7 +17,7 @@
 	Slots int
 	// Tier is how little the target is trusted; only the lowest tier is drawn from.
 	Tier int
-	// Limited tells that each request to it needs a permit.
+	// Limited reports that each request to it needs a permit.
 	Limited bool
 }
 
@@ -57,7 +57,7 @@
 	return &Balancer{rand: rnd, targets: map[domain.InstanceID]*load{}, steps: map[domain.GroupName]*steps{}, boxes: 1}
 }
 
-// Among tells how many boxes choose among the same targets.
+// Among sets how many boxes choose among the same targets.
 func (b *Balancer) Among(boxes int) { b.boxes = max(boxes, 1) }
 
 const (
@@ -127,7 +127,7 @@
 	return &Ticket{load: l, at: now, wait: wait}
 }
 
-// Began tells that the answer to the request of the ticket has begun.
+// Began records that the answer to the request of the ticket has begun.
 func (b *Balancer) Began(now time.Time, t *Ticket) {
 	if t.load == nil || t.began {
 		return
@@ -137,7 +137,7 @@
 	t.load.first += time.Duration(meanSmoothing * float64(served-t.load.first))
 }
 
-// Ended tells that the request of the ticket is over. It is counted once.
+// Ended records that the request of the ticket is over. It is counted once.
 func (b *Balancer) Ended(now time.Time, t *Ticket) {
 	if t.load == nil {
 		return
--- a/routing/balancer_test.go
+++ b/routing/balancer_test.go
@@ -24,7 +24,7 @@
 	return []routing.Option{option("a", "near", ""), option("b", "far", ""), option("c", "far", "")}
 }
 
-// spread sends so many requests and tells how many each target got.
+// spread sends so many requests and reports how many each target got.
 func spread(b *routing.Balancer, options []routing.Option, n int) map[domain.InstanceID]int {
 	got := map[domain.InstanceID]int{}
 	for range n {
--- a/routing/groups.go
+++ b/routing/groups.go
@@ -25,7 +25,7 @@
 // free is a weight for a draw: slots that are free.
 func (g groupLoad) free() float64 { return (1 - g.fill) * float64(len(g.options)) }
 
-// allIn tells whether the whole group stands in the data hall.
+// allIn reports whether the whole group stands in the data hall.
 func (g groupLoad) allIn(hall domain.HallName) bool {
 	return !slices.ContainsFunc(g.options, func(o Option) bool { return o.Hall != hall })
 }
--- a/routing/steps.go
+++ b/routing/steps.go
@@ -80,7 +80,7 @@
 	return kept
 }
 
-// Drags tells whether the option makes the steps of its group too long for the streams of
+// Drags reports whether the option makes the steps of its group too long for the streams of
 // all ranks while others of the group, among the options, would not. A slow rank gets no
 // new streams, but those that it has hold all others up until they end. A limited target does not count: a stream that is moved may get no
 // permit, and would be cut.
@@ -98,7 +98,7 @@
 	return b.load(o.ID).pace > slowBy*fastest
 }
 
-// Steps tells that the option's group is seen to step, or that it stands alone: while a
+// Steps reports that the option's group is seen to step, or that it stands alone: while a
 // group stands still, what goes wrong at one rank is not that rank's fault. Long steps do
 // not excuse a rank: while demand shifts they are long everywhere, and a rank that answers nobody
 // would be found seconds later.
--- a/routing/steps_test.go
+++ b/routing/steps_test.go
@@ -142,7 +142,7 @@
 		pause time.Duration
 		paces map[domain.InstanceID]float64
 		seen  time.Duration // ago
-		// limited tells that the other ranks name limits.
+		// limited reports that the other ranks name limits.
 		limited bool
 		want    bool
 	}{
--- a/settings/doc.go
+++ b/settings/doc.go
@@ -1,7 +1,7 @@
 // Package settings reads a program's settings: JSON with comments, decoded
 // strictly into a struct that already holds the defaults.
 //
-// Every mistake is an [Error] that names file, line and field and says what is
+// Every mistake is an [Error] that names file, line and field and states what is
 // allowed: a field that does not exist, a value of the wrong type, a duration
 // without a unit, a number out of range. The struct's tags carry the checks:
 // json for the name, min and max for numbers and durations, oneof for texts,
--- a/settings/load.go
+++ b/settings/load.go
@@ -94,7 +94,7 @@
 	return nil
 }
 
-// plain tells whether the words for the type say all there is to say.
+// plain reports whether the words for the type say all there is to say.
 func plain(t reflect.Type) bool {
 	return t == reflect.TypeFor[Duration]() || (t.Kind() != reflect.Pointer && t.Kind() != reflect.Struct)
 }
--- a/soak/asking.go
+++ b/soak/asking.go
@@ -45,7 +45,7 @@
 	w.ledger.turnedAway(in.target.Turned())
 }
 
-// sayLeaving lets a target say that it is leaving with its answers only, and puts another in its
+// sayLeaving lets a target report that it is leaving with its answers only, and puts another in its
 // place later.
 func (w *world) sayLeaving(r *rand.Rand) {
 	h, in := w.alone(r)
--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -102,7 +102,7 @@
 // itself.
 const slack = 1500 * time.Millisecond
 
-// calm tells that nothing was wrong with the subjects, as the box meets them, from
+// calm reports that nothing was wrong with the subjects, as the box meets them, from
 // contact before the one time until the other.
 func (l *ledger) calm(box string, from, to time.Time, with ...subject) bool {
 	for _, s := range l.spans {
--- a/soak/limited.go
+++ b/soak/limited.go
@@ -148,7 +148,7 @@
 	}
 }
 
-// undisturbed tells that nothing was wrong with anything while the target named its limit.
+// undisturbed reports that nothing was wrong with anything while the target named its limit.
 func (l *ledger) undisturbed(x limited) bool {
 	for _, s := range l.spans {
 		if s.from.Before(x.to) && s.to.After(x.from.Add(-contact)) {
--- a/soak/link.go
+++ b/soak/link.go
@@ -125,7 +125,7 @@
 	}
 }
 
-// pass moves bytes one way; back tells that it is the way of answers.
+// pass moves bytes one way; back reports that it is the way of answers.
 func (k *link) pass(to, from net.Conn, back bool) {
 	buf := make([]byte, 16<<10)
 	for {
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -147,7 +147,7 @@
 	return h, h.now
 }
 
-// servesOn is how long a target serves on after it said that it is leaving: long
+// servesOn is how long a target serves on after it reported that it is leaving: long
 // enough that work which comes too late is seen.
 const servesOn = drainBound + slack + 3*time.Second
 
--- a/store/feed.go
+++ b/store/feed.go
@@ -4,7 +4,7 @@
 // The store keeps versioned objects by kind and lets a client wait for changes. Each
 // call counts against its rates, a waiting one too; it has outages, and it may forget
 // its history. Decisions never see this package: they are handed values and hand back
-// commands (store/follow says when to list and when to watch).
+// commands (store/follow states when to list and when to watch).
 //
 // # Usage
 //
@@ -37,14 +37,14 @@
 
 // The errors of a Feed. Any other error is a fault of the adapter.
 var (
-	// ErrHistoryLost says that changes since a revision are no longer to be had; the
+	// ErrHistoryLost reports that changes since a revision are no longer to be had; the
 	// kind must be listed anew.
 	ErrHistoryLost = class.New("history lost")
 	// ErrUnavailable: the store cannot be reached, or turns the call away.
 	ErrUnavailable = class.New("unavailable")
 	// ErrRateLimited: there were too many calls.
 	ErrRateLimited = class.New("rate limited")
-	// ErrExists says that a record of the name is there already.
+	// ErrExists reports that a record of the name is there already.
 	ErrExists = class.New("exists")
 )
 
--- a/store/follow/follower.go
+++ b/store/follow/follower.go
@@ -53,7 +53,7 @@
 type Follower struct {
 	pace   Pace
 	rand   *rand.Rand
-	boxes  int  // that tell each other what they learn, this one included
+	boxes  int  // that notify each other what they learn, this one included
 	place  int  // of this one among them
 	spread bool // the next watch begins as those of the other boxes do
 	begun  bool // the first pause is set
@@ -85,7 +85,7 @@
 // LostAt is when the store stopped answering; zero while it answers.
 func (f *Follower) LostAt() time.Time { return f.lostAt }
 
-// Next tells what to do.
+// Next reports what to do.
 func (f *Follower) Next(now time.Time) Command {
 	if !f.begun {
 		f.begun = true
@@ -117,7 +117,7 @@
 // this one: short against the seconds in which a configuration is to be in force.
 const toldLook = 250 * time.Millisecond
 
-// Told tells whether another box follows the store for this one now. A hundred boxes that
+// Told reports whether another box follows the store for this one now. A hundred boxes that
 // all watch end a hundred calls with each change; where a few watch for the others it is
 // those few. One that is told no more goes on by itself from what it knows.
 func (f *Follower) Told(by bool) {
@@ -135,7 +135,7 @@
 	return time.Duration(f.rand.Int64N(int64(bound) + 1))
 }
 
-// Among tells how many boxes tell each other what they learn, and the place of this
+// Among sets how many boxes notify each other what they learn, and the place of this
 // one in their order, from 0.
 func (f *Follower) Among(boxes, place int) {
 	f.boxes = max(boxes, 1)
@@ -148,7 +148,7 @@
 
 // WaitAmong is how long a watch of one of so many boxes waits at the most. It grows
 // with their number, so that all together ask the store equally often however many they
-// are: one of them notices a dropped watch and tells the others.
+// are: one of them notices a dropped watch and notifies the others.
 func (p Pace) WaitAmong(boxes int) time.Duration {
 	w := p.Wait * time.Duration(boxes) / sharers
 	return min(max(w, p.Wait), max(p.MostWait, p.Wait))
@@ -201,7 +201,7 @@
 	}
 }
 
-// Watched takes the end of a Watch. The result tells whether its changes follow what is known.
+// Watched takes the end of a Watch. The result reports whether its changes follow what is known.
 // In a later era they do not, even if the store has the revision: what it lost and what it was
 // given since then are missing.
 func (f *Follower) Watched(now time.Time, at store.Position, err error) bool {
@@ -245,13 +245,13 @@
 	}
 }
 
-// Changed tells that the watch that ended brought changes.
+// Changed records that the watch that ended brought changes.
 func (f *Follower) Changed(now time.Time) {
 	f.spread = true
 	f.restTo = now.Add(f.pace.Gather)
 }
 
-// CaughtUp tells that peers gave all that the store held at the position; zero if none did. It
+// CaughtUp records that peers gave all that the store held at the position; zero if none did. It
 // does not replace the history that the store lost within an era.
 func (f *Follower) CaughtUp(now time.Time, at store.Position) {
 	if !at.IsZero() && (!f.lostHistory || at.Era() > f.at.Era()) {
--- a/store/follow/follower_test.go
+++ b/store/follow/follower_test.go
@@ -135,7 +135,7 @@
 
 // TestADroppedWatchIsNoticedSoonAfterAChange: a change ends all watches at once. If the
 // store then silently drops the next ones, some box must ask again before long, also if
-// a third of the boxes cannot tell the others.
+// a third of the boxes cannot notify the others.
 func TestADroppedWatchIsNoticedSoonAfterAChange(t *testing.T) {
 	for _, boxes := range []int{8, 20, 39} {
 		list := fleetOf(boxes)
--- a/store/position.go
+++ b/store/position.go
@@ -24,7 +24,7 @@
 // Revision is the store's own number, for calls to the store within the era.
 func (p Position) Revision() Revision { return p.revision }
 
-// IsZero tells whether nothing is known up to this position.
+// IsZero reports whether nothing is known up to this position.
 func (p Position) IsZero() bool { return p == Position{} }
 
 // Compare is negative if the position comes before the other, and positive if it comes after it.
@@ -32,7 +32,7 @@
 	return cmp.Or(cmp.Compare(p.era, other.era), cmp.Compare(p.revision, other.revision))
 }
 
-// After tells whether the position comes after the other.
+// After reports whether the position comes after the other.
 func (p Position) After(other Position) bool { return p.Compare(other) > 0 }
 
 // String writes the era and the revision.
--- a/store/timeline.go
+++ b/store/timeline.go
@@ -35,7 +35,7 @@
 }
 
 // Complete returns the changes with the era that they do not state, as those after the position
-// since. What they hold does not tell whether the era is a later one.
+// since. What they hold does not show whether the era is a later one.
 func (c Changes) Complete(since Position) Changes {
 	if c.At.Era() > 0 {
 		return c
--- a/telemetry/lines.go
+++ b/telemetry/lines.go
@@ -10,7 +10,7 @@
 
 // Lines passes log lines on to a writer without ever making the one who logs wait.
 // Lines that come faster than the bound, or than the writer takes them, are dropped
-// and counted, and a line says how many.
+// and counted, and a line states how many.
 type Lines struct {
 	out     io.Writer
 	metrics *Metrics
@@ -20,7 +20,7 @@
 	pending []byte
 	left    int // of the bound, this second
 	filled  time.Time
-	dropped int       // since a line told of it
+	dropped int       // since a line reported it
 	toldAt  time.Time // the last such line
 	wake    chan struct{}
 }
@@ -74,7 +74,7 @@
 // flushEvery gathers lines into one write.
 const flushEvery = 100 * time.Millisecond
 
-// tellEvery is the time between two lines that tell of dropped ones.
+// tellEvery is the time between two lines that report dropped ones.
 const tellEvery = time.Second
 
 // Run writes what is logged until stop is closed, and then what is left.
@@ -106,7 +106,7 @@
 	l.mu.Unlock()
 	for len(out) > 0 {
 		n := wholeLines(out)
-		_, _ = l.out.Write(out[:n]) // there is nowhere to tell that the log cannot be written
+		_, _ = l.out.Write(out[:n]) // there is nowhere to report that the log cannot be written
 		out = out[n:]
 	}
 }
--- a/transport/dial.go
+++ b/transport/dial.go
@@ -50,7 +50,7 @@
 	return failed
 }
 
-// quiet tells whether nothing waits to be read on an idle connection, not even its
+// quiet reports whether nothing waits to be read on an idle connection, not even its
 // end. It does not block.
 func quiet(c net.Conn) bool {
 	sc, ok := c.(syscall.Conn)
--- a/transport/ended.go
+++ b/transport/ended.go
@@ -28,8 +28,8 @@
 	until time.Time // of its use; zero while it is made
 }
 
-// Ended tells whether the process at the address has ended: its box refuses connections. One
-// that breaks connections off and still listens has not, and of one whose box says nothing
+// Ended reports whether the process at the address has ended: its box refuses connections. One
+// that breaks connections off and still listens has not, and of one whose box reports nothing
 // that is not known. A way there that is cut may refuse connections, too; so the witness,
 // another process there, must take one. It is empty where there is none, and a refusal is
 // believed. A connection that opens is kept for the next request.
@@ -88,7 +88,7 @@
 	return refused
 }
 
-// takes tells whether the witness takes a connection.
+// takes reports whether the witness takes a connection.
 func (p *Pool) takes(ctx context.Context, witness string) bool {
 	ctx, cancel := context.WithTimeout(ctx, lookWithin)
 	defer cancel()
--- a/transport/ended_test.go
+++ b/transport/ended_test.go
@@ -14,7 +14,7 @@
 	"clovertrail.dev/transport"
 )
 
-// TestAnEndedProcessRefusesConnections: only that counts, and a box that says nothing, or a
+// TestAnEndedProcessRefusesConnections: only that counts, and a box that reports nothing, or a
 // process that still listens, does not.
 func TestAnEndedProcessRefusesConnections(t *testing.T) {
 	for name, tc := range map[string]struct {
@@ -67,7 +67,7 @@
 }
 
 // TestATargetMayEndRightAfterALook: that it lived a moment ago, as when another request was cut
-// off, says nothing of now.
+// off, reports nothing about now.
 func TestATargetMayEndRightAfterALook(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		lives := true
--- a/transport/exchange.go
+++ b/transport/exchange.go
@@ -22,16 +22,16 @@
 	cut    func() bool
 }
 
-// errSurplus says that more came than one connection may bring.
+// errSurplus reports that more came than one connection may bring.
 var errSurplus = errors.New("too many answers to other requests on the connection")
 
 // surplusAnswers bounds the answers to other requests that are passed over.
 const surplusAnswers = 4
 
-// Reused tells that the connection had served an earlier request.
+// Reused reports that the connection had served an earlier request.
 func (x *Exchange) Reused() bool { return x.reused }
 
-// Sent tells that a byte of the request may have left this box.
+// Sent reports that a byte of the request may have left this box.
 func (x *Exchange) Sent() bool { return x.conn.sent }
 
 // Bind closes the connection once ctx ends, so that the target stops working.
@@ -57,7 +57,7 @@
 	return n, err
 }
 
-// refused tells that the connection was closed before the write began.
+// refused reports that the connection was closed before the write began.
 func refused(err error) bool { return errors.Is(err, net.ErrClosed) }
 
 // Receive reads answers until one is mine. Those before it belong to earlier
@@ -114,7 +114,7 @@
 // net/http gives would first read what is left, which on a stream may take long.
 func (b *wholeBody) Close() error { return nil }
 
-// Buffered tells how many bytes of the answer have come and are not read yet.
+// Buffered reports how many bytes of the answer have come and are not read yet.
 func (x *Exchange) Buffered() int { return x.conn.read.Buffered() }
 
 // Close ends the exchange. The connection is kept if the answer was whole, nothing
--- a/transport/pool.go
+++ b/transport/pool.go
@@ -13,7 +13,7 @@
 	"clovertrail.dev/core/clock"
 )
 
-// Reuse tells which connections a request may take.
+// Reuse reports which connections a request may take.
 type Reuse int
 
 // The ways of reuse.
