--- a/node/limiting.go
+++ b/node/limiting.go
@@ -21,9 +21,9 @@
 type limiting struct {
 	entry *Entry
 
-	mu     sync.Mutex
-	desk   *ratelimit.Desk
-	kicked time.Time // other boxes were last informed of a limit at once
+	mu        sync.Mutex
+	allocator *ratelimit.Allocator
+	kicked    time.Time // other boxes were last informed of a limit at once
 }
 
 const (
@@ -43,7 +43,7 @@
 
 func newLimiting(e *Entry) *limiting {
 	self := domain.BoxID(e.settings().Box)
-	return &limiting{entry: e, desk: ratelimit.NewDesk(self, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))}
+	return &limiting{entry: e, allocator: ratelimit.NewAllocator(self, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))}
 }
 
 // named logs that a target has another limit than before, and notifies other boxes at once.
@@ -69,11 +69,11 @@
 	var g ratelimit.Grant
 	source := "issuer"
 	switch w := way.(type) {
-	case ratelimit.Here:
+	case ratelimit.Local:
 		g = l.issue(now, svc, words)
-	case ratelimit.There:
+	case ratelimit.Remote:
 		g = l.ask(ctx, svc, issuer, words, w.Ahead)
-	case ratelimit.Alone:
+	case ratelimit.Fallback:
 		g, source = l.own(now, svc, words), "own part"
 		if w.Again != "" {
 			l.ask(ctx, svc, issuer, nil, true) // it only finds out whether the issuer answers
@@ -89,17 +89,17 @@
 
 // way is where permits for the service come from, and who is its issuer. Where that is to be asked
 // it counts as asked from now on.
-func (l *limiting) way(now time.Time, svc domain.ServiceName) (membership.Contact, ratelimit.Way) {
+func (l *limiting) way(now time.Time, svc domain.ServiceName) (membership.Contact, ratelimit.Source) {
 	issuer := l.entry.peering.issuer(now, svc)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	way := l.desk.Way(now, svc, issuer.Box)
+	way := l.allocator.Source(now, svc, issuer.Box)
 	switch w := way.(type) {
-	case ratelimit.There:
-		l.desk.Asked(issuer.Box)
-	case ratelimit.Alone:
+	case ratelimit.Remote:
+		l.allocator.Asked(issuer.Box)
+	case ratelimit.Fallback:
 		if w.Again != "" {
-			l.desk.Asked(issuer.Box)
+			l.allocator.Asked(issuer.Box)
 		}
 	}
 	return issuer, way
@@ -109,7 +109,7 @@
 func (l *limiting) is(issuer domain.BoxID, svc domain.ServiceName) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.desk.Is(issuer, svc)
+	return l.allocator.Is(issuer, svc)
 }
 
 // question is one to an issuer, whose answer a request may wait for.
@@ -145,7 +145,7 @@
 		return // it has come just now
 	}
 	q.waited = true
-	l.desk.Overdue(q.issuer.Box)
+	l.allocator.Overdue(q.issuer.Box)
 	q.answer <- ratelimit.Grant{}
 }
 
@@ -179,13 +179,13 @@
 func (l *limiting) note(now time.Time, q *question, r *mesh.PermitReply, err error) {
 	log := l.entry.common.Log.With("service", q.svc, "peer", q.issuer.Box, "after", now.Sub(q.asked))
 	switch {
-	case err != nil && l.desk.Silent(now, q.issuer.Box):
+	case err != nil && l.allocator.Silent(now, q.issuer.Box):
 		log.Warn("issuer lost", "err", err)
 		l.entry.peering.tell()
-	case err == nil && !r.Issuer && l.desk.Declined(now, q.issuer.Box):
+	case err == nil && !r.Issuer && l.allocator.Declined(now, q.issuer.Box):
 		log.Info("box is not the issuer")
 		l.entry.peering.tell()
-	case err == nil && r.Issuer && l.desk.Answered(q.svc, q.issuer.Box, now.Sub(q.asked) <= permitWithin):
+	case err == nil && r.Issuer && l.allocator.Answered(q.svc, q.issuer.Box, now.Sub(q.asked) <= permitWithin):
 		log.Info("issuer regained")
 	}
 }
@@ -195,7 +195,7 @@
 	heard, sharing := l.entry.peering.part(now)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.desk.Issue(now, svc, wants(words), ratelimit.Part(heard, sharing))
+	return l.allocator.Issue(now, svc, wants(words), ratelimit.Part(heard, sharing))
 }
 
 // own hands out permits by this box's own part.
@@ -203,7 +203,7 @@
 	_, sharing := l.entry.peering.part(now)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.desk.Own(now, svc, wants(words), ratelimit.Part(1, sharing))
+	return l.allocator.Own(now, svc, wants(words), ratelimit.Part(1, sharing))
 }
 
 // wants are the targets of the words, with what they get a second.
@@ -253,5 +253,5 @@
 func (l *limiting) apart(now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.desk.Apart(now)
+	return l.allocator.Apart(now)
 }
--- a/ratelimit/desk.go
+++ b/ratelimit/allocator.go
@@ -21,30 +21,30 @@
 	apartFor = 2 * time.Second
 )
 
-// Way is where a box gets permits for the targets of a service.
-type Way interface{ way() }
+// Source is where a box gets permits for the targets of a service.
+type Source interface{ source() }
 
-// Here reports that this box is the issuer.
-type Here struct{}
+// Local reports that this box is the issuer.
+type Local struct{}
 
-// There reports that another box is the issuer, and is to be asked. One that is slow is asked ahead:
+// Remote reports that another box is the issuer, and is to be asked. One that is slow is asked ahead:
 // the request does not wait for the answer, and what it brings is for those that come later.
-type There struct {
+type Remote struct {
 	Issuer domain.BoxID
 	Ahead  bool
 }
 
-// Pending reports that a slow issuer is being asked already.
+// Pending: a slow issuer is being asked already.
 type Pending struct{}
 
-// Alone reports that no issuer is known or answers, and that this box goes by its own part. Where Again
+// Fallback reports that no issuer is known or answers, and that this box goes by its own part. Where Again
 // is set it is time to find out whether that issuer answers again.
-type Alone struct{ Again domain.BoxID }
+type Fallback struct{ Again domain.BoxID }
 
-func (Here) way()    {}
-func (There) way()   {}
-func (Pending) way() {}
-func (Alone) way()   {}
+func (Local) source()    {}
+func (Remote) source()   {}
+func (Pending) source()  {}
+func (Fallback) source() {}
 
 // Want is a target that a box has a request for, and what it gets a second from all boxes.
 type Want struct {
@@ -66,14 +66,14 @@
 	Turns   []Turn
 }
 
-// Desk hands out permits: for all boxes where this one is a service's issuer, and for itself while
+// Allocator hands out permits: for all boxes where this one is a service's issuer, and for itself while
 // it goes by its own part. It is not safe for concurrent use.
-type Desk struct {
+type Allocator struct {
 	rand   *rand.Rand
 	self   domain.BoxID
-	issued map[domain.ServiceName]*Bank
-	own    map[domain.ServiceName]*Bank // of services for which it goes by its own part
-	ownAt  time.Time                    // it last did
+	issued map[domain.ServiceName]*Buckets
+	own    map[domain.ServiceName]*Buckets // of services for which it goes by its own part
+	ownAt  time.Time                       // it last did
 	peers  map[domain.BoxID]*peer
 }
 
@@ -85,36 +85,36 @@
 	until  time.Time // when it is looked at again, while it is silent
 }
 
-// NewDesk returns the desk of the box.
-func NewDesk(self domain.BoxID, rnd *rand.Rand) *Desk {
-	return &Desk{
+// NewAllocator returns the allocator of the box.
+func NewAllocator(self domain.BoxID, rnd *rand.Rand) *Allocator {
+	return &Allocator{
 		rand: rnd, self: self, peers: map[domain.BoxID]*peer{},
-		issued: map[domain.ServiceName]*Bank{}, own: map[domain.ServiceName]*Bank{},
+		issued: map[domain.ServiceName]*Buckets{}, own: map[domain.ServiceName]*Buckets{},
 	}
 }
 
-// Way is where permits for the service come from, whose issuer is the box; empty if none is known.
+// Source is where permits for the service come from, whose issuer is the box; empty if none is known.
 // Where that is another box, Asked follows.
-func (d *Desk) Way(now time.Time, svc domain.ServiceName, issuer domain.BoxID) Way {
+func (d *Allocator) Source(now time.Time, svc domain.ServiceName, issuer domain.BoxID) Source {
 	here := d.Is(issuer, svc)
 	p := d.peer(issuer)
 	switch {
 	case issuer == "":
-		return Alone{}
+		return Fallback{}
 	case here:
-		return Here{}
+		return Local{}
 	case p.silent > 0 && (now.Before(p.until) || p.asking > 0):
-		return Alone{}
+		return Fallback{}
 	case p.silent > 0:
-		return Alone{Again: issuer}
+		return Fallback{Again: issuer}
 	case p.slow && p.asking > 0:
 		return Pending{}
 	default:
-		return There{Issuer: issuer, Ahead: p.slow}
+		return Remote{Issuer: issuer, Ahead: p.slow}
 	}
 }
 
-func (d *Desk) peer(id domain.BoxID) *peer {
+func (d *Allocator) peer(id domain.BoxID) *peer {
 	p, ok := d.peers[id]
 	if !ok {
 		p = &peer{}
@@ -124,14 +124,14 @@
 }
 
 // Asked takes that the issuer is being asked. Answered or Silent follows.
-func (d *Desk) Asked(issuer domain.BoxID) { d.peer(issuer).asking++ }
+func (d *Allocator) Asked(issuer domain.BoxID) { d.peer(issuer).asking++ }
 
 // Overdue takes that the issuer has not answered in the time for which requests wait.
-func (d *Desk) Overdue(issuer domain.BoxID) { d.peer(issuer).slow = true }
+func (d *Allocator) Overdue(issuer domain.BoxID) { d.peer(issuer).slow = true }
 
 // Answered takes that the issuer of the service answered, in time for the request or not. It tells
 // whether it had been silent.
-func (d *Desk) Answered(svc domain.ServiceName, issuer domain.BoxID, inTime bool) bool {
+func (d *Allocator) Answered(svc domain.ServiceName, issuer domain.BoxID, inTime bool) bool {
 	p := d.peer(issuer)
 	silent := p.silent > 0
 	p.asking--
@@ -141,7 +141,7 @@
 }
 
 // Declined takes that the box answered that it is not the issuer. It reports whether that was news.
-func (d *Desk) Declined(now time.Time, issuer domain.BoxID) bool {
+func (d *Allocator) Declined(now time.Time, issuer domain.BoxID) bool {
 	p := d.peer(issuer)
 	p.asking--
 	news := p.silent == 0
@@ -150,7 +150,7 @@
 }
 
 // Silent takes that the issuer did not answer. It reports whether that was news.
-func (d *Desk) Silent(now time.Time, issuer domain.BoxID) bool {
+func (d *Allocator) Silent(now time.Time, issuer domain.BoxID) bool {
 	p := d.peer(issuer)
 	p.asking--
 	p.until = now.Add(min(silentFor<<min(p.silent, maxSilent), silentMost))
@@ -160,7 +160,7 @@
 
 // Is reports whether this box is the issuer of the service, which is the box. One that is not any
 // more forgets what it handed out: it does not know what the other does.
-func (d *Desk) Is(issuer domain.BoxID, svc domain.ServiceName) bool {
+func (d *Allocator) Is(issuer domain.BoxID, svc domain.ServiceName) bool {
 	if issuer == d.self {
 		return true
 	}
@@ -170,22 +170,22 @@
 
 // Issue hands out permits to a box, where this one is the service's issuer and speaks for the part
 // of all boxes.
-func (d *Desk) Issue(now time.Time, svc domain.ServiceName, wants []Want, part float64) Grant {
+func (d *Allocator) Issue(now time.Time, svc domain.ServiceName, wants []Want, part float64) Grant {
 	delete(d.own, svc)
 	return d.grant(now, d.issued, svc, wants, part)
 }
 
 // Own hands out permits to this box by its own part.
-func (d *Desk) Own(now time.Time, svc domain.ServiceName, wants []Want, part float64) Grant {
+func (d *Allocator) Own(now time.Time, svc domain.ServiceName, wants []Want, part float64) Grant {
 	d.ownAt = now
 	return d.grant(now, d.own, svc, wants, part)
 }
 
-func (d *Desk) grant(now time.Time, banks map[domain.ServiceName]*Bank, svc domain.ServiceName, wants []Want, part float64) Grant {
-	b, ok := banks[svc]
+func (d *Allocator) grant(now time.Time, buckets map[domain.ServiceName]*Buckets, svc domain.ServiceName, wants []Want, part float64) Grant {
+	b, ok := buckets[svc]
 	if !ok {
-		b = NewBank(d.rand)
-		banks[svc] = b
+		b = NewBuckets(d.rand)
+		buckets[svc] = b
 	}
 	g := Grant{}
 	for _, w := range wants {
@@ -204,4 +204,6 @@
 }
 
 // Apart reports whether this box goes by its own part, so that no issuer speaks for it.
-func (d *Desk) Apart(now time.Time) bool { return !d.ownAt.IsZero() && now.Sub(d.ownAt) < apartFor }
+func (d *Allocator) Apart(now time.Time) bool {
+	return !d.ownAt.IsZero() && now.Sub(d.ownAt) < apartFor
+}
--- a/ratelimit/desk_test.go
+++ b/ratelimit/allocator_test.go
@@ -13,58 +13,58 @@
 // time, and then looked at once.
 func TestWhereABoxGetsPermits(t *testing.T) {
 	const other = domain.BoxID("other")
-	d := ratelimit.NewDesk("self", source())
-	expect := func(when time.Duration, issuer domain.BoxID, want ratelimit.Way) {
+	d := ratelimit.NewAllocator("self", source())
+	expect := func(when time.Duration, issuer domain.BoxID, want ratelimit.Source) {
 		t.Helper()
-		if got := d.Way(at(when), service, issuer); got != want {
+		if got := d.Source(at(when), service, issuer); got != want {
 			t.Errorf("at %v: %#v, want %#v", when, got, want)
 		}
 	}
 	const second = time.Second
-	expect(0, "self", ratelimit.Here{})
-	expect(0, other, ratelimit.There{Issuer: other})
-	expect(0, "", ratelimit.Alone{})
+	expect(0, "self", ratelimit.Local{})
+	expect(0, other, ratelimit.Remote{Issuer: other})
+	expect(0, "", ratelimit.Fallback{})
 	d.Asked(other)
 	if !d.Silent(at(0), other) {
 		t.Error("its silence is no news")
 	}
-	expect(second/2, other, ratelimit.Alone{})
-	expect(second, other, ratelimit.Alone{Again: other})
+	expect(second/2, other, ratelimit.Fallback{})
+	expect(second, other, ratelimit.Fallback{Again: other})
 	d.Asked(other)
-	expect(second, other, ratelimit.Alone{}) // one look at a time
+	expect(second, other, ratelimit.Fallback{}) // one look at a time
 	if d.Silent(at(second), other) {
 		t.Error("its silence is news again")
 	}
-	expect(2*second, other, ratelimit.Alone{})
-	expect(3*second, other, ratelimit.Alone{Again: other})
-	expect(3*second, "third", ratelimit.There{Issuer: "third"})
+	expect(2*second, other, ratelimit.Fallback{})
+	expect(3*second, other, ratelimit.Fallback{Again: other})
+	expect(3*second, "third", ratelimit.Remote{Issuer: "third"})
 	d.Asked(other)
 	d.Asked(other)
 	if !d.Answered(service, other, true) || d.Answered(service, other, true) {
 		t.Error("that it answers again is news once")
 	}
-	expect(3*second, other, ratelimit.There{Issuer: other})
+	expect(3*second, other, ratelimit.Remote{Issuer: other})
 	d.Asked(other)
 	if !d.Declined(at(3*second), other) {
 		t.Error("that it is not the issuer is no news")
 	}
-	expect(3*second, other, ratelimit.Alone{})
-	expect(3*second+200*time.Millisecond, other, ratelimit.Alone{Again: other})
+	expect(3*second, other, ratelimit.Fallback{})
+	expect(3*second+200*time.Millisecond, other, ratelimit.Fallback{Again: other})
 	d.Asked(other)
 	d.Answered(service, other, true)
 	d.Asked(other)
 	d.Overdue(other)
 	expect(3*second, other, ratelimit.Pending{})
 	d.Answered(service, other, false)
-	expect(3*second, other, ratelimit.There{Issuer: other, Ahead: true})
+	expect(3*second, other, ratelimit.Remote{Issuer: other, Ahead: true})
 	d.Asked(other)
 	d.Answered(service, other, true)
-	expect(3*second, other, ratelimit.There{Issuer: other})
+	expect(3*second, other, ratelimit.Remote{Issuer: other})
 }
 
 // TestABoxIsApartWhileItGoesByItsOwnPart.
 func TestABoxIsApartWhileItGoesByItsOwnPart(t *testing.T) {
-	d := ratelimit.NewDesk("self", source())
+	d := ratelimit.NewAllocator("self", source())
 	if d.Apart(at(0)) {
 		t.Error("it is apart before it asked for anything")
 	}
@@ -77,7 +77,7 @@
 // TestGrants: the first of the targets with a permit, and turns at those before it; one whose limit
 // is over is free at once; an issuer that another box replaced meanwhile begins anew.
 func TestGrants(t *testing.T) {
-	d := ratelimit.NewDesk("self", source())
+	d := ratelimit.NewAllocator("self", source())
 	wants := []ratelimit.Want{{Target: "a", Rate: 1}, {Target: "b", Rate: 1}, {Target: "c", Rate: 1}}
 	d.Issue(at(0), service, wants, 1) // the buckets are new, and hold a part of a token
 	got := map[domain.InstanceID]int{}
--- a/ratelimit/bank.go
+++ b/ratelimit/buckets.go
@@ -26,9 +26,9 @@
 	unusedFor = time.Minute
 )
 
-// Bank is a token bucket for each target whose permits it hands out. It is not safe for concurrent
+// Buckets holds a token bucket for each target whose permits it hands out. It is not safe for concurrent
 // use.
-type Bank struct {
+type Buckets struct {
 	rand    *rand.Rand
 	buckets map[domain.InstanceID]*bucket
 	sweepAt time.Time
@@ -42,9 +42,9 @@
 	turn   time.Time // that was told last
 }
 
-// NewBank returns a bank without buckets.
-func NewBank(rnd *rand.Rand) *Bank {
-	return &Bank{rand: rnd, buckets: map[domain.InstanceID]*bucket{}}
+// NewBuckets returns an empty set of buckets.
+func NewBuckets(rnd *rand.Rand) *Buckets {
+	return &Buckets{rand: rnd, buckets: map[domain.InstanceID]*bucket{}}
 }
 
 // Take hands out permits for the target, of which there are so many a second here: one at least,
@@ -53,7 +53,7 @@
 // A new bucket holds a part of a token that chance gives: what was sent before it is not known
 // here. Boxes that all begin to go by their own parts then send, together, as many at once as they
 // would later, and none sends nothing for a whole round.
-func (b *Bank) Take(now time.Time, id domain.InstanceID, perSecond float64) (permits int, turn time.Time) {
+func (b *Buckets) Take(now time.Time, id domain.InstanceID, perSecond float64) (permits int, turn time.Time) {
 	b.sweep(now)
 	k, ok := b.buckets[id]
 	if !ok {
@@ -74,7 +74,7 @@
 }
 
 // turn is when the next asker gets a batch, after those that were told a turn before.
-func (b *Bank) turn(now time.Time, k *bucket, batch float64) time.Time {
+func (b *Buckets) turn(now time.Time, k *bucket, batch float64) time.Time {
 	turn := now.Add(seconds((batch - k.tokens) / k.rate))
 	if turn.Before(k.turn) {
 		turn = k.turn
@@ -97,7 +97,7 @@
 }
 
 // sweep drops buckets that nobody asks for any more.
-func (b *Bank) sweep(now time.Time) {
+func (b *Buckets) sweep(now time.Time) {
 	if now.Sub(b.sweepAt) < unusedFor {
 		return
 	}
--- a/ratelimit/bank_test.go
+++ b/ratelimit/buckets_test.go
@@ -16,7 +16,7 @@
 // than a target bears, also after a long time in which nobody asked.
 func TestABankHandsOutItsRate(t *testing.T) {
 	for _, rate := range []float64{0.2, 0.4, 1, 2.5, 30, 1000} {
-		b := ratelimit.NewBank(source())
+		b := ratelimit.NewBuckets(source())
 		var got []time.Duration
 		turn := at(0)
 		const length, quiet = 200 * time.Second, 100 * time.Second
@@ -42,7 +42,7 @@
 // as far apart as permits come, and none later than a turn goes.
 func TestTurnsAreSpread(t *testing.T) {
 	const askers = 40
-	b := ratelimit.NewBank(source())
+	b := ratelimit.NewBuckets(source())
 	var turns []time.Duration
 	for range askers {
 		if n, turn := b.Take(at(0), limited, 2); n == 0 {
--- a/ratelimit/doc.go
+++ b/ratelimit/doc.go
@@ -14,7 +14,7 @@
 // A box that does not reach its issuer goes by its own part.
 //
 // A [Register] is what a box knows: which targets named which limit, the newest news of whomever
-// winning, and its permits and turns. A [Bank] holds buckets. Both are state machines without I/O;
+// winning, and its permits and turns. A [Buckets] holds buckets. Both are state machines without I/O;
 // the asking is done in node.
 //
 // # Usage
@@ -22,7 +22,7 @@
 //	r.Heard(now, id, answer.Limit, sent)
 //	if !r.Free(id) && !r.Spend(now, id) && r.Due(now, id) {
 //		// ask the issuer, which does:
-//		n, turn := bank.Take(now, id, rate*ratelimit.Part(heard, sharing))
+//		n, turn := buckets.Take(now, id, rate*ratelimit.Part(heard, sharing))
 //		// and take its answer:
 //		r.Granted(now, id, n)
 //		r.Denied(id, turn)
--- a/ratelimit/fleet_test.go
+++ b/ratelimit/fleet_test.go
@@ -36,14 +36,14 @@
 
 // node is one box.
 type node struct {
-	id       domain.BoxID
-	boxes    *membership.Boxes
-	desk     *ratelimit.Desk
-	register *ratelimit.Register
-	saved    float64
-	hall     int
-	frozen   bool
-	rate     float64 // requests a second for the target
+	id        domain.BoxID
+	boxes     *membership.Boxes
+	allocator *ratelimit.Allocator
+	register  *ratelimit.Register
+	saved     float64
+	hall      int
+	frozen    bool
+	rate      float64 // requests a second for the target
 }
 
 // fleet is all of them, with what reached the target.
@@ -72,7 +72,7 @@
 func (f *fleet) start(n *node) {
 	n.boxes = membership.NewBoxes(n.id, f.rand)
 	n.boxes.Tell(at(f.now), 0)
-	n.desk = ratelimit.NewDesk(n.id, f.rand)
+	n.allocator = ratelimit.NewAllocator(n.id, f.rand)
 	n.register = ratelimit.NewRegister(f.rand)
 	n.saved = 0
 }
@@ -113,7 +113,7 @@
 		if now%(5*time.Second) == 0 {
 			n.boxes.Tell(at(now), 0) // forgets those that were lost
 		}
-		shares[n.id] = membership.Share{Boxes: n.boxes.Counted(at(now)), Apart: n.desk.Apart(at(now)), Settled: n.boxes.Settled(at(now))}
+		shares[n.id] = membership.Share{Boxes: n.boxes.Counted(at(now)), Apart: n.allocator.Apart(at(now)), Settled: n.boxes.Settled(at(now))}
 	}
 	for _, n := range f.nodes {
 		for _, x := range f.nodes {
@@ -144,7 +144,7 @@
 		g, ok = f.ask(n, now, wants)
 	}
 	if !ok {
-		g = n.desk.Own(now, service, wants, ratelimit.Part(1, sharing))
+		g = n.allocator.Own(now, service, wants, ratelimit.Part(1, sharing))
 	}
 	for _, t := range g.Turns {
 		n.register.Denied(t.Target, t.At)
@@ -156,15 +156,15 @@
 // ask asks the issuer; false where none is known or answers.
 func (f *fleet) ask(n *node, now time.Time, wants []ratelimit.Want) (ratelimit.Grant, bool) {
 	issuer := n.boxes.Issuer(now, service, false).Box
-	switch w := n.desk.Way(now, service, issuer).(type) {
-	case ratelimit.Here:
+	switch w := n.allocator.Source(now, service, issuer).(type) {
+	case ratelimit.Local:
 		return f.issue(n, now, wants), true
-	case ratelimit.There:
-		n.desk.Asked(w.Issuer)
+	case ratelimit.Remote:
+		n.allocator.Asked(w.Issuer)
 		return f.askAt(n, f.byID(w.Issuer), now, wants)
-	case ratelimit.Alone:
+	case ratelimit.Fallback:
 		if w.Again != "" {
-			n.desk.Asked(w.Again)
+			n.allocator.Asked(w.Again)
 			f.askAt(n, f.byID(w.Again), now, nil)
 		}
 	}
@@ -174,19 +174,19 @@
 func (f *fleet) askAt(n, x *node, now time.Time, wants []ratelimit.Want) (ratelimit.Grant, bool) {
 	switch {
 	case !f.hear(n, x):
-		n.desk.Silent(now, x.id)
+		n.allocator.Silent(now, x.id)
 		return ratelimit.Grant{}, false
-	case !x.desk.Is(x.boxes.Issuer(now, service, false).Box, service):
-		n.desk.Declined(now, x.id)
+	case !x.allocator.Is(x.boxes.Issuer(now, service, false).Box, service):
+		n.allocator.Declined(now, x.id)
 		return ratelimit.Grant{}, false
 	}
-	n.desk.Answered(service, x.id, true)
+	n.allocator.Answered(service, x.id, true)
 	return f.issue(x, now, wants), true
 }
 
 func (f *fleet) issue(x *node, now time.Time, wants []ratelimit.Want) ratelimit.Grant {
 	heard, sharing := x.boxes.Part(now)
-	return x.desk.Issue(now, service, wants, ratelimit.Part(heard, sharing))
+	return x.allocator.Issue(now, service, wants, ratelimit.Part(heard, sharing))
 }
 
 func (f *fleet) byID(id domain.BoxID) *node {
