Membership: failure reports and standalone boxes

Complaint, accused and Alone become FailureReport, reported and Standalone. The log line reads 'target ejected, several boxes report failures', the reason of the counter 'failure reports'.

--- a/membership/complaints_test.go
+++ b/membership/failure_reports_test.go
@@ -26,11 +26,11 @@
 
 func rankID(i int) domain.InstanceID { return domain.InstanceID(fmt.Sprintf("r%03d", i)) }
 
-func by(box domain.BoxID, rank int, at time.Time) membership.Complaint {
-	return membership.Complaint{Target: rankID(rank), By: box, At: at}
+func by(box domain.BoxID, rank int, at time.Time) membership.FailureReport {
+	return membership.FailureReport{Target: rankID(rank), By: box, At: at}
 }
 
-func TestATargetOfWhichSeveralBoxesComplainIsNotUsed(t *testing.T) {
+func TestATargetOfWhichSeveralBoxesReportFailuresIsNotUsed(t *testing.T) {
 	const ranks = 9
 	at := start.Add
 	tests := []struct {
@@ -42,46 +42,46 @@
 		{"one box", func(r *membership.Roster) { r.LetDown(start, rankID(0)) }, 0, 0},
 		{"the same box many times", func(r *membership.Roster) {
 			for i := range 9 {
-				r.Complained(start, by("b1", 0, at(time.Duration(i))))
+				r.TakeFailureReport(start, by("b1", 0, at(time.Duration(i))))
 			}
 		}, 0, 0},
 		{"three boxes", func(r *membership.Roster) {
 			r.LetDown(start, rankID(0))
-			r.Complained(start, by("b1", 0, start))
-			r.Complained(start, by("b2", 0, start))
+			r.TakeFailureReport(start, by("b1", 0, start))
+			r.TakeFailureReport(start, by("b2", 0, start))
 		}, 0, 1},
-		{"three boxes, of whom one complained long ago", func(r *membership.Roster) {
-			r.Complained(start, by("b1", 0, at(-3*time.Second)))
+		{"three boxes, of whom one reported long ago", func(r *membership.Roster) {
+			r.TakeFailureReport(start, by("b1", 0, at(-3*time.Second)))
 			r.LetDown(start, rankID(0))
-			r.Complained(start, by("b2", 0, start))
+			r.TakeFailureReport(start, by("b2", 0, start))
 		}, 0, 0},
 		{"this box was served since", func(r *membership.Roster) {
 			r.LetDown(start, rankID(0))
 			r.Succeeded(start, rankID(0))
-			r.Complained(start, by("b1", 0, start))
-			r.Complained(start, by("b2", 0, start))
+			r.TakeFailureReport(start, by("b1", 0, start))
+			r.TakeFailureReport(start, by("b2", 0, start))
 		}, 0, 0},
 		{"after the ejection", func(r *membership.Roster) {
 			for _, b := range []domain.BoxID{"b1", "b2", "b3"} {
-				r.Complained(start, by(b, 0, start))
+				r.TakeFailureReport(start, by(b, 0, start))
 			}
 		}, 9 * time.Second, 0},
 		{"one that tries it again is enough", func(r *membership.Roster) {
 			for _, b := range []domain.BoxID{"b1", "b2", "b3"} {
-				r.Complained(start, by(b, 0, start))
+				r.TakeFailureReport(start, by(b, 0, start))
 			}
-			r.Complained(at(5*time.Second), by("b4", 0, at(5*time.Second)))
+			r.TakeFailureReport(at(5*time.Second), by("b4", 0, at(5*time.Second)))
 		}, 6 * time.Second, 1},
-		{"most targets are complained of", func(r *membership.Roster) {
+		{"most targets are reported", func(r *membership.Roster) {
 			for _, b := range []domain.BoxID{"b1", "b2", "b3"} {
 				for i := range ranks {
-					r.Complained(start, by(b, ranks-1-i, start))
+					r.TakeFailureReport(start, by(b, ranks-1-i, start))
 				}
 			}
 		}, 0, 0},
 		{"a target that is not listed", func(r *membership.Roster) {
 			for _, b := range []domain.BoxID{"b1", "b2", "b3"} {
-				r.Complained(start, membership.Complaint{Target: "nobody", By: b, At: start})
+				r.TakeFailureReport(start, membership.FailureReport{Target: "nobody", By: b, At: start})
 			}
 		}, 0, 0},
 	}
@@ -102,19 +102,19 @@
 	}
 }
 
-func TestComplaintsArePassedOnBounded(t *testing.T) {
+func TestFailureReportsArePassedOnBounded(t *testing.T) {
 	const ranks, boxes, most = 90, 30, 40
 	r := ranksOf("b0", ranks, 0)
 	for i := range ranks {
 		for b := range boxes {
-			r.Complained(start, by(domain.BoxID(fmt.Sprintf("b%d", b+1)), i, start))
+			r.TakeFailureReport(start, by(domain.BoxID(fmt.Sprintf("b%d", b+1)), i, start))
 		}
 	}
-	if n := len(r.Complaints(start)); n != most {
-		t.Errorf("%d complaints are told", n)
+	if n := len(r.FailureReports(start)); n != most {
+		t.Errorf("%d failure reports are sent", n)
 	}
-	if n := len(r.Complaints(start.Add(time.Minute))); n != 0 {
-		t.Errorf("%d complaints are told after a minute", n)
+	if n := len(r.FailureReports(start.Add(time.Minute))); n != 0 {
+		t.Errorf("%d failure reports are sent after a minute", n)
 	}
 }
 
@@ -144,8 +144,8 @@
 		for range told {
 			to := f.rnd.IntN(f.boxes)
 			for _, way := range [][2]int{{from, to}, {to, from}} {
-				for _, c := range rosters[way[0]].Complaints(now) {
-					rosters[way[1]].Complained(now, c)
+				for _, c := range rosters[way[0]].FailureReports(now) {
+					rosters[way[1]].TakeFailureReport(now, c)
 				}
 			}
 		}
--- a/membership/health.go
+++ b/membership/health.go
@@ -4,11 +4,11 @@
 
 // health is how attempts at a target, or at a whole service, have ended.
 type health struct {
-	failShare float64 // smoothed
-	samples   int
-	ejections int
-	ejectedTo time.Time
-	accusedTo time.Time // until when it is on probation after boxes complained of it
+	failShare   float64 // smoothed
+	samples     int
+	ejections   int
+	ejectedTo   time.Time
+	probationTo time.Time // until when it is on probation after boxes reported it
 
 	turned   int       // attempts in a row that it turned away for want of room
 	turnedTo time.Time // until when it is taken to have none
@@ -61,20 +61,20 @@
 
 func (h *health) ejected(now time.Time) bool { return now.Before(h.ejectedTo) }
 
-// probation is how long after its ejection an accused target is on probation: several
+// probation is how long after its ejection a reported target is on probation: several
 // times what a box that takes it back needs to find out that it still fails.
 const probation = 5 * time.Second
 
-// accuse ejects a target that several boxes complain of.
-func (h *health) accuse(now time.Time, p RosterPolicy) {
-	d := min(p.AccusedFor<<min(h.ejections, maxEjections), p.EjectMost)
+// ejectReported ejects a target that several boxes report failures of.
+func (h *health) ejectReported(now time.Time, p RosterPolicy) {
+	d := min(p.ReportedFor<<min(h.ejections, maxEjections), p.EjectMost)
 	h.ejections++
 	h.ejectedTo = now.Add(d + time.Duration(p.Spread*float64(d)))
-	h.accusedTo = h.ejectedTo.Add(probation)
+	h.probationTo = h.ejectedTo.Add(probation)
 	h.samples, h.failShare = 0, 0
 }
 
-func (h *health) onProbation(now time.Time) bool { return now.Before(h.accusedTo) }
+func (h *health) onProbation(now time.Time) bool { return now.Before(h.probationTo) }
 
 // turnAway takes that the target turned an attempt away for want of room. The first speaks
 // against it already: one that turns all away has nothing open, and draws the load.
--- a/membership/hubs.go
+++ b/membership/hubs.go
@@ -29,8 +29,8 @@
 
 // The roles.
 const (
-	// Alone: the hall has no hubs, and each box asks its targets.
-	Alone Role = iota
+	// Standalone: the hall has no hubs, and each box asks its targets.
+	Standalone Role = iota
 	// Hub: it asks for the others.
 	Hub
 	// Follower: it hears from a hub.
@@ -43,7 +43,7 @@
 // RoleOf is the role of the box in its hall, where the others are in touch.
 func RoleOf(self domain.BoxID, others []Contact) Role {
 	if len(others)+1 < hubsFrom {
-		return Alone
+		return Standalone
 	}
 	if Place(self, others) < HubsEach {
 		return Hub
--- a/membership/hubs_test.go
+++ b/membership/hubs_test.go
@@ -38,7 +38,7 @@
 				others := hallOf(tc.boxes, i)[tc.lost:]
 				got[membership.RoleOf(domain.BoxID(fmt.Sprintf("b%02d", i)), others)]++
 			}
-			if got[membership.Hub] != tc.hubs || got[membership.Alone] != tc.alone || got[membership.Follower] != tc.rest {
+			if got[membership.Hub] != tc.hubs || got[membership.Standalone] != tc.alone || got[membership.Follower] != tc.rest {
 				t.Errorf("got %v", got)
 			}
 		})
--- a/membership/roster.go
+++ b/membership/roster.go
@@ -28,10 +28,10 @@
 	// FailShare is the share of failures, above that of the service as a whole, from
 	// which a target is ejected.
 	FailShare float64
-	// AccusedFor is the first ejection of a target that several boxes complain of; it
+	// ReportedFor is the first ejection of a target that several boxes report failures of; it
 	// doubles as others do.
-	AccusedFor time.Duration
-	// Spread is by which share of it this box ejects an accused target for longer than
+	ReportedFor time.Duration
+	// Spread is by which share of it this box ejects a reported target for longer than
 	// others might, so that one of them tries it first and tells the rest; from 0 to 1.
 	Spread float64
 	// Floor is the share of a service's targets that ejections leave in use.
@@ -66,7 +66,7 @@
 		TurnedFor:   250 * time.Millisecond, // a few requests of a usual target
 		TurnedMost:  4 * time.Second,
 		FailShare:   0.25,
-		AccusedFor:  4 * time.Second,
+		ReportedFor: 4 * time.Second,
 		Floor:       0.5,
 		ReportFresh: time.Second,
 		MutedAfter:  1500 * time.Millisecond,
@@ -104,7 +104,7 @@
 	entries   map[domain.ListedID]*entry
 	byService map[domain.ServiceName]*health
 	heardAt   time.Time // when any target spoke for itself last
-	let       *Complaints
+	failures  *FailureReports
 	storeBack time.Time // when the store last came back, or now while it is away
 	// restoredAt is when the first list of a later era was taken, and restoredTo its position.
 	restoredAt time.Time
@@ -118,7 +118,7 @@
 func NewRoster(self domain.BoxID, p RosterPolicy) *Roster {
 	return &Roster{
 		policy:    p,
-		let:       NewComplaints(self),
+		failures:  NewFailureReports(self),
 		entries:   map[domain.ListedID]*entry{},
 		byService: map[domain.ServiceName]*health{},
 	}
@@ -296,7 +296,7 @@
 	all.add(failed)
 	e.health.add(failed)
 	if !failed {
-		r.let.Served(id)
+		r.failures.Served(id)
 		e.health.succeeded(now)
 		return
 	}
--- a/mesh/fuzz_test.go
+++ b/mesh/fuzz_test.go
@@ -17,7 +17,7 @@
 func FuzzMessages(f *testing.F) {
 	hold := orders.Step(7)
 	for _, m := range []any{
-		&mesh.Advert{Self: mesh.Contact{Box: "b"}, Complaints: []mesh.Complaint{{Target: "t", By: "b", Ago: 5}}, Works: []mesh.WorkWord{{Digest: "d", Target: "t", Ago: 5}}, Limits: []mesh.LimitWord{{Target: "t", Ago: 5}}},
+		&mesh.Advert{Self: mesh.Contact{Box: "b"}, FailureReports: []mesh.FailureReport{{Target: "t", By: "b", Ago: 5}}, Works: []mesh.WorkWord{{Digest: "d", Target: "t", Ago: 5}}, Limits: []mesh.LimitWord{{Target: "t", Ago: 5}}},
 		&mesh.PermitQuery{Service: "s", Wants: []mesh.LimitWord{{Target: "t", Ago: 5}}},
 		&mesh.PermitReply{Issuer: true, Target: "t", Permits: 2, Turns: []mesh.PermitTurn{{Target: "u", In: 5}}},
 		&mesh.Pulled{At: pos(3), Targets: []mesh.TargetNews{{ID: "t", At: pos(2), Target: &domain.TargetFields{ID: "t"}}}},
--- a/mesh/messages.go
+++ b/mesh/messages.go
@@ -68,8 +68,8 @@
 	News bool `json:"news,omitempty"`
 	// Known are other boxes that it has learned of lately.
 	Known []Contact `json:"known,omitempty"`
-	// Complaints are those that count, of any box.
-	Complaints []Complaint `json:"complaints,omitempty"`
+	// FailureReports are those that count, of any box.
+	FailureReports []FailureReport `json:"failures,omitempty"`
 	// Leavers are targets that lately said, with an answer, that they are leaving.
 	Leavers []domain.InstanceID `json:"leavers,omitempty"`
 	// Works are what is known of works under which targets ended.
@@ -92,9 +92,9 @@
 	Ago    time.Duration
 }
 
-// Complaint is that a target let a box down so long before the message. There may be a
+// FailureReport is that a target let a box down so long before the message. There may be a
 // few dozen in an advert, so it is written without names of fields.
-type Complaint struct {
+type FailureReport struct {
 	_      struct{} `cbor:",toarray"`
 	Target domain.InstanceID
 	By     domain.BoxID
--- a/node/adverts.go
+++ b/node/adverts.go
@@ -24,7 +24,7 @@
 		others = 0
 	}
 	own := p.level()
-	complaints, works := p.complaints(now), p.entry.quarantine.tell(now, all)
+	failureReports, works := p.failureReports(now), p.entry.quarantine.tell(now, all)
 	limits, apart := p.entry.limiting.tell(now, others), p.entry.limiting.apart(now)
 	limited := p.entry.fleet.knowsLimits()
 	var leavers []domain.InstanceID
@@ -34,7 +34,7 @@
 	a := &mesh.Advert{
 		Self: contactOf(p.self, 0), Hall: domain.HallName(p.entry.settings().Hall), Leaving: p.entry.gateway.Leaving(),
 		Config: own.Config, Targets: own.Targets, News: news,
-		Era: p.entry.timeline.latest().Era(), Complaints: complaints, Leavers: leavers, Works: works,
+		Era: p.entry.timeline.latest().Era(), FailureReports: failureReports, Leavers: leavers, Works: works,
 		Limits: limits, Blank: !p.briefed,
 	}
 	if limited {
@@ -70,25 +70,25 @@
 	return membership.Share{Boxes: w.Boxes, Apart: w.Apart, Settled: w.Settled}
 }
 
-// complaints are what boxes hold against targets, to be told to others.
-func (p *peering) complaints(now time.Time) []mesh.Complaint {
-	var list []mesh.Complaint
+// failure reports are what boxes hold against targets, to be told to others.
+func (p *peering) failureReports(now time.Time) []mesh.FailureReport {
+	var list []mesh.FailureReport
 	p.entry.fleet.with(func(r *membership.Roster, _ *routing.Balancer) {
-		for _, c := range r.Complaints(now) {
-			list = append(list, mesh.Complaint{Target: c.Target, By: c.By, Ago: now.Sub(c.At)})
+		for _, c := range r.FailureReports(now) {
+			list = append(list, mesh.FailureReport{Target: c.Target, By: c.By, Ago: now.Sub(c.At)})
 		}
 	})
 	return list
 }
 
-// complained takes what other boxes hold against targets.
-func (p *peering) complained(now time.Time, list []mesh.Complaint) {
+// takeFailureReports takes what other boxes hold against targets.
+func (p *peering) takeFailureReports(now time.Time, list []mesh.FailureReport) {
 	if len(list) == 0 {
 		return
 	}
 	p.entry.fleet.with(func(r *membership.Roster, _ *routing.Balancer) {
 		for _, c := range list {
-			if r.Complained(now, membership.Complaint{Target: c.Target, By: c.By, At: now.Add(-c.Ago)}) {
+			if r.TakeFailureReport(now, membership.FailureReport{Target: c.Target, By: c.By, At: now.Add(-c.Ago)}) {
 				p.entry.fleet.ejected(c.Target)
 			}
 		}
@@ -133,7 +133,7 @@
 	now := clock.Now()
 	p.entry.timeline.observe(store.PositionOf(a.Era, 0), "peer "+string(a.Self.Box))
 	own := p.level()
-	p.complained(now, a.Complaints)
+	p.takeFailureReports(now, a.FailureReports)
 	for _, id := range a.Leavers {
 		p.entry.fleet.leaves(now, id, "peer "+string(a.Self.Box))
 	}
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -29,7 +29,7 @@
 	limits   *ratelimit.Register
 	askedAt  map[domain.ServiceName]time.Time          // when a target of the service was last asked for
 	letDown  func()                                    // called when a target let this box down, and others are to learn of it
-	ejected  func(domain.InstanceID)                   // called when a target is ejected as several boxes complain of it
+	ejected  func(domain.InstanceID)                   // called when a target is ejected as several boxes report failures of it
 	left     func(id domain.InstanceID, source string) // called when a target reports that it is leaving, and nothing did before
 	witness  func(domain.Target) string                // another process that is reached on the way to the target
 	limited  func(w ratelimit.Word, source string)     // called when a target has another limit than before
--- a/node/place.go
+++ b/node/place.go
@@ -60,12 +60,12 @@
 
 // Overdue implements gateway.Lease.
 func (p *place) Overdue() {
-	p.fleet.with(func(r *membership.Roster, b *routing.Balancer) { p.complain(clock.Now(), r, b) })
+	p.fleet.with(func(r *membership.Roster, b *routing.Balancer) { p.reportFailure(clock.Now(), r, b) })
 }
 
-// complain holds against the target that it let this box down, unless its whole group
+// reportFailure records that it let this box down, unless its whole group
 // stands still, which is no fault of one rank. The fleet is locked.
-func (p *place) complain(now time.Time, r *membership.Roster, b *routing.Balancer) {
+func (p *place) reportFailure(now time.Time, r *membership.Roster, b *routing.Balancer) {
 	if !b.Steps(now, p.option) {
 		return
 	}
@@ -105,7 +105,7 @@
 			r.Succeeded(now, p.target.ID())
 		case gateway.Bad:
 			r.Failed(now, p.target.ID())
-			p.complain(now, r, b)
+			p.reportFailure(now, r, b)
 		case gateway.Full:
 			r.Failed(now, p.target.ID())
 		case gateway.Unreachable, gateway.Gone:
--- a/node/readiness.go
+++ b/node/readiness.go
@@ -47,10 +47,10 @@
 	e.standings = standings
 }
 
-// noteEjected logs that a target is out of use as several boxes complain of it.
+// noteEjected logs that a target is out of use as several boxes report failures of it.
 func (e *Entry) noteEjected(id domain.InstanceID) {
-	e.common.Metrics.Count(telemetry.Ejections, "complaints", 1)
-	e.common.Log.Warn("target ejected on complaints", "target", id)
+	e.common.Metrics.Count(telemetry.Ejections, "failure reports", 1)
+	e.common.Log.Warn("target ejected, several boxes report failures", "target", id)
 }
 
 // noteLeft logs that a target reports that it is leaving, and notifies other boxes at once.
--- a/node/surveying.go
+++ b/node/surveying.go
@@ -136,7 +136,7 @@
 	s.mu.Lock()
 	role, halls := s.role, len(s.halls)
 	s.mu.Unlock()
-	if role != membership.Alone {
+	if role != membership.Standalone {
 		return everyAmong(membership.HubsEach * halls)
 	}
 	boxes, _ := s.entry.peering.inTouch()
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -20,7 +20,7 @@
 	Refusals      Name = "clovertrail_refusals_total"          // reason: the fault.Kind
 	Retries       Name = "clovertrail_retries_total"           // reason: the fault.Kind
 	Answers       Name = "clovertrail_answers_total"           // reason: ok, broken, cut by the stop
-	Ejections     Name = "clovertrail_ejections_total"         // reason: complaints
+	Ejections     Name = "clovertrail_ejections_total"         // reason: failure reports
 	PlatformCalls Name = "clovertrail_platform_calls_total"    // reason: the call and its end
 	ConfigApplied Name = "clovertrail_config_applied_total"    // reason: store, or the peer
 	MapSwitches   Name = "clovertrail_map_switches_total"      // reason: how the change ended
