--- a/cli/logs/belief.go
+++ b/cli/logs/box_view.go
@@ -8,8 +8,8 @@
 	"time"
 )
 
-// belief is what a box held true, as its lines told it.
-type belief struct {
+// boxView is what a box knew, by its lines.
+type boxView struct {
 	config    Line            // "configuration in force"
 	store     map[string]Line // by kind of record: lost, or answers again
 	standing  map[string]Line // by target
@@ -26,12 +26,12 @@
 	lost   map[string]Line // by rank: the last "rank read"
 }
 
-func newBelief() *belief {
-	return &belief{store: map[string]Line{}, standing: map[string]Line{}, listed: map[string]Line{}, tellers: map[string]Line{}}
+func newBoxView() *boxView {
+	return &boxView{store: map[string]Line{}, standing: map[string]Line{}, listed: map[string]Line{}, tellers: map[string]Line{}}
 }
 
 // take takes a line of the box.
-func (b *belief) take(l Line) {
+func (b *boxView) take(l Line) {
 	switch l.msg {
 	case "configuration in force":
 		b.config = l
@@ -46,7 +46,7 @@
 	case "cut off without targets":
 		b.readiness = l
 	case "started":
-		*b = *newBelief() // the process before it is gone, and all that it knew
+		*b = *newBoxView() // the process before it is gone, and all that it knew
 	}
 }
 
@@ -97,7 +97,7 @@
 }
 
 // facts are what bears on a request to the service, or to the targets, at the time.
-func (b *belief) facts(now time.Time, g groups, service string, targets []string) []Fact {
+func (b *boxView) facts(now time.Time, g groups, service string, targets []string) []Fact {
 	var list []Fact
 	if b.config.msg != "" {
 		list = append(list, fact(now, b.config, "configuration %s from %s", b.config.Get("version"), b.config.Get("source")))
@@ -121,7 +121,7 @@
 }
 
 // targetsOf counts the targets of the service by standing.
-func (b *belief) targetsOf(now time.Time, service string) []Fact {
+func (b *boxView) targetsOf(now time.Time, service string) []Fact {
 	counts := map[string]int{}
 	var last Line
 	for id, l := range b.listed {
@@ -148,7 +148,7 @@
 }
 
 // target is what was held of one target and of its group.
-func (b *belief) target(now time.Time, g groups, id string) []Fact {
+func (b *boxView) target(now time.Time, g groups, id string) []Fact {
 	var list []Fact
 	if l, ok := b.listed[id]; ok {
 		list = append(list, fact(now, l, "target %s %s at %s, %s", id, strings.TrimPrefix(l.msg, "target "), l.Get("address"), l.Get("state")))
--- a/cli/logs/explain.go
+++ b/cli/logs/explain.go
@@ -80,7 +80,7 @@
 
 // factsAt replays the lines up to the one that ended the request.
 func (t *Timeline) factsAt(s *Set, last Line) []Fact {
-	box, agents := newBelief(), groups{}
+	box, agents := newBoxView(), groups{}
 	for _, l := range s.lines {
 		if l.at.After(last.at) {
 			break
--- a/node/adverts.go
+++ b/node/adverts.go
@@ -97,7 +97,7 @@
 
 // level is how far this box knows what the store holds.
 func (p *peering) level() membership.Level {
-	_, edition := p.entry.belief.document()
+	_, edition := p.entry.view.document()
 	l := membership.Level{Config: edition}
 	p.entry.fleet.with(func(r *membership.Roster, _ *routing.Balancer) { l.Targets = r.Newest() })
 	return l
--- a/node/entry.go
+++ b/node/entry.go
@@ -31,7 +31,7 @@
 	network   process.Network
 	settings  func() process.EntrySettings // as they are now
 	fleet     *fleet
-	belief    *belief
+	view      *view
 	budgets   *budgets
 	pool      *transport.Pool
 	gateway   *gateway.Gateway
@@ -72,7 +72,7 @@
 	e.limiting = newLimiting(e)
 	e.fleet.limited, e.fleet.permits = e.limiting.named, e.limiting.permits
 	e.surveying = newSurveying(e)
-	e.belief = &belief{common: c, fleet: e.fleet, adopt: e.adopt, moved: e.peering.tell}
+	e.view = &view{common: c, fleet: e.fleet, adopt: e.adopt, moved: e.peering.tell}
 	return e
 }
 
--- a/node/following.go
+++ b/node/following.go
@@ -173,7 +173,7 @@
 func (e *Entry) followConfiguration(feed store.Feed) *following {
 	take := func(r store.Record) {
 		if r.Name == platform.Configuration {
-			e.belief.configuration(r.Spec, r.At, "store")
+			e.view.configuration(r.Spec, r.At, "store")
 		}
 	}
 	f := e.following(feed, platform.Configurations)
@@ -191,7 +191,7 @@
 	}
 	f.lost = func() {}
 	f.known = func() store.Position {
-		_, edition := e.belief.document()
+		_, edition := e.view.document()
 		return edition.At
 	}
 	return f
@@ -208,10 +208,10 @@
 		if l.Nameless > 0 {
 			e.common.Log.Error("records without a name", "kind", platform.Targets, "records", l.Nameless, "at", l.At)
 		}
-		e.belief.targets(l.At, e.belief.decodeTargets(events), "store")
+		e.view.targets(l.At, e.view.decodeTargets(events), "store")
 	}
 	f.changed = func(c store.Changes) {
-		e.belief.changes(c.At, e.belief.decodeTargets(c.Events), "store")
+		e.view.changes(c.At, e.view.decodeTargets(c.Events), "store")
 	}
 	f.known = func() (at store.Position) {
 		e.fleet.with(func(r *membership.Roster, _ *routing.Balancer) { at = r.At() })
--- a/node/peering.go
+++ b/node/peering.go
@@ -42,7 +42,7 @@
 // peering tells other entry boxes what this one knows, and asks them for what it
 // does not: so a box that the store turns away still learns the news.
 //
-// Lock order: mu, then the locks of belief and fleet.
+// Lock order: mu, then the locks of view and fleet.
 type peering struct {
 	entry *Entry
 	self  membership.Contact
@@ -275,7 +275,7 @@
 	}
 	source := "peer " + string(c.Box)
 	if got.Config != nil {
-		p.entry.belief.configuration(got.Config.Raw, got.Config.At, source)
+		p.entry.view.configuration(got.Config.Raw, got.Config.At, source)
 	}
 	if got.At.IsZero() {
 		return
@@ -285,13 +285,13 @@
 		p.entry.common.Log.Error("peer's targets not taken", "peer", c.Box, "err", err)
 		return
 	}
-	p.entry.belief.targets(got.At, news, source)
+	p.entry.view.targets(got.At, news, source)
 }
 
 // pull implements mesh.Pull.
 func (p *peering) pull(_ context.Context, q *mesh.PullQuery) (*mesh.Pulled, error) {
 	out := &mesh.Pulled{}
-	if raw, edition := p.entry.belief.document(); edition.After(q.Config) {
+	if raw, edition := p.entry.view.document(); edition.After(q.Config) {
 		out.Config = &mesh.Document{At: edition.At, Raw: raw}
 	}
 	p.entry.fleet.with(func(r *membership.Roster, _ *routing.Balancer) {
--- a/node/belief.go
+++ b/node/view.go
@@ -14,11 +14,11 @@
 	"clovertrail.dev/telemetry"
 )
 
-// belief is what the box holds to be true: the configuration, and through the
+// view is what the box knows: the configuration, and through the
 // fleet the targets. It takes news from the store and from peers alike.
 //
 // Lock order: mu, then the fleet's.
-type belief struct {
+type view struct {
 	common telemetry.Common
 	fleet  *fleet
 	adopt  func(*catalog.Catalog) // called with each newer configuration
@@ -29,70 +29,70 @@
 }
 
 // configuration takes a document from the source.
-func (b *belief) configuration(raw []byte, at store.Position, source string) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	before := b.holder.Edition()
-	moved, err := b.holder.Offer(raw, at, platform.DecodeConfiguration)
+func (v *view) configuration(raw []byte, at store.Position, source string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	before := v.holder.Edition()
+	moved, err := v.holder.Offer(raw, at, platform.DecodeConfiguration)
 	switch {
 	case err != nil:
-		b.common.Log.Error("configuration not taken", "at", at, "source", source, "in_force", before.Version, "err", err)
+		v.common.Log.Error("configuration not taken", "at", at, "source", source, "in_force", before.Version, "err", err)
 	case moved:
-		c := b.holder.Current()
-		b.common.Metrics.Count(telemetry.ConfigApplied, source, 1)
-		b.common.Metrics.Set(telemetry.ConfigSeq, "", float64(c.Version()))
-		b.common.Log.Info("configuration in force", "version", c.Version(), "at", at, "source", source, "before", before.Version)
-		b.adopt(c)
-		b.moved()
-	case !bytes.Equal(raw, b.holder.Raw()):
-		b.common.Log.Warn("configuration ignored, a later one is in force", "at", at, "source", source, "in_force", before.Version)
+		c := v.holder.Current()
+		v.common.Metrics.Count(telemetry.ConfigApplied, source, 1)
+		v.common.Metrics.Set(telemetry.ConfigSeq, "", float64(c.Version()))
+		v.common.Log.Info("configuration in force", "version", c.Version(), "at", at, "source", source, "before", before.Version)
+		v.adopt(c)
+		v.moved()
+	case !bytes.Equal(raw, v.holder.Raw()):
+		v.common.Log.Warn("configuration ignored, a later one is in force", "at", at, "source", source, "in_force", before.Version)
 	}
 }
 
 // document is the configuration in force as the store keeps it.
-func (b *belief) document() ([]byte, catalog.Edition) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.holder.Raw(), b.holder.Edition()
+func (v *view) document() ([]byte, catalog.Edition) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.holder.Raw(), v.holder.Edition()
 }
 
 // targets takes the whole list of targets.
-func (b *belief) targets(at store.Position, news []membership.News, source string) {
+func (v *view) targets(at store.Position, news []membership.News, source string) {
 	now := clock.Now()
 	var fresh []membership.News
 	var known store.Position
-	b.fleet.with(func(r *membership.Roster, _ *routing.Balancer) {
+	v.fleet.with(func(r *membership.Roster, _ *routing.Balancer) {
 		known = r.At()
 		fresh = r.Listed(now, at, news)
 	})
 	if known.After(at) {
-		b.common.Log.Warn("list of targets ignored, a later one is known", "at", at, "source", source, "known", known)
+		v.common.Log.Warn("list of targets ignored, a later one is known", "at", at, "source", source, "known", known)
 	}
-	b.fleet.forget(now)
-	b.logNews(fresh, source)
+	v.fleet.forget(now)
+	v.logNews(fresh, source)
 }
 
 // changes takes changes of the list of targets.
-func (b *belief) changes(at store.Position, news []membership.News, source string) {
+func (v *view) changes(at store.Position, news []membership.News, source string) {
 	now := clock.Now()
 	var fresh []membership.News
-	b.fleet.with(func(r *membership.Roster, _ *routing.Balancer) {
+	v.fleet.with(func(r *membership.Roster, _ *routing.Balancer) {
 		for _, n := range news {
 			fresh = append(fresh, r.Changed(now, n)...)
 		}
 		r.CaughtUp(at)
 	})
-	b.fleet.forget(now)
-	b.logNews(fresh, source)
+	v.fleet.forget(now)
+	v.logNews(fresh, source)
 }
 
-func (b *belief) logNews(fresh []membership.News, source string) {
+func (v *view) logNews(fresh []membership.News, source string) {
 	if len(fresh) > 0 {
-		b.moved()
+		v.moved()
 	}
 	for _, n := range fresh {
 		if n.Target == nil {
-			b.common.Log.Info("target gone", "target", n.ID, "at", n.At, "source", source, "unusable", n.Unusable)
+			v.common.Log.Info("target gone", "target", n.ID, "at", n.At, "source", source, "unusable", n.Unusable)
 			continue
 		}
 		t := *n.Target
@@ -100,28 +100,28 @@
 		if g, ok := t.Rank(); ok {
 			attrs = append(attrs, "group", g.Group, "epoch", g.Epoch, "rank", g.Number, "open", g.Open)
 		}
-		b.common.Log.Info("target listed", attrs...)
+		v.common.Log.Info("target listed", attrs...)
 	}
 }
 
 // decodeTargets turns records into news. One that does not decode is logged and names no
 // target to use; the others go on.
-func (b *belief) decodeTargets(events []store.Event) []membership.News {
+func (v *view) decodeTargets(events []store.Event) []membership.News {
 	var list []membership.News
 	for _, e := range events {
 		n := membership.News{ID: domain.InstanceID(e.Record.Name), At: e.Record.At}
 		if !e.Removed {
-			n = b.decodeTarget(n, e.Record)
+			n = v.decodeTarget(n, e.Record)
 		}
 		list = append(list, n)
 	}
 	return list
 }
 
-func (b *belief) decodeTarget(n membership.News, r store.Record) membership.News {
+func (v *view) decodeTarget(n membership.News, r store.Record) membership.News {
 	t, err := platform.DecodeTarget(r)
 	if err != nil {
-		b.common.Log.Error("target not taken", "target", r.Name, "at", r.At, "err", err)
+		v.common.Log.Error("target not taken", "target", r.Name, "at", r.At, "err", err)
 		n.Unusable = true
 		return n
 	}
--- a/store/follow/doc.go
+++ b/store/follow/doc.go
@@ -5,7 +5,7 @@
 // It lists once, then watches from the revision of the listing. A watch is short
 // enough that one which was silently lost is noticed in time. After a failure it
 // tries again with growing, spread pauses; only a lost history makes it list anew.
-// It says whether its belief is current, which is so after a success and ends a
+// It says whether what it knows is current, which is so after a success and ends a
 // set time after the last one.
 //
 // A Follower is a state machine without I/O.
