Mesh: reports, observations and group updates

Word, WorkWord, LimitWord, ShareWord, RankWord and Lesson become Report, WorkObservation, LimitReport, ShareReport, RankStatus and GroupUpdate. Behaviour unchanged.

--- a/mesh/fuzz_test.go
+++ b/mesh/fuzz_test.go
@@ -17,12 +17,12 @@
 func FuzzMessages(f *testing.F) {
 	hold := orders.Step(7)
 	for _, m := range []any{
-		&mesh.Advert{Self: mesh.Contact{Box: "b"}, FailureReports: []mesh.FailureReport{{Target: "t", By: "b", Ago: 5}}, Works: []mesh.WorkWord{{Digest: "d", Target: "t", Ago: 5}}, Limits: []mesh.LimitWord{{Target: "t", Ago: 5}}},
-		&mesh.PermitQuery{Service: "s", Wants: []mesh.LimitWord{{Target: "t", Ago: 5}}},
+		&mesh.Advert{Self: mesh.Contact{Box: "b"}, FailureReports: []mesh.FailureReport{{Target: "t", By: "b", Ago: 5}}, Works: []mesh.WorkObservation{{Digest: "d", Target: "t", Ago: 5}}, Limits: []mesh.LimitReport{{Target: "t", Ago: 5}}},
+		&mesh.PermitQuery{Service: "s", Wants: []mesh.LimitReport{{Target: "t", Ago: 5}}},
 		&mesh.PermitReply{Issuer: true, Target: "t", Permits: 2, Turns: []mesh.PermitTurn{{Target: "u", In: 5}}},
 		&mesh.Pulled{At: pos(3), Targets: []mesh.TargetNews{{ID: "t", At: pos(2), Target: &domain.TargetFields{ID: "t"}}}},
 		&mesh.RankReport{Group: "g", Size: 2, Picked: mesh.Pack([]uint64{3, 1000})},
-		&mesh.Gathered{Ranks: []mesh.RankWord{{Rank: 1, Held: &hold}}, Picked: mesh.Pack([]uint64{1})},
+		&mesh.Gathered{Ranks: []mesh.RankStatus{{Rank: 1, Held: &hold}}, Picked: mesh.Pack([]uint64{1})},
 		&mesh.HallReport{Targets: []mesh.Sighting{{ID: "t"}}},
 		mesh.CallOf(orders.Call{Order: orders.Hold{Step: 4}}),
 	} {
@@ -46,7 +46,7 @@
 		if cbor.Unmarshal(raw, &report) == nil && report.Picked != nil {
 			mesh.Sum([]*mesh.Picked{report.Picked, nil, mesh.Pack([]uint64{1, 2})})
 		}
-		var word mesh.RankWord
+		var word mesh.RankStatus
 		if cbor.Unmarshal(raw, &word) == nil {
 			word.Report()
 		}
@@ -68,7 +68,7 @@
 		return
 	}
 	for _, w := range query.Wants {
-		word, ok := w.Word(time.Unix(1000, 0))
+		word, ok := w.Report(time.Unix(1000, 0))
 		if l, limited := word.Limit.(call.Limited); ok && limited && !(l.PerSecond >= 0 && l.PerSecond < 1e9) {
 			t.Errorf("%x: a limit of %v a second", raw, l.PerSecond)
 		}
--- a/mesh/messages.go
+++ b/mesh/messages.go
@@ -73,19 +73,19 @@
 	// Leavers are targets that lately said, with an answer, that they are leaving.
 	Leavers []domain.InstanceID `json:"leavers,omitempty"`
 	// Works are what is known of works under which targets ended.
-	Works []WorkWord `json:"works,omitempty"`
+	Works []WorkObservation `json:"works,omitempty"`
 	// Limits are what targets said of their limits.
-	Limits []LimitWord `json:"limits,omitempty"`
+	Limits []LimitReport `json:"limits,omitempty"`
 	// Share is how the sender shares limits; missing while it knows none.
-	Share *ShareWord `json:"share,omitempty"`
+	Share *ShareReport `json:"share,omitempty"`
 	// Blank reports that the sender has just started and was sent no limits yet, so that the answer
 	// is to name all, and has a share.
 	Blank bool `json:"blank,omitempty"`
 }
 
-// WorkWord is that a target ended under a work, or that the work was served, so long before
+// WorkObservation is that a target ended under a work, or that the work was served, so long before
 // the message. There may be a few dozen in an advert, so it is written without names of fields.
-type WorkWord struct {
+type WorkObservation struct {
 	_      struct{} `cbor:",toarray"`
 	Digest call.Digest
 	Target domain.InstanceID // empty where the work was served
--- a/mesh/permits.go
+++ b/mesh/permits.go
@@ -8,9 +8,9 @@
 	"clovertrail.dev/ratelimit"
 )
 
-// LimitWord is what a target said of its limit so long before the message. There may be a few
+// LimitReport is what a target said of its limit so long before the message. There may be a few
 // dozen in an advert, so it is written without names of fields.
-type LimitWord struct {
+type LimitReport struct {
 	_      struct{} `cbor:",toarray"`
 	Target domain.InstanceID
 	// PerSecond is missing where the target reports that it has no limit any more.
@@ -18,18 +18,18 @@
 	Ago       time.Duration
 }
 
-// LimitWordOf turns a word into a message that is sent now.
-func LimitWordOf(now time.Time, w ratelimit.Word) LimitWord {
-	out := LimitWord{Target: w.Target, Ago: now.Sub(w.At)}
+// LimitReportOf turns a report into a message that is sent now.
+func LimitReportOf(now time.Time, w ratelimit.Report) LimitReport {
+	out := LimitReport{Target: w.Target, Ago: now.Sub(w.At)}
 	if l, limited := w.Limit.(call.Limited); limited {
 		out.PerSecond = &l.PerSecond
 	}
 	return out
 }
 
-// Word is the word in a message that came now; false for one that no target can have said.
-func (w LimitWord) Word(now time.Time) (ratelimit.Word, bool) {
-	out := ratelimit.Word{Target: w.Target, Limit: call.Unlimited{}, At: now.Add(-w.Ago)}
+// Report is the report in a message that came now; false for one that no target can have made.
+func (w LimitReport) Report(now time.Time) (ratelimit.Report, bool) {
+	out := ratelimit.Report{Target: w.Target, Limit: call.Unlimited{}, At: now.Add(-w.Ago)}
 	if w.PerSecond == nil {
 		return out, w.Ago >= 0
 	}
@@ -38,9 +38,9 @@
 	return out, ok && w.Ago >= 0
 }
 
-// ShareWord is how a box shares limits with the others. It goes with every advert while there are
+// ShareReport is how a box shares limits with the others. It goes with every advert while there are
 // limits, so it is written without names of fields.
-type ShareWord struct {
+type ShareReport struct {
 	_ struct{} `cbor:",toarray"`
 	// Boxes are how many share them, as it counts.
 	Boxes int
@@ -54,7 +54,7 @@
 	Service domain.ServiceName `json:"service"`
 	// Wants are what the asker knows of the targets' limits. There is none where it only finds out
 	// whether the issuer answers.
-	Wants []LimitWord `json:"wants,omitempty"`
+	Wants []LimitReport `json:"wants,omitempty"`
 }
 
 // PermitReply is what the asker gets.
--- a/mesh/relayed.go
+++ b/mesh/relayed.go
@@ -18,15 +18,15 @@
 
 // Gathered is what the ranks reported that answered.
 type Gathered struct {
-	Ranks []RankWord `json:"ranks"`
+	Ranks []RankStatus `json:"ranks"`
 	// Picked is what these ranks chose together since the asker asked last; missing if
 	// none could tell.
 	Picked *Picked `json:"picked,omitempty"`
 }
 
-// RankWord is what a rank reports about itself, without names of fields, since there are
+// RankStatus is what a rank reports about itself, without names of fields, since there are
 // dozens in a message.
-type RankWord struct {
+type RankStatus struct {
 	_             struct{} `cbor:",toarray"`
 	Rank          int
 	Open          bool
@@ -41,9 +41,9 @@
 }
 
 // WordOf shortens a report for a message that has many.
-func WordOf(rank int, r *RankReport) RankWord {
+func WordOf(rank int, r *RankReport) RankStatus {
 	s := r.State
-	w := RankWord{
+	w := RankStatus{
 		Rank: rank, Open: s.Open, Epoch: s.Epoch, Step: s.Step, Map: s.Map, Prepared: s.Prepared,
 		Held: s.Held, Pace: float32(r.Pace), Holds: r.Holds,
 	}
@@ -54,7 +54,7 @@
 }
 
 // Report gives back what WordOf took.
-func (w RankWord) Report() *RankReport {
+func (w RankStatus) Report() *RankReport {
 	s := orders.State{Epoch: w.Epoch, Open: w.Open, Step: w.Step, Map: w.Map, Prepared: w.Prepared, Held: w.Held}
 	if w.ArmedVersion != 0 {
 		s.Armed = &orders.Armed{Version: w.ArmedVersion, Step: w.ArmedStep}
--- a/node/adverts.go
+++ b/node/adverts.go
@@ -50,8 +50,8 @@
 }
 
 // share is how this box shares limits; mu is held.
-func (p *peering) share(now time.Time, apart bool) *mesh.ShareWord {
-	return &mesh.ShareWord{Boxes: p.boxes.Counted(now), Apart: apart, Settled: p.boxes.Settled(now)}
+func (p *peering) share(now time.Time, apart bool) *mesh.ShareReport {
+	return &mesh.ShareReport{Boxes: p.boxes.Counted(now), Apart: apart, Settled: p.boxes.Settled(now)}
 }
 
 func contactOf(c membership.Contact, ago time.Duration) mesh.Contact {
@@ -63,7 +63,7 @@
 }
 
 // shareFrom gives nothing for a box that knows no limits.
-func shareFrom(w *mesh.ShareWord) membership.Share {
+func shareFrom(w *mesh.ShareReport) membership.Share {
 	if w == nil {
 		return membership.Share{}
 	}
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -32,7 +32,7 @@
 	ejected  func(domain.InstanceID)                   // called when a target is ejected as several boxes report failures of it
 	left     func(id domain.InstanceID, source string) // called when a target reports that it is leaving, and nothing did before
 	witness  func(domain.Target) string                // another process that is reached on the way to the target
-	limited  func(w ratelimit.Word, source string)     // called when a target has another limit than before
+	limited  func(w ratelimit.Report, source string)   // called when a target has another limit than before
 	permits  permitting
 }
 
@@ -51,7 +51,7 @@
 		balancer: routing.NewBalancer(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		gate:     admission.NewGate(),
 		limits:   ratelimit.NewRegister(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
-		limited:  func(ratelimit.Word, string) {},
+		limited:  func(ratelimit.Report, string) {},
 		permits:  func(context.Context, domain.ServiceName, []domain.InstanceID) domain.InstanceID { return "" },
 		askedAt:  map[domain.ServiceName]time.Time{},
 	}
@@ -145,15 +145,15 @@
 	news := f.limits.Heard(now, id, l, taken)
 	f.mu.Unlock()
 	if news {
-		f.limited(ratelimit.Word{Target: id, Limit: l, At: now}, "answer")
+		f.limited(ratelimit.Report{Target: id, Limit: l, At: now}, "answer")
 	}
 }
 
-// learn takes words of limits from another box.
-func (f *fleet) learn(now time.Time, words []ratelimit.Word, source string) {
-	var news []ratelimit.Word
+// learn takes reports of limits from another box.
+func (f *fleet) learn(now time.Time, reports []ratelimit.Report, source string) {
+	var news []ratelimit.Report
 	f.mu.Lock()
-	for _, w := range words {
+	for _, w := range reports {
 		if f.limits.Take(now, w) {
 			news = append(news, w)
 		}
@@ -176,13 +176,13 @@
 	f.limits.Forget(now, known)
 }
 
-// words are the newest words of the targets' limits, as far as they name any.
-func (f *fleet) words(targets []domain.InstanceID) []ratelimit.Word {
+// reports are the newest reports of the targets' limits, as far as they name any.
+func (f *fleet) reports(targets []domain.InstanceID) []ratelimit.Report {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var list []ratelimit.Word
+	var list []ratelimit.Report
 	for _, id := range targets {
-		if w, known := f.limits.Word(id); known {
+		if w, known := f.limits.Report(id); known {
 			list = append(list, w)
 		}
 	}
@@ -196,8 +196,8 @@
 	return f.limits.Known()
 }
 
-// tellLimits are words of limits for other boxes.
-func (f *fleet) tellLimits(now time.Time, others int) []ratelimit.Word {
+// tellLimits are reports of limits for other boxes.
+func (f *fleet) tellLimits(now time.Time, others int) []ratelimit.Report {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.limits.Tell(now, others)
--- a/node/limiting.go
+++ b/node/limiting.go
@@ -47,7 +47,7 @@
 }
 
 // named logs that a target has another limit than before, and notifies other boxes at once.
-func (l *limiting) named(w ratelimit.Word, source string) {
+func (l *limiting) named(w ratelimit.Report, source string) {
 	now := clock.Now()
 	l.entry.common.Log.Info("target limit", "target", w.Target, "limit", w.Limit, "age", now.Sub(w.At), "source", source)
 	l.mu.Lock()
@@ -65,16 +65,16 @@
 func (l *limiting) permits(ctx context.Context, svc domain.ServiceName, targets []domain.InstanceID) domain.InstanceID {
 	now := clock.Now()
 	issuer, way := l.way(now, svc)
-	words := l.entry.fleet.words(targets)
+	reports := l.entry.fleet.reports(targets)
 	var g ratelimit.Grant
 	source := "issuer"
 	switch w := way.(type) {
 	case ratelimit.Local:
-		g = l.issue(now, svc, words)
+		g = l.issue(now, svc, reports)
 	case ratelimit.Remote:
-		g = l.ask(ctx, svc, issuer, words, w.Ahead)
+		g = l.ask(ctx, svc, issuer, reports, w.Ahead)
 	case ratelimit.Fallback:
-		g, source = l.own(now, svc, words), "own part"
+		g, source = l.own(now, svc, reports), "own part"
 		if w.Again != "" {
 			l.ask(ctx, svc, issuer, nil, true) // it only finds out whether the issuer answers
 		}
@@ -126,9 +126,9 @@
 // ask asks the issuer. The request waits for the answer for permitWithin at the most, and not at all
 // where permits are asked for ahead; what comes later is kept for other requests. If the caller
 // leaves meanwhile the answer is waited for all the same: the issuer is not silent for that.
-func (l *limiting) ask(ctx context.Context, svc domain.ServiceName, issuer membership.Contact, words []ratelimit.Word, ahead bool) ratelimit.Grant {
+func (l *limiting) ask(ctx context.Context, svc domain.ServiceName, issuer membership.Contact, reports []ratelimit.Report, ahead bool) ratelimit.Grant {
 	q := &question{svc: svc, issuer: issuer, asked: clock.Now(), waited: ahead, answer: make(chan ratelimit.Grant, 1)}
-	go l.put(context.WithoutCancel(ctx), q, words)
+	go l.put(context.WithoutCancel(ctx), q, reports)
 	if ahead {
 		return ratelimit.Grant{}
 	}
@@ -150,12 +150,12 @@
 }
 
 // put asks the question and hands its answer on.
-func (l *limiting) put(ctx context.Context, q *question, words []ratelimit.Word) {
+func (l *limiting) put(ctx context.Context, q *question, reports []ratelimit.Report) {
 	ctx, cancel := context.WithTimeout(ctx, silentAfter)
 	defer cancel()
 	ask := &mesh.PermitQuery{Service: q.svc}
-	for _, w := range words {
-		ask.Wants = append(ask.Wants, mesh.LimitWordOf(q.asked, w))
+	for _, w := range reports {
+		ask.Wants = append(ask.Wants, mesh.LimitReportOf(q.asked, w))
 	}
 	r, err := mesh.Call[mesh.PermitQuery, mesh.PermitReply](ctx, l.entry.mesh, q.issuer.Address, mesh.Permit, ask)
 	now := clock.Now()
@@ -191,25 +191,25 @@
 }
 
 // issue hands out permits as the issuer of the service.
-func (l *limiting) issue(now time.Time, svc domain.ServiceName, words []ratelimit.Word) ratelimit.Grant {
+func (l *limiting) issue(now time.Time, svc domain.ServiceName, reports []ratelimit.Report) ratelimit.Grant {
 	heard, sharing := l.entry.peering.part(now)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.allocator.Issue(now, svc, wants(words), ratelimit.Part(heard, sharing))
+	return l.allocator.Issue(now, svc, wants(reports), ratelimit.Part(heard, sharing))
 }
 
 // own hands out permits by this box's own part.
-func (l *limiting) own(now time.Time, svc domain.ServiceName, words []ratelimit.Word) ratelimit.Grant {
+func (l *limiting) own(now time.Time, svc domain.ServiceName, reports []ratelimit.Report) ratelimit.Grant {
 	_, sharing := l.entry.peering.part(now)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.allocator.Own(now, svc, wants(words), ratelimit.Part(1, sharing))
+	return l.allocator.Own(now, svc, wants(reports), ratelimit.Part(1, sharing))
 }
 
-// wants are the targets of the words, with what they get a second.
-func wants(words []ratelimit.Word) []ratelimit.Want {
+// wants are the targets of the reports, with what they get a second.
+func wants(reports []ratelimit.Report) []ratelimit.Want {
 	var list []ratelimit.Want
-	for _, w := range words {
+	for _, w := range reports {
 		list = append(list, ratelimit.Want{Target: w.Target, Rate: ratelimit.Rate(w.Limit)})
 	}
 	return list
@@ -225,26 +225,26 @@
 	for _, w := range l.heard(now, q.Wants, "asker") {
 		asked = append(asked, w.Target)
 	}
-	return mesh.ReplyOf(now, l.issue(now, q.Service, l.entry.fleet.words(asked))), nil
+	return mesh.ReplyOf(now, l.issue(now, q.Service, l.entry.fleet.reports(asked))), nil
 }
 
 // heard takes what another box reports about limits, and returns it.
-func (l *limiting) heard(now time.Time, list []mesh.LimitWord, source string) []ratelimit.Word {
-	var words []ratelimit.Word
+func (l *limiting) heard(now time.Time, list []mesh.LimitReport, source string) []ratelimit.Report {
+	var reports []ratelimit.Report
 	for _, m := range list {
-		if w, ok := m.Word(now); ok {
-			words = append(words, w)
+		if w, ok := m.Report(now); ok {
+			reports = append(reports, w)
 		}
 	}
-	l.entry.fleet.learn(now, words, source)
-	return words
+	l.entry.fleet.learn(now, reports, source)
+	return reports
 }
 
 // tell is what other boxes are to learn of limits: news, and so many others.
-func (l *limiting) tell(now time.Time, others int) []mesh.LimitWord {
-	var list []mesh.LimitWord
+func (l *limiting) tell(now time.Time, others int) []mesh.LimitReport {
+	var list []mesh.LimitReport
 	for _, w := range l.entry.fleet.tellLimits(now, others) {
-		list = append(list, mesh.LimitWordOf(now, w))
+		list = append(list, mesh.LimitReportOf(now, w))
 	}
 	return list
 }
--- a/node/quarantining.go
+++ b/node/quarantining.go
@@ -67,16 +67,16 @@
 
 // Ended implements gateway.Quarantine.
 func (q *quarantining) Ended(now time.Time, d call.Digest, id domain.InstanceID) {
-	q.take(now, quarantine.Word{Digest: d, Target: id, At: now}, sourceOwn)
+	q.take(now, quarantine.Observation{Digest: d, Target: id, At: now}, sourceOwn)
 }
 
 // Served implements gateway.Quarantine.
 func (q *quarantining) Served(now time.Time, d call.Digest) {
-	q.take(now, quarantine.Word{Digest: d, At: now}, sourceOwn)
+	q.take(now, quarantine.Observation{Digest: d, At: now}, sourceOwn)
 }
 
-// take takes a word from the source, logs what it changes, and sees to it that others hear.
-func (q *quarantining) take(now time.Time, w quarantine.Word, source string) {
+// take takes a report from the source, logs what it changes, and sees to it that others hear.
+func (q *quarantining) take(now time.Time, w quarantine.Observation, source string) {
 	q.mu.Lock()
 	change := q.register.Take(now, w)
 	q.note(now, w, change, source)
@@ -91,7 +91,7 @@
 }
 
 // note logs and counts what a word changed; mu is held.
-func (q *quarantining) note(now time.Time, w quarantine.Word, change quarantine.Change, source string) {
+func (q *quarantining) note(now time.Time, w quarantine.Observation, change quarantine.Change, source string) {
 	attrs := []any{"digest", w.Digest, "target", w.Target, "ended", q.register.Ended(w.Digest), "age", now.Sub(w.At), "source", source}
 	switch change {
 	case quarantine.Nothing:
@@ -120,19 +120,19 @@
 }
 
 // heard takes what another box told.
-func (q *quarantining) heard(now time.Time, words []mesh.WorkWord, source string) {
-	for _, w := range words {
-		q.take(now, quarantine.Word{Digest: w.Digest, Target: w.Target, At: now.Add(-w.Ago)}, source)
+func (q *quarantining) heard(now time.Time, observations []mesh.WorkObservation, source string) {
+	for _, w := range observations {
+		q.take(now, quarantine.Observation{Digest: w.Digest, Target: w.Target, At: now.Add(-w.Ago)}, source)
 	}
 }
 
 // tell is what other boxes are to hear, and with all, what they may have missed.
-func (q *quarantining) tell(now time.Time, all bool) []mesh.WorkWord {
+func (q *quarantining) tell(now time.Time, all bool) []mesh.WorkObservation {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	var list []mesh.WorkWord
+	var list []mesh.WorkObservation
 	for _, w := range q.register.Tell(now, all) {
-		list = append(list, mesh.WorkWord{Digest: w.Digest, Target: w.Target, Ago: now.Sub(w.At)})
+		list = append(list, mesh.WorkObservation{Digest: w.Digest, Target: w.Target, Ago: now.Sub(w.At)})
 	}
 	return list
 }
@@ -152,11 +152,11 @@
 
 // record is what the store is to keep of the work; mu is held.
 func (q *quarantining) record(d call.Digest) quarantine.Record {
-	words := q.register.Of(d)
-	for i := range words {
-		words[i].At = clock.TimeOfDay(words[i].At)
+	observations := q.register.Of(d)
+	for i := range observations {
+		observations[i].At = clock.TimeOfDay(observations[i].At)
 	}
-	return quarantine.RecordOf(words)
+	return quarantine.RecordOf(observations)
 }
 
 // run reads what the store keeps, and keeps there what this box finds out, until ctx ends. As
@@ -231,7 +231,7 @@
 			q.called("remove", s.Remove(ctx, platform.Quarantines, r.Name))
 			continue
 		}
-		for _, w := range kept.Words(now, day) {
+		for _, w := range kept.Observations(now, day) {
 			q.take(now, w, sourceStore)
 		}
 	}
--- a/node/telling/helpers.go
+++ b/node/telling/helpers.go
@@ -6,9 +6,9 @@
 	"time"
 )
 
-// helperFor is how long after it was named a helper counts: three times teachEvery, in
+// helperFor is how long after it was named a helper counts: three times updateEvery, in
 // which an agent is named them again.
-const helperFor = 3 * teachEvery
+const helperFor = 3 * updateEvery
 
 // Helpers are processes outside a group, on boxes without a rank of it, that hand orders
 // on for its coordinator, by turns.
--- a/node/telling/telling_test.go
+++ b/node/telling/telling_test.go
@@ -206,27 +206,27 @@
 }
 
 func TestAnAgentIsTaughtUntilItKnows(t *testing.T) {
-	l := telling.NewLesson(0)
-	at := func(d time.Duration, epoch orders.Epoch) bool { return l.Due(begin.Add(d), epoch) }
+	u := telling.NewGroupUpdate(0)
+	at := func(d time.Duration, epoch orders.Epoch) bool { return u.Due(begin.Add(d), epoch) }
 	if at(0, 2) {
 		t.Error("an agent is told before it was asked what it knows")
 	}
-	l.Learnt(0)
+	u.Acknowledged(0)
 	if !at(0, 2) || !at(time.Second, 2) {
 		t.Error("an agent that knows nothing is not told")
 	}
-	l.Learnt(2)
+	u.Acknowledged(2)
 	if at(2*time.Second, 2) {
 		t.Error("an agent that knows is told again at once")
 	}
 	if !at(2*time.Second, 3) {
 		t.Error("a new formation is not told")
 	}
-	l.Learnt(3)
+	u.Acknowledged(3)
 	if !at(time.Minute, 3) {
 		t.Error("an agent that knows is never told again")
 	}
-	l.Learnt(0)
+	u.Acknowledged(0)
 	if !at(time.Minute, 3) {
 		t.Error("an agent that started again is not told")
 	}
@@ -250,16 +250,16 @@
 func TestFewOfManyBoxesTellAnAgentOfItsGroup(t *testing.T) {
 	const boxes, every = 30, 500 * time.Millisecond
 	rnd := rand.New(rand.NewPCG(5, 6))
-	var lessons []*telling.Lesson
+	var updates []*telling.GroupUpdate
 	for range boxes {
-		lessons = append(lessons, telling.NewLesson(rnd.Float64()))
+		updates = append(updates, telling.NewGroupUpdate(rnd.Float64()))
 	}
 	knows, told, first := orders.Epoch(0), 0, time.Duration(0)
 	for tick := range 100 {
 		at := time.Duration(tick) * every / boxes
-		l := lessons[tick%boxes]
-		l.Learnt(knows)
-		if l.Due(begin.Add(at), 3) {
+		u := updates[tick%boxes]
+		u.Acknowledged(knows)
+		if u.Due(begin.Add(at), 3) {
 			if knows, told = 3, told+1; first == 0 {
 				first = at
 			}
@@ -274,18 +274,18 @@
 // thirty has to.
 func TestAFewBoxesTellAnAgentSoon(t *testing.T) {
 	wait := func(boxes int) time.Duration {
-		l := telling.NewLesson(1)
-		l.Among(boxes)
-		l.Learnt(1)
-		l.Due(begin, 2)
-		return l.Waits(begin)
+		u := telling.NewGroupUpdate(1)
+		u.Among(boxes)
+		u.Acknowledged(1)
+		u.Due(begin, 2)
+		return u.Waits(begin)
 	}
 	if few, many := wait(3), wait(30); few <= 0 || few > many/8 {
 		t.Errorf("one of three waits for %v, one of thirty for %v", few, many)
 	}
-	l := telling.NewLesson(1)
-	l.Learnt(2)
-	if l.Due(begin, 2) || l.Waits(begin) != 0 {
+	u := telling.NewGroupUpdate(1)
+	u.Acknowledged(2)
+	if u.Due(begin, 2) || u.Waits(begin) != 0 {
 		t.Error("an agent that knows its group is waited for")
 	}
 }
--- a/node/watching.go
+++ b/node/watching.go
@@ -84,18 +84,18 @@
 
 // watch asks the agent beside one target until ctx ends.
 func (w *watching) watch(ctx context.Context, id domain.InstanceID) {
-	lesson := telling.NewLesson(rand.Float64())
+	update := telling.NewGroupUpdate(rand.Float64())
 	pause := watchEvery
 	for ctx.Err() == nil {
 		askers := w.askers(id)
 		usual := everyAmong(askers)
-		lesson.Among(askers)
-		if err := w.ask(ctx, id, lesson); err != nil {
+		update.Among(askers)
+		if err := w.ask(ctx, id, update); err != nil {
 			pause = max(min(pause*2, watchPauseMost), usual)
 		} else {
 			pause = usual
 		}
-		if waits := lesson.Waits(clock.Now()); waits > 0 {
+		if waits := update.Waits(clock.Now()); waits > 0 {
 			pause = min(pause, waits)
 		}
 		clock.SleepUntil(ctx, clock.Now().Add(pause))
@@ -129,7 +129,7 @@
 }
 
 // ask asks the agent, and tells it of its group if its answer shows that this is due.
-func (w *watching) ask(ctx context.Context, id domain.InstanceID, l *telling.Lesson) error {
+func (w *watching) ask(ctx context.Context, id domain.InstanceID, u *telling.GroupUpdate) error {
 	address, epoch, ok := w.agent(id)
 	if !ok {
 		return nil
@@ -151,11 +151,11 @@
 	if report.Leaving {
 		w.entry.fleet.leaves(clock.Now(), id, "agent")
 	}
-	l.Learnt(report.Knows)
-	if !l.Due(clock.Now(), epoch) {
+	u.Acknowledged(report.Knows)
+	if !u.Due(clock.Now(), epoch) {
 		return nil
 	}
-	_, err = w.put(ctx, address, w.lesson(id))
+	_, err = w.put(ctx, address, w.groupUpdate(id))
 	return err
 }
 
@@ -209,9 +209,9 @@
 	return list
 }
 
-// lesson is the question to the agent with what it cannot find out by itself: the members
+// groupUpdate is the question to the agent with what it cannot find out by itself: the members
 // of its group, if all are listed in one epoch, and who hands orders on for it.
-func (w *watching) lesson(id domain.InstanceID) *mesh.WatchQuery {
+func (w *watching) groupUpdate(id domain.InstanceID) *mesh.WatchQuery {
 	var target domain.Target
 	var news []membership.News
 	w.entry.fleet.with(func(r *membership.Roster, _ *routing.Balancer) {
--- a/quarantine/doc.go
+++ b/quarantine/doc.go
@@ -13,7 +13,7 @@
 // it: they share a target once or twice and are served when they are sent again, and work that
 // was served anywhere since is cleared.
 //
-// A Register is a state machine without I/O: words of boxes and the time in, changes out. It
+// A Register is a state machine without I/O: observations of boxes and the time in, changes out. It
 // is the same for what this box saw, what others tell and what the platform's store keeps, in
 // whatever order it comes.
 //
@@ -23,7 +23,7 @@
 //	if until, barred := r.Barred(now, digest); barred {
 //		// refuse, and say when to come back
 //	}
-//	switch r.Take(now, quarantine.Word{Digest: digest, Target: id, At: now}) {
+//	switch r.Take(now, quarantine.Observation{Digest: digest, Target: id, At: now}) {
 //	case quarantine.News, quarantine.Barred:
 //		// notify other boxes r.Tell(now, false)
 //	}
--- a/quarantine/fuzz_test.go
+++ b/quarantine/fuzz_test.go
@@ -20,14 +20,14 @@
 			return
 		}
 		reg := quarantine.NewRegister()
-		words := r.Words(begin, begin)
-		for _, w := range words {
+		observations := r.Observations(begin, begin)
+		for _, w := range observations {
 			if w.At.After(begin) {
 				t.Errorf("%q: a target ended in the future", raw)
 			}
 			reg.Take(begin, w)
 		}
-		if until, barred := reg.Barred(begin, words[0].Digest); barred && until.Sub(begin) > 48*time.Hour {
+		if until, barred := reg.Barred(begin, observations[0].Digest); barred && until.Sub(begin) > 48*time.Hour {
 			t.Errorf("%q: barred until %v", raw, until)
 		}
 		_ = r.Over(begin)
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -20,7 +20,7 @@
 }
 
 // RecordOf is the record of what a Register knows of a work, at times of day.
-func RecordOf(of []Word) Record {
+func RecordOf(of []Observation) Record {
 	r := Record{f: recordFields{Ended: map[domain.InstanceID]int64{}}}
 	for _, w := range of {
 		r.f.Digest = w.Digest
@@ -32,13 +32,13 @@
 // Name tells the record from those of other works, and of the same with more targets.
 func (r Record) Name() string { return fmt.Sprintf("%s-%d", r.f.Digest, len(r.f.Ended)) }
 
-// Words are what the record says, as of now, which is the given time of day. Boxes may
+// Observations are what the record says, as of now, which is the given time of day. Boxes may
 // disagree on that by seconds; quarantines last for minutes.
-func (r Record) Words(now, day time.Time) []Word {
-	var list []Word
+func (r Record) Observations(now, day time.Time) []Observation {
+	var list []Observation
 	for id, ms := range r.f.Ended {
 		ago := day.Sub(time.UnixMilli(ms))
-		list = append(list, Word{Digest: r.f.Digest, Target: id, At: now.Add(-max(ago, 0))})
+		list = append(list, Observation{Digest: r.f.Digest, Target: id, At: now.Add(-max(ago, 0))})
 	}
 	return list
 }
--- a/quarantine/register.go
+++ b/quarantine/register.go
@@ -35,12 +35,12 @@
 	// tellFor is how long what is new of a work is told on: six rounds of adverts, in which
 	// each box tells eight others.
 	tellFor = 3 * time.Second
-	// tellMost is how many words one message has, the latest: three kilobytes.
+	// tellMost is how many observations one message has, the latest: three kilobytes.
 	tellMost = 40
 )
 
-// Word is one thing that is known of a work.
-type Word struct {
+// Observation is one thing that is known of a work.
+type Observation struct {
 	Digest call.Digest
 	// Target is the start of a target that ended while it ran the work; empty where the
 	// work was served.
@@ -48,7 +48,7 @@
 	At     time.Time
 }
 
-// Change is what a word changed.
+// Change is what an observation changed.
 type Change int
 
 // The changes.
@@ -82,8 +82,8 @@
 	return &Register{works: map[call.Digest]*work{}, served: recent{at: map[call.Digest]time.Time{}}}
 }
 
-// Take takes a news of this box, of another or of the store.
-func (r *Register) Take(now time.Time, w Word) Change {
+// Take takes an observation of this box, of another or of the store.
+func (r *Register) Take(now time.Time, w Observation) Change {
 	if w.Target == "" {
 		return r.cleared(now, w)
 	}
@@ -104,7 +104,7 @@
 }
 
 // cleared takes that the work was served: it does not crash its targets.
-func (r *Register) cleared(now time.Time, w Word) Change {
+func (r *Register) cleared(now time.Time, w Observation) Change {
 	x, known := r.works[w.Digest]
 	switch {
 	case !known:
@@ -145,16 +145,16 @@
 }
 
 // Of is all that is known of targets that ended under the work, oldest first.
-func (r *Register) Of(d call.Digest) []Word {
+func (r *Register) Of(d call.Digest) []Observation {
 	x, known := r.works[d]
 	if !known {
 		return nil
 	}
-	var list []Word
+	var list []Observation
 	for id, at := range x.ended {
-		list = append(list, Word{Digest: d, Target: id, At: at})
+		list = append(list, Observation{Digest: d, Target: id, At: at})
 	}
-	slices.SortFunc(list, func(x, y Word) int { return cmp.Or(x.At.Compare(y.At), cmp.Compare(x.Target, y.Target)) })
+	slices.SortFunc(list, func(x, y Observation) int { return cmp.Or(x.At.Compare(y.At), cmp.Compare(x.Target, y.Target)) })
 	return list
 }
 
@@ -173,8 +173,8 @@
 
 // Tell is what other boxes are to hear: what was learnt lately, and, where all is wanted, for
 // boxes that were cut off meanwhile, what is known of works in quarantine.
-func (r *Register) Tell(now time.Time, all bool) []Word {
-	var list []Word
+func (r *Register) Tell(now time.Time, all bool) []Observation {
+	var list []Observation
 	for d, x := range r.works {
 		fresh := now.Sub(x.learnt) < tellFor
 		if barred := now.Before(x.until()); !fresh && (!all || !barred) {
@@ -182,10 +182,10 @@
 		}
 		list = append(list, r.Of(d)...)
 		if fresh && !x.served.IsZero() {
-			list = append(list, Word{Digest: d, At: x.served})
+			list = append(list, Observation{Digest: d, At: x.served})
 		}
 	}
-	slices.SortFunc(list, func(x, y Word) int {
+	slices.SortFunc(list, func(x, y Observation) int {
 		return cmp.Or(y.At.Compare(x.At), cmp.Compare(x.Digest, y.Digest), cmp.Compare(x.Target, y.Target))
 	})
 	return list[:min(tellMost, len(list))]
--- a/quarantine/register_test.go
+++ b/quarantine/register_test.go
@@ -22,18 +22,18 @@
 const fatal call.Digest = "fatal"
 
 // ended is the word that a target ended under the work so long after begin.
-func ended(d call.Digest, target string, after time.Duration) quarantine.Word {
-	return quarantine.Word{Digest: d, Target: domain.InstanceID(target), At: begin.Add(after)}
+func ended(d call.Digest, target string, after time.Duration) quarantine.Observation {
+	return quarantine.Observation{Digest: d, Target: domain.InstanceID(target), At: begin.Add(after)}
 }
 
 // served is the word that the fatal work was served after all.
-func served(after time.Duration) quarantine.Word {
-	return quarantine.Word{Digest: fatal, At: begin.Add(after)}
+func served(after time.Duration) quarantine.Observation {
+	return quarantine.Observation{Digest: fatal, At: begin.Add(after)}
 }
 
-// taking gives the register the words, each as it happens.
-func taking(r *quarantine.Register, words ...quarantine.Word) *quarantine.Register {
-	for _, w := range words {
+// taking gives the register the observations, each as it happens.
+func taking(r *quarantine.Register, observations ...quarantine.Observation) *quarantine.Register {
+	for _, w := range observations {
 		r.Take(w.At, w)
 	}
 	return r
@@ -43,31 +43,31 @@
 // work that was hit once, or is asked for by many.
 func TestWhenWorkIsBarred(t *testing.T) {
 	for _, tc := range []struct {
-		name  string
-		words []quarantine.Word
-		at    time.Duration // of the question
-		want  time.Duration // end of its quarantine; 0 for none
+		name         string
+		observations []quarantine.Observation
+		at           time.Duration // of the question
+		want         time.Duration // end of its quarantine; 0 for none
 	}{
 		{"nothing is known", nil, 0, 0},
-		{"one target ended", []quarantine.Word{ended(fatal, "a", 0)}, 0, 0},
-		{"two ended", []quarantine.Word{ended(fatal, "a", 0), ended(fatal, "b", time.Second)}, time.Second, 121 * time.Second},
-		{"one ended, told twice", []quarantine.Word{ended(fatal, "a", 0), ended(fatal, "a", time.Second)}, time.Second, 0},
-		{"one target ended again under its id", []quarantine.Word{ended(fatal, "a@1", 0), ended(fatal, "a@2", time.Second)}, time.Second, 121 * time.Second},
-		{"other work", []quarantine.Word{ended(fatal, "a", 0), ended("other", "b", 0)}, 0, 0},
-		{"two ended, the quarantine is over", []quarantine.Word{ended(fatal, "a", 0), ended(fatal, "b", 0)}, 2 * time.Minute, 0},
-		{"and a third ended then", []quarantine.Word{ended(fatal, "a", 0), ended(fatal, "b", 0), ended(fatal, "c", 2*time.Minute)}, 2 * time.Minute, 22 * time.Minute},
-		{"and a fourth", []quarantine.Word{ended(fatal, "a", 0), ended(fatal, "b", 0), ended(fatal, "c", 2*time.Minute), ended(fatal, "d", 22*time.Minute)},
+		{"one target ended", []quarantine.Observation{ended(fatal, "a", 0)}, 0, 0},
+		{"two ended", []quarantine.Observation{ended(fatal, "a", 0), ended(fatal, "b", time.Second)}, time.Second, 121 * time.Second},
+		{"one ended, told twice", []quarantine.Observation{ended(fatal, "a", 0), ended(fatal, "a", time.Second)}, time.Second, 0},
+		{"one target ended again under its id", []quarantine.Observation{ended(fatal, "a@1", 0), ended(fatal, "a@2", time.Second)}, time.Second, 121 * time.Second},
+		{"other work", []quarantine.Observation{ended(fatal, "a", 0), ended("other", "b", 0)}, 0, 0},
+		{"two ended, the quarantine is over", []quarantine.Observation{ended(fatal, "a", 0), ended(fatal, "b", 0)}, 2 * time.Minute, 0},
+		{"and a third ended then", []quarantine.Observation{ended(fatal, "a", 0), ended(fatal, "b", 0), ended(fatal, "c", 2*time.Minute)}, 2 * time.Minute, 22 * time.Minute},
+		{"and a fourth", []quarantine.Observation{ended(fatal, "a", 0), ended(fatal, "b", 0), ended(fatal, "c", 2*time.Minute), ended(fatal, "d", 22*time.Minute)},
 			22 * time.Minute, 222 * time.Minute},
-		{"two ended, it was served between", []quarantine.Word{ended(fatal, "a", 0), served(time.Second), ended(fatal, "b", 2*time.Second)}, 2 * time.Second, 0},
-		{"two ended, it was served after", []quarantine.Word{ended(fatal, "a", 0), ended(fatal, "b", 0), served(time.Second)}, time.Second, 0},
-		{"served lately, three ended", []quarantine.Word{served(0), ended(fatal, "a", time.Second), ended(fatal, "b", time.Second), ended(fatal, "c", time.Second)}, time.Second, 0},
-		{"served lately, four ended", []quarantine.Word{served(0), ended(fatal, "a", time.Second), ended(fatal, "b", time.Second), ended(fatal, "c", time.Second), ended(fatal, "d", time.Second)},
+		{"two ended, it was served between", []quarantine.Observation{ended(fatal, "a", 0), served(time.Second), ended(fatal, "b", 2*time.Second)}, 2 * time.Second, 0},
+		{"two ended, it was served after", []quarantine.Observation{ended(fatal, "a", 0), ended(fatal, "b", 0), served(time.Second)}, time.Second, 0},
+		{"served lately, three ended", []quarantine.Observation{served(0), ended(fatal, "a", time.Second), ended(fatal, "b", time.Second), ended(fatal, "c", time.Second)}, time.Second, 0},
+		{"served lately, four ended", []quarantine.Observation{served(0), ended(fatal, "a", time.Second), ended(fatal, "b", time.Second), ended(fatal, "c", time.Second), ended(fatal, "d", time.Second)},
 			time.Second, 121 * time.Second},
-		{"served long ago, two ended", []quarantine.Word{served(0), ended(fatal, "a", 2*time.Minute), ended(fatal, "b", 2*time.Minute)}, 2 * time.Minute, 4 * time.Minute},
-		{"served before two ended, told late", []quarantine.Word{ended(fatal, "a", 2*time.Second), ended(fatal, "b", 2*time.Second), served(time.Second)}, 3 * time.Second, 0},
+		{"served long ago, two ended", []quarantine.Observation{served(0), ended(fatal, "a", 2*time.Minute), ended(fatal, "b", 2*time.Minute)}, 2 * time.Minute, 4 * time.Minute},
+		{"served before two ended, told late", []quarantine.Observation{ended(fatal, "a", 2*time.Second), ended(fatal, "b", 2*time.Second), served(time.Second)}, 3 * time.Second, 0},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			r := taking(quarantine.NewRegister(), tc.words...)
+			r := taking(quarantine.NewRegister(), tc.observations...)
 			until, barred := r.Barred(begin.Add(tc.at), fatal)
 			if barred != (tc.want > 0) {
 				t.Fatalf("barred %v, until %v", barred, until.Sub(begin))
@@ -83,7 +83,7 @@
 func TestWhatAWordChanges(t *testing.T) {
 	r := quarantine.NewRegister()
 	for i, tc := range []struct {
-		word quarantine.Word
+		word quarantine.Observation
 		want quarantine.Change
 	}{
 		{served(0), quarantine.Nothing},
@@ -105,15 +105,15 @@
 // often, they bar the same work until the same time.
 func TestBoxesAgree(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		var words []quarantine.Word
-		for range rapid.IntRange(1, 12).Draw(rt, "words") {
+		var observations []quarantine.Observation
+		for range rapid.IntRange(1, 12).Draw(rt, "observations") {
 			d := rapid.SampledFrom([]call.Digest{"x", "y"}).Draw(rt, "work")
 			target := rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(rt, "target")
-			words = append(words, ended(d, target, time.Duration(len(words))*time.Second))
+			observations = append(observations, ended(d, target, time.Duration(len(observations))*time.Second))
 		}
 		first := map[string]bool{} // a target ends once
-		kept := words[:0]
-		for _, w := range words {
+		kept := observations[:0]
+		for _, w := range observations {
 			if key := string(w.Digest) + string(w.Target); !first[key] {
 				first[key] = true
 				kept = append(kept, w)
@@ -151,19 +151,19 @@
 		t.Error("a box that was cut off does not know of the quarantine")
 	}
 	if n := len(r.Tell(now, true)); n != 2 {
-		t.Errorf("%d words are told, of two ended targets", n)
+		t.Errorf("%d observations are told, of two ended targets", n)
 	}
 	if n := len(r.Tell(now, false)); n != 0 {
-		t.Errorf("%d words are told over and over", n)
+		t.Errorf("%d observations are told over and over", n)
 	}
 	if n := len(r.Tell(begin.Add(time.Second), false)); n != 3 {
-		t.Errorf("%d words are told while all is new", n)
+		t.Errorf("%d observations are told while all is new", n)
 	}
 	for i := range 100 {
 		r.Take(now, ended(call.Digest(fmt.Sprint("hit ", i)), "c", time.Minute))
 	}
 	if n := len(r.Tell(now, true)); n != 40 {
-		t.Errorf("%d words in a message", n)
+		t.Errorf("%d observations in a message", n)
 	}
 }
 
@@ -202,7 +202,7 @@
 	}
 	now := begin.Add(time.Minute)
 	other := quarantine.NewRegister()
-	for _, w := range back.Words(now, now) {
+	for _, w := range back.Observations(now, now) {
 		other.Take(now, w)
 	}
 	until, barred := other.Barred(now, fatal)
--- a/ratelimit/fleet_test.go
+++ b/ratelimit/fleet_test.go
@@ -98,7 +98,7 @@
 				continue
 			}
 			f.asked++
-			n.register.Take(at(now), ratelimit.Word{Target: limited, Limit: call.Limited{PerSecond: f.limit}, At: at(now)})
+			n.register.Take(at(now), ratelimit.Report{Target: limited, Limit: call.Limited{PerSecond: f.limit}, At: at(now)})
 			if f.permit(n, now) {
 				f.sent = append(f.sent, now)
 			}
--- a/ratelimit/register.go
+++ b/ratelimit/register.go
@@ -29,8 +29,8 @@
 // same reports that two rates are nearly the same.
 func same(a, b float64) bool { return math.Abs(a-b) <= sameWithin*max(a, b) }
 
-// Word is what a target said of its limit at a time.
-type Word struct {
+// Report is what a target said of its limit at a time.
+type Report struct {
 	Target domain.InstanceID
 	Limit  call.Limit // call.Limited or call.Unlimited
 	At     time.Time
@@ -64,18 +64,18 @@
 func (r *Register) Heard(now time.Time, id domain.InstanceID, l call.Limit, sent time.Time) bool {
 	switch l.(type) {
 	case call.Limited:
-		return r.Take(now, Word{Target: id, Limit: l, At: now})
+		return r.Take(now, Report{Target: id, Limit: l, At: now})
 	case call.Unlimited:
 		e, ok := r.entries[id]
-		return ok && sent.After(e.at) && r.Take(now, Word{Target: id, Limit: l, At: now})
+		return ok && sent.After(e.at) && r.Take(now, Report{Target: id, Limit: l, At: now})
 	default:
 		return false
 	}
 }
 
-// Take takes a word, of this box or another, and reports whether the target has another limit now.
+// Take takes a report, of this box or another, and reports whether the target has another limit now.
 // The newest word counts, in whatever order they come.
-func (r *Register) Take(now time.Time, w Word) bool {
+func (r *Register) Take(now time.Time, w Report) bool {
 	e, ok := r.entries[w.Target]
 	if w.Limit == nil || ok && !w.At.After(e.at) {
 		return false
@@ -111,13 +111,13 @@
 	return l.PerSecond, limited
 }
 
-// Word is the newest news of the target; false if it never named a limit.
-func (r *Register) Word(id domain.InstanceID) (Word, bool) {
+// Report is the newest news of the target; false if it never named a limit.
+func (r *Register) Report(id domain.InstanceID) (Report, bool) {
 	e, ok := r.entries[id]
 	if !ok {
-		return Word{}, false
+		return Report{}, false
 	}
-	return Word{Target: id, Limit: e.limit, At: e.at}, true
+	return Report{Target: id, Limit: e.limit, At: e.at}, true
 }
 
 // Free reports that the target may be sent work without a permit.
@@ -184,18 +184,18 @@
 	}
 }
 
-// Tell are words for other boxes: those that are news, and so many of the others by chance.
-func (r *Register) Tell(now time.Time, others int) []Word {
-	var news, rest []Word
+// Tell are reports for other boxes: those that are news, and so many of the others by chance.
+func (r *Register) Tell(now time.Time, others int) []Report {
+	var news, rest []Report
 	for id, e := range r.entries {
-		w := Word{Target: id, Limit: e.limit, At: e.at}
+		w := Report{Target: id, Limit: e.limit, At: e.at}
 		if now.Sub(e.changedAt) < newsFor {
 			news = append(news, w)
 		} else {
 			rest = append(rest, w)
 		}
 	}
-	slices.SortFunc(rest, func(a, b Word) int { return cmp.Compare(a.Target, b.Target) })
+	slices.SortFunc(rest, func(a, b Report) int { return cmp.Compare(a.Target, b.Target) })
 	r.rand.Shuffle(len(rest), func(i, j int) { rest[i], rest[j] = rest[j], rest[i] })
 	return append(news, rest[:min(len(rest), others)]...)
 }
--- a/ratelimit/register_test.go
+++ b/ratelimit/register_test.go
@@ -16,12 +16,12 @@
 
 func TestMain(m *testing.M) { testkit.Main(m, 100, 0) }
 
-func word(perSecond float64, d time.Duration) ratelimit.Word {
-	return ratelimit.Word{Target: limited, Limit: call.Limited{PerSecond: perSecond}, At: at(d)}
+func word(perSecond float64, d time.Duration) ratelimit.Report {
+	return ratelimit.Report{Target: limited, Limit: call.Limited{PerSecond: perSecond}, At: at(d)}
 }
 
-func ended(d time.Duration) ratelimit.Word {
-	return ratelimit.Word{Target: limited, Limit: call.Unlimited{}, At: at(d)}
+func ended(d time.Duration) ratelimit.Report {
+	return ratelimit.Report{Target: limited, Limit: call.Unlimited{}, At: at(d)}
 }
 
 // TestALimitEndsWithAnAnswerToALaterRequest: answers overtake each other.
@@ -52,20 +52,20 @@
 	}
 }
 
-// TestTheNewestWordCounts: in whatever order words come, also doubled, all boxes that had the
+// TestTheNewestReportCounts: in whatever order reports come, also doubled, all boxes that had the
 // newest think the same, and what has ended does not come back.
-func TestTheNewestWordCounts(t *testing.T) {
+func TestTheNewestReportCounts(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		var words []ratelimit.Word
-		for i := range rapid.IntRange(1, 8).Draw(rt, "words") {
+		var reports []ratelimit.Report
+		for i := range rapid.IntRange(1, 8).Draw(rt, "reports") {
 			w := word(float64(1+i*10), time.Duration(i+1)*time.Second)
 			if rapid.Bool().Draw(rt, "ended") {
 				w = ended(time.Duration(i+1) * time.Second)
 			}
-			words = append(words, w)
+			reports = append(reports, w)
 		}
-		newest := words[len(words)-1]
-		order := rapid.Permutation(append(words, words...)).Draw(rt, "order")
+		newest := reports[len(reports)-1]
+		order := rapid.Permutation(append(reports, reports...)).Draw(rt, "order")
 		r := ratelimit.NewRegister(source())
 		for _, w := range order {
 			r.Take(at(time.Minute), w)
@@ -128,7 +128,7 @@
 	const others = 2
 	r := ratelimit.NewRegister(source())
 	for i := range 20 {
-		r.Take(at(0), ratelimit.Word{Target: domain.InstanceID(fmt.Sprint("t-", i)), Limit: call.Limited{PerSecond: 5}, At: at(0)})
+		r.Take(at(0), ratelimit.Report{Target: domain.InstanceID(fmt.Sprint("t-", i)), Limit: call.Limited{PerSecond: 5}, At: at(0)})
 	}
 	if n := len(r.Tell(at(time.Second), others)); n != 20 {
 		t.Errorf("%d of 20 are told while they are news", n)
@@ -136,7 +136,7 @@
 	told := map[domain.InstanceID]bool{}
 	for i := range 100 {
 		now := at(time.Minute + time.Duration(i)*time.Second)
-		if r.Take(now, ratelimit.Word{Target: "t-3", Limit: call.Limited{PerSecond: 5 + 0.1*math.Sin(float64(i))}, At: now}) {
+		if r.Take(now, ratelimit.Report{Target: "t-3", Limit: call.Limited{PerSecond: 5 + 0.1*math.Sin(float64(i))}, At: now}) {
 			t.Error("a limit that is nearly the same is news")
 		}
 		list := r.Tell(now, others)
@@ -156,7 +156,7 @@
 func TestWhatIsOverIsForgotten(t *testing.T) {
 	r := ratelimit.NewRegister(source())
 	r.Take(at(0), word(5, 0))
-	r.Take(at(0), ratelimit.Word{Target: "gone", Limit: call.Limited{PerSecond: 5}, At: at(0)})
+	r.Take(at(0), ratelimit.Report{Target: "gone", Limit: call.Limited{PerSecond: 5}, At: at(0)})
 	r.Forget(at(time.Second), func(id domain.InstanceID) bool { return id == limited })
 	if !r.Free("gone") || r.Free(limited) {
 		t.Error("what is gone is kept, or what is not is forgotten")
@@ -167,7 +167,7 @@
 		t.Error("older word brings back what has ended")
 	}
 	r.Forget(at(2*time.Minute), func(domain.InstanceID) bool { return true })
-	if _, known := r.Word(limited); known {
+	if _, known := r.Report(limited); known {
 		t.Error("what ended long ago is kept")
 	}
 }
