--- a/admission/gate.go
+++ b/admission/gate.go
@@ -105,7 +105,7 @@
 	return max(time.Duration(most*(1-share*(1-spread))), leastRest)
 }
 
-// returned tells a caller that came before by the time that it has left.
+// returned distinguishes a caller that came before by the time that it has left.
 func (g *Gate) returned(a Ask) bool {
 	if a.Left > g.longest[a.Route] {
 		g.longest[a.Route] = a.Left
--- a/catalog/holder.go
+++ b/catalog/holder.go
@@ -17,7 +17,7 @@
 // Decode turns a document as the store keeps it into a catalog.
 type Decode func(raw []byte) (*Catalog, error)
 
-// Offer takes a document with the position at which the store has it, and tells
+// Offer takes a document with the position at which the store has it, and reports
 // whether it is now in force. An earlier edition, or the same again, is passed over. One
 // that does not decode is an error, and what was in force stays so.
 func (h *Holder) Offer(raw []byte, at store.Position, decode Decode) (bool, error) {
--- a/catalog/service.go
+++ b/catalog/service.go
@@ -21,7 +21,7 @@
 	Idle        time.Duration // a connection may rest
 }
 
-// DefaultLimits hold until a configuration says otherwise. They are the customary
+// DefaultLimits hold until a configuration sets others. They are the customary
 // ones of HTTP servers.
 func DefaultLimits() Limits {
 	return Limits{HeaderBytes: 16 << 10, BodyBytes: 4 << 20, Header: 3 * time.Second, Idle: 15 * time.Second}
--- a/cli/logs/box_view.go
+++ b/cli/logs/box_view.go
@@ -86,10 +86,10 @@
 	age  time.Duration
 }
 
-// What says it.
+// What describes it.
 func (f Fact) What() string { return f.what }
 
-// Age is how long before it was told.
+// Age is how long before it was reported.
 func (f Fact) Age() time.Duration { return f.age }
 
 func fact(now time.Time, l Line, format string, args ...any) Fact {
--- a/cli/logs/explain.go
+++ b/cli/logs/explain.go
@@ -36,7 +36,7 @@
 // Facts are what that box held true as it decided, with the groups concerned.
 func (t *Timeline) Facts() []Fact { return t.facts }
 
-// Cause says in a sentence why it ended as it did, as far as the lines tell.
+// Cause describes in a sentence why it ended as it did, as far as the lines show.
 func (t *Timeline) Cause() string { return t.cause }
 
 // Explain follows a request through the lines of all boxes. The error is of ErrUnknown
--- a/cli/logs/limits.go
+++ b/cli/logs/limits.go
@@ -70,8 +70,8 @@
 	return list
 }
 
-// noteLimit adds what a line says of a target's limit. Boxes notify each other, so that most lines
-// say what is known.
+// noteLimit adds what a line reports about a target's limit. Boxes notify each other, so that most lines
+// repeat what is known.
 func noteLimit(spells []limitSpell, l Line) []limitSpell {
 	at := l.at.Add(-l.Duration("age"))
 	perSecond, err := strconv.ParseFloat(l.Get("limit"), 64)
--- a/core/call/answer.go
+++ b/core/call/answer.go
@@ -7,7 +7,7 @@
 	"clovertrail.dev/core/domain"
 )
 
-// Outcome is what the head of a target's answer says of the request.
+// Outcome is what the head of a target's answer states about the request.
 type Outcome int
 
 // The outcomes. Only Declined promises that the request did not run.
@@ -71,7 +71,7 @@
 	return a.Again
 }
 
-// NoRoom reports that the target id declined the request for want of room, and did not say for how
+// NoRoom reports that the target id declined the request for want of room, and did not state for how
 // long: neither for the request's own sake nor for another target's, as a rank does whose group
 // has lost one.
 func (a Answer) NoRoom(id domain.ListedID) bool {
--- a/core/call/doc.go
+++ b/core/call/doc.go
@@ -1,4 +1,4 @@
-// Package call holds what a caller's request and a target's answer say, in the
+// Package call holds what a caller's request and a target's answer state, in the
 // words of clovertrail. An adapter reads them from the wire and writes them to it;
 // the rest of the system never sees the wire's names.
 //
--- a/core/call/limit.go
+++ b/core/call/limit.go
@@ -5,7 +5,7 @@
 	"math"
 )
 
-// Limit is what a target says of how many requests it takes from all boxes together.
+// Limit is what a target states about how many requests it takes from all boxes together.
 type Limit interface{ limit() }
 
 // Unlimited reports that the target takes what it is sent.
--- a/core/call/request.go
+++ b/core/call/request.go
@@ -7,7 +7,7 @@
 	"clovertrail.dev/core/fault"
 )
 
-// ID tells one try of a caller from every other.
+// ID distinguishes one try of a caller from every other.
 type ID string
 
 // Part is a beginning of prompts that several requests may share.
@@ -16,7 +16,7 @@
 	Tokens int
 }
 
-// Prompt is what a request for a model says of its size.
+// Prompt is what a request for a model states about its size.
 type Prompt struct {
 	Tokens int // of the prompt
 	Most   int // tokens that the answer has at the most
@@ -60,7 +60,7 @@
 // Key is the organisation's key, or empty.
 func (r Request) Key() string { return r.f.Key }
 
-// Deadline is when the caller stops waiting; zero if it did not say.
+// Deadline is when the caller stops waiting; zero if it did not state one.
 func (r Request) Deadline() time.Time { return r.f.Deadline }
 
 // Prompt is the size of a request for a model; nil for others.
@@ -69,7 +69,7 @@
 // After is the last event that the caller has; empty for a new request.
 func (r Request) After() string { return r.f.After }
 
-// Attempt is what a target is told beside the request itself.
+// Attempt is what a target receives beside the request itself.
 type Attempt struct {
 	// Instance is the start of the target that may run the request; another one at
 	// the same address must not.
--- a/core/clock/doc.go
+++ b/core/clock/doc.go
@@ -1,7 +1,7 @@
-// Package clock tells the time by a clock that goes on while the machine is suspended.
+// Package clock gives the time by a clock that goes on while the machine is suspended.
 //
 // The steady clock that time.Now reads stands still while a machine is suspended, as a
-// virtual machine is when its host moves it. What was heard a moment before would seem fresh
+// virtual machine is when its host moves it. What was received a moment before would seem fresh
 // after, a deadline that has passed in the world seems to lie ahead, and a timer goes on with
 // what was left of it. The time of day goes on, but it may jump. The kernel has a third clock,
 // CLOCK_BOOTTIME, that is steady and counts the time of suspension.
--- a/core/clock/watch.go
+++ b/core/clock/watch.go
@@ -53,7 +53,7 @@
 // NewWatch returns a watch by the reader.
 func NewWatch(r Reader) *Watch { return &Watch{read: r} }
 
-// Look tells for how long the machine was suspended since the last look; 0 for not at all,
+// Look reports for how long the machine was suspended since the last look; 0 for not at all,
 // and always the first time. A reading that may be far off is passed over.
 func (w *Watch) Look() (time.Duration, error) {
 	ahead, off, err := w.read()
--- a/core/domain/instance.go
+++ b/core/domain/instance.go
@@ -10,11 +10,11 @@
 type ListedID string
 
 // Born is when a target's process started, in milliseconds of Unix time by its own report;
-// 0 if it never said. It tells the starts under one ListedID apart and orders them.
+// 0 if it never stated one. It distinguishes and orders the starts under one ListedID.
 type Born int64
 
 // InstanceID names one start of a target's process: its ListedID and, where it states when
-// it was born, that too. What is said of an instance never speaks of the start after it,
+// it was born, that too. What is reported about an instance never applies to the start after it,
 // and what is kept of one by its InstanceID is not found under the next.
 type InstanceID string
 
@@ -57,7 +57,7 @@
 }
 
 // Speaks reports whether news of a process that reports that it was born then may be of this start.
-// One that does not say is taken for it, as its id alone tells no more.
+// One that does not state it is taken for it, as its id alone shows no more.
 func (id InstanceID) Speaks(born Born) bool {
 	return born == 0 || id.Born() == 0 || born == id.Born()
 }
--- a/core/domain/name.go
+++ b/core/domain/name.go
@@ -17,7 +17,7 @@
 )
 
 // Incarnation counts the starts of the process on a box. A restarted or replaced
-// box has a higher one, so that old news can be told from new.
+// box has a higher one, so that old news can be distinguished from new.
 type Incarnation uint64
 
 func invalid(field, format string, args ...any) error {
--- a/core/domain/target.go
+++ b/core/domain/target.go
@@ -1,6 +1,6 @@
 package domain
 
-// TargetState is what the platform's list says of a target that stands in it.
+// TargetState is what the platform's list states about a target that stands in it.
 type TargetState int
 
 // The states of a listed target.
@@ -83,7 +83,7 @@
 // Hall is the data hall in which it stands.
 func (t Target) Hall() HallName { return t.f.Hall }
 
-// State is what the list says of it.
+// State is what the list states about it.
 func (t Target) State() TargetState { return t.f.State }
 
 // Slots is how many requests it runs at once.
--- a/core/fault/kind.go
+++ b/core/fault/kind.go
@@ -2,7 +2,7 @@
 // the table that turns a kind into an answer.
 //
 // Every refusal that a caller or another process can be given is one [Kind]. The
-// table says, for each kind, which HTTP status it becomes, whether the request ran
+// table gives, for each kind, which HTTP status it becomes, whether the request ran
 // and which text the caller reads; the kind is the reason in counters and logs.
 // Nothing else in the project chooses a status or claims that a request did not run.
 //
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -142,7 +142,7 @@
 	return transport.Fresh
 }
 
-// request is the caller's, with what the target is told.
+// request is the caller's, with what the target receives beside it.
 func (a *attempt) request(ctx context.Context) *http.Request {
 	o := a.d.o
 	h := passedOn(o.http.Header)
@@ -160,7 +160,7 @@
 	return req.WithContext(ctx)
 }
 
-// mine tells the answer to this request from a late one to another. An answer that
+// mine distinguishes the answer to this request from a late one to another. An answer that
 // names no request is the one that is due.
 func (a *attempt) mine(r *http.Response) bool {
 	id := a.d.g.parts.Speech.Answer(clock.Now(), r).ID
@@ -225,7 +225,7 @@
 }
 
 // retryAt is when the caller of a request that the target declined best comes back; zero if the
-// target does not say. One that
+// target does not state. One that
 // wants nothing for a while reports nothing about the others: where one of them takes requests, callers
 // come back as soon as they can be elsewhere, else as the first takes some again.
 func (a *attempt) retryAt(now time.Time) time.Time {
--- a/gateway/delivery.go
+++ b/gateway/delivery.go
@@ -73,7 +73,7 @@
 	}
 }
 
-// callerGone tells a caller that left from a deadline that passed.
+// callerGone distinguishes a caller that left from a deadline that passed.
 func callerGone(ctx context.Context) bool { return errors.Is(context.Cause(ctx), context.Canceled) }
 
 // try makes one attempt and returns what to do after it.
@@ -114,7 +114,7 @@
 	d.g.delivered(d.o, d)
 }
 
-// told is what the target of an attempt is told.
+// told is what the target of an attempt receives.
 func (d *delivery) told(t domain.Target, resume bool) call.Attempt {
 	a := call.Attempt{Instance: t.ID(), Organisation: d.o.org.Name, Deadline: d.o.deadline}
 	if resume {
--- a/gateway/door.go
+++ b/gateway/door.go
@@ -115,7 +115,7 @@
 	}
 }
 
-// check tells Stop if nothing is open.
+// check notifies Stop if nothing is open.
 func (d *Door) check() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -17,7 +17,7 @@
 	"clovertrail.dev/transport"
 )
 
-// Speech reads and writes what the wire says.
+// Speech reads and writes the wire's headers.
 type Speech interface {
 	// Request reads a caller's request; the body is left alone.
 	Request(now time.Time, r *http.Request) (call.Request, error)
@@ -70,7 +70,7 @@
 	End(v Verdict)
 }
 
-// Verdict is how an attempt spoke for its target.
+// Verdict is what an attempt shows about its target.
 type Verdict int
 
 // The verdicts.
@@ -146,7 +146,7 @@
 // InFlight is how many requests are being served.
 func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
 
-// Leave makes every further answer tell its caller that the connection ends. What most
+// Leave makes every further answer notify its caller that the connection ends. What most
 // likely does not fit into the time until the end is not let in any more.
 func (g *Gateway) Leave(end time.Time) { g.leaving.Store(&end) }
 
--- a/local/boxes.go
+++ b/local/boxes.go
@@ -78,7 +78,7 @@
 	<-done
 }
 
-// Kill ends the process without a word to anybody.
+// Kill ends the process without notifying anybody.
 func (p *life) Kill() {
 	p.mu.Lock()
 	leave, host := p.leave, p.host
@@ -185,13 +185,13 @@
 	return err
 }
 
-// Leave says in the store that the target is leaving; it goes on serving.
+// Leave writes to the store that the target is leaving; it goes on serving.
 func (t *TargetBox) Leave() error { return t.list("draining") }
 
 // ListAgain writes the target's entry anew, as ready.
 func (t *TargetBox) ListAgain() error { return t.list("ready") }
 
-// Vanish takes the target's entry away without a word; it goes on serving.
+// Vanish takes the target's entry away without notice; it goes on serving.
 func (t *TargetBox) Vanish() { t.system.Store.Remove("servers", t.id) }
 
 // Kill cuts the target from the network, with its entry left behind.
--- a/local/doc.go
+++ b/local/doc.go
@@ -4,7 +4,7 @@
 //
 // The network is either loopback TCP, for the demonstration, or memory, so that tests
 // run the system in the fake time of testing/synctest. A process that is killed is cut
-// from the network for good: nobody hears it any more, and what it still does reaches
+// from the network for good: nothing of it is received any more, and what it still does reaches
 // nobody.
 //
 // # Usage
--- a/mapswitch/orders/coordinator.go
+++ b/mapswitch/orders/coordinator.go
@@ -82,7 +82,7 @@
 // Current is the map in use, as far as it is known.
 func (c *Coordinator) Current() (Placement, bool) { return c.current, c.current != nil }
 
-// SetCurrent tells the map in use, as read from all ranks at the same version.
+// SetCurrent sets the map in use, as read from all ranks at the same version.
 func (c *Coordinator) SetCurrent(p Placement) {
 	if c.phase == idle {
 		c.current = p
--- a/mapswitch/orders/order.go
+++ b/mapswitch/orders/order.go
@@ -49,7 +49,7 @@
 func (Hold) order()    {}
 func (Release) order() {}
 
-// Name is the word for an order in logs and counters.
+// Name is the name of an order in logs and counters.
 func Name(o Order) string {
 	switch o.(type) {
 	case Prepare:
--- a/mapswitch/orders/orphan.go
+++ b/mapswitch/orders/orphan.go
@@ -25,7 +25,7 @@
 
 // settleOrphan takes care of a hold that a lost process left behind: it calls off
 // whatever was under way. Before it changes anything it holds the same step at its
-// own rank, so that its word counts until the end whatever happens to the other hold.
+// own rank, so that its report counts until the end whatever happens to the other hold.
 // It does not finish a switch that another began, since that other may still be at
 // work on it.
 func (c *Coordinator) settleOrphan(now time.Time) {
--- a/membership/asked.go
+++ b/membership/asked.go
@@ -7,8 +7,8 @@
 	"clovertrail.dev/core/domain"
 )
 
-// What targets ask of this box with their answers. It holds for the start that said it, whatever
-// the list says: that lags, and does not tell whom a target asked for rest.
+// What targets ask of this box with their answers. It holds for the start that stated it, whatever
+// the list has: that lags, and does not show whom a target asked for rest.
 
 // Rests takes that the target wants nothing from this box until the time. Of several times the
 // latest counts: an earlier one may come later from a request that was under way.
@@ -37,7 +37,7 @@
 const leaverToldFor = 3 * time.Second
 
 // Leavers are the targets that lately reported that they are leaving, in order of their ids, for
-// other boxes: the list may not tell these before the targets end.
+// other boxes: the list may not show these before the targets end.
 func (r *Roster) Leavers(now time.Time) []domain.InstanceID {
 	var list []domain.InstanceID
 	for _, e := range r.entries {
--- a/membership/boxes.go
+++ b/membership/boxes.go
@@ -36,7 +36,7 @@
 	return l
 }
 
-// Boxes are the other entry boxes as one of them sees them: whom to tell news, whom
+// Boxes are the other entry boxes as one of them sees them: whom to notify, whom
 // to ask for news, and how many share what is bounded for all. It is not safe for
 // concurrent use.
 type Boxes struct {
@@ -104,7 +104,7 @@
 	return 0
 }
 
-// HeardOf takes another box's report that a box was heard so long ago.
+// HeardOf takes another box's report that it received something from a box so long ago.
 func (b *Boxes) HeardOf(now time.Time, c Contact, ago time.Duration) {
 	p := b.peer(now, c)
 	if p == nil || ago < 0 || c.Incarnation < p.contact.Incarnation {
@@ -162,7 +162,7 @@
 }
 
 // Elsewhere reports whether boxes of other data halls are known, and when one of them
-// last spoke for itself.
+// last reported about itself.
 func (b *Boxes) Elsewhere(now time.Time, hall domain.HallName) (known bool, last time.Time) {
 	for _, p := range b.boxes {
 		if p.hall == "" || p.hall == hall || now.Sub(p.directAt) > ShareFor {
@@ -176,7 +176,7 @@
 	return known, last
 }
 
-// Tell chooses so many boxes to tell news to, and forgets those long unheard.
+// Tell chooses so many boxes to notify, and forgets those of which nothing was received for long.
 func (b *Boxes) Tell(now time.Time, most int) []Contact {
 	if b.since.IsZero() {
 		b.since = now
@@ -194,7 +194,7 @@
 	return list[:min(most, len(list))]
 }
 
-// Known are boxes heard lately, with how long ago, for passing on: up to most of those
+// Known are boxes that were lately in touch, with how long ago, for passing on: up to most of those
 // that are new, since others may not know how to reach them, and up to few of the rest,
 // drawn by chance, so that all are known to live. Others hear them from many boxes, and adverts
 // that named them all would be half of the bytes between halls.
--- a/membership/doc.go
+++ b/membership/doc.go
@@ -1,7 +1,7 @@
 // Package membership keeps which targets may get new work, which other entry boxes there
-// are, and from whom a box hears how targets do.
+// are, and from whom a box learns how targets do.
 //
-// A Roster merges the platform's list of targets, what other boxes say of it, what
+// A Roster merges the platform's list of targets, what other boxes report about it, what
 // targets report about themselves, and how attempts end, into a standing of each target. Boxes
 // are the other entry boxes; an Outlook decides whom to ask about other data halls. None
 // of them does I/O or reads a clock.
--- a/membership/groups.go
+++ b/membership/groups.go
@@ -31,7 +31,7 @@
 	p.step = step
 }
 
-// groupView is what the ranks of a group say of it together.
+// groupView is what the ranks of a group report about it together.
 type groupView struct {
 	formed    uint64    // the latest epoch in which a rank says, or is listed, to be
 	broken    bool      // a rank in that epoch reports that the group is not open
@@ -81,7 +81,7 @@
 	return views
 }
 
-// moved takes how far a rank reports that the group is. What a rank said of an earlier
+// moved takes how far a rank reports that the group is. What a rank reported of an earlier
 // formation does not count.
 func (g *groupView) moved(e *entry) {
 	p := e.progress
@@ -104,8 +104,8 @@
 }
 
 // formedAs takes the place of a rank. A group opens with all of its ranks, so what a rank
-// was last heard to say of an earlier formation does not speak against the present one: a box
-// hears the ranks of other halls seldom, and would refuse its callers until it had heard the last.
+// last reported about an earlier formation does not count against the present one: a box receives
+// reports of the ranks of other halls seldom, and would refuse its callers until it had the last.
 func (g *groupView) formedAs(p domain.Rank) {
 	switch {
 	case p.Epoch > g.formed:
--- a/membership/health.go
+++ b/membership/health.go
@@ -76,7 +76,7 @@
 
 func (h *health) onProbation(now time.Time) bool { return now.Before(h.probationTo) }
 
-// turnAway takes that the target turned an attempt away for want of room. The first speaks
+// turnAway takes that the target turned an attempt away for want of room. The first counts
 // against it already: one that turns all away has nothing open, and draws the load.
 func (h *health) turnAway(now time.Time, p RosterPolicy) {
 	if h.full(now) {
--- a/membership/issuers.go
+++ b/membership/issuers.go
@@ -8,7 +8,7 @@
 	"clovertrail.dev/core/domain"
 )
 
-// Boxes agree without a word on which of them is the issuer of a service's permits (package
+// Boxes agree without messages on which of them is the issuer of a service's permits (package
 // ratelimit): the one that comes first in an order that is drawn for the service, so that the
 // issuers of all services are spread over the boxes (rendezvous hashing). Whom they do not hear
 // any more, who leaves, and who has just started and does not know the others yet, is none.
@@ -33,7 +33,7 @@
 	Settled bool
 }
 
-// Shares takes what the box says of what all share.
+// Shares takes what the box reports about what all share.
 func (b *Boxes) Shares(box domain.BoxID, s Share) {
 	if p, ok := b.boxes[box]; ok {
 		p.share = s
@@ -91,7 +91,7 @@
 	return n
 }
 
-// Part is for how many boxes this one speaks as an issuer: itself and those that it hears and that
+// Part is how many boxes this one counts as an issuer: itself and those from which it receives reports and that
 // do not go by their own parts; and how many share limits. One that has just started takes the word
 // of others for that.
 func (b *Boxes) Part(now time.Time) (heard, sharing int) {
--- a/membership/lifetime.go
+++ b/membership/lifetime.go
@@ -5,7 +5,7 @@
 // Lifetime numbers the process of a box after those before it. A process begins with the
 // lowest incarnation, and comes after the latest that another box remembers of its box as
 // soon as one answers. No clock is asked: a box whose clock was set back while it was away
-// would be older than itself to all others, and its word passed over for as long.
+// would be older than itself to all others, and its reports ignored for as long.
 type Lifetime struct {
 	incarnation domain.Incarnation
 	answered    bool // another box knows this process
--- a/membership/outlook.go
+++ b/membership/outlook.go
@@ -6,9 +6,9 @@
 	"clovertrail.dev/core/domain"
 )
 
-// Outlook decides from whom a box hears how targets do. Those of its own data hall it
+// Outlook decides from whom a box learns how targets do. Those of its own data hall it
 // asks itself. Of another hall it asks one entry box there, which reports all targets
-// of that hall at once; only a target of which that box has no fresh word is asked
+// of that hall at once; only a target of which that box has no fresh report is asked
 // itself. So the bytes between halls do not grow with boxes times targets.
 //
 // It does no I/O and is not safe for concurrent use.
@@ -66,7 +66,7 @@
 }
 
 // Failed takes that the box did not report its hall. The result reports that it was the
-// one that told until now.
+// one that reported until now.
 func (o *Outlook) Failed(h domain.HallName, box domain.BoxID) bool {
 	p := o.outpost(h)
 	lost := p.box != ""
@@ -74,7 +74,7 @@
 	return lost
 }
 
-// Told takes that another box heard the target of the hall at the time.
+// Told takes that another box received a report of the target of the hall at the time.
 func (o *Outlook) Told(h domain.HallName, id domain.InstanceID, at time.Time) {
 	if at.After(o.told[id]) {
 		o.told[id] = at
@@ -88,8 +88,8 @@
 func (o *Outlook) Become(r Role) { o.role = r }
 
 // Asks reports whether this box is to ask the target itself: it stands in the own hall and
-// no hub asks it, nobody reports its hall, or who does has not heard it for so long. A
-// follower whose hub is lost does not ask at once: it hears from another hub meanwhile, and
+// no hub asks it, nobody reports its hall, or who does has received nothing of it for so long. A
+// follower whose hub is lost does not ask at once: another hub reports meanwhile, and
 // all followers of a hall would ask all targets.
 func (o *Outlook) Asks(now time.Time, h domain.HallName, id domain.InstanceID, old time.Duration) bool {
 	unheard := now.Sub(o.told[id])
--- a/membership/roster.go
+++ b/membership/roster.go
@@ -91,7 +91,7 @@
 }
 
 // Roster is the set of targets as one entry box sees it, each named by its
-// instance. It merges the platform's list, what other boxes say of the list, what
+// instance. It merges the platform's list, what other boxes report about the list, what
 // targets report about themselves, and how attempts end. News of a listed id is ordered by
 // when the start was born that it speaks of and, within one start, by positions of the
 // store, so that it does not matter from whom and in which order it comes: an entry
@@ -227,7 +227,7 @@
 	return e.target.ID(), e.target.ID() != ""
 }
 
-// vanish: an entry that goes while the store is well, or after its target said
+// vanish: an entry that goes while the store is well, or after its target reported
 // that it is leaving, means that the target is leaving. One that goes while the
 // store is in trouble may only have lapsed. One that the restored store has lost is written
 // again by a target that lives.
@@ -253,7 +253,7 @@
 
 // Reported takes a target's own report, spoken at the time, of its place in a group, of
 // the last step that the group has begun, and of whether it has requests to work on. It
-// reports whether that was news: word may come through other boxes, and late.
+// reports whether that was news: reports may come through other boxes, and late.
 func (r *Roster) Reported(at time.Time, id domain.InstanceID, own domain.Rank, step uint64, working bool) bool {
 	e, ok := r.of(id)
 	if !ok || !at.After(e.ownAt) {
@@ -321,7 +321,7 @@
 }
 
 // Missed takes another box's report that it could not reach the target at all since the
-// target spoke at the time. It counts unless the target has spoken later.
+// target reported at the time. It counts unless the target has reported later.
 func (r *Roster) Missed(now time.Time, id domain.InstanceID, spoke time.Time) {
 	if e, ok := r.of(id); ok && !e.ownAt.After(spoke) {
 		e.health.unreach(now, r.policy)
--- a/mesh/doc.go
+++ b/mesh/doc.go
@@ -1,4 +1,4 @@
-// Package mesh is what clovertrail's processes say to each other: single calls over
+// Package mesh holds the messages between clovertrail's processes: single calls over
 // DRPC with CBOR bodies. DRPC and not gRPC, for the memory that each process takes at rest
 // (docs/design/platform.md).
 //
--- a/mesh/messages.go
+++ b/mesh/messages.go
@@ -158,7 +158,7 @@
 	return list, nil
 }
 
-// HallQuery asks an entry box what it heard from the targets that it asks itself.
+// HallQuery asks an entry box for the reports of the targets that it asks itself.
 type HallQuery struct {
 	// All asks for what others told it, too: of the targets of other halls.
 	All bool `json:"all,omitempty"`
@@ -172,7 +172,7 @@
 	Targets []Sighting `json:"targets"`
 }
 
-// Sighting is the last that was heard from a target. It goes between data halls for
+// Sighting is the last report of a target. It goes between data halls for
 // each target several times a second, so it is written without names of fields.
 type Sighting struct {
 	_  struct{} `cbor:",toarray"`
@@ -199,7 +199,7 @@
 	Hall     domain.HallName   `json:"hall,omitempty"`
 }
 
-// WatchQuery asks an agent how its engine does, and tells it now and then what an
+// WatchQuery asks an agent how its engine does, and sends it now and then what an
 // agent cannot find out by itself.
 type WatchQuery struct {
 	Epoch   orders.Epoch     `json:"epoch"`
--- a/mesh/permits.go
+++ b/mesh/permits.go
@@ -8,7 +8,7 @@
 	"clovertrail.dev/ratelimit"
 )
 
-// LimitReport is what a target said of its limit so long before the message. There may be a few
+// LimitReport is what a target stated about its limit so long before the message. There may be a few
 // dozen in an advert, so it is written without names of fields.
 type LimitReport struct {
 	_      struct{} `cbor:",toarray"`
--- a/mesh/picked.go
+++ b/mesh/picked.go
@@ -32,7 +32,7 @@
 // Number is the number at the place i.
 func (p *Picked) Number(i int) float64 { return float64(p.Steps[i]) * p.Unit }
 
-// Sum adds up what several ranks chose; nil if none of them could tell. All must be of
+// Sum adds up what several ranks chose; nil if none of them knows. All must be of
 // one length.
 func Sum(list []*Picked) *Picked {
 	var sum []float64
--- a/mesh/relayed.go
+++ b/mesh/relayed.go
@@ -6,7 +6,7 @@
 	"clovertrail.dev/mapswitch/orders"
 )
 
-// What a coordinator of a large group hands to a few others, each of which speaks for
+// What a coordinator of a large group hands to a few others, each of which reports for
 // some ranks: so neither its link nor its processor has to carry a call for every rank.
 
 // GatherQuery asks an agent to read ranks of its group.
--- a/mesh/server.go
+++ b/mesh/server.go
@@ -37,18 +37,18 @@
 	}
 }
 
-// Codes of errors that the caller tells apart.
+// Codes of errors that the caller distinguishes.
 const (
 	unknownMethod = 1 // the call has no handler here
 	unknownBase   = 2 // a map was told from one that is not known here
 )
 
-// UnknownBase is the error for a map that is told from one that is not known here.
+// UnknownBase is the error for a map that is sent as changes of one that is not known here.
 func UnknownBase(base orders.Version) error {
 	return drpcerr.WithCode(drpc.Error.New("the map %d, from which another is told, is not known here", base), unknownBase)
 }
 
-// IsUnknownBase reports that the other process knows no map from which one was told.
+// IsUnknownBase reports that the other process lacks the map of which changes were sent.
 func IsUnknownBase(err error) bool { return drpcerr.Code(err) == unknownBase }
 
 // HandleRPC implements drpc.Handler.
--- a/node/adverts.go
+++ b/node/adverts.go
@@ -13,9 +13,9 @@
 	"clovertrail.dev/store"
 )
 
-// What boxes say in adverts, and how they take it.
+// What adverts hold, and how boxes take them.
 
-// advert is what this box tells: other boxes, too, unless it is only for news, and with all
+// advert is what this box reports: about other boxes, too, unless it is only for news, and with all
 // what the other box may have missed of works in quarantine.
 func (p *peering) advert(news, all bool) *mesh.Advert {
 	now := clock.Now()
@@ -70,7 +70,7 @@
 	return membership.Share{Boxes: w.Boxes, Apart: w.Apart, Settled: w.Settled}
 }
 
-// failure reports are what boxes hold against targets, to be told to others.
+// failure reports are what boxes report against targets, to be passed on.
 func (p *peering) failureReports(now time.Time) []mesh.FailureReport {
 	var list []mesh.FailureReport
 	p.entry.fleet.with(func(r *membership.Roster, _ *routing.Balancer) {
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -36,7 +36,7 @@
 	permits  permitting
 }
 
-// permitting gets permits for the first of the targets of the service that has any, and tells
+// permitting gets permits for the first of the targets of the service that has any, and reports
 // which; empty if none has.
 type permitting func(ctx context.Context, svc domain.ServiceName, targets []domain.InstanceID) domain.InstanceID
 
@@ -105,7 +105,7 @@
 	return false
 }
 
-// cutOff reports whether no other data hall is heard.
+// cutOff reports whether nothing is received from another data hall.
 func (f *fleet) cutOff(now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -129,7 +129,7 @@
 	})
 }
 
-// leaves takes that the target reports that it is leaving, as the source tells.
+// leaves takes that the target reports that it is leaving, by the source.
 func (f *fleet) leaves(now time.Time, id domain.InstanceID, source string) {
 	news := false
 	f.with(func(r *membership.Roster, _ *routing.Balancer) { news = r.Leaves(now, id) })
@@ -138,7 +138,7 @@
 	}
 }
 
-// names takes what a target said of its limit with the answer to a request for which it was taken
+// names takes what a target stated about its limit with the answer to a request for which it was taken
 // at the time.
 func (f *fleet) names(now time.Time, id domain.InstanceID, l call.Limit, taken time.Time) {
 	f.mu.Lock()
@@ -203,7 +203,7 @@
 	return f.limits.Tell(now, others)
 }
 
-// granted takes permits that were asked for at the time, and tells for which target one is used at
+// granted takes permits that were asked for at the time, and reports for which target one is used at
 // once; empty if there is none.
 func (f *fleet) granted(asked time.Time, g ratelimit.Grant) domain.InstanceID {
 	if g.Permits > 0 && !ratelimit.Lapsed(clock.Now(), asked) {
--- a/node/following.go
+++ b/node/following.go
@@ -41,7 +41,7 @@
 // mostWait is under the longest wait that the store takes, 30 s.
 const mostWait = 25 * time.Second
 
-// firstPause bounds how long a box waits for other boxes to tell it what they know, as the
+// firstPause bounds how long a box waits for other boxes to send it what they know, as the
 // whole system starts for the first time: a few times what that takes, from its first advert
 // to their answer (AskAfter and a few ways between boxes). A box that starts later has
 // callers waiting, and asks the store at once.
@@ -120,7 +120,7 @@
 const mindEvery = 250 * time.Millisecond
 
 // mind gives a watch up that was to wait long since many boxes share the watching, once
-// too few of them are left: nobody would tell this box that it was silently dropped. It gives one
+// too few of them are left: nobody would notify this box that it was silently dropped. It gives one
 // up, too, that was begun before the store was restored.
 func (f *following) mind(given <-chan struct{}, cancel context.CancelFunc, began time.Time, w follow.Watch) {
 	era := f.era()
--- a/node/limiting.go
+++ b/node/limiting.go
@@ -240,7 +240,7 @@
 	return reports
 }
 
-// tell is what other boxes are to learn of limits: news, and so many others.
+// tell is what other boxes are sent about limits: news, and so many others.
 func (l *limiting) tell(now time.Time, others int) []mesh.LimitReport {
 	var list []mesh.LimitReport
 	for _, w := range l.entry.fleet.tellLimits(now, others) {
--- a/node/peering.go
+++ b/node/peering.go
@@ -39,7 +39,7 @@
 	tellAllEvery = 3 * time.Second
 )
 
-// peering tells other entry boxes what this one knows, and asks them for what it
+// peering sends other entry boxes what this one knows, and asks them for what it
 // does not: so a box that the store turns away still learns the news.
 //
 // Lock order: mu, then the locks of view and fleet.
@@ -89,7 +89,7 @@
 	return p.boxes.Issuer(now, svc, p.entry.gateway.Leaving())
 }
 
-// part is for how many boxes this one speaks as an issuer, and how many share limits.
+// part is how many boxes this one counts as an issuer, and how many share limits.
 func (p *peering) part(now time.Time) (heard, sharing int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -162,7 +162,7 @@
 	}
 }
 
-// round tells some boxes, and asks one of them if this box is behind. Where it is only for
+// round notifies some boxes, and asks one of them if this box is behind. Where it is only for
 // news, no other boxes are named.
 func (p *peering) round(ctx context.Context, news bool) {
 	now := clock.Now()
@@ -221,7 +221,7 @@
 	}
 }
 
-// noteBriefed takes the answer of a box; one that has run for a while told all limits.
+// noteBriefed takes the answer of a box; one that has run for a while sent all limits.
 func (p *peering) noteBriefed(reply *mesh.Advert) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/node/process/network.go
+++ b/node/process/network.go
@@ -43,7 +43,7 @@
 	return n.dial(ctx, address)
 }
 
-// HTTPClient speaks to the store and to engines. It keeps a connection for each of the
+// HTTPClient calls the store and engines. It keeps a connection for each of the
 // waiting calls.
 func HTTPClient(n Network) *http.Client {
 	return &http.Client{Transport: &http.Transport{
--- a/node/process/servers.go
+++ b/node/process/servers.go
@@ -18,7 +18,7 @@
 	failed  chan<- error
 }
 
-// NewServers returns servers that tell failed how one of them ended.
+// NewServers returns servers that send to failed how one of them ended.
 func NewServers(n Network, failed chan<- error) *Servers { return &Servers{network: n, failed: failed} }
 
 // Serve runs the server at the address.
--- a/node/quarantining.go
+++ b/node/quarantining.go
@@ -90,7 +90,7 @@
 	}
 }
 
-// note logs and counts what a word changed; mu is held.
+// note logs and counts what an observation changed; mu is held.
 func (q *quarantining) note(now time.Time, w quarantine.Observation, change quarantine.Change, source string) {
 	attrs := []any{"digest", w.Digest, "target", w.Target, "ended", q.register.Ended(w.Digest), "age", now.Sub(w.At), "source", source}
 	switch change {
@@ -119,14 +119,14 @@
 	}
 }
 
-// heard takes what another box told.
+// heard takes what another box sent.
 func (q *quarantining) heard(now time.Time, observations []mesh.WorkObservation, source string) {
 	for _, w := range observations {
 		q.take(now, quarantine.Observation{Digest: w.Digest, Target: w.Target, At: now.Add(-w.Ago)}, source)
 	}
 }
 
-// tell is what other boxes are to hear, and with all, what they may have missed.
+// tell is what other boxes are sent, and with all, what they may have missed.
 func (q *quarantining) tell(now time.Time, all bool) []mesh.WorkObservation {
 	q.mu.Lock()
 	defer q.mu.Unlock()
--- a/node/rank/agent.go
+++ b/node/rank/agent.go
@@ -244,8 +244,8 @@
 // engineAt is the engine of another rank, for when its agent does not answer.
 func (a *Agent) engineAt(m mesh.Member) *platform.Engine { return platform.NewEngine(m.Target, a.http) }
 
-// readFar reads another rank's engine itself, without its counts. What it says is a
-// little old; the orders that follow are not given on its word alone.
+// readFar reads another rank's engine itself, without its counts. What it reports is a
+// little old; the orders that follow are not given on its report alone.
 func (a *Agent) readFar(ctx context.Context, m mesh.Member) (*mesh.RankReport, error) {
 	r, err := a.engineAt(m).Report(ctx)
 	if err != nil {
--- a/node/rank/giving.go
+++ b/node/rank/giving.go
@@ -115,7 +115,7 @@
 	return lists
 }
 
-// giveThroughRelays tells ranks a map by way of relays; the calls of ranks without one
+// giveThroughRelays sends ranks a map by way of relays; the calls of ranks without one
 // come back.
 func (d *groupDuty) giveThroughRelays(ctx context.Context, calls []orders.Call, within time.Duration) []orders.Call {
 	byRank := map[int]orders.Call{}
@@ -258,15 +258,15 @@
 }
 
 // noteTold notes whether the agent of a rank has a map. Calls of an earlier
-// formation tell nothing.
+// formation report nothing.
 func (d *groupDuty) noteTold(e orderDone) {
 	if p, ok := e.call.Order.(orders.Prepare); ok && e.agent && d.coord != nil && e.call.Epoch == d.coord.Epoch() {
 		d.told.Took(e.call.Rank, p, e.err)
 	}
 }
 
-// telling is how long it takes to tell all ranks the map that is proposed: less where
-// they have one from which it can be told, and where relays tell it on.
+// telling is how long it takes to send all ranks the map that is proposed: less where
+// changes of one that they have are enough, and where relays pass it on.
 func (d *groupDuty) telling() time.Duration {
 	each := d.tellingOne()
 	if d.told.All(d.size) {
@@ -279,7 +279,7 @@
 	return each * time.Duration(d.size)
 }
 
-// tellingOne is how long it takes to tell one rank a whole map.
+// tellingOne is how long it takes to send one rank a whole map.
 func (d *groupDuty) tellingOne() time.Duration {
 	return d.sending(d.shape.Layers*d.size*d.shape.Places*placeBytes, 1)
 }
--- a/node/rank/orders.go
+++ b/node/rank/orders.go
@@ -56,7 +56,7 @@
 const holdLook = 8 * time.Millisecond
 
 // holdThrough has the own engine hold a step by way of a helper. The hold is seen at the
-// own engine even if the helper does not live to tell. If the helper cannot be reached,
+// own engine even if the helper ends before it answers. If the helper cannot be reached,
 // this agent gives the order itself.
 func (a *Agent) holdThrough(ctx context.Context, helper string, own mesh.Member, c orders.Call) (orders.Result, error) {
 	answer := make(chan orderDone, 1)
--- a/node/rank/planning.go
+++ b/node/rank/planning.go
@@ -13,7 +13,7 @@
 // How a coordinator plans: what it learnt of its ranks goes to experts/rebalance, and the
 // plan to mapswitch/orders.
 
-// counted takes that all ranks have said what they chose.
+// counted takes that all ranks have reported what they chose.
 func (d *groupDuty) counted() {
 	d.estimate.Add(d.counts.Take())
 	d.due = true
--- a/node/rank/reading.go
+++ b/node/rank/reading.go
@@ -49,7 +49,7 @@
 	}
 }
 
-// relayed reports whether the rank is spoken to by way of a relay. One that was not heard is
+// relayed reports whether the rank is reached by way of a relay. One that has not reported is
 // spoken to by itself until it is, so that it does not keep its relay waiting.
 func (d *groupDuty) relayed(r int) bool {
 	return d.relays != nil && r != d.rank && !d.unread[r] && !d.mute.is(r)
--- a/node/surveying.go
+++ b/node/surveying.go
@@ -24,7 +24,7 @@
 	toldFor = time.Second
 )
 
-// surveying hears from other entry boxes how targets do: of each other data hall from one
+// surveying learns from other entry boxes how targets do: of each other data hall from one
 // box there, or in a hall with hubs of all halls from one of these. It notifies others what it
 // heard (membership.Outlook and membership.RoleOf decide whom to ask).
 //
@@ -144,7 +144,7 @@
 }
 
 // old is how old another box's report may be: in a hall with hubs it comes by way of two
-// boxes after that which heard it.
+// boxes after that which received it.
 func (s *surveying) old() time.Duration { return max(toldFor, 2*(watchEvery+s.every())) }
 
 func (s *surveying) forget(keep func(domain.InstanceID) bool) {
@@ -212,7 +212,7 @@
 	}
 }
 
-// take hands on what the box heard, as of when it heard it.
+// take hands on what the box received, as of when it received it.
 func (s *surveying) take(hall domain.HallName, box domain.BoxID, r *mesh.HallReport) {
 	now := clock.Now()
 	s.mu.Lock()
--- a/node/telling/doc.go
+++ b/node/telling/doc.go
@@ -1,8 +1,8 @@
 // Package telling keeps what the agents of a group notify each other short: a map as what
-// changed since one that was told before, the counts of chosen experts as what came since
-// they were told last, and both by way of relays where a group is large.
+// changed since one that was sent before, the counts of chosen experts as what came since
+// they were sent last, and both by way of relays where a group is large.
 //
-// A coordinator tells every rank each map and asks each rank what was chosen, several
+// A coordinator sends every rank each map and asks each rank what was chosen, several
 // times a second. Told whole, that fills the narrow links of target boxes from a few
 // dozen ranks on: orders come too late, and other ranks take the coordinator for lost.
 //
--- a/node/telling/group_update.go
+++ b/node/telling/group_update.go
@@ -32,7 +32,7 @@
 const updateSpread = 400 * time.Millisecond
 
 // NewGroupUpdate returns that of a box that has not asked the agent. The chance, from 0 up to
-// 1, tells boxes apart.
+// 1, distinguishes boxes.
 func NewGroupUpdate(chance float64) *GroupUpdate {
 	return &GroupUpdate{chance: chance, wait: time.Duration(chance * float64(updateSpread))}
 }
--- a/node/telling/placements.go
+++ b/node/telling/placements.go
@@ -8,10 +8,10 @@
 )
 
 // placementsMost is how many maps an agent keeps: the one in use, the one that is
-// prepared, and one before them, from which the next may be told.
+// prepared, and one before them, of which the changes may be sent.
 const placementsMost = 3
 
-// Placements are the maps that the coordinator of the group told this agent lately.
+// Placements are the maps that the coordinator of the group sent this agent lately.
 //
 // Lock order: mu is the only lock.
 type Placements struct {
@@ -21,7 +21,7 @@
 	known map[orders.Version]orders.Placement
 }
 
-// NewPlacements returns the maps of an agent that was told none.
+// NewPlacements returns the maps of an agent that was sent none.
 func NewPlacements() *Placements { return &Placements{known: map[orders.Version]orders.Placement{}} }
 
 // Whole gives the call with its map made whole.
@@ -72,10 +72,10 @@
 	whole   orders.Placement
 }
 
-// NewTold returns what a coordinator knows that told no map yet.
+// NewTold returns what a coordinator knows that sent no map yet.
 func NewTold() *Told { return &Told{ranks: map[int]toldMap{}} }
 
-// Shorten tells a map by what changed since one that the rank's agent has.
+// Shorten replaces a map by what changed since one that the rank's agent has.
 func (t *Told) Shorten(rank int, c *mesh.OrderCall) *mesh.OrderCall {
 	if c.Prepare == nil {
 		return c
@@ -93,7 +93,7 @@
 	return c
 }
 
-// Has is the version of the map from which the rank can be told another; 0 for none.
+// Has is the version of the map of which changes can be sent to the rank; 0 for none.
 func (t *Told) Has(rank int) orders.Version { return t.ranks[rank].version }
 
 // Took notes what a rank's agent answered to a map. One that did not answer still has
--- a/node/telling/relays.go
+++ b/node/telling/relays.go
@@ -8,11 +8,11 @@
 	"clovertrail.dev/mesh"
 )
 
-// partMost is how many ranks one agent speaks for. With parts of about the square root of
-// a group's size, the coordinator and the agents it speaks to send about as much each.
+// partMost is how many ranks one agent reports for. With parts of about the square root of
+// a group's size, the coordinator and the agents it calls send about as much each.
 const partMost = 10
 
-// Relays part the ranks of a large group, hall by hall, so that its coordinator speaks to
+// Relays part the ranks of a large group, hall by hall, so that its coordinator calls
 // one agent of each part, its relay, and that one to the others. Otherwise the coordinator's link
 // would be the bound on how often a map can change (docs/CAPACITY.md).
 //
@@ -59,8 +59,8 @@
 // Parts is how many parts there are.
 func (r *Relays) Parts() int { return len(r.parts) }
 
-// Through says through whom each of the ranks is spoken to. fit reports whether a rank's
-// agent may be a relay; the first that is speaks for its part, counted from a place that
+// Through gives through whom each of the ranks is called. fit reports whether a rank's
+// agent may be a relay; the first that is reports for its part, counted from a place that
 // differs from one coordinator to the next: where two are at work for a moment, they do
 // not lean on the same agents.
 func (r *Relays) Through(ranks []int, fit func(rank int) bool) []Part {
--- a/node/telling/sightings.go
+++ b/node/telling/sightings.go
@@ -8,7 +8,7 @@
 	"clovertrail.dev/mesh"
 )
 
-// sightingFor is how long after it was last heard a target is still reported: long
+// sightingFor is how long after its last report a target is still passed on: long
 // enough that others see its silence grow, and short of what a box that is gone
 // for good costs in every answer.
 const sightingFor = 10 * time.Second
@@ -29,10 +29,10 @@
 	told    bool // another box heard it
 }
 
-// NewSightings returns the sightings of a box that heard nobody yet.
+// NewSightings returns the sightings of a box that has no reports yet.
 func NewSightings() *Sightings { return &Sightings{seen: map[domain.InstanceID]sighting{}} }
 
-// Saw takes what a target said just now.
+// Saw takes what a target reported just now.
 func (s *Sightings) Saw(now time.Time, id domain.InstanceID, r *mesh.RankReport) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -61,7 +61,7 @@
 	}
 }
 
-// Tell is what was heard lately, with its age, for another box: what was heard from the
+// Tell are the latest reports, with their ages, for another box: those from the
 // targets themselves, or all.
 func (s *Sightings) Tell(now time.Time, all bool) *mesh.HallReport {
 	s.mu.Lock()
--- a/node/watching.go
+++ b/node/watching.go
@@ -34,8 +34,8 @@
 	watchPauseMost = time.Second
 )
 
-// watching asks the agents of model engines how these do, and tells them who else
-// is in their group. What it hears it keeps for boxes of other data halls, which tell
+// watching asks the agents of model engines how these do, and sends them who else
+// is in their group. What it learns it keeps for boxes of other data halls, which pass
 // it of theirs (surveying).
 type watching struct {
 	entry     *Entry
