--- a/bench/slopes.go
+++ b/bench/slopes.go
@@ -90,7 +90,7 @@
 			State: orders.State{Epoch: 3, Open: true, Step: orders.Step(90_000 + i)}, Running: 7, Waiting: 1, Pace: 1,
 		})
 	}
-	return bytesOf(s.Tell(begin.Add(150*time.Millisecond), false))
+	return bytesOf(s.Latest(begin.Add(150*time.Millisecond), false))
 }
 
 func advert(boxes int) float64 {
@@ -99,7 +99,7 @@
 		return membership.Contact{Box: domain.BoxID(fmt.Sprintf("entry-hall-%d", i)), Address: "10.1.0.40:7340", Incarnation: domain.Incarnation(begin.UnixNano())}
 	}
 	for i := range boxes {
-		b.Heard(begin, contact(i), "hall", membership.Level{}, false)
+		b.Receive(begin, contact(i), "hall", membership.Level{}, false)
 	}
 	far := store.PositionOf(3, 90_000)
 	a := &mesh.Advert{Self: mesh.Contact{Box: "entry-hall-0", Address: "10.1.0.40:7340", Incarnation: domain.Incarnation(begin.UnixNano())}, Hall: "hall-1", Config: catalog.Edition{Version: 90_000, At: far}, Targets: far, Era: far.Era()}
--- a/membership/boxes.go
+++ b/membership/boxes.go
@@ -82,8 +82,8 @@
 	return &Boxes{self: self, rand: rnd, boxes: map[domain.BoxID]*peer{}}
 }
 
-// Heard takes a box's own report.
-func (b *Boxes) Heard(now time.Time, c Contact, hall domain.HallName, l Level, leaving bool) {
+// Receive takes a box's own report.
+func (b *Boxes) Receive(now time.Time, c Contact, hall domain.HallName, l Level, leaving bool) {
 	p := b.peer(now, c)
 	if p == nil || c.Incarnation < p.contact.Incarnation {
 		return
@@ -104,8 +104,8 @@
 	return 0
 }
 
-// HeardOf takes another box's report that it received something from a box so long ago.
-func (b *Boxes) HeardOf(now time.Time, c Contact, ago time.Duration) {
+// ReceiveOf takes another box's report that it received something from a box so long ago.
+func (b *Boxes) ReceiveOf(now time.Time, c Contact, ago time.Duration) {
 	p := b.peer(now, c)
 	if p == nil || ago < 0 || c.Incarnation < p.contact.Incarnation {
 		return
@@ -176,8 +176,8 @@
 	return known, last
 }
 
-// Tell chooses so many boxes to notify, and forgets those of which nothing was received for long.
-func (b *Boxes) Tell(now time.Time, most int) []Contact {
+// Sample draws so many boxes, and forgets those of which nothing was received for long.
+func (b *Boxes) Sample(now time.Time, most int) []Contact {
 	if b.since.IsZero() {
 		b.since = now
 	}
@@ -201,7 +201,7 @@
 func (b *Boxes) Known(now time.Time, most, few int) map[Contact]time.Duration {
 	list := map[Contact]time.Duration{}
 	rest := 0
-	for _, c := range b.Tell(now, len(b.boxes)) {
+	for _, c := range b.Sample(now, len(b.boxes)) {
 		p := b.boxes[c.Box]
 		ago := now.Sub(p.heardAt)
 		if ago >= ShareFor || len(list) >= most {
@@ -260,7 +260,7 @@
 // another's news of one counts here, for twice as long as a box's own.
 func (b *Boxes) In(now time.Time, hall domain.HallName) []Contact {
 	var list []Contact
-	for _, c := range b.Tell(now, len(b.boxes)) {
+	for _, c := range b.Sample(now, len(b.boxes)) {
 		if p := b.boxes[c.Box]; p.hall == hall && !p.leaving && now.Sub(p.heardAt) < 2*TouchFor {
 			list = append(list, c)
 		}
--- a/membership/boxes_test.go
+++ b/membership/boxes_test.go
@@ -24,9 +24,9 @@
 
 func TestSharingCountsBoxesLongAfterTheyFellSilent(t *testing.T) {
 	b := newBoxes()
-	b.Heard(start, contact("a", 1), "near", membership.Level{}, false)
-	b.HeardOf(start, contact("b", 1), time.Second)
-	b.Heard(start, contact("self", 1), "near", membership.Level{}, false)
+	b.Receive(start, contact("a", 1), "near", membership.Level{}, false)
+	b.ReceiveOf(start, contact("b", 1), time.Second)
+	b.Receive(start, contact("self", 1), "near", membership.Level{}, false)
 	if n := b.Sharing(start.Add(10 * time.Second)); n != 3 {
 		t.Errorf("%d share after 10 s, want 3", n)
 	}
@@ -41,11 +41,11 @@
 func TestAskingWaitsForTheStoreAndThenAsksWhoKnowsMore(t *testing.T) {
 	b := newBoxes()
 	own := membership.Level{Config: edition(5), Targets: pos(7)}
-	b.Heard(start, contact("level", 1), "near", own, false)
+	b.Receive(start, contact("level", 1), "near", own, false)
 	if b.Behind(own) {
 		t.Error("behind a box that knows as much")
 	}
-	b.Heard(start, contact("ahead", 1), "near", membership.Level{Config: edition(5), Targets: pos(8)}, false)
+	b.Receive(start, contact("ahead", 1), "near", membership.Level{Config: edition(5), Targets: pos(8)}, false)
 	if !b.Behind(own) {
 		t.Error("not behind")
 	}
@@ -64,12 +64,12 @@
 func TestARestartedBoxIsNotTakenForWhatItKnewBefore(t *testing.T) {
 	b := newBoxes()
 	own := membership.Level{Config: edition(5)}
-	b.Heard(start, contact("a", 1), "near", membership.Level{Config: edition(9)}, false)
-	b.Heard(start, contact("a", 2), "near", membership.Level{}, false)
+	b.Receive(start, contact("a", 1), "near", membership.Level{Config: edition(9)}, false)
+	b.Receive(start, contact("a", 2), "near", membership.Level{}, false)
 	if b.Behind(own) {
 		t.Error("still ahead after it started again")
 	}
-	b.Heard(start, contact("a", 1), "near", membership.Level{Config: edition(9)}, false)
+	b.Receive(start, contact("a", 1), "near", membership.Level{Config: edition(9)}, false)
 	if b.Behind(own) {
 		t.Error("the word of its earlier start counts")
 	}
@@ -78,11 +78,11 @@
 func TestTellingReachesAllInTimeAndForgetsTheDead(t *testing.T) {
 	b := newBoxes()
 	for i := range 30 {
-		b.Heard(start, contact(fmt.Sprint(i), 1), "near", membership.Level{}, false)
+		b.Receive(start, contact(fmt.Sprint(i), 1), "near", membership.Level{}, false)
 	}
 	told := map[domain.BoxID]bool{}
 	for range 30 {
-		list := b.Tell(start, 4)
+		list := b.Sample(start, 4)
 		if len(list) != 4 {
 			t.Fatalf("told %d", len(list))
 		}
@@ -93,18 +93,18 @@
 	if len(told) != 30 {
 		t.Errorf("%d of 30 told in 30 rounds of 4", len(told))
 	}
-	if list := b.Tell(start.Add(2*membership.ForgetBox), 4); len(list) != 0 {
+	if list := b.Sample(start.Add(2*membership.ForgetBox), 4); len(list) != 0 {
 		t.Errorf("still tells %v", list)
 	}
 }
 
 func TestElsewhereLooksAtOtherHallsOnly(t *testing.T) {
 	b := newBoxes()
-	b.Heard(start, contact("a", 1), "near", membership.Level{}, false)
+	b.Receive(start, contact("a", 1), "near", membership.Level{}, false)
 	if known, _ := b.Elsewhere(start, "near"); known {
 		t.Error("a box of the own hall counts")
 	}
-	b.Heard(start, contact("b", 1), "far", membership.Level{}, false)
+	b.Receive(start, contact("b", 1), "far", membership.Level{}, false)
 	if known, last := b.Elsewhere(start, "near"); !known || !last.Equal(start) {
 		t.Errorf("got %v, %v", known, last)
 	}
@@ -116,13 +116,13 @@
 	b := newBoxes()
 	later := start.Add(membership.NewFor)
 	for i := range 20 {
-		b.Heard(start, contact(fmt.Sprint("old", i), 1), "near", membership.Level{}, false)
+		b.Receive(start, contact(fmt.Sprint("old", i), 1), "near", membership.Level{}, false)
 	}
 	for i := range 20 {
-		b.Heard(later, contact(fmt.Sprint("old", i), 1), "near", membership.Level{}, false)
+		b.Receive(later, contact(fmt.Sprint("old", i), 1), "near", membership.Level{}, false)
 	}
-	b.Heard(later, contact("old0", 2), "near", membership.Level{}, false)
-	b.HeardOf(later, contact("heard of", 1), 0)
+	b.Receive(later, contact("old0", 2), "near", membership.Level{}, false)
+	b.ReceiveOf(later, contact("heard of", 1), 0)
 	passed := map[domain.BoxID]int{}
 	for range 60 {
 		list := b.Known(later, 16, 2)
@@ -147,10 +147,10 @@
 	teller, b := newBoxes(), newBoxes()
 	for i := range 40 {
 		hall := domain.HallName(fmt.Sprintf("hall-%d", i%2))
-		teller.Heard(start, contact(fmt.Sprintf("b%02d", i), 1), hall, membership.Level{}, false)
+		teller.Receive(start, contact(fmt.Sprintf("b%02d", i), 1), hall, membership.Level{}, false)
 	}
 	for c, ago := range teller.Known(start.Add(time.Second), 40, 2) {
-		b.HeardOf(start.Add(time.Second), c, ago)
+		b.ReceiveOf(start.Add(time.Second), c, ago)
 	}
 	if n := len(b.In(start.Add(time.Second), "hall-1")); n != 20 {
 		t.Errorf("it knows %d of the 20 boxes of its hall", n)
--- a/membership/failure_reports.go
+++ b/membership/failure_reports.go
@@ -59,8 +59,8 @@
 	return !known || now.Sub(before) > reportFor
 }
 
-// Heard takes another box's failure report, made at the time.
-func (c *FailureReports) Heard(x FailureReport) {
+// Receive takes another box's failure report, made at the time.
+func (c *FailureReports) Receive(x FailureReport) {
 	if x.By != c.self {
 		c.add(x)
 	}
@@ -91,8 +91,8 @@
 	return n
 }
 
-// Tell are the failure reports that count, for other boxes: the latest of each target.
-func (c *FailureReports) Tell(now time.Time) []FailureReport {
+// Latest are the failure reports that count, for other boxes: the latest of each target.
+func (c *FailureReports) Latest(now time.Time) []FailureReport {
 	var list []FailureReport
 	for id, by := range c.against {
 		var of []FailureReport
--- a/membership/issuers_test.go
+++ b/membership/issuers_test.go
@@ -29,10 +29,10 @@
 // meet lets all boxes but one that is silent hear each other; one is leaving.
 func (h *hall) meet(now time.Time, silent, leaving domain.BoxID) {
 	for i, b := range h.boxes {
-		b.Tell(now, 0)
+		b.Sample(now, 0)
 		for j := range h.boxes {
 			if c := boxName(j); i != j && c != silent {
-				b.Heard(now, membership.Contact{Box: c, Address: string(c)}, "h", membership.Level{}, c == leaving)
+				b.Receive(now, membership.Contact{Box: c, Address: string(c)}, "h", membership.Level{}, c == leaving)
 			}
 		}
 	}
@@ -82,9 +82,9 @@
 	h.meet(now, "", "")
 	want := h.issuer(now, "app", "")
 	fresh := membership.NewBoxes("new", rand.New(rand.NewPCG(1, 9)))
-	fresh.Tell(now, 0)
+	fresh.Sample(now, 0)
 	for i, b := range h.boxes {
-		fresh.Heard(now, membership.Contact{Box: boxName(i)}, "h", membership.Level{}, false)
+		fresh.Receive(now, membership.Contact{Box: boxName(i)}, "h", membership.Level{}, false)
 		fresh.Shares(boxName(i), membership.Share{Settled: b.Settled(now)})
 	}
 	if got := fresh.Issuer(now, "app", false).Box; got != want {
@@ -132,14 +132,14 @@
 		{"others are silent", func(*membership.Boxes) {}, 30 * time.Second, 1, 4},
 		{"others are silent for long", func(*membership.Boxes) {}, 2 * time.Minute, 1, 1},
 		{"one has left", func(b *membership.Boxes) {
-			b.Heard(start, membership.Contact{Box: "c"}, "h", membership.Level{}, true)
+			b.Receive(start, membership.Contact{Box: "c"}, "h", membership.Level{}, true)
 		}, 3 * time.Second, 4, 3},
 		{"others know more boxes", func(b *membership.Boxes) { b.Shares("c", membership.Share{Boxes: 9}) }, time.Second, 4, 9},
 		{"one that knew more is silent", func(b *membership.Boxes) { b.Shares("c", membership.Share{Boxes: 9}) }, 10 * time.Second, 1, 4},
 	} {
 		b := membership.NewBoxes("a", rand.New(rand.NewPCG(1, 1)))
 		for _, box := range []domain.BoxID{"b", "c", "d"} {
-			b.Heard(start, membership.Contact{Box: box}, "h", membership.Level{}, false)
+			b.Receive(start, membership.Contact{Box: box}, "h", membership.Level{}, false)
 		}
 		tc.change(b)
 		if heard, sharing := b.Part(start.Add(tc.after)); heard != tc.heard || sharing != tc.sharing {
--- a/membership/outlook.go
+++ b/membership/outlook.go
@@ -13,22 +13,22 @@
 //
 // It does no I/O and is not safe for concurrent use.
 type Outlook struct {
-	own   domain.HallName
-	role  Role
-	halls map[domain.HallName]*outpost
-	told  map[domain.InstanceID]time.Time // when a target was heard last, by another box
+	own      domain.HallName
+	role     Role
+	halls    map[domain.HallName]*outpost
+	received map[domain.InstanceID]time.Time // when a target was heard last, by another box
 }
 
 // outpost is the entry box that reports on a hall.
 type outpost struct {
-	box    domain.BoxID // that answered last; empty if none does
-	failed domain.BoxID // that did not answer last; empty if the last one did
-	toldAt time.Time    // when a target of the hall was heard last, by another box
+	box        domain.BoxID // that answered last; empty if none does
+	failed     domain.BoxID // that did not answer last; empty if the last one did
+	receivedAt time.Time    // when a target of the hall was heard last, by another box
 }
 
 // NewOutlook returns the outlook of a box in the hall.
 func NewOutlook(own domain.HallName) *Outlook {
-	return &Outlook{own: own, halls: map[domain.HallName]*outpost{}, told: map[domain.InstanceID]time.Time{}}
+	return &Outlook{own: own, halls: map[domain.HallName]*outpost{}, received: map[domain.InstanceID]time.Time{}}
 }
 
 func (o *Outlook) outpost(h domain.HallName) *outpost {
@@ -74,13 +74,13 @@
 	return lost
 }
 
-// Told takes that another box received a report of the target of the hall at the time.
-func (o *Outlook) Told(h domain.HallName, id domain.InstanceID, at time.Time) {
-	if at.After(o.told[id]) {
-		o.told[id] = at
+// Received takes that another box received a report of the target of the hall at the time.
+func (o *Outlook) Received(h domain.HallName, id domain.InstanceID, at time.Time) {
+	if at.After(o.received[id]) {
+		o.received[id] = at
 	}
-	if p := o.outpost(h); at.After(p.toldAt) {
-		p.toldAt = at
+	if p := o.outpost(h); at.After(p.receivedAt) {
+		p.receivedAt = at
 	}
 }
 
@@ -92,7 +92,7 @@
 // follower whose hub is lost does not ask at once: another hub reports meanwhile, and
 // all followers of a hall would ask all targets.
 func (o *Outlook) Asks(now time.Time, h domain.HallName, id domain.InstanceID, old time.Duration) bool {
-	unheard := now.Sub(o.told[id])
+	unheard := now.Sub(o.received[id])
 	switch {
 	case o.role != Follower:
 		return h == o.own || o.outpost(h).box == "" || unheard > old
@@ -111,7 +111,7 @@
 	case h == o.own:
 		return o.role == Follower
 	case o.role == Follower:
-		return now.Sub(o.outpost(h).toldAt) > old
+		return now.Sub(o.outpost(h).receivedAt) > old
 	default:
 		return true
 	}
@@ -119,9 +119,9 @@
 
 // Forget drops what is known of targets that are not in keep.
 func (o *Outlook) Forget(keep func(domain.InstanceID) bool) {
-	for id := range o.told {
+	for id := range o.received {
 		if !keep(id) {
-			delete(o.told, id)
+			delete(o.received, id)
 		}
 	}
 }
--- a/membership/outlook_test.go
+++ b/membership/outlook_test.go
@@ -20,27 +20,27 @@
 	}{
 		"own hall":            {"near", func(*membership.Outlook) {}, true},
 		"nobody told yet":     {"far", func(*membership.Outlook) {}, true},
-		"told a moment ago":   {"far", func(o *membership.Outlook) { o.Answered("far", "b"); o.Told("far", "t", start) }, false},
-		"told of others only": {"far", func(o *membership.Outlook) { o.Answered("far", "b"); o.Told("far", "u", start) }, true},
-		"told long ago":       {"far", func(o *membership.Outlook) { o.Answered("far", "b"); o.Told("far", "t", start.Add(-2*old)) }, true},
+		"told a moment ago":   {"far", func(o *membership.Outlook) { o.Answered("far", "b"); o.Received("far", "t", start) }, false},
+		"told of others only": {"far", func(o *membership.Outlook) { o.Answered("far", "b"); o.Received("far", "u", start) }, true},
+		"told long ago":       {"far", func(o *membership.Outlook) { o.Answered("far", "b"); o.Received("far", "t", start.Add(-2*old)) }, true},
 		"older word comes last": {"far", func(o *membership.Outlook) {
 			o.Answered("far", "b")
-			o.Told("far", "t", start)
-			o.Told("far", "t", start.Add(-2*old))
+			o.Received("far", "t", start)
+			o.Received("far", "t", start.Add(-2*old))
 		}, false},
 		"teller stopped answering": {"far", func(o *membership.Outlook) {
 			o.Answered("far", "b")
-			o.Told("far", "t", start)
+			o.Received("far", "t", start)
 			o.Failed("far", "b")
 		}, true},
 		"another teller answers": {"far", func(o *membership.Outlook) {
-			o.Told("far", "t", start)
+			o.Received("far", "t", start)
 			o.Failed("far", "b")
 			o.Answered("far", "c")
 		}, false},
 		"the target is forgotten": {"far", func(o *membership.Outlook) {
 			o.Answered("far", "b")
-			o.Told("far", "t", start)
+			o.Received("far", "t", start)
 			o.Forget(func(domain.InstanceID) bool { return false })
 		}, true},
 	} {
@@ -106,8 +106,8 @@
 			o := membership.NewOutlook("near")
 			o.Become(membership.Follower)
 			o.Answered("near", "hub")
-			o.Told("near", "t", start)
-			o.Told("far", "u", start)
+			o.Received("near", "t", start)
+			o.Received("far", "u", start)
 			if tt.failed {
 				o.Failed("near", "hub")
 			}
@@ -127,8 +127,8 @@
 	o := membership.NewOutlook("near")
 	o.Become(membership.Hub)
 	o.Answered("far", "b")
-	o.Told("near", "t", start)
-	o.Told("far", "u", start)
+	o.Received("near", "t", start)
+	o.Received("far", "u", start)
 	if !o.Asks(start, "near", "t", old) || o.Asks(start, "far", "u", old) {
 		t.Error("it asks other targets than those of its own hall")
 	}
--- a/membership/reported.go
+++ b/membership/reported.go
@@ -25,12 +25,12 @@
 	if !ok {
 		return false
 	}
-	r.failures.Heard(c)
+	r.failures.Receive(c)
 	return r.judge(now, e)
 }
 
 // FailureReports are those that this box knows of, for others.
-func (r *Roster) FailureReports(now time.Time) []FailureReport { return r.failures.Tell(now) }
+func (r *Roster) FailureReports(now time.Time) []FailureReport { return r.failures.Latest(now) }
 
 // judge ejects a target that enough boxes report failures of. One that was ejected for that a
 // while ago is tried by the first box that takes it back: one failure report is enough then.
--- a/node/adverts.go
+++ b/node/adverts.go
@@ -24,8 +24,8 @@
 		others = 0
 	}
 	own := p.level()
-	failureReports, works := p.failureReports(now), p.entry.quarantine.tell(now, all)
-	limits, apart := p.entry.limiting.tell(now, others), p.entry.limiting.apart(now)
+	failureReports, works := p.failureReports(now), p.entry.quarantine.observations(now, all)
+	limits, apart := p.entry.limiting.reports(now, others), p.entry.limiting.apart(now)
 	limited := p.entry.fleet.knowsLimits()
 	var leavers []domain.InstanceID
 	p.entry.fleet.with(func(r *membership.Roster, _ *routing.Balancer) { leavers = r.Leavers(now) })
@@ -108,7 +108,7 @@
 	p.mu.Lock()
 	before := p.boxes.Remembers(a.Self.Box)
 	p.mu.Unlock()
-	p.heard(a)
+	p.receive(a)
 	reply := p.advert(a.News, false)
 	reply.Remembered = before
 	if a.Blank {
@@ -120,16 +120,16 @@
 // brief adds to an advert what a box that has just started is to know of limits.
 func (p *peering) brief(reply *mesh.Advert) {
 	now := clock.Now()
-	reply.Limits = p.entry.limiting.tell(now, math.MaxInt)
+	reply.Limits = p.entry.limiting.reports(now, math.MaxInt)
 	apart := p.entry.limiting.apart(now)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	reply.Share = p.share(now, apart)
 }
 
-// heard takes an advert. If it shows that this box is behind, a round follows in
+// receive takes an advert. If it shows that this box is behind, a round follows in
 // which it asks.
-func (p *peering) heard(a *mesh.Advert) {
+func (p *peering) receive(a *mesh.Advert) {
 	now := clock.Now()
 	p.entry.timeline.observe(store.PositionOf(a.Era, 0), "peer "+string(a.Self.Box))
 	own := p.level()
@@ -137,14 +137,14 @@
 	for _, id := range a.Leavers {
 		p.entry.fleet.leaves(now, id, "peer "+string(a.Self.Box))
 	}
-	p.entry.quarantine.heard(now, a.Works, "peer "+string(a.Self.Box))
-	p.entry.limiting.heard(now, a.Limits, "peer "+string(a.Self.Box))
+	p.entry.quarantine.receive(now, a.Works, "peer "+string(a.Self.Box))
+	p.entry.limiting.receive(now, a.Limits, "peer "+string(a.Self.Box))
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.boxes.Heard(now, contactFrom(a.Self), a.Hall, membership.Level{Config: a.Config, Targets: a.Targets}, a.Leaving)
+	p.boxes.Receive(now, contactFrom(a.Self), a.Hall, membership.Level{Config: a.Config, Targets: a.Targets}, a.Leaving)
 	p.boxes.Shares(a.Self.Box, shareFrom(a.Share))
 	for _, c := range a.Known {
-		p.boxes.HeardOf(now, contactFrom(c), c.Ago)
+		p.boxes.ReceiveOf(now, contactFrom(c), c.Ago)
 	}
 	p.noteBehind(now, own)
 }
--- a/node/entry.go
+++ b/node/entry.go
@@ -59,7 +59,7 @@
 	e.engines = process.HTTPClient(n)
 	e.timeline = &timeline{common: c}
 	e.quarantine = newQuarantining(c,
-		func() { e.peering.tell() },
+		func() { e.peering.notify() },
 		func() bool { return e.peering.isolated(clock.Now()) },
 		func() store.Era { return e.timeline.latest().Era() })
 	e.gateway = gateway.New(gateway.Parts{
@@ -67,12 +67,12 @@
 		Quarantine: e.quarantine,
 	})
 	e.peering = newPeering(e)
-	e.fleet.letDown, e.fleet.ejected, e.fleet.witness = e.peering.tell, e.noteEjected, e.witness
+	e.fleet.letDown, e.fleet.ejected, e.fleet.witness = e.peering.notify, e.noteEjected, e.witness
 	e.fleet.left = e.noteLeft
 	e.limiting = newLimiting(e)
 	e.fleet.limited, e.fleet.permits = e.limiting.named, e.limiting.permits
 	e.surveying = newSurveying(e)
-	e.view = &view{common: c, fleet: e.fleet, adopt: e.adopt, moved: e.peering.tell}
+	e.view = &view{common: c, fleet: e.fleet, adopt: e.adopt, moved: e.peering.notify}
 	return e
 }
 
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -196,11 +196,11 @@
 	return f.limits.Known()
 }
 
-// tellLimits are reports of limits for other boxes.
-func (f *fleet) tellLimits(now time.Time, others int) []ratelimit.Report {
+// limitReports are reports of limits for other boxes.
+func (f *fleet) limitReports(now time.Time, others int) []ratelimit.Report {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.limits.Tell(now, others)
+	return f.limits.Latest(now, others)
 }
 
 // granted takes permits that were asked for at the time, and reports for which target one is used at
--- a/node/following.go
+++ b/node/following.go
@@ -19,20 +19,20 @@
 
 // following follows one kind of record in the store and hands on what it brings.
 type following struct {
-	common   telemetry.Common
-	feed     store.Feed
-	kind     store.Kind
-	pace     follow.Pace
-	follower *follow.Follower
-	listed   func(store.Listing)
-	changed  func(store.Changes)
-	lost     func()                    // called while the store does not answer
-	among    func() (boxes, place int) // that notify each other what they learn
-	told     func() bool               // another box follows the store for this one
-	known    func() store.Position     // up to which the kind is known here, from whomever
-	era      func() store.Era          // the latest that this box has learned of
-	wasLost  bool
-	well     atomic.Bool // the store answered last
+	common    telemetry.Common
+	feed      store.Feed
+	kind      store.Kind
+	pace      follow.Pace
+	follower  *follow.Follower
+	listed    func(store.Listing)
+	changed   func(store.Changes)
+	lost      func()                    // called while the store does not answer
+	among     func() (boxes, place int) // that notify each other what they learn
+	delegated func() bool               // another box follows the store for this one
+	known     func() store.Position     // up to which the kind is known here, from whomever
+	era       func() store.Era          // the latest that this box has learned of
+	wasLost   bool
+	well      atomic.Bool // the store answered last
 }
 
 // settleSlack is how much later than the roster has settled the targets are listed once more.
@@ -73,7 +73,7 @@
 	for ctx.Err() == nil {
 		boxes, place := f.among()
 		f.follower.Among(boxes, place)
-		f.follower.Told(f.told())
+		f.follower.Delegate(f.delegated())
 		f.follower.CaughtUp(clock.Now(), f.known())
 		f.follower.Learned(f.era())
 		switch c := f.follower.Next(clock.Now()).(type) {
@@ -103,7 +103,7 @@
 	defer cancel()
 	given := make(chan struct{})
 	defer close(given)
-	go f.mind(given, cancel, began, w)
+	go f.limitWait(given, cancel, began, w)
 	c, err := f.feed.Watch(watching, f.kind, w.Since, w.Wait)
 	if err != nil && watching.Err() != nil && ctx.Err() == nil {
 		c, err = store.Changes{At: w.Since}, nil // it was given up, which is no fault of the store's
@@ -116,15 +116,15 @@
 	}
 }
 
-// mindEvery is the time between two looks whether a watch waits for too long.
-const mindEvery = 250 * time.Millisecond
+// checkEvery is the time between two looks whether a watch waits for too long.
+const checkEvery = 250 * time.Millisecond
 
-// mind gives a watch up that was to wait long since many boxes share the watching, once
+// limitWait gives a watch up that was to wait long since many boxes share the watching, once
 // too few of them are left: nobody would notify this box that it was silently dropped. It gives one
 // up, too, that was begun before the store was restored.
-func (f *following) mind(given <-chan struct{}, cancel context.CancelFunc, began time.Time, w follow.Watch) {
+func (f *following) limitWait(given <-chan struct{}, cancel context.CancelFunc, began time.Time, w follow.Watch) {
 	era := f.era()
-	look := time.NewTicker(mindEvery)
+	look := time.NewTicker(checkEvery)
 	defer look.Stop()
 	for {
 		select {
@@ -134,7 +134,7 @@
 		}
 		boxes, _ := f.among()
 		restored := f.era() > era || f.known().Era() > w.Since.Era()
-		if restored || clock.Since(began) > f.pace.WaitAmong(boxes)+mindEvery {
+		if restored || clock.Since(began) > f.pace.WaitAmong(boxes)+checkEvery {
 			cancel()
 			return
 		}
@@ -157,11 +157,11 @@
 	}
 	if lost != f.wasLost {
 		f.wasLost = lost
-		f.tell(lost, err)
+		f.logState(lost, err)
 	}
 }
 
-func (f *following) tell(lost bool, err error) {
+func (f *following) logState(lost bool, err error) {
 	if lost {
 		f.common.Log.Warn("store lost", "kind", f.kind, "known_to", f.follower.At(), "err", err)
 		return
@@ -235,7 +235,7 @@
 	}
 	return &following{
 		pace:   p,
-		common: e.common, feed: feed, kind: kind, among: e.surveying.followers, told: e.surveying.toldOfStore,
+		common: e.common, feed: feed, kind: kind, among: e.surveying.followers, delegated: e.surveying.hubFollows,
 		follower: follow.New(p, rnd), era: func() store.Era { return e.timeline.latest().Era() },
 	}
 }
--- a/node/leave.go
+++ b/node/leave.go
@@ -24,7 +24,7 @@
 	end := began.Add(e.settings().Bounds.Stop.Std() - process.StopMargin)
 	e.ready.leaving.Store(true)
 	e.gateway.Leave(end)
-	e.peering.tell() // others look for another issuer of permits
+	e.peering.notify() // others look for another issuer of permits
 	e.common.Log.Info("leaving", "in_flight", e.gateway.InFlight(), "until", end)
 	ctx, cancel := clock.WithDeadline(context.Background(), end)
 	defer cancel()
--- a/node/limiting.go
+++ b/node/limiting.go
@@ -57,7 +57,7 @@
 	}
 	l.mu.Unlock()
 	if kick {
-		l.entry.peering.tell()
+		l.entry.peering.notify()
 	}
 }
 
@@ -181,10 +181,10 @@
 	switch {
 	case err != nil && l.allocator.Silent(now, q.issuer.Box):
 		log.Warn("issuer lost", "err", err)
-		l.entry.peering.tell()
+		l.entry.peering.notify()
 	case err == nil && !r.Issuer && l.allocator.Declined(now, q.issuer.Box):
 		log.Info("box is not the issuer")
-		l.entry.peering.tell()
+		l.entry.peering.notify()
 	case err == nil && r.Issuer && l.allocator.Answered(q.svc, q.issuer.Box, now.Sub(q.asked) <= permitWithin):
 		log.Info("issuer regained")
 	}
@@ -222,14 +222,14 @@
 		return &mesh.PermitReply{}, nil
 	}
 	var asked []domain.InstanceID
-	for _, w := range l.heard(now, q.Wants, "asker") {
+	for _, w := range l.receive(now, q.Wants, "asker") {
 		asked = append(asked, w.Target)
 	}
 	return mesh.ReplyOf(now, l.issue(now, q.Service, l.entry.fleet.reports(asked))), nil
 }
 
-// heard takes what another box reports about limits, and returns it.
-func (l *limiting) heard(now time.Time, list []mesh.LimitReport, source string) []ratelimit.Report {
+// receive takes what another box reports about limits, and returns it.
+func (l *limiting) receive(now time.Time, list []mesh.LimitReport, source string) []ratelimit.Report {
 	var reports []ratelimit.Report
 	for _, m := range list {
 		if w, ok := m.Report(now); ok {
@@ -240,10 +240,10 @@
 	return reports
 }
 
-// tell is what other boxes are sent about limits: news, and so many others.
-func (l *limiting) tell(now time.Time, others int) []mesh.LimitReport {
+// reports is what other boxes are sent about limits: news, and so many others.
+func (l *limiting) reports(now time.Time, others int) []mesh.LimitReport {
 	var list []mesh.LimitReport
-	for _, w := range l.entry.fleet.tellLimits(now, others) {
+	for _, w := range l.entry.fleet.limitReports(now, others) {
 		list = append(list, mesh.LimitReportOf(now, w))
 	}
 	return list
--- a/node/peering.go
+++ b/node/peering.go
@@ -114,8 +114,8 @@
 	return known && now.Sub(last) > membership.TouchFor
 }
 
-// tell makes the next round come at once.
-func (p *peering) tell() {
+// notify makes the next round come at once.
+func (p *peering) notify() {
 	select {
 	case p.kick <- struct{}{}:
 	default: // a round is due already
@@ -168,7 +168,7 @@
 	now := clock.Now()
 	p.mu.Lock()
 	var addresses []string
-	for _, c := range p.boxes.Tell(now, meetMost) {
+	for _, c := range p.boxes.Sample(now, meetMost) {
 		addresses = append(addresses, c.Address)
 	}
 	if seeds := p.entry.settings().Seeds; len(seeds) > 0 && (len(addresses) == 0 || now.Sub(p.seedAt) > seedEvery) {
@@ -216,7 +216,7 @@
 	reply, err := mesh.Call[mesh.Advert, mesh.Advert](ctx, p.entry.mesh, address, mesh.Meet, p.advert(news, all))
 	if err == nil {
 		p.outlive(reply.Remembered)
-		p.heard(reply)
+		p.receive(reply)
 		p.noteBriefed(reply)
 	}
 }
@@ -234,7 +234,7 @@
 	defer p.mu.Unlock()
 	if p.life.Remembered(remembered) {
 		p.self.Incarnation = p.life.Incarnation()
-		p.tell()
+		p.notify()
 	}
 }
 
@@ -245,7 +245,7 @@
 		p.behind = time.Time{}
 	case p.behind.IsZero():
 		p.behind = now
-		time.AfterFunc(membership.AskAfter, p.tell)
+		time.AfterFunc(membership.AskAfter, p.notify)
 	}
 }
 
@@ -270,7 +270,7 @@
 	got, err := mesh.Call[mesh.PullQuery, mesh.Pulled](ctx, p.entry.mesh, c.Address, mesh.Pull, q)
 	if err != nil {
 		p.entry.common.Log.Warn("peer gave no news", "peer", c.Box, "err", err)
-		p.tell()
+		p.notify()
 		return
 	}
 	source := "peer " + string(c.Box)
--- a/node/quarantining.go
+++ b/node/quarantining.go
@@ -119,19 +119,19 @@
 	}
 }
 
-// heard takes what another box sent.
-func (q *quarantining) heard(now time.Time, observations []mesh.WorkObservation, source string) {
+// receive takes what another box sent.
+func (q *quarantining) receive(now time.Time, observations []mesh.WorkObservation, source string) {
 	for _, w := range observations {
 		q.take(now, quarantine.Observation{Digest: w.Digest, Target: w.Target, At: now.Add(-w.Ago)}, source)
 	}
 }
 
-// tell is what other boxes are sent, and with all, what they may have missed.
-func (q *quarantining) tell(now time.Time, all bool) []mesh.WorkObservation {
+// observations is what other boxes are sent, and with all, what they may have missed.
+func (q *quarantining) observations(now time.Time, all bool) []mesh.WorkObservation {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	var list []mesh.WorkObservation
-	for _, w := range q.register.Tell(now, all) {
+	for _, w := range q.register.Latest(now, all) {
 		list = append(list, mesh.WorkObservation{Digest: w.Digest, Target: w.Target, Ago: now.Sub(w.At)})
 	}
 	return list
--- a/node/rank/groupduty.go
+++ b/node/rank/groupduty.go
@@ -73,7 +73,7 @@
 	reach    time.Duration   // that the slowest reads take
 	overhead time.Duration   // that changes take beside copies
 	copying  time.Duration   // that the proposed map takes to copy
-	told     *telling.Told
+	told     *telling.SentMaps
 	rows     int           // that the proposed map differs in from the one in use
 	tellers  chan struct{} // one for each whole map that may be on its way
 	endedAt  time.Time     // the last attempt
@@ -261,7 +261,7 @@
 	d.holds, d.holdsOf = map[int][][]int{}, 0
 	clear(d.reading)
 	d.mute.reset()
-	d.told = telling.NewTold()
+	d.told = telling.NewSentMaps()
 	d.relays, d.reach = nil, 0
 	if d.useRelays() {
 		d.relays = telling.NewRelays(d.rank, members)
--- a/node/surveying.go
+++ b/node/surveying.go
@@ -51,7 +51,7 @@
 
 // survey implements mesh.Survey.
 func (s *surveying) survey(_ context.Context, q *mesh.HallQuery) (*mesh.HallReport, error) {
-	r := s.sightings.Tell(clock.Now(), q.All)
+	r := s.sightings.Latest(clock.Now(), q.All)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r.Follows = s.role != membership.Follower && s.storeWell != nil && s.storeWell()
@@ -84,8 +84,8 @@
 	return membership.HubsEach * len(halls), hall*membership.HubsEach + at
 }
 
-// toldOfStore reports that a hub of the hall follows the store for this box.
-func (s *surveying) toldOfStore() bool {
+// hubFollows reports that a hub of the hall follows the store for this box.
+func (s *surveying) hubFollows() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.role == membership.Follower && clock.Since(s.hubAt) < hubFor
@@ -230,8 +230,8 @@
 		for _, x := range r.Targets {
 			at := now.Add(-x.Ago)
 			target, _ := ros.Get(x.ID)
-			s.outlook.Told(target.Hall(), x.ID, at)
-			s.sightings.Told(at, x)
+			s.outlook.Received(target.Hall(), x.ID, at)
+			s.sightings.Receive(at, x)
 			own := domain.Rank{Epoch: uint64(x.Epoch), Open: x.Open}
 			if ros.Reported(at, x.ID, own, uint64(x.Step), x.Running > 0) {
 				b.Report(at, x.ID, routing.Report{Running: x.Running, Waiting: x.Waiting, Pace: float64(x.Pace)})
--- a/node/suspended.go
+++ b/node/suspended.go
@@ -19,4 +19,4 @@
 }
 
 // Woken makes the box look at once for what it missed while its machine was suspended.
-func (e *Entry) Woken() { e.peering.tell() }
+func (e *Entry) Woken() { e.peering.notify() }
--- a/node/telling/placements.go
+++ b/node/telling/placements.go
@@ -61,9 +61,9 @@
 	}
 }
 
-// Told are the maps that a coordinator knows other ranks' agents to have. One
+// SentMaps are the maps that a coordinator knows other ranks' agents to have. One
 // goroutine owns it.
-type Told struct {
+type SentMaps struct {
 	ranks map[int]toldMap
 }
 
@@ -72,11 +72,11 @@
 	whole   orders.Placement
 }
 
-// NewTold returns what a coordinator knows that sent no map yet.
-func NewTold() *Told { return &Told{ranks: map[int]toldMap{}} }
+// NewSentMaps returns what a coordinator knows that sent no map yet.
+func NewSentMaps() *SentMaps { return &SentMaps{ranks: map[int]toldMap{}} }
 
 // Shorten replaces a map by what changed since one that the rank's agent has.
-func (t *Told) Shorten(rank int, c *mesh.OrderCall) *mesh.OrderCall {
+func (t *SentMaps) Shorten(rank int, c *mesh.OrderCall) *mesh.OrderCall {
 	if c.Prepare == nil {
 		return c
 	}
@@ -94,11 +94,11 @@
 }
 
 // Has is the version of the map of which changes can be sent to the rank; 0 for none.
-func (t *Told) Has(rank int) orders.Version { return t.ranks[rank].version }
+func (t *SentMaps) Has(rank int) orders.Version { return t.ranks[rank].version }
 
 // Took notes what a rank's agent answered to a map. One that did not answer still has
 // the map that it had.
-func (t *Told) Took(rank int, p orders.Prepare, err error) {
+func (t *SentMaps) Took(rank int, p orders.Prepare, err error) {
 	switch {
 	case err == nil:
 		t.ranks[rank] = toldMap{version: p.Version, whole: p.Map}
@@ -108,4 +108,4 @@
 }
 
 // All reports that the agents of so many other ranks have a map each.
-func (t *Told) All(ranks int) bool { return len(t.ranks) >= ranks-1 }
+func (t *SentMaps) All(ranks int) bool { return len(t.ranks) >= ranks-1 }
--- a/node/telling/sightings.go
+++ b/node/telling/sightings.go
@@ -42,8 +42,8 @@
 	}}
 }
 
-// Told takes what another box learned of a target at the time.
-func (s *Sightings) Told(at time.Time, w mesh.Sighting) {
+// Receive takes what another box learned of a target at the time.
+func (s *Sightings) Receive(at time.Time, w mesh.Sighting) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if x, ok := s.seen[w.ID]; !ok || at.After(x.at) || at.Equal(x.at) && w.Missing {
@@ -61,9 +61,9 @@
 	}
 }
 
-// Tell are the latest reports, with their ages, for another box: those from the
+// Latest are the latest reports, with their ages, for another box: those from the
 // targets themselves, or all.
-func (s *Sightings) Tell(now time.Time, all bool) *mesh.HallReport {
+func (s *Sightings) Latest(now time.Time, all bool) *mesh.HallReport {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	out := &mesh.HallReport{}
--- a/node/telling/telling_test.go
+++ b/node/telling/telling_test.go
@@ -48,7 +48,7 @@
 // line is a coordinator and one other rank's agent, with messages as they are sent.
 type line struct {
 	t    *testing.T
-	told *telling.Told
+	told *telling.SentMaps
 	maps *telling.Placements
 	sent int // bytes of the last call
 }
@@ -76,7 +76,7 @@
 }
 
 func newLine(t *testing.T) *line {
-	return &line{t: t, told: telling.NewTold(), maps: telling.NewPlacements()}
+	return &line{t: t, told: telling.NewSentMaps(), maps: telling.NewPlacements()}
 }
 
 func TestMapsArriveAsTheyWereSent(t *testing.T) {
--- a/quarantine/register.go
+++ b/quarantine/register.go
@@ -171,9 +171,9 @@
 	return list
 }
 
-// Tell is what other boxes are to hear: what was learnt lately, and, where all is wanted, for
+// Latest is what other boxes are to hear: what was learnt lately, and, where all is wanted, for
 // boxes that were cut off meanwhile, what is known of works in quarantine.
-func (r *Register) Tell(now time.Time, all bool) []Observation {
+func (r *Register) Latest(now time.Time, all bool) []Observation {
 	var list []Observation
 	for d, x := range r.works {
 		fresh := now.Sub(x.learnt) < tellFor
--- a/quarantine/register_test.go
+++ b/quarantine/register_test.go
@@ -144,25 +144,25 @@
 	r := taking(quarantine.NewRegister(), ended(fatal, "a", 0), ended(fatal, "b", 0), ended("hit once", "a", 0))
 	now := begin.Add(time.Minute)
 	late := taking(quarantine.NewRegister())
-	for _, w := range r.Tell(now, true) {
+	for _, w := range r.Latest(now, true) {
 		late.Take(now, w)
 	}
 	if _, barred := late.Barred(now, fatal); !barred {
 		t.Error("a box that was cut off does not know of the quarantine")
 	}
-	if n := len(r.Tell(now, true)); n != 2 {
+	if n := len(r.Latest(now, true)); n != 2 {
 		t.Errorf("%d observations are told, of two ended targets", n)
 	}
-	if n := len(r.Tell(now, false)); n != 0 {
+	if n := len(r.Latest(now, false)); n != 0 {
 		t.Errorf("%d observations are told over and over", n)
 	}
-	if n := len(r.Tell(begin.Add(time.Second), false)); n != 3 {
+	if n := len(r.Latest(begin.Add(time.Second), false)); n != 3 {
 		t.Errorf("%d observations are told while all is new", n)
 	}
 	for i := range 100 {
 		r.Take(now, ended(call.Digest(fmt.Sprint("hit ", i)), "c", time.Minute))
 	}
-	if n := len(r.Tell(now, true)); n != 40 {
+	if n := len(r.Latest(now, true)); n != 40 {
 		t.Errorf("%d observations in a message", n)
 	}
 }
--- a/ratelimit/allocator.go
+++ b/ratelimit/allocator.go
@@ -24,20 +24,20 @@
 // Source is where a box gets permits for the targets of a service.
 type Source interface{ source() }
 
-// Local reports that this box is the issuer.
+// Local means that this box is the issuer.
 type Local struct{}
 
-// Remote reports that another box is the issuer, and is to be asked. One that is slow is asked ahead:
+// Remote means that another box is the issuer, and is to be asked. One that is slow is asked ahead:
 // the request does not wait for the answer, and what it brings is for those that come later.
 type Remote struct {
 	Issuer domain.BoxID
 	Ahead  bool
 }
 
-// Pending: a slow issuer is being asked already.
+// Pending means that a slow issuer is being asked already.
 type Pending struct{}
 
-// Fallback reports that no issuer is known or answers, and that this box goes by its own part. Where Again
+// Fallback means that no issuer is known or answers, and that this box goes by its own part. Where Again
 // is set it is time to find out whether that issuer answers again.
 type Fallback struct{ Again domain.BoxID }
 
--- a/ratelimit/fleet_test.go
+++ b/ratelimit/fleet_test.go
@@ -71,7 +71,7 @@
 // start starts the box's process, which knows nothing.
 func (f *fleet) start(n *node) {
 	n.boxes = membership.NewBoxes(n.id, f.rand)
-	n.boxes.Tell(at(f.now), 0)
+	n.boxes.Sample(at(f.now), 0)
 	n.allocator = ratelimit.NewAllocator(n.id, f.rand)
 	n.register = ratelimit.NewRegister(f.rand)
 	n.saved = 0
@@ -111,14 +111,14 @@
 	shares := map[domain.BoxID]membership.Share{}
 	for _, n := range f.nodes {
 		if now%(5*time.Second) == 0 {
-			n.boxes.Tell(at(now), 0) // forgets those that were lost
+			n.boxes.Sample(at(now), 0) // forgets those that were lost
 		}
 		shares[n.id] = membership.Share{Boxes: n.boxes.Counted(at(now)), Apart: n.allocator.Apart(at(now)), Settled: n.boxes.Settled(at(now))}
 	}
 	for _, n := range f.nodes {
 		for _, x := range f.nodes {
 			if x != n && f.hear(n, x) {
-				n.boxes.Heard(at(now), membership.Contact{Box: x.id, Address: string(x.id)}, "hall", membership.Level{}, false)
+				n.boxes.Receive(at(now), membership.Contact{Box: x.id, Address: string(x.id)}, "hall", membership.Level{}, false)
 				n.boxes.Shares(x.id, shares[x.id])
 			}
 		}
--- a/ratelimit/register.go
+++ b/ratelimit/register.go
@@ -184,8 +184,8 @@
 	}
 }
 
-// Tell are reports for other boxes: those that are news, and so many of the others by chance.
-func (r *Register) Tell(now time.Time, others int) []Report {
+// Latest are reports for other boxes: those that are news, and so many of the others by chance.
+func (r *Register) Latest(now time.Time, others int) []Report {
 	var news, rest []Report
 	for id, e := range r.entries {
 		w := Report{Target: id, Limit: e.limit, At: e.at}
--- a/ratelimit/register_test.go
+++ b/ratelimit/register_test.go
@@ -130,7 +130,7 @@
 	for i := range 20 {
 		r.Take(at(0), ratelimit.Report{Target: domain.InstanceID(fmt.Sprint("t-", i)), Limit: call.Limited{PerSecond: 5}, At: at(0)})
 	}
-	if n := len(r.Tell(at(time.Second), others)); n != 20 {
+	if n := len(r.Latest(at(time.Second), others)); n != 20 {
 		t.Errorf("%d of 20 are told while they are news", n)
 	}
 	told := map[domain.InstanceID]bool{}
@@ -139,7 +139,7 @@
 		if r.Take(now, ratelimit.Report{Target: "t-3", Limit: call.Limited{PerSecond: 5 + 0.1*math.Sin(float64(i))}, At: now}) {
 			t.Error("a limit that is nearly the same is news")
 		}
-		list := r.Tell(now, others)
+		list := r.Latest(now, others)
 		if len(list) != others {
 			t.Errorf("%d are told", len(list))
 		}
--- a/store/follow/follower.go
+++ b/store/follow/follower.go
@@ -51,14 +51,14 @@
 
 // Follower is the machine. It is not safe for concurrent use.
 type Follower struct {
-	pace   Pace
-	rand   *rand.Rand
-	boxes  int  // that notify each other what they learn, this one included
-	place  int  // of this one among them
-	spread bool // the next watch begins as those of the other boxes do
-	begun  bool // the first pause is set
-	told   bool // another box follows the store for this one
-	listed bool
+	pace      Pace
+	rand      *rand.Rand
+	boxes     int  // that notify each other what they learn, this one included
+	place     int  // of this one among them
+	spread    bool // the next watch begins as those of the other boxes do
+	begun     bool // the first pause is set
+	delegated bool // another box follows the store for this one
+	listed    bool
 	// lostHistory: the store no longer knows what came after what is known here, so that
 	// only a listing helps.
 	lostHistory bool
@@ -97,8 +97,8 @@
 	case !f.settleAt.IsZero() && !now.Before(f.settleAt) && !now.Before(f.restTo):
 		f.settleAt = time.Time{}
 		return List{}
-	case f.told:
-		return Rest{Until: now.Add(toldLook)}
+	case f.delegated:
+		return Rest{Until: now.Add(delegatedCheck)}
 	case now.Before(f.restTo):
 		return Rest{Until: f.restTo}
 	case !f.listed:
@@ -113,18 +113,18 @@
 	}
 }
 
-// toldLook is the pause between two looks whether another box still follows the store for
+// delegatedCheck is the pause between two looks whether another box still follows the store for
 // this one: short against the seconds in which a configuration is to be in force.
-const toldLook = 250 * time.Millisecond
+const delegatedCheck = 250 * time.Millisecond
 
-// Told reports whether another box follows the store for this one now. A hundred boxes that
+// Delegate sets whether another box follows the store for this one now. A hundred boxes that
 // all watch end a hundred calls with each change; where a few watch for the others it is
-// those few. One that is told no more goes on by itself from what it knows.
-func (f *Follower) Told(by bool) {
-	if f.told && !by {
+// those few. Once none does it goes on by itself from what it knows.
+func (f *Follower) Delegate(by bool) {
+	if f.delegated && !by {
 		f.spread = true
 	}
-	f.told = by
+	f.delegated = by
 }
 
 // chance draws a time up to the bound.
--- a/store/follow/follower_test.go
+++ b/store/follow/follower_test.go
@@ -176,12 +176,12 @@
 		t.Fatalf("at its start it does %v", f.Next(start))
 	}
 	f.CaughtUp(start, pos(7))
-	f.Told(true)
+	f.Delegate(true)
 	if c, ok := f.Next(start.Add(time.Minute)).(follow.Rest); !ok || c.Until.Sub(start) > time.Minute+time.Second {
 		t.Errorf("while it is told it does %v", f.Next(start.Add(time.Minute)))
 	}
 	f.CaughtUp(start, pos(9))
-	f.Told(false)
+	f.Delegate(false)
 	if w, ok := f.Next(start.Add(2 * time.Minute)).(follow.Watch); !ok || w.Since != pos(9) {
 		t.Errorf("told no more it does %v, want a watch since 9", f.Next(start.Add(2*time.Minute)))
 	}
@@ -319,7 +319,7 @@
 	for _, told := range []bool{false, true} {
 		f := follow.New(settling, rand.New(rand.NewPCG(1, 2)))
 		f.Listed(start, pos(60), nil)
-		f.Told(told)
+		f.Delegate(told)
 		f.CaughtUp(start, store.PositionOf(2, 40))
 		var listed []time.Duration
 		for now := start; now.Before(start.Add(20 * time.Second)); {
