A damaged era of one answer is not believed; the later listing is made again if it fails

An era that rises by more than one has to be stated by two answers in a row: one answer with a damaged header would make all that the store answers afterwards older than it. The listing after a restore has settled was lost if the store failed at that moment; it stays due now.

--- a/local/restore_test.go
+++ b/local/restore_test.go
@@ -30,6 +30,16 @@
 	return nil
 }
 
+func damagedEras() func(era uint64) []string {
+	answers := 0
+	return func(era uint64) []string {
+		if answers++; answers%100 == 30 {
+			return []string{fmt.Sprint(era + 900)}
+		}
+		return []string{fmt.Sprint(era)}
+	}
+}
+
 var restores = []restore{
 	{name: "one version lost", lost: 1, away: time.Second},
 	{name: "eight versions lost", lost: 8, away: 2500 * time.Millisecond},
@@ -48,6 +58,7 @@
 	}},
 	{name: "eras that are no numbers", lost: 6, away: time.Second, header: func(era uint64) []string { return []string{fmt.Sprint("era ", era)} }},
 	{name: "only some eras are stated", lost: 6, away: time.Second, times: 2, header: evenEras},
+	{name: "one answer in a hundred states a damaged era", lost: 6, away: time.Second, header: damagedEras()},
 	{name: "half of the boxes are cut off from the store", lost: 6, away: time.Second, alone: true},
 	{name: "a box starts as the store comes back", lost: 6, away: time.Second, starts: true},
 }
--- a/node/timeline.go
+++ b/node/timeline.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -27,7 +28,17 @@
 }
 
 // stated takes the era of an answer of the store.
-func (t *timeline) stated(era store.Era) { t.observe(store.PositionOf(era, 0), "store") }
+func (t *timeline) stated(era store.Era) {
+	t.mu.Lock()
+	accepted := t.known.Accept(era)
+	known := t.known.Latest()
+	t.mu.Unlock()
+	if !accepted {
+		t.common.Log.Warn("store states an era that is too high, waiting for it to state it again", "era", era, "known", known)
+		return
+	}
+	t.observe(store.PositionOf(era, 0), "store")
+}
 
 // observe takes a position that the source reported.
 func (t *timeline) observe(p store.Position, source string) {
@@ -38,13 +49,16 @@
 		return
 	}
 	t.common.Metrics.Set(telemetry.StoreEra, "", float64(p.Era()))
-	if before.IsZero() {
+	if before.Era() == 0 {
 		t.common.Log.Info("store era", "era", p.Era(), "source", source)
 		return
 	}
 	t.common.Log.Warn("store was restored from a copy, listing anew", "era", p.Era(), "before", before, "source", source)
 }
 
+// errEraDoubted is the error for an answer whose era was not accepted; the call is made again.
+var errEraDoubted = errors.Join(store.ErrUnavailable, errors.New("the era of the answer is not confirmed"))
+
 // completing is the store with complete positions in its answers.
 type completing struct {
 	store.Shelf
@@ -58,6 +72,9 @@
 	if err != nil {
 		return l, err
 	}
+	if l.At.Era() > c.timeline.latest().Era() {
+		return store.Listing{}, errEraDoubted
+	}
 	l = l.Complete(sent)
 	c.timeline.observe(l.At, "store")
 	return l, nil
@@ -69,6 +86,9 @@
 	if err != nil {
 		return changes, err
 	}
+	if changes.At.Era() > c.timeline.latest().Era() {
+		return store.Changes{}, errEraDoubted
+	}
 	changes = changes.Complete(since)
 	c.timeline.observe(changes.At, "store")
 	return changes, nil
--- a/store/follow/follower.go
+++ b/store/follow/follower.go
@@ -95,7 +95,6 @@
 	}
 	switch {
 	case !f.settleAt.IsZero() && !now.Before(f.settleAt) && !now.Before(f.restTo):
-		f.settleAt = time.Time{}
 		return List{}
 	case f.delegated:
 		return Rest{Until: now.Add(delegatedCheck)}
@@ -192,6 +191,9 @@
 	}
 	f.relisted = f.lostHistory
 	f.listed, f.lostHistory = true, false
+	if !now.Before(f.settleAt) {
+		f.settleAt = time.Time{}
+	}
 	f.advance(now, at)
 	f.spread = true
 	pauses := f.failures
--- a/store/follow/follower_test.go
+++ b/store/follow/follower_test.go
@@ -325,6 +325,10 @@
 		for now := start; now.Before(start.Add(20 * time.Second)); {
 			switch c := f.Next(now).(type) {
 			case follow.List:
+				if now.Before(start.Add(settling.Settle + 300*time.Millisecond)) {
+					f.Listed(now, store.Position{}, store.ErrUnavailable)
+					continue
+				}
 				listed = append(listed, now.Sub(start))
 				f.Listed(now, store.PositionOf(2, 45), nil)
 			case follow.Watch:
--- a/store/position_test.go
+++ b/store/position_test.go
@@ -82,6 +82,27 @@
 	}
 }
 
+// TestADamagedEraIsNotBelieved guards against one answer with a damaged header, after which all
+// that the store answers would be taken for older than it.
+func TestADamagedEraIsNotBelieved(t *testing.T) {
+	var line store.Timeline
+	for i, tc := range []struct {
+		era    store.Era
+		accept bool
+	}{
+		{40, true}, // the first that is stated
+		{40, true}, {41, true}, {900, false}, {41, true}, {900, false}, {42, true}, {44, false}, {44, true}, {43, true}, {45, true},
+	} {
+		got := line.Accept(tc.era)
+		if got != tc.accept {
+			t.Errorf("%d: era %d accepted %v", i, tc.era, got)
+		}
+		if got {
+			line.Observe(store.PositionOf(tc.era, 0))
+		}
+	}
+}
+
 func TestATimelineNoticesEachLaterEra(t *testing.T) {
 	var line store.Timeline
 	for i, tc := range []struct {
--- a/store/timeline.go
+++ b/store/timeline.go
@@ -2,7 +2,10 @@
 
 // Timeline is what a process knows of how far the store has come. It completes the positions
 // of answers that do not state their era. It is not safe for concurrent use.
-type Timeline struct{ latest Position }
+type Timeline struct {
+	latest  Position
+	doubted Era // the last stated one that was not accepted; zero if none was since
+}
 
 // Latest is the latest position that an answer or another process has reported.
 func (t *Timeline) Latest() Position { return t.latest }
@@ -14,6 +17,18 @@
 	return later
 }
 
+// Accept reports whether an era that an answer states is to be believed. It rises by one with each
+// restore; one that rises by more may be damaged, and has to be stated by two answers in a row.
+func (t *Timeline) Accept(era Era) bool {
+	known := t.latest.Era()
+	if known == 0 || era <= known+1 || era == t.doubted {
+		t.doubted = 0
+		return true
+	}
+	t.doubted = era
+	return false
+}
+
 // Complete returns the listing with the era that it does not state, as an answer to a call made
 // when the position sent was known. The store was at least at that position then, so the era is
 // not an earlier one; and it is a later one if the revision went back.
