Log lines name what failed and what comes next; the era of others is read from the positions in their adverts

The field for the era in adverts said nothing that the positions beside it do not. The check that gave up watches begun before a restore is gone again: no test could tell it from the existing bound for dropped watches, which holds without it (found by mutations).

--- a/cli/logs/box_view.go
+++ b/cli/logs/box_view.go
@@ -41,7 +41,7 @@
 		b.standing[l.Get("target")] = l
 	case "target listed", "target gone":
 		b.listed[l.Get("target")] = l
-	case "peer tells of hall", "nobody tells of hall":
+	case "hall watched through peer", "no peer reports on hall, watching its targets directly":
 		b.tellers[l.Get("hall")] = l
 	case "cut off without targets":
 		b.readiness = l
--- a/local/restore_test.go
+++ b/local/restore_test.go
@@ -18,6 +18,8 @@
 	later  int           // changes after the restore and before the one that is judged
 	times  int           // restores in a row; 0 for one
 	header func(era uint64) []string
+	boxes  int  // 0 for the usual few
+	held   bool // watches of the configuration go silent as the store is restored
 	alone  bool // the boxes of one hall reach the store, those of the other only these
 	starts bool // a box is killed as the store comes back, and starts again
 	others bool // a target is listed over and over, so that revisions pass those of before at once
@@ -60,6 +62,7 @@
 	{name: "only some eras are stated", lost: 6, away: time.Second, times: 2, header: evenEras},
 	{name: "one answer in a hundred states a damaged era", lost: 6, away: time.Second, header: damagedEras()},
 	{name: "half of the boxes are cut off from the store", lost: 6, away: time.Second, alone: true},
+	{name: "watches of the configuration go silent", lost: 6, held: true, boxes: 12},
 	{name: "a box starts as the store comes back", lost: 6, away: time.Second, starts: true},
 }
 
@@ -70,7 +73,7 @@
 	for _, way := range restores {
 		t.Run(way.name, func(t *testing.T) {
 			sc := busy()
-			sc.seed, sc.length, sc.operate = 1, 0, way.operate
+			sc.seed, sc.length, sc.operate, sc.entries = 1, 0, way.operate, way.boxes
 			sc.run(t, func(_ *local.System, h *history) {
 				for _, f := range h.faults {
 					t.Error(f)
@@ -92,6 +95,9 @@
 	if way.header != nil {
 		s.Store.SetEraHeader(way.header)
 	}
+	if way.held {
+		s.Store.HoldWatches("config")
+	}
 	served := map[string]int{} // by life of a box
 	if way.alone {
 		s.Network.SetLink(s.Halls()[1], local.StoreHall, local.Refused)
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -62,8 +62,8 @@
 	})
 	address, client := serve(t, m), newClient(t)
 	for range 3 { // over a kept connection too
-		got, err := mesh.Call[mesh.Advert, mesh.Advert](within(t), client, address, mesh.Meet, &mesh.Advert{Hall: "near", Config: catalog.Edition{Version: 7, At: pos(8)}, Era: 1})
-		if err != nil || got.Hall != "near!" || got.Config != (catalog.Edition{Version: 7, At: pos(8)}) || got.Era != 1 {
+		got, err := mesh.Call[mesh.Advert, mesh.Advert](within(t), client, address, mesh.Meet, &mesh.Advert{Hall: "near", Config: catalog.Edition{Version: 7, At: pos(8)}})
+		if err != nil || got.Hall != "near!" || got.Config != (catalog.Edition{Version: 7, At: pos(8)}) {
 			t.Fatalf("got %+v, %v", got, err)
 		}
 	}
--- a/mesh/messages.go
+++ b/mesh/messages.go
@@ -58,8 +58,6 @@
 	// of a target that it knows.
 	Config  catalog.Edition `json:"config"`
 	Targets store.Position  `json:"targets"`
-	// Era is the latest era of the store that it knows of.
-	Era store.Era `json:"era,omitempty"`
 	// Remembered is the incarnation under which the sender of an answer knew the asker
 	// before, so that one that started again can come after it.
 	Remembered domain.Incarnation `json:"remembered,omitempty"`
--- a/node/adverts.go
+++ b/node/adverts.go
@@ -34,7 +34,7 @@
 	a := &mesh.Advert{
 		Self: contactOf(p.self, 0), Hall: domain.HallName(p.entry.settings().Hall), Leaving: p.entry.gateway.Leaving(),
 		Config: own.Config, Targets: own.Targets, News: news,
-		Era: p.entry.timeline.latest().Era(), FailureReports: failureReports, Leavers: leavers, Works: works,
+		FailureReports: failureReports, Leavers: leavers, Works: works,
 		Limits: limits, Blank: !p.briefed,
 	}
 	if limited {
@@ -131,7 +131,7 @@
 // which it asks.
 func (p *peering) receive(a *mesh.Advert) {
 	now := clock.Now()
-	p.entry.timeline.observe(store.PositionOf(a.Era, 0), "peer "+string(a.Self.Box))
+	p.entry.timeline.observe(store.Later(a.Targets, a.Config.At), "peer "+string(a.Self.Box))
 	own := p.level()
 	p.takeFailureReports(now, a.FailureReports)
 	for _, id := range a.Leavers {
--- a/node/following.go
+++ b/node/following.go
@@ -103,7 +103,7 @@
 	defer cancel()
 	given := make(chan struct{})
 	defer close(given)
-	go f.limitWait(given, cancel, began, w)
+	go f.limitWait(given, cancel, began)
 	c, err := f.feed.Watch(watching, f.kind, w.Since, w.Wait)
 	if err != nil && watching.Err() != nil && ctx.Err() == nil {
 		c, err = store.Changes{At: w.Since}, nil // it was given up, which is no fault of the store's
@@ -120,10 +120,8 @@
 const checkEvery = 250 * time.Millisecond
 
 // limitWait gives a watch up that was to wait long since many boxes share the watching, once
-// too few of them are left: nobody would notify this box that it was silently dropped. It gives one
-// up, too, that was begun before the store was restored.
-func (f *following) limitWait(given <-chan struct{}, cancel context.CancelFunc, began time.Time, w follow.Watch) {
-	era := f.era()
+// too few of them are left: nobody would notify this box that it was silently dropped.
+func (f *following) limitWait(given <-chan struct{}, cancel context.CancelFunc, began time.Time) {
 	look := time.NewTicker(checkEvery)
 	defer look.Stop()
 	for {
@@ -133,8 +131,7 @@
 		case <-look.C:
 		}
 		boxes, _ := f.among()
-		restored := f.era() > era || f.known().Era() > w.Since.Era()
-		if restored || clock.Since(began) > f.pace.WaitAmong(boxes)+checkEvery {
+		if clock.Since(began) > f.pace.WaitAmong(boxes)+checkEvery {
 			cancel()
 			return
 		}
--- a/node/peering.go
+++ b/node/peering.go
@@ -269,7 +269,7 @@
 	q := &mesh.PullQuery{Config: own.Config, Targets: own.Targets}
 	got, err := mesh.Call[mesh.PullQuery, mesh.Pulled](ctx, p.entry.mesh, c.Address, mesh.Pull, q)
 	if err != nil {
-		p.entry.common.Log.Warn("peer gave no news", "peer", c.Box, "err", err)
+		p.entry.common.Log.Warn("pull from peer failed, asking again", "peer", c.Box, "err", err)
 		p.notify()
 		return
 	}
@@ -282,7 +282,7 @@
 	}
 	news, err := got.News()
 	if err != nil {
-		p.entry.common.Log.Error("peer's targets not taken", "peer", c.Box, "err", err)
+		p.entry.common.Log.Error("list of targets from peer rejected", "peer", c.Box, "err", err)
 		return
 	}
 	p.entry.view.targets(got.At, news, source)
--- a/node/quarantining.go
+++ b/node/quarantining.go
@@ -140,7 +140,7 @@
 // keep has the store keep what this box found out of the work; mu is held.
 func (q *quarantining) keep(d call.Digest) {
 	if len(q.unkept) >= unkeptMost {
-		q.common.Log.Error("quarantine not kept, too many wait for the store", "digest", d, "waiting", len(q.unkept))
+		q.common.Log.Error("quarantine not stored, too many wait for the store", "digest", d, "waiting", len(q.unkept))
 		return
 	}
 	q.unkept = append(q.unkept, q.record(d))
@@ -224,7 +224,7 @@
 		names[r.Name] = true
 		var kept quarantine.Record
 		if err := json.Unmarshal(r.Spec, &kept); err != nil {
-			q.common.Log.Error("quarantine not taken", "record", r.Name, "at", r.At, "err", err)
+			q.common.Log.Error("quarantine record rejected", "record", r.Name, "at", r.At, "err", err)
 			continue
 		}
 		if kept.Over(day) {
@@ -277,5 +277,5 @@
 		return
 	}
 	q.common.Metrics.Count(telemetry.PlatformCalls, name+" failed", 1)
-	q.common.Log.Warn("store did not take or give quarantines", "call", call, "err", err)
+	q.common.Log.Warn("call to the store for quarantines failed, retrying", "call", call, "err", err)
 }
--- a/node/rank/agent.go
+++ b/node/rank/agent.go
@@ -100,7 +100,7 @@
 	select {
 	case <-done:
 	case <-time.After(a.settings().Bounds.Stop.Std() - process.StopMargin):
-		a.common.Log.Warn("stopped in the midst of a change of maps")
+		a.common.Log.Warn("stopped during a change of maps")
 	}
 	cancel()
 	a.common.Log.Info("stopped", "after", clock.Since(began))
@@ -146,7 +146,7 @@
 		return
 	}
 	if q.Epoch > a.epoch || a.members == nil {
-		a.common.Log.Info("group learnt", "epoch", q.Epoch, "ranks", len(q.Members), "before", a.epoch)
+		a.common.Log.Info("group received", "epoch", q.Epoch, "ranks", len(q.Members), "before", a.epoch)
 		a.turn.Learnt(clock.Now())
 	}
 	a.epoch, a.shape = q.Epoch, q.Shape
--- a/node/readiness.go
+++ b/node/readiness.go
@@ -55,7 +55,7 @@
 
 // noteLeft logs that a target reports that it is leaving, and notifies other boxes at once.
 func (e *Entry) noteLeft(id domain.InstanceID, source string) {
-	e.common.Log.Info("target says it is leaving", "target", id, "source", source)
+	e.common.Log.Info("target announced that it is leaving", "target", id, "source", source)
 	e.peering.notify()
 }
 
--- a/node/surveying.go
+++ b/node/surveying.go
@@ -208,7 +208,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.outlook.Failed(hall, box) {
-		s.entry.common.Log.Warn("nobody tells of hall", "hall", hall, "peer", box, "err", err)
+		s.entry.common.Log.Warn("no peer reports on hall, watching its targets directly", "hall", hall, "peer", box, "err", err)
 	}
 }
 
@@ -218,7 +218,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.outlook.Answered(hall, box) {
-		s.entry.common.Log.Info("peer tells of hall", "hall", hall, "peer", box, "targets", len(r.Targets))
+		s.entry.common.Log.Info("hall watched through peer", "hall", hall, "peer", box, "targets", len(r.Targets))
 	}
 	if hall == s.hall() {
 		s.hubAt = time.Time{}
--- a/node/view.go
+++ b/node/view.go
@@ -36,7 +36,7 @@
 	moved, err := v.holder.Offer(raw, at, platform.DecodeConfiguration)
 	switch {
 	case err != nil:
-		v.common.Log.Error("configuration not taken", "at", at, "source", source, "in_force", before.Version, "err", err)
+		v.common.Log.Error("configuration rejected, the one before stays in force", "at", at, "source", source, "in_force", before.Version, "err", err)
 	case moved:
 		c := v.holder.Current()
 		v.common.Metrics.Count(telemetry.ConfigApplied, source, 1)
@@ -121,7 +121,7 @@
 func (v *view) decodeTarget(n membership.News, r store.Record) membership.News {
 	t, err := platform.DecodeTarget(r)
 	if err != nil {
-		v.common.Log.Error("target not taken", "target", r.Name, "at", r.At, "err", err)
+		v.common.Log.Error("target entry rejected", "target", r.Name, "at", r.At, "err", err)
 		n.Unusable = true
 		return n
 	}
