--- a/local/restore_test.go
+++ b/local/restore_test.go
@@ -63,6 +63,7 @@
 	{name: "one answer in a hundred states a damaged era", lost: 6, away: time.Second, header: damagedEras()},
 	{name: "half of the boxes are cut off from the store", lost: 6, away: time.Second, alone: true},
 	{name: "watches of the configuration go silent", lost: 6, held: true, boxes: 12},
+	{name: "forty boxes, in halls with hubs", lost: 6, away: time.Second, boxes: 40},
 	{name: "a box starts as the store comes back", lost: 6, away: time.Second, starts: true},
 }
 
@@ -85,7 +86,7 @@
 
 // callsMost bounds the calls of a box within the bound of a configuration, with several changes,
 // refusals and listings in it. One that asks without a pause makes hundreds.
-const callsMost = 60
+const callsMost = 20
 
 // storeTakes is how long an answer of the store takes.
 const storeTakes = 4 * time.Millisecond
