--- a/catalog/route.go
+++ b/catalog/route.go
@@ -8,7 +8,7 @@
 	"clovertrail.dev/core/fault"
 )
 
-// Kind reports what may be repeated of a route's requests.
+// Kind states what may be repeated of a route's requests.
 type Kind int
 
 // The kinds of route.
@@ -60,7 +60,7 @@
 	Backends  []Backend
 }
 
-// Route reports how requests for a host and the beginning of a path are served.
+// Route states how requests for a host and the beginning of a path are served.
 type Route struct {
 	f     RouteFields
 	total float64 // of the weights
@@ -99,7 +99,7 @@
 // Name is the operator's name for the route.
 func (r Route) Name() string { return r.f.Name }
 
-// Kind reports what may be repeated.
+// Kind states what may be repeated.
 func (r Route) Kind() Kind { return r.f.Kind }
 
 // Timeout is how long a request may be held before its final answer.
--- a/cmd/clovertrail-soak/main.go
+++ b/cmd/clovertrail-soak/main.go
@@ -81,7 +81,7 @@
 		if res.err != nil {
 			return res.err
 		}
-		if tell(res.report) {
+		if show(res.report) {
 			broken++
 		}
 	}
@@ -92,8 +92,8 @@
 	return nil
 }
 
-// tell prints a report, and reports whether a promise was broken.
-func tell(r soak.Report) bool {
+// show prints a report, and returns whether a promise was broken.
+func show(r soak.Report) bool {
 	fmt.Printf("seed %d: %d requests, %d served, %d acts, %d violations\n", r.Seed, r.Asked, r.Served, len(r.Acts), len(r.Violations))
 	for _, x := range r.Limits {
 		fmt.Println("  ", x)
--- a/core/call/answer.go
+++ b/core/call/answer.go
@@ -55,7 +55,7 @@
 	AtFault domain.ListedID // the target that is to blame for a failure, if it says
 	// Again is when the target asks to be sent something again; zero if it does not.
 	Again time.Time
-	// Leaving reports that the target reports that it is leaving. It serves what it has.
+	// Leaving reports whether the target announces that it is leaving. It serves what it has.
 	Leaving bool
 	// Limit is how much the target reports that it takes; nil if that cannot be read.
 	Limit Limit
--- a/core/call/limit.go
+++ b/core/call/limit.go
@@ -8,10 +8,10 @@
 // Limit is what a target states about how many requests it takes from all boxes together.
 type Limit interface{ limit() }
 
-// Unlimited reports that the target takes what it is sent.
+// Unlimited means that the target takes what it is sent.
 type Unlimited struct{}
 
-// Limited reports that the target takes so many requests a second, for as long as it reports it.
+// Limited means that the target takes so many requests a second, for as long as it reports it.
 type Limited struct{ PerSecond float64 }
 
 // limitMost is more than any target takes. It keeps a number that was garbled on its way within
--- a/core/domain/instance.go
+++ b/core/domain/instance.go
@@ -56,7 +56,7 @@
 	return Born(n)
 }
 
-// Speaks reports whether news of a process that reports that it was born then may be of this start.
+// Speaks reports whether news of a process that was born then may be of this start.
 // One that does not state it is taken for it, as its id alone shows no more.
 func (id InstanceID) Speaks(born Born) bool {
 	return born == 0 || id.Born() == 0 || born == id.Born()
--- a/local/system.go
+++ b/local/system.go
@@ -39,7 +39,7 @@
 	Targets int // that stand alone, dealt out over the halls
 	// Group is the group of ranks, dealt out over the halls; nil for none.
 	Group *standin.GroupShape
-	// Link is what the boxes of ranks are configured to believe that their links carry, in Mbit/s; 0 for
+	// Link is what the boxes of ranks are configured with as the rate of their links, in Mbit/s; 0 for
 	// plenty.
 	Link float64
 	// Keys are by organisation.
--- a/membership/asked.go
+++ b/membership/asked.go
@@ -21,7 +21,7 @@
 	}
 }
 
-// Leaves takes that the target reports that it is leaving, to this box or to another. It tells
+// Leaves takes that the target reports that it is leaving, to this box or to another. It reports
 // whether that was news: the list may have reported it before.
 func (r *Roster) Leaves(now time.Time, id domain.InstanceID) bool {
 	e, ok := r.of(id)
--- a/membership/outlook.go
+++ b/membership/outlook.go
@@ -7,7 +7,7 @@
 )
 
 // Outlook decides from whom a box learns how targets do. Those of its own data hall it
-// asks itself. Of another hall it asks one entry box there, which reports all targets
+// asks itself. Of another hall it asks one entry box there, which reports on all targets
 // of that hall at once; only a target of which that box has no fresh report is asked
 // itself. So the bytes between halls do not grow with boxes times targets.
 //
@@ -16,14 +16,14 @@
 	own      domain.HallName
 	role     Role
 	halls    map[domain.HallName]*outpost
-	received map[domain.InstanceID]time.Time // when a target was heard last, by another box
+	received map[domain.InstanceID]time.Time // when another box last received a report of a target
 }
 
 // outpost is the entry box that reports on a hall.
 type outpost struct {
 	box        domain.BoxID // that answered last; empty if none does
 	failed     domain.BoxID // that did not answer last; empty if the last one did
-	receivedAt time.Time    // when a target of the hall was heard last, by another box
+	receivedAt time.Time    // when another box last received a report of a target of the hall
 }
 
 // NewOutlook returns the outlook of a box in the hall.
@@ -65,7 +65,7 @@
 	return moved
 }
 
-// Failed takes that the box did not report its hall. The result reports that it was the
+// Failed takes that the box did not report on its hall. The result reports that it was the
 // one that reported until now.
 func (o *Outlook) Failed(h domain.HallName, box domain.BoxID) bool {
 	p := o.outpost(h)
@@ -88,7 +88,7 @@
 func (o *Outlook) Become(r Role) { o.role = r }
 
 // Asks reports whether this box is to ask the target itself: it stands in the own hall and
-// no hub asks it, nobody reports its hall, or who does has received nothing of it for so long. A
+// no hub asks it, nobody reports on its hall, or who does has received nothing of it for so long. A
 // follower whose hub is lost does not ask at once: another hub reports meanwhile, and
 // all followers of a hall would ask all targets.
 func (o *Outlook) Asks(now time.Time, h domain.HallName, id domain.InstanceID, old time.Duration) bool {
--- a/membership/roster.go
+++ b/membership/roster.go
@@ -93,7 +93,7 @@
 // Roster is the set of targets as one entry box sees it, each named by its
 // instance. It merges the platform's list, what other boxes report about the list, what
 // targets report about themselves, and how attempts end. News of a listed id is ordered by
-// when the start was born that it speaks of and, within one start, by positions of the
+// when the start was born to which it belongs and, within one start, by positions of the
 // store, so that it does not matter from whom and in which order it comes: an entry
 // that a start wrote and that reaches the store late reports nothing about the next one. It
 // is not safe for concurrent use.
@@ -198,7 +198,7 @@
 	return []News{n}
 }
 
-// before reports that what is known comes before the news: that speaks of a later start, or
+// before reports that what is known comes before the news: that is of a later start, or
 // of the same at a later position. The entry of an earlier start that reached the store
 // late is passed over.
 func (e *entry) before(n News) bool {
@@ -251,7 +251,7 @@
 // CaughtUp records that all changes up to the position have been taken.
 func (r *Roster) CaughtUp(at store.Position) { r.at = store.Later(r.at, at) }
 
-// Reported takes a target's own report, spoken at the time, of its place in a group, of
+// Reported takes a target's own report, made at the time, of its place in a group, of
 // the last step that the group has begun, and of whether it has requests to work on. It
 // reports whether that was news: reports may come through other boxes, and late.
 func (r *Roster) Reported(at time.Time, id domain.InstanceID, own domain.Rank, step uint64, working bool) bool {
--- a/membership/standing.go
+++ b/membership/standing.go
@@ -100,7 +100,7 @@
 // gone reports that the target is not listed, and is not to be used any more either.
 func (e *entry) gone(now time.Time) bool { return !e.goneAt.IsZero() && !now.Before(e.grace) }
 
-// muted reports that the target used to speak for itself and does no more, as on a box
+// muted reports whether the target used to report about itself and does no more, as on a box
 // that stands still: requests to it would be accepted and not answered.
 func (r *Roster) muted(now time.Time, e *entry) bool {
 	return !e.ownAt.IsZero() && now.Sub(e.ownAt) > r.policy.MutedAfter && r.heardAt.Sub(e.ownAt) > r.policy.MutedAfter
--- a/mesh/messages.go
+++ b/mesh/messages.go
@@ -49,7 +49,7 @@
 	Hall domain.HallName `json:"hall,omitempty"`
 }
 
-// Advert is what an entry box reports itself and of others.
+// Advert is what an entry box reports about itself and others.
 type Advert struct {
 	Self    Contact         `json:"self"`
 	Hall    domain.HallName `json:"hall"`
@@ -219,7 +219,7 @@
 	Running int              `json:"running"`
 	Waiting int              `json:"waiting"`
 	Pace    float64          `json:"pace"`
-	// Leaving reports that the engine reports that it is leaving.
+	// Leaving reports whether the engine announces that it is leaving.
 	Leaving bool `json:"leaving,omitempty"`
 	// Picked is how often each expert was chosen by this rank's requests since the
 	// asker asked last; only where Read asks, and missing if that is not known.
--- a/node/adverts.go
+++ b/node/adverts.go
@@ -70,7 +70,7 @@
 	return membership.Share{Boxes: w.Boxes, Apart: w.Apart, Settled: w.Settled}
 }
 
-// failure reports are what boxes report against targets, to be passed on.
+// failureReports are what boxes report against targets, to be passed on.
 func (p *peering) failureReports(now time.Time) []mesh.FailureReport {
 	var list []mesh.FailureReport
 	p.entry.fleet.with(func(r *membership.Roster, _ *routing.Balancer) {
@@ -81,7 +81,7 @@
 	return list
 }
 
-// takeFailureReports takes what other boxes hold against targets.
+// takeFailureReports takes what other boxes report against targets.
 func (p *peering) takeFailureReports(now time.Time, list []mesh.FailureReport) {
 	if len(list) == 0 {
 		return
--- a/node/budgets.go
+++ b/node/budgets.go
@@ -27,7 +27,7 @@
 	return &budgets{bounds: b, boxes: 1, purses: map[domain.ServiceName]*retry.Budget{}}
 }
 
-// setBoxes reports how many boxes share the budget.
+// setBoxes sets how many boxes share the budget.
 func (b *budgets) setBoxes(n int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/node/quarantining.go
+++ b/node/quarantining.go
@@ -75,7 +75,7 @@
 	q.take(now, quarantine.Observation{Digest: d, At: now}, sourceOwn)
 }
 
-// take takes a report from the source, logs what it changes, and sees to it that others hear.
+// take takes a report from the source, logs what it changes, and sees to it that others are notified.
 func (q *quarantining) take(now time.Time, w quarantine.Observation, source string) {
 	q.mu.Lock()
 	change := q.register.Take(now, w)
--- a/node/rank/reading.go
+++ b/node/rank/reading.go
@@ -21,7 +21,7 @@
 // change of such a group takes longer, and each answer of an engine is large.
 const relayedPicks = 200 * time.Millisecond
 
-// errNotRelayed reports that a relay did not hear the rank.
+// errNotRelayed reports that a relay received nothing of the rank.
 var errNotRelayed = errors.New("its relay did not hear it")
 
 // readRanks reads the ranks that are wanted and not being read already.
--- a/node/surveying.go
+++ b/node/surveying.go
@@ -58,7 +58,7 @@
 	return r, nil
 }
 
-// follows reports how to find out whether this box follows the store and is answered.
+// follows sets how to find out whether this box follows the store and is answered.
 func (s *surveying) follows(well func() bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -170,7 +170,7 @@
 		if s.surveys(hall) {
 			s.ask(ctx, hall)
 		} else {
-			pause = s.old() / 2 // a look whether the hubs still report the hall
+			pause = s.old() / 2 // a look whether the hubs still report on the hall
 		}
 		clock.SleepUntil(ctx, clock.Now().Add(pause))
 	}
--- a/node/telling/doc.go
+++ b/node/telling/doc.go
@@ -1,4 +1,4 @@
-// Package telling keeps what the agents of a group notify each other short: a map as what
+// Package telling keeps messages between the agents of a group short: a map as what
 // changed since one that was sent before, the counts of chosen experts as what came since
 // they were sent last, and both by way of relays where a group is large.
 //
