A box that is cut off from the other halls writes quarantines again after a restore

A box that hears no other hall reads the quarantines each second, and that came before the question whether the store was restored, which was never asked then: it did not write again what the store had lost. The way 'halls are cut from each other' of TestQuarantinesAreWrittenAgainAfterARestore failed before (not written again, two targets ran the work); now it passes.

--- a/local/restore_test.go
+++ b/local/restore_test.go
@@ -263,7 +263,11 @@
 		name     string
 		kills    bool // the box that found the work dies before the restore
 		restores int
-	}{{"all boxes live", false, 1}, {"the box that found it has died", true, 1}, {"twice", false, 2}} {
+		cut      bool // halls lose each other before the restore
+	}{
+		{"all boxes live", false, 1, false}, {"the box that found it has died", true, 1, false},
+		{"twice", false, 2, false}, {"halls are cut from each other", false, 1, true},
+	} {
 		t.Run(tc.name, func(t *testing.T) {
 			sc := busy()
 			sc.seed, sc.length, sc.paths, sc.fatal = 1, 24*time.Second, []string{"/again/y"}, fatal
@@ -279,6 +283,10 @@
 				if tc.kills {
 					e.Kill()
 				}
+				if tc.cut {
+					cutHalls(s)
+					time.Sleep(6 * time.Second) // until boxes count as cut off
+				}
 				for range tc.restores {
 					s.Store.Restore(held)
 					before := s.Store.Calls()
--- a/node/quarantining.go
+++ b/node/quarantining.go
@@ -166,7 +166,7 @@
 	look := time.NewTicker(lookEvery)
 	defer look.Stop()
 	for {
-		if !loaded || q.apart() || q.toCompare() {
+		if compare := q.toCompare(); compare || !loaded || q.apart() {
 			loaded = q.load(ctx, s) || loaded
 		}
 		q.keepAll(ctx, s)
