quarantine: a retry in a common end of targets counts once

Cause: each end counted, although ends that many works share at one moment are one piece of evidence. Ends that have a common cause and whose target lost other works too now count once within a second. Ruled out: a higher number of weak ends, with which a request that crashes its targets would end more of them.

--- a/quarantine/register.go
+++ b/quarantine/register.go
@@ -83,8 +83,14 @@
 	// common states that other targets ended at about the same time, so that the cause is probably
 	// not the work.
 	common bool
+	// shared states that the target ran other works too as it ended.
+	shared bool
 }
 
+// weak reports whether the end says little about the work: other targets ended at about the same time, and
+// other works were lost with this target.
+func (e end) weak() bool { return e.common && e.shared }
+
 // Register holds a box's observations of works under which targets ended. It is not safe for
 // concurrent use.
 type Register struct {
@@ -95,7 +101,7 @@
 
 // NewRegister returns an empty register.
 func NewRegister() *Register {
-	return &Register{works: map[call.Digest]*work{}, served: recentlyServed{at: map[call.Digest]time.Time{}}, recent: recentEnds{at: map[domain.InstanceID]time.Time{}}}
+	return &Register{works: map[call.Digest]*work{}, served: recentlyServed{at: map[call.Digest]time.Time{}}, recent: newRecentEnds()}
 }
 
 // Observe adds an observation of this box, of another box or of the store.
@@ -225,10 +231,32 @@
 	if alone < minEnded || !w.served.IsZero() && last.Sub(w.served) < servedWindow {
 		need = minEndedWeak
 	}
-	if len(w.ended) < need {
+	evidence := w.evidence()
+	if evidence < need {
 		return time.Time{}
 	}
-	return last.Add(term(len(w.ended) - need))
+	return last.Add(term(evidence - need))
+}
+
+// evidence counts the ends that speak against the work. Weak ends within commonWindow of each other count
+// once: a request that is retried while a rack loses power meets several targets that end.
+func (w *work) evidence() int {
+	var weak []time.Time
+	for _, e := range w.ended {
+		if e.weak() {
+			weak = append(weak, e.at)
+		}
+	}
+	count := len(w.ended) - len(weak)
+	slices.SortFunc(weak, time.Time.Compare)
+	var first time.Time // of the ends that count once
+	for _, at := range weak {
+		if first.IsZero() || at.Sub(first) > commonWindow {
+			first = at
+			count++
+		}
+	}
+	return count
 }
 
 // term returns the duration of a quarantine; further is the number of ended targets in excess of
--- a/quarantine/register_test.go
+++ b/quarantine/register_test.go
@@ -315,3 +315,23 @@
 		}
 	}
 }
+
+// TestWorkInSeparateCommonEndsIsQuarantined guards against weak evidence that never adds up: a request that
+// crashes its targets while racks lose power must still be quarantined, once it was at four such ends.
+func TestWorkInSeparateCommonEndsIsQuarantined(t *testing.T) {
+	r := quarantine.NewRegister()
+	for rack := range 4 {
+		at := time.Duration(rack) * 3 * time.Second
+		if _, q := r.QuarantinedUntil(begin.Add(at), fatal); q {
+			t.Errorf("in quarantine after %d racks, want four", rack)
+		}
+		observe(r, ended(fatal, fmt.Sprintf("f-%d", rack), at))
+		for n := range 4 {
+			observe(r, ended(call.Digest(fmt.Sprintf("other-%d", n)), fmt.Sprintf("f-%d", rack), at))
+			observe(r, ended(call.Digest(fmt.Sprintf("lost-%d", n)), fmt.Sprintf("t-%d-%d", rack, n), at))
+		}
+	}
+	if _, q := r.QuarantinedUntil(begin.Add(9*time.Second), fatal); !q {
+		t.Error("not in quarantine after it was at the end of four racks")
+	}
+}
