membership: a subset has ranks of every group

Of 1,000 boxes 30 followed ranks of 11 of 12 groups (TestSubsetHasRanksOfEveryGroup). Cause: the subset was a share of all targets by a hash of each. A follower asks with a new field, so that hubs of earlier versions report on all targets instead of other ones.

Ruled out: a window of adjacent ranks, which are often in one hall.

--- a/bench/slopes.go
+++ b/bench/slopes.go
@@ -88,7 +88,7 @@
 
 // targetStatusBytes returns the size of a box's message on the statuses of the targets in its hall.
 func targetStatusBytes(targets int) float64 {
-	return encodedSize(statuses(targets).Latest(startTime.Add(150*time.Millisecond), distribution.Hall, membership.NewSubset("", 1)))
+	return encodedSize(statuses(targets).Latest(startTime.Add(150*time.Millisecond), distribution.Hall, nil))
 }
 
 func statuses(targets int) *distribution.TargetStatuses {
@@ -101,10 +101,27 @@
 	return s
 }
 
+// ranks returns targets in groups of a hundred ranks.
+func ranks(targets int) []domain.Target {
+	const size = 100
+	list := make([]domain.Target, targets)
+	for i := range list {
+		t, err := domain.NewTarget(domain.TargetFields{
+			ID: instance(i), Service: "service", Address: "10.1.0.40:8000", Hall: "hall-1", State: domain.TargetReady,
+			Rank: &domain.Rank{Group: domain.GroupName(fmt.Sprint("group-", i/size)), Number: i % size, Size: size},
+		})
+		if err != nil {
+			panic(err) // the fields are constant
+		}
+		list[i] = t
+	}
+	return list
+}
+
 // followerBytes returns the size of a hub's message on 576 targets to a follower in a fleet of the given number of boxes.
 func followerBytes(boxes int) float64 {
 	const targets = 576
-	return encodedSize(statuses(targets).Latest(startTime.Add(150*time.Millisecond), distribution.All, membership.NewSubset("entry-hall-7", boxes)))
+	return encodedSize(statuses(targets).Latest(startTime.Add(150*time.Millisecond), distribution.All, membership.NewSubset("entry-hall-7", boxes).Select(ranks(targets))))
 }
 
 // pullBytes returns the size of the reply to a box that lacks the last change of a list.
--- a/membership/hall_reporters.go
+++ b/membership/hall_reporters.go
@@ -99,10 +99,11 @@
 // received by another box is older than maxAge. A follower does not query targets at once when its
 // hub is lost: another hub reports in the meantime, and otherwise all followers of a hall would
 // query all targets.
-func (r *HallReporters) ShouldQueryTarget(now time.Time, h domain.HallName, id domain.InstanceID, maxAge time.Duration) bool {
+func (r *HallReporters) ShouldQueryTarget(now time.Time, t domain.Target, maxAge time.Duration) bool {
+	h, id := t.Hall(), t.ID()
 	age := now.Sub(r.received[id])
 	switch {
-	case r.role == Follower && !r.subset.Has(id):
+	case r.role == Follower && !r.subset.Has(t):
 		return false
 	case r.role == Hub && h == r.own && r.share != nil && !r.share.Queries(id):
 		return age > maxAge // other hubs query it
--- a/membership/hall_reporters_test.go
+++ b/membership/hall_reporters_test.go
@@ -50,7 +50,7 @@
 		t.Run(name, func(t *testing.T) {
 			r := membership.NewHallReporters("near")
 			tt.events(r)
-			if got := r.ShouldQueryTarget(start.Add(maxAge/2), tt.hall, "t", maxAge); got != tt.want {
+			if got := r.ShouldQueryTarget(start.Add(maxAge/2), targetIn(tt.hall, "t"), maxAge); got != tt.want {
 				t.Errorf("queries the target: %v, want %v", got, tt.want)
 			}
 		})
@@ -116,7 +116,7 @@
 				r.Failed("near", "hub")
 			}
 			now := start.Add(tt.after)
-			if near, far := r.ShouldQueryTarget(now, "near", "t", maxAge), r.ShouldQueryTarget(now, "far", "u", maxAge); near != tt.near || far != tt.far {
+			if near, far := r.ShouldQueryTarget(now, targetIn("near", "t"), maxAge), r.ShouldQueryTarget(now, targetIn("far", "u"), maxAge); near != tt.near || far != tt.far {
 				t.Errorf("queries targets: near %v, far %v", near, far)
 			}
 			if farBoxes, nearBoxes := r.ShouldQueryPeer(now, "far", maxAge), r.ShouldQueryPeer(now, "near", maxAge); farBoxes != tt.farBoxes || nearBoxes != tt.nearBoxes {
@@ -134,10 +134,21 @@
 	r.Answered("far", "b")
 	r.Received("near", "t", start)
 	r.Received("far", "u", start)
-	if !r.ShouldQueryTarget(start, "near", "t", maxAge) || r.ShouldQueryTarget(start, "far", "u", maxAge) {
+	if !r.ShouldQueryTarget(start, targetIn("near", "t"), maxAge) || r.ShouldQueryTarget(start, targetIn("far", "u"), maxAge) {
 		t.Error("the hub must query the targets of its own hall only")
 	}
 	if r.ShouldQueryPeer(start, "near", maxAge) || !r.ShouldQueryPeer(start, "far", maxAge) {
 		t.Error("the hub must query boxes of other halls only")
 	}
 }
+
+// targetIn returns a target of the data hall that belongs to no group.
+func targetIn(hall domain.HallName, id string) domain.Target {
+	f := target(id, domain.TargetReady, nil).Fields()
+	f.Hall = hall
+	t, err := domain.NewTarget(f)
+	if err != nil {
+		panic(err)
+	}
+	return t
+}
--- a/membership/hub_share_test.go
+++ b/membership/hub_share_test.go
@@ -108,10 +108,10 @@
 		id := domain.InstanceID(fmt.Sprint("t-", i))
 		r.Received("near", id, start)
 		own := share.Queries(id)
-		if r.ShouldQueryTarget(start.Add(maxAge/2), "near", id, maxAge) != own {
+		if r.ShouldQueryTarget(start.Add(maxAge/2), targetIn("near", string(id)), maxAge) != own {
 			t.Errorf("%s, reported by another hub lately: queried %v, want %v", id, !own, own)
 		}
-		if !r.ShouldQueryTarget(start.Add(2*maxAge), "near", id, maxAge) {
+		if !r.ShouldQueryTarget(start.Add(2*maxAge), targetIn("near", string(id)), maxAge) {
 			t.Errorf("%s is queried by no hub, as the last report of it is old", id)
 		}
 	}
--- a/membership/subset_test.go
+++ b/membership/subset_test.go
@@ -25,9 +25,8 @@
 			s := membership.NewSubset(domain.BoxID(fmt.Sprintf("front-hall-%d", b)), tc.boxes)
 			size, inGroup := 0, map[int]int{}
 			for i := range tc.targets {
-				id := fmt.Sprintf("i-%010x@1764720000123", i*2654435761)
-				if s.Has(domain.InstanceID(id)) {
-					considered[id]++
+				if x := rankOf(i, ranks); s.Has(x) {
+					considered[string(x.ID())]++
 					inGroup[i/ranks]++
 					size++
 				}
@@ -56,7 +55,7 @@
 		s := membership.NewSubset(domain.BoxID(fmt.Sprintf("front-hall-%d", b)), boxes)
 		inGroup := map[int]bool{}
 		for i := range groups * ranks {
-			if s.Has(domain.InstanceID(fmt.Sprintf("i-%010x@1764720000123", i*2654435761))) {
+			if s.Has(rankOf(i, ranks)) {
 				inGroup[i/ranks] = true
 			}
 		}
@@ -65,3 +64,9 @@
 		}
 	}
 }
+
+// rankOf returns the i-th target of groups of the given number of ranks.
+func rankOf(i, ranks int) domain.Target {
+	id := fmt.Sprintf("i-%010x@1764720000123", i*2654435761)
+	return *target(id, domain.TargetReady, &domain.Rank{Group: domain.GroupName(fmt.Sprint("g-", i/ranks)), Number: i % ranks, Size: ranks})
+}
--- a/mesh/messages.go
+++ b/mesh/messages.go
@@ -222,17 +222,18 @@
 	// Own requests only the status of targets that the box queries itself. Hubs of one hall set it, which
 	// share the targets of the hall.
 	Own bool `json:"own,omitempty"`
-	// Box and Share request only the targets in the subset of the requesting box; Share is 0 for all.
-	Box   domain.BoxID `json:"box,omitempty"`
-	Share float64      `json:"share,omitempty"`
+	// Box and RankShare request only the targets in the subset of the requesting box; RankShare is 0 for
+	// all. Boxes of earlier versions, which chose subsets by target, report on all targets.
+	Box       domain.BoxID `json:"box,omitempty"`
+	RankShare float64      `json:"ranks,omitempty"`
 }
 
 // Subset returns the targets that the query is about.
 func (q *HallQuery) Subset() membership.Subset {
-	if q.Share <= 0 || q.Share > 1 {
+	if q.RankShare <= 0 || q.RankShare > 1 {
 		return membership.Subset{Box: q.Box, Share: 1}
 	}
-	return membership.Subset{Box: q.Box, Share: q.Share}
+	return membership.Subset{Box: q.Box, Share: q.RankShare}
 }
 
 // HallReport contains the status of targets as received by an entry box.
--- a/node/distribution/target_statuses.go
+++ b/node/distribution/target_statuses.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"clovertrail.dev/core/domain"
-	"clovertrail.dev/membership"
 	"clovertrail.dev/mesh"
 )
 
@@ -90,9 +89,9 @@
 	}
 }
 
-// Latest returns the stored statuses of the scope and of targets in the subset with their ages, for
-// another box.
-func (s *TargetStatuses) Latest(now time.Time, scope Scope, subset membership.Subset) *mesh.HallReport {
+// Latest returns the stored statuses of the scope with their ages, for another box: those of the given
+// targets, or all if targets is nil.
+func (s *TargetStatuses) Latest(now time.Time, scope Scope, targets map[domain.InstanceID]bool) *mesh.HallReport {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	out := &mesh.HallReport{}
@@ -102,7 +101,7 @@
 			delete(s.statuses, id)
 			continue
 		}
-		if x.source > scope || !subset.Has(id) {
+		if x.source > scope || targets != nil && !targets[id] {
 			continue
 		}
 		w := x.status
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -28,7 +28,7 @@
 	balancer       *routing.Balancer
 	gate           *admission.Gate
 	limits         *ratelimit.Register
-	subset         membership.Subset                         // ranks that this box prefers
+	subset         map[domain.InstanceID]bool                // targets that this box prefers; nil for all
 	lastRequestAt  map[domain.ServiceName]time.Time          // by service: when a target was last requested
 	coldRates      map[domain.ServiceName]float64            // by service: requests a second that a cold target takes; without services that have no such rate
 	onFailure      func()                                    // called after a failure of a target that other boxes are to be notified of
@@ -53,7 +53,6 @@
 		witness:        func(domain.Target) string { return "" },
 		balancer:       routing.NewBalancer(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		gate:           admission.NewGate(),
-		subset:         membership.NewSubset(self, 1),
 		limits:         ratelimit.NewRegister(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		onLimitChanged: func(ratelimit.Report, string) {},
 		requestPermit:  func(context.Context, domain.ServiceName, []domain.InstanceID) domain.InstanceID { return "" },
@@ -80,14 +79,29 @@
 			options = append(options, o)
 		}
 	}
-	return routing.InSubset(options, f.subset.Has)
+	if f.subset == nil {
+		return options
+	}
+	return routing.InSubset(options, func(id domain.InstanceID) bool { return f.subset[id] })
 }
 
-// setSubset sets the ranks that this box prefers.
+// setSubset sets the targets that this box prefers.
 func (f *fleet) setSubset(s membership.Subset) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.subset = s
+	if f.subset = nil; !s.All() {
+		f.subset = s.Select(f.roster.Ranks())
+	}
+}
+
+// selectRanks returns the ranks in the subset; nil for all targets.
+func (f *fleet) selectRanks(s membership.Subset) map[domain.InstanceID]bool {
+	if s.All() {
+		return nil
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return s.Select(f.roster.Ranks())
 }
 
 // updateCold passes on that the target is cold, if its service has a rate for cold targets. mu is held.
--- a/node/hall_poller.go
+++ b/node/hall_poller.go
@@ -56,7 +56,7 @@
 
 // report implements mesh.QueryHall.
 func (p *hallPoller) report(_ context.Context, q *mesh.HallQuery) (*mesh.HallReport, error) {
-	r := p.statuses.Latest(clock.Now(), distribution.ScopeOf(q), q.Subset())
+	r := p.statuses.Latest(clock.Now(), distribution.ScopeOf(q), p.entry.fleet.selectRanks(q.Subset()))
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	follows := p.storeHealthy != nil && p.storeHealthy() || p.storeFollowed()
@@ -224,7 +224,7 @@
 	defer p.mu.Unlock()
 	out := map[domain.InstanceID]bool{}
 	for _, t := range ranks {
-		if p.reporters.ShouldQueryTarget(now, t.Hall(), t.ID(), maxAge) {
+		if p.reporters.ShouldQueryTarget(now, t, maxAge) {
 			out[t.ID()] = true
 		}
 	}
@@ -317,7 +317,7 @@
 	defer p.mu.Unlock()
 	q := &mesh.HallQuery{All: hall == p.hall()}
 	if p.role == membership.Follower && !p.subset.All() {
-		q.Box, q.Share = p.subset.Box, p.subset.Share
+		q.Box, q.RankShare = p.subset.Box, p.subset.Share
 	}
 	return q
 }
