--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -4,6 +4,7 @@
 	"strings"
 
 	"clovertrail.dev/core/domain"
+	"clovertrail.dev/core/urgency"
 )
 
 // Version is the operator's number of a configuration. It never decreases, and may skip numbers.
@@ -24,6 +25,7 @@
 	hosts    map[string]map[string]Route // by host, then by prefix
 	services map[domain.ServiceName]Service
 	byKey    map[string]Organisation
+	classes  map[domain.ServiceName]urgency.Classes
 	limits   Limits
 }
 
@@ -46,13 +48,54 @@
 		c.services[s.Name] = s
 	}
 	for _, o := range d.Organisations {
+		if o.Priority < 0 {
+			o.Priority = urgency.DefaultPriority
+		}
 		if err := c.addOrganisation(o); err != nil {
 			return nil, err
 		}
 	}
+	c.classes = c.classesByService()
 	return c, nil
 }
 
+// classesByService returns the classes of each service, from the priorities of its routes and of the
+// organisations that may use them.
+func (c *Catalog) classesByService() map[domain.ServiceName]urgency.Classes {
+	organisations := map[int]bool{}
+	for _, o := range c.byKey {
+		organisations[o.Priority] = true
+	}
+	pairs := map[domain.ServiceName][]urgency.Priorities{}
+	for _, byPrefix := range c.hosts {
+		for _, r := range byPrefix {
+			for _, b := range r.f.Backends {
+				for p := range organisations {
+					pairs[b.Service] = append(pairs[b.Service], urgency.Priorities{Organisation: p, Route: r.Priority()})
+				}
+				if r.Public() {
+					pairs[b.Service] = append(pairs[b.Service], urgency.Priorities{Organisation: urgency.DefaultPriority, Route: r.Priority()})
+				}
+			}
+		}
+	}
+	classes := map[domain.ServiceName]urgency.Classes{}
+	for svc, list := range pairs {
+		classes[svc] = urgency.NewClasses(list)
+	}
+	return classes
+}
+
+// Class returns the urgency of a request of the organisation on the route that goes to the service. A
+// request without an organisation has the default priority.
+func (c *Catalog) Class(svc domain.ServiceName, r Route, o Organisation) urgency.Class {
+	p := urgency.Priorities{Organisation: o.Priority, Route: r.Priority()}
+	if o.Name == "" {
+		p.Organisation = urgency.DefaultPriority
+	}
+	return c.classes[svc].Of(p)
+}
+
 func (c *Catalog) addRoute(r Route) error {
 	byPrefix, ok := c.hosts[r.f.Host]
 	if !ok {
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -236,3 +236,42 @@
 		}
 	}
 }
+
+// TestClassesOfAService guards against classes that count priorities of other services, or that put a request without a
+// priority before all others.
+func TestClassesOfAService(t *testing.T) {
+	newRoute := func(name, svc string, priority int, public bool) catalog.Route {
+		r, err := catalog.NewRoute(catalog.RouteFields{
+			Name: name, Host: "a.example", Prefix: "/" + name + "/", Kind: catalog.Repeatable, Timeout: time.Second, Priority: priority,
+			Public: public, Backends: []catalog.Backend{{Service: domain.ServiceName(svc), Weight: 1}},
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return r
+	}
+	urgent, usual, other, missing := newRoute("urgent", "s", 0, false), newRoute("usual", "s", 2, true), newRoute("other", "t", 7, false), newRoute("missing", "s", -1, false)
+	org := catalog.Organisation{Name: "o", Keys: []string{"k"}, Priority: 1}
+	c, err := catalog.New(catalog.Document{Routes: []catalog.Route{urgent, usual, other, missing}, Organisations: []catalog.Organisation{org}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, tc := range []struct {
+		name  string
+		svc   domain.ServiceName
+		route catalog.Route
+		org   catalog.Organisation
+		want  string
+	}{
+		{"most urgent route", "s", urgent, org, "0/4"},
+		{"less urgent route", "s", usual, org, "1/4"},
+		{"route without a priority", "s", missing, org, "2/4"},
+		{"public route without an organisation", "s", usual, catalog.Organisation{}, "3/4"},
+		{"only route of its service", "t", other, org, "0/1"},
+		{"unknown service", "u", other, org, "0/1"},
+	} {
+		if got := c.Class(tc.svc, tc.route, tc.org).String(); got != tc.want {
+			t.Errorf("%s: class %s, want %s", tc.name, got, tc.want)
+		}
+	}
+}
--- a/catalog/route.go
+++ b/catalog/route.go
@@ -6,6 +6,7 @@
 
 	"clovertrail.dev/core/domain"
 	"clovertrail.dev/core/fault"
+	"clovertrail.dev/core/urgency"
 )
 
 // Kind states how often a request of a route may run.
@@ -50,8 +51,9 @@
 	Timeout           time.Duration // maximum time from the arrival of a request to its final answer
 	LatencyObjective  time.Duration // time within which an answer, or a stream's first event, is due
 	EventGapObjective time.Duration // longest acceptable pause between events of a stream; 0 for none
-	Priority          int           // 0 is the most urgent
+	Priority          int           // 0 is the most urgent; a negative one counts as urgency.DefaultPriority
 	MaxAttempts       int           // number of targets that one request may be sent to
+	Patience          time.Duration // how long a caller waits for the next event of a stream before it leaves; 0 if unknown
 	Public            bool          // requests need no key
 	// Resumable states that another target may continue a stream after its last complete
 	// event.
@@ -78,6 +80,9 @@
 		return Route{}, invalid("timeout", "route %q: timeout %v is not positive", f.Name, f.Timeout)
 	}
 	f.MaxAttempts = max(f.MaxAttempts, 1)
+	if f.Priority < 0 {
+		f.Priority = urgency.DefaultPriority
+	}
 	r := Route{f: f}
 	for _, b := range f.Backends {
 		if b.Service == "" || b.Weight < 0 {
@@ -114,6 +119,10 @@
 // Priority returns the priority of the route's requests; 0 is the most urgent.
 func (r Route) Priority() int { return r.f.Priority }
 
+// Patience returns how long a caller waits for the next event of a stream, the first one included, before
+// it leaves; 0 if unknown.
+func (r Route) Patience() time.Duration { return r.f.Patience }
+
 // MaxAttempts returns the number of targets that one request may be sent to.
 func (r Route) MaxAttempts() int { return r.f.MaxAttempts }
 
--- a/catalog/service.go
+++ b/catalog/service.go
@@ -8,9 +8,11 @@
 
 // Organisation is a customer, identified by the keys of its requests.
 type Organisation struct {
-	Name     domain.OrganisationName
-	Keys     []string
-	Priority int // 0 is the most urgent; takes precedence over the route's priority
+	Name domain.OrganisationName
+	Keys []string
+	// Priority takes precedence over the route's; 0 is the most urgent, a negative one counts as
+	// urgency.DefaultPriority.
+	Priority int
 }
 
 // Limits bound the size of a caller's requests and the time to send them.
--- a/core/call/request.go
+++ b/core/call/request.go
@@ -5,6 +5,7 @@
 
 	"clovertrail.dev/core/domain"
 	"clovertrail.dev/core/fault"
+	"clovertrail.dev/core/urgency"
 )
 
 // ID identifies one request of a caller. A caller's retry is a request with another ID.
@@ -77,6 +78,8 @@
 	Instance domain.InstanceID
 	// Organisation is the organisation that the request belongs to; empty for none.
 	Organisation domain.OrganisationName
+	// Class is the urgency of the request.
+	Class urgency.Class
 	// Deadline is the time at which the target may stop working on the request.
 	Deadline time.Time
 	// LastEventID is the id of the last event that the caller received; empty for none.
--- a/gateway/delivery.go
+++ b/gateway/delivery.go
@@ -98,7 +98,8 @@
 	}
 	lease, err := d.g.deps.Fleet.Acquire(ctx, now, Query{
 		Service: d.req.service, Tried: d.tried, First: len(d.tried) == 0,
-		Route: d.req.route.Name(), LatencyObjective: d.req.route.LatencyObjective(), Deadline: d.req.deadline,
+		Route: d.req.route.Name(), Class: d.req.class, Organisation: d.req.org.Name,
+		LatencyObjective: d.req.route.LatencyObjective(), Deadline: d.req.deadline, LeavesAt: d.leavesAt(),
 	})
 	if err != nil {
 		f := fault.Find(err)
@@ -119,6 +120,19 @@
 	return cmd
 }
 
+// leavesAt returns when the caller leaves unless it has received an event by then.
+func (d *delivery) leavesAt() time.Time {
+	last := d.req.arrived
+	if d.events > 0 {
+		last = d.lastEventsAt
+	}
+	leaves := last.Add(d.req.route.Patience())
+	if d.req.route.Patience() == 0 || leaves.After(d.req.deadline) {
+		return d.req.deadline
+	}
+	return leaves
+}
+
 // finish sends the buffered failure response, unless a response was already sent to the caller.
 func (d *delivery) finish() {
 	if d.buffered != nil && !d.headSent {
@@ -129,7 +143,7 @@
 
 // attemptFields returns what the target of an attempt receives besides the caller's request.
 func (d *delivery) attemptFields(t domain.Target, resume bool) call.Attempt {
-	a := call.Attempt{Instance: t.ID(), Organisation: d.req.org.Name, Deadline: d.req.deadline}
+	a := call.Attempt{Instance: t.ID(), Organisation: d.req.org.Name, Class: d.req.class, Deadline: d.req.deadline}
 	if resume {
 		a.LastEventID = d.after
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"clovertrail.dev/core/clock"
 	"clovertrail.dev/core/domain"
 	"clovertrail.dev/core/fault"
+	"clovertrail.dev/core/urgency"
 	"clovertrail.dev/retry"
 	"clovertrail.dev/telemetry"
 	"clovertrail.dev/transport"
@@ -37,10 +38,14 @@
 	// lack of capacity.
 	First bool
 	Route string
+	// Class is the urgency of the request.
+	Class        urgency.Class
+	Organisation domain.OrganisationName
 	// LatencyObjective is the time within which the response has to begin to meet the route's objective.
 	LatencyObjective time.Duration
-	// Deadline is when the caller stops waiting.
-	Deadline time.Time
+	// Deadline is when the caller stops waiting for the end of the response. LeavesAt is when it leaves
+	// unless it has received an event by then; for other requests it is the deadline.
+	Deadline, LeavesAt time.Time
 }
 
 // Lease is the use of a target for one attempt. Release is called last, exactly once.
--- a/gateway/intake.go
+++ b/gateway/intake.go
@@ -12,6 +12,7 @@
 	"clovertrail.dev/core/call"
 	"clovertrail.dev/core/domain"
 	"clovertrail.dev/core/fault"
+	"clovertrail.dev/core/urgency"
 )
 
 // inboundRequest is a caller's request with its route, service and organisation. If a check of the
@@ -25,6 +26,7 @@
 	route    catalog.Route
 	service  domain.ServiceName
 	org      catalog.Organisation
+	class    urgency.Class
 	body     []byte
 	digest   call.Digest // empty until the body has been read
 }
@@ -71,6 +73,7 @@
 		return fault.New(fault.Unauthenticated, "route %s: no organisation has the key in configuration %d", route.Name(), c.Version())
 	}
 	req.service = route.SelectService(g.random())
+	req.class = c.Class(req.service, route, req.org)
 	req.deadline = req.arrived.Add(route.Timeout())
 	if d := req.Deadline(); !d.IsZero() && d.Before(req.deadline) {
 		req.deadline = d
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -13,7 +13,7 @@
 func (g *Gateway) logRefused(req *inboundRequest, err error) {
 	g.deps.Common.Metrics.CountRefusal(fault.KindOf(err))
 	g.deps.Common.Log.Warn("request refused", "request", req.ID(), "digest", req.digest, "route", req.route.Name(), "service", req.service,
-		"organisation", req.org.Name, "config", req.version, "kind", fault.KindOf(err), "err", err, "after", clock.Since(req.arrived))
+		"organisation", req.org.Name, "class", req.class, "config", req.version, "kind", fault.KindOf(err), "err", err, "after", clock.Since(req.arrived))
 }
 
 // logAttempt logs an attempt that did not end its request with a response, and counts a retry.
@@ -41,7 +41,7 @@
 	if kind == catalog.Stream {
 		m.Observe(telemetry.StreamPause, "", d.maxGap)
 	}
-	attrs := []any{"request", req.ID(), "digest", req.digest, "route", req.route.Name(), "organisation", req.org.Name,
+	attrs := []any{"request", req.ID(), "digest", req.digest, "route", req.route.Name(), "organisation", req.org.Name, "class", req.class,
 		"target", d.tried[len(d.tried)-1], "status", d.status, "attempts", d.machine.Attempts(), "events", d.events, "pause", d.maxGap,
 		"first", d.firstByteAt.Sub(req.arrived), "after", clock.Since(req.arrived)}
 	g.deps.Common.Log.Info("request answered", withLimit(attrs, d.limit)...)
