--- a/node/process/settings.go
+++ b/node/process/settings.go
@@ -36,6 +36,26 @@
 	MemoryMB float64 `json:"memory_mb" min:"16" max:"1000000"`
 	// Bounds are the requirements of the platform that the system must meet.
 	Bounds Bounds `json:"bounds"`
+	// Overload holds what the box does when requests exceed what targets can run.
+	Overload Overload `json:"overload"`
+}
+
+// Overload holds what a box does when requests exceed what targets can run. Each field disables one mechanism.
+type Overload struct {
+	// InterpretReports states whether boxes of a large fleet distribute requests by what all boxes are expected to send until reports are renewed, in place of choosing the least loaded of some targets.
+	InterpretReports bool `json:"interpret_reports"`
+	// Shed states whether new callers are refused, the least urgent first, when a group runs as many requests as it can run in time.
+	Shed bool `json:"shed"`
+	// MaxQueued is the number of returning callers that wait while the group that would serve them is stopped; 0 for none.
+	MaxQueued int `json:"max_queued" min:"0" max:"100000"`
+	// FairShares states whether an organisation is refused in proportion to how far it exceeds its usual share.
+	FairShares bool `json:"fair_shares"`
+}
+
+// DefaultOverload returns the defaults: everything enabled. A box of a large fleet receives a few requests a
+// second, and its callers leave after seconds, so that a queue seldom has more than a few dozen.
+func DefaultOverload() Overload {
+	return Overload{InterpretReports: true, Shed: true, MaxQueued: 256, FairShares: true}
 }
 
 // heldShare is the share of the memory that is for the bytes of callers and targets.
@@ -91,7 +111,7 @@
 
 // DefaultEntrySettings returns the default settings of an entry box.
 func DefaultEntrySettings() EntrySettings {
-	return EntrySettings{MemoryMB: 256, Bounds: DefaultBounds()}
+	return EntrySettings{MemoryMB: 256, Bounds: DefaultBounds(), Overload: DefaultOverload()}
 }
 
 // AgentSettings are the settings of an agent. Fields that are missing in the settings file have the
@@ -117,6 +137,8 @@
 	MaxCopyTime settings.Duration `json:"most_copying" min:"0s" max:"1m"`
 	// MinSaving is the time that a map change must save within the horizon, as a share of the horizon.
 	MinSaving float64 `json:"least_saving" min:"0" max:"1"`
+	// ShiftReads states whether the coordinator reads the demand at once after a step that lasted much longer than those before.
+	ShiftReads bool `json:"shift_reads"`
 }
 
 // DefaultAgentSettings returns the default settings of an agent. docs/EXPERTS.md explains the defaults
@@ -128,6 +150,7 @@
 		Horizon:     settings.Duration(2 * time.Second),
 		MaxCopyTime: settings.Duration(150 * time.Millisecond),
 		MinSaving:   0.08,
+		ShiftReads:  true,
 	}
 }
 
