retry: an attempt with a late first byte is cancelled only if another may follow

Cause: three times the latency objective after it was sent, an attempt was cancelled first and the retry budget was asked second. In a burst the budget is exhausted, so the caller got 502 (fate_unknown) although its target would have served it a moment later.

Now the gateway asks at the timeout whether the work is in quarantine, whether there is another target (Fleet.HasTarget) and whether route and budget allow another attempt (Machine.ReplaceOverdue), and cancels only then; else the attempt goes on until the deadline. The machine charges the budget with the decision and uses the charge for the next retry, whatever ends the attempt. Moves of streams are charged the same way (Machine.Move), so a stream that is moved and cancelled at once is charged once. Timer and response exclude each other (firstByteTimer).

ResolveTimeout keeps what was proven or forwarded: a decline as the attempt is cancelled stays "not run", and Moved stays Moved; before, the request would have begun anew though the caller had a part. An attempt that goes on and never begins an answer counts against its target, as a cancelled one does. Nothing changes for requests that may run once.

Ruled out: never cancel (a target that accepts and answers nothing keeps its requests); refunding a charge that is not needed (rare, and the bounds hold without it).

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -18,16 +18,17 @@
 
 // attempt is one attempt of a request at one target.
 type attempt struct {
-	d              *delivery
-	lease          Lease
-	try            retry.Try
-	exchange       *transport.Exchange
-	response       call.Response
-	firstByteTimer *clock.Timer  // cancels the attempt if the response does not begin
-	overdueTimer   *clock.Timer  // reports the target if the response does not begin
-	lastEventsAt   time.Time     // arrival of the last events of the stream
-	gap            time.Duration // between the last two arrivals of events
-	processEnded   bool          // the target's process ended during the attempt
+	d            *delivery
+	lease        Lease
+	try          retry.Try
+	exchange     *transport.Exchange
+	response     call.Response
+	firstByte    firstByteTimer // cancels the attempt if the response does not begin and another target can be tried
+	overdueTimer *clock.Timer   // reports the target if the response does not begin
+	began        bool           // the response has begun
+	lastEventsAt time.Time      // arrival of the last events of the stream
+	gap          time.Duration  // between the last two arrivals of events
+	processEnded bool           // the target's process ended during the attempt
 }
 
 var errTargetUnavailable = errors.New("the target asked for rest, named a limit, or is leaving, before the request was sent")
@@ -39,20 +40,23 @@
 	ctx, cancel := context.WithCancelCause(caller)
 	defer cancel(nil)
 	if !a.try.FirstByteDeadline.IsZero() {
-		a.firstByteTimer = clock.AfterFunc(a.try.FirstByteDeadline, func() { cancel(errFirstByteTimeout) })
-		defer a.firstByteTimer.Stop()
+		a.firstByte.start(a.try.FirstByteDeadline, func() { a.responseMissing(ctx, cancel) })
 	}
 	if objective := a.d.req.route.LatencyObjective(); objective > 0 {
 		a.overdueTimer = clock.AfterFunc(clock.Now().Add(time.Duration(overdueFactor*float64(objective))), a.lease.ResponseOverdue)
 		defer a.overdueTimer.Stop()
 	}
 	end, verdict := a.roundTrip(ctx)
+	a.firstByte.stop()
 	if errors.Is(context.Cause(ctx), errFirstByteTimeout) {
 		end, verdict = endAfterFirstByteTimeout(end, verdict)
 	}
 	if callerGone(caller) && verdict != Good {
 		verdict = Neutral
 	}
+	if _, expired := end.(retry.Expired); expired && !a.began && a.firstByte.passed() {
+		verdict = Bad // the target is as suspect as if the attempt had been cancelled at the timeout
+	}
 	switch a.processEnded = a.targetProcessEnded(ctx, end); {
 	case a.processEnded:
 		verdict = ProcessEnded
@@ -98,18 +102,30 @@
 // endAfterFirstByteTimeout returns the end and the verdict of an attempt that was cancelled by the
 // timeout for the first byte of its response.
 func endAfterFirstByteTimeout(end retry.Outcome, v Verdict) (retry.Outcome, Verdict) {
-	if _, unreached := end.(retry.NotSent); unreached {
-		return end, v
-	}
 	end = retry.ResolveTimeout(end)
 	switch end.(type) {
 	case retry.FirstByteTimedOut:
 		return end, Bad
-	default:
+	case retry.Broken:
 		return end, Good // the response began as the timeout fired
+	default:
+		return end, v
 	}
 }
 
+// responseMissing handles a response that has not begun by its timeout: the attempt is cancelled if
+// another target can be tried. cancel ends ctx.
+func (a *attempt) responseMissing(ctx context.Context, cancel context.CancelCauseFunc) {
+	if ctx.Err() != nil {
+		return // the caller left, or the deadline passed
+	}
+	if a.d.replaceOverdue(clock.Now()) {
+		cancel(errFirstByteTimeout)
+		return
+	}
+	a.d.g.logOverdue(a.d.req, a)
+}
+
 // roundTrip sends the request and handles the response.
 func (a *attempt) roundTrip(ctx context.Context) (retry.Outcome, Verdict) {
 	x, err := a.d.g.deps.Pool.Open(ctx, a.lease.Target().Address(), a.connectionReuse())
@@ -213,9 +229,8 @@
 
 // responseStarted stops the timers for the first byte of the response.
 func (a *attempt) responseStarted() {
-	if a.firstByteTimer != nil {
-		a.firstByteTimer.Stop()
-	}
+	a.began = true
+	a.firstByte.stop()
 	if a.overdueTimer != nil {
 		a.overdueTimer.Stop()
 	}
--- a/gateway/delivery.go
+++ b/gateway/delivery.go
@@ -14,9 +14,9 @@
 )
 
 // firstByteTimeoutFactor is the timeout for the first byte of a response, as a multiple of the
-// route's latency objective; after it the request is sent to another target. Normal responses
-// begin within the objective, and few that have not begun by this timeout begin at all
-// (docs/design/platform.md).
+// route's latency objective; after it the request is sent to another target if that is possible. Normal
+// responses begin within the objective. If capacity is short, many begin after this timeout; the retry
+// budget is then exhausted, so that these attempts go on (docs/design/retries.md).
 const firstByteTimeoutFactor = 3
 
 // overdueFactor is the time, as a multiple of the route's latency objective, after which a response
@@ -29,7 +29,6 @@
 	req     *inboundRequest
 	w       http.ResponseWriter
 	machine *retry.Machine
-	budget  retry.Budget
 	tried   []domain.InstanceID
 
 	headSent     bool   // the response head was sent to the caller
@@ -55,12 +54,12 @@
 		endSlow(errSlowPeer)
 		conn.writeUntil(clock.Now())
 	})
-	d := &delivery{g: g, req: req, w: w, hold: hold, after: req.LastEventID(), budget: g.deps.Budget(req.service)}
+	d := &delivery{g: g, req: req, w: w, hold: hold, after: req.LastEventID()}
 	rules := retry.Rules{
 		Repeat: req.route.MayRepeat(), Resume: req.route.MayResume(), MaxAttempts: req.route.MaxAttempts(),
 		Deadline: req.deadline, FirstByteTimeout: firstByteTimeoutFactor * req.route.LatencyObjective(),
 	}
-	d.machine = retry.NewMachine(rules, d.budget)
+	d.machine = retry.NewMachine(rules, g.deps.Budget(req.service))
 	for cmd := d.machine.Start(req.arrived); ; {
 		if callerGone(ctx) {
 			g.logCallerGone(req, d)
@@ -120,6 +119,14 @@
 	return cmd
 }
 
+// replaceOverdue reports whether the current attempt, whose response is overdue, is to be cancelled so
+// that another target is tried, and charges the retry budget for that. Work in quarantine is not sent to
+// another target.
+func (d *delivery) replaceOverdue(now time.Time) bool {
+	_, barred := d.g.deps.Quarantine.QuarantinedUntil(now, d.req.digest)
+	return !barred && d.g.deps.Fleet.HasTarget(now, d.req.service, d.tried) && d.machine.ReplaceOverdue(now)
+}
+
 // leavesAt returns when the caller leaves unless it has received an event by then.
 func (d *delivery) leavesAt() time.Time {
 	last := d.req.arrived
--- a/gateway/fake_test.go
+++ b/gateway/fake_test.go
@@ -196,6 +196,7 @@
 	unavailable   []string      // targets that must not be sent a request after they were chosen
 	availableAt   time.Time     // returned by AvailableAt
 	began         chan struct{} // receives a value when a response has begun, if its buffer has room
+	asked         chan struct{} // receives a value when HasTarget is called, if its buffer has room
 }
 
 func (f *fleet) Acquire(_ context.Context, _ time.Time, q gateway.Query) (gateway.Lease, error) {
@@ -211,6 +212,11 @@
 
 func (*fleet) ReportFault(domain.ListedID) {}
 
+func (f *fleet) HasTarget(_ time.Time, _ domain.ServiceName, tried []domain.InstanceID) bool {
+	signal(f.asked)
+	return len(tried) < len(f.targets)
+}
+
 func (f *fleet) AvailableAt(time.Time, domain.ServiceName) time.Time { return f.availableAt }
 
 type lease struct {
@@ -279,6 +285,12 @@
 func (unlimitedBudget) AddRequest(time.Time)      {}
 func (unlimitedBudget) SpendRetry(time.Time) bool { return true }
 
+// exhaustedBudget allows no retries.
+type exhaustedBudget struct{}
+
+func (exhaustedBudget) AddRequest(time.Time)      {}
+func (exhaustedBudget) SpendRetry(time.Time) bool { return false }
+
 // quarantine bars work after a given number of targets ended, and records what the gateway reports.
 type quarantine struct {
 	mu       sync.Mutex
@@ -322,12 +334,18 @@
 // newLimitedFixture returns a fixture whose gateway may hold maxHeldBytes; 0 for the default.
 func newLimitedFixture(t *testing.T, maxHeldBytes int64, targets ...*target) *fixture {
 	t.Helper()
-	f := &fleet{targets: targets, began: make(chan struct{}, 1)}
+	return newBudgetedFixture(t, unlimitedBudget{}, maxHeldBytes, targets...)
+}
+
+// newBudgetedFixture returns a fixture whose gateway has the retry budget and may hold maxHeldBytes.
+func newBudgetedFixture(t *testing.T, budget retry.Budget, maxHeldBytes int64, targets ...*target) *fixture {
+	t.Helper()
+	f := &fleet{targets: targets, began: make(chan struct{}, 1), asked: make(chan struct{}, 1)}
 	q := &quarantine{}
 	g := gateway.New(gateway.Dependencies{
 		Common: telemetry.Quiet(), Headers: testCodec{}, Fleet: f, Quarantine: q, MaxHeldBytes: maxHeldBytes,
 		Pool:   transport.NewPool(transport.Dial(transport.Timeouts{Connect: time.Second, DeadPeer: time.Second}), transport.DefaultSettings()),
-		Budget: func(domain.ServiceName) retry.Budget { return unlimitedBudget{} },
+		Budget: func(domain.ServiceName) retry.Budget { return budget },
 	})
 	g.Configure(routes(t))
 	s := httptest.NewServer(g)
@@ -349,6 +367,7 @@
 		{Name: "paced", Prefix: "/paced/", Kind: catalog.Stream, Resumable: true, Timeout: 20 * time.Second, EventGapObjective: time.Nanosecond},
 		{Name: "paced-once", Prefix: "/paced-once/", Kind: catalog.Stream, Timeout: 20 * time.Second, EventGapObjective: time.Nanosecond},
 		{Name: "impatient", Prefix: "/impatient/", Kind: catalog.Repeatable, Timeout: 20 * time.Second, LatencyObjective: 10 * time.Millisecond},
+		{Name: "impatient-stream", Prefix: "/impatient-stream/", Kind: catalog.Stream, Resumable: true, Timeout: 20 * time.Second, LatencyObjective: 10 * time.Millisecond},
 		{Name: "locked", Prefix: "/locked/", Kind: catalog.Repeatable, Timeout: 20 * time.Second},
 	}
 	d := catalog.Document{Version: 3, Limits: catalog.DefaultLimits(), Organisations: []catalog.Organisation{{Name: "league", Keys: []string{"k"}}}}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -103,6 +103,8 @@
 	// fault with the reason. For targets that have named a limit it may request a permit from
 	// another box.
 	Acquire(ctx context.Context, now time.Time, q Query) (Lease, error)
+	// HasTarget reports whether a target that has not been tried can be chosen now.
+	HasTarget(now time.Time, svc domain.ServiceName, tried []domain.InstanceID) bool
 	// AvailableAt returns when a target of the service accepts requests, as far as is known: now
 	// if one does already; zero if that is unknown.
 	AvailableAt(now time.Time, svc domain.ServiceName) time.Time
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -31,6 +31,13 @@
 	g.deps.Common.Log.Warn("attempt failed", withLimit(attrs, a.response.Limit)...)
 }
 
+// logOverdue logs an attempt that goes on although its response has not begun by the timeout.
+func (g *Gateway) logOverdue(req *inboundRequest, a *attempt) {
+	g.deps.Common.Log.Info("response overdue, waiting for it since no other target can be tried", "request", req.ID(), "digest", req.digest,
+		"route", req.route.Name(), "service", req.service, "class", req.class, "target", a.lease.Target().ID(), "attempt", a.try.Attempt,
+		"after", clock.Since(req.arrived))
+}
+
 // logDelivered logs a request that was answered, and records its times.
 func (g *Gateway) logDelivered(req *inboundRequest, d *delivery) {
 	g.responseTimes.record(clock.Now(), req.route.Name(), clock.Since(req.arrived))
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -93,7 +93,7 @@
 // too late and this target causes that. The budget is charged for the move.
 func (a *attempt) shouldMove(now time.Time) bool {
 	objective := a.d.req.route.EventGapObjective()
-	return a.try.Movable && objective > 0 && a.gap > objective && a.lease.IsStraggler(now, a.d.tried) && a.d.budget.SpendRetry(now)
+	return a.try.Movable && objective > 0 && a.gap > objective && a.lease.IsStraggler(now, a.d.tried) && a.d.machine.Move(now)
 }
 
 // recordEvents counts n events that are sent to the caller now.
--- a/node/choosing.go
+++ b/node/choosing.go
@@ -40,7 +40,7 @@
 	defer f.mu.Unlock()
 	f.lastRequestAt[q.Service] = now
 	options := f.options(now, q.Service, q.Tried)
-	candidates := slices.DeleteFunc(slices.Clone(options), func(o routing.Option) bool { return !f.sendable(now, o) && !f.limits.TurnDue(now, o.ID) })
+	candidates := slices.DeleteFunc(slices.Clone(options), func(o routing.Option) bool { return !f.selectable(now, o) })
 	candidates = f.balancer.WithoutCold(now, candidates)
 	chosen, err := f.pick(now, q, options, candidates)
 	if err != nil {
@@ -71,6 +71,19 @@
 	return f.newLease(now, chosen), nil
 }
 
+// selectable reports whether a request may be sent to the option, or a permit for it may be requested now.
+// mu is held.
+func (f *fleet) selectable(now time.Time, o routing.Option) bool {
+	return f.sendable(now, o) || f.limits.TurnDue(now, o.ID)
+}
+
+// HasTarget implements gateway.Fleet.
+func (f *fleet) HasTarget(now time.Time, svc domain.ServiceName, tried []domain.InstanceID) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.ContainsFunc(f.options(now, svc, tried), func(o routing.Option) bool { return f.selectable(now, o) })
+}
+
 // sendable reports whether a request may be sent to the option without requesting a permit: the option
 // has no limit, or this box has a permit for it. mu is held.
 func (f *fleet) sendable(now time.Time, o routing.Option) bool {
--- a/retry/command.go
+++ b/retry/command.go
@@ -16,8 +16,8 @@
 	Attempt int
 	// Resume reports that the target must continue the stream after the last event that the caller has.
 	Resume bool
-	// FirstByteDeadline is the time at which the attempt is cancelled unless its answer has begun.
-	// If it is zero, only the deadline of the request applies.
+	// FirstByteDeadline is the time at which the owner calls ReplaceOverdue if the answer has not begun
+	// and there is another target. If it is zero, only the deadline of the request applies.
 	FirstByteDeadline time.Time
 	// Movable reports that a stream of which the caller has a part may be moved to another target
 	// while this target is still sending it.
--- a/retry/doc.go
+++ b/retry/doc.go
@@ -19,6 +19,7 @@
 //		switch x := cmd.(type) {
 //		case retry.Try:     // pick a target and send the attempt, then
 //			cmd = m.Ended(now, outcome) // or m.NoTarget(now, err)
+//			// at x.FirstByteDeadline, if no answer has begun: cancel if m.ReplaceOverdue(now)
 //		case retry.Deliver: // the answer goes to the caller; done
 //		case retry.Refuse:  // answer with x.Err; done
 //		case retry.Abort:   // break the answer off; done
--- a/retry/machine.go
+++ b/retry/machine.go
@@ -16,8 +16,8 @@
 	MaxAttempts int
 	// Deadline is the time by which the caller must have the final answer.
 	Deadline time.Time
-	// FirstByteTimeout is the time within which the answer of an attempt must begin before the
-	// request is sent to another target instead; 0 means until the deadline.
+	// FirstByteTimeout is the time within which the answer of an attempt must begin; after it the request
+	// is sent to another target instead if the budget allows that. 0 means until the deadline.
 	FirstByteTimeout time.Duration
 }
 
@@ -39,6 +39,7 @@
 	sent       int          // attempts that reached a target
 	notSent    int          // attempts that did not reach a target
 	mayHaveRun bool         // an attempt may have run
+	prepaid    bool         // the budget has been charged for the next retry
 	forwarded  bool         // the caller has a part of the answer
 	retryAt    time.Time    // latest time at which a target that declined asked to be tried again
 	reasons    []fault.Kind // why further attempts were made
@@ -107,14 +108,41 @@
 		return m.expired(now)
 	}
 	t := Try{Attempt: m.sent + m.notSent + 1, Resume: resume}
-	replaceable := m.rules.Repeat && m.sent+1 < m.rules.MaxAttempts
-	if m.rules.FirstByteTimeout > 0 && replaceable {
+	if m.rules.FirstByteTimeout > 0 && m.replaceable() {
 		t.FirstByteDeadline = now.Add(m.rules.FirstByteTimeout)
 	}
-	t.Movable = replaceable && m.rules.Resume
+	t.Movable = m.replaceable() && m.rules.Resume
 	return t
 }
 
+// replaceable reports whether the route allows another attempt in place of the current one.
+func (m *Machine) replaceable() bool { return m.rules.Repeat && m.sent+1 < m.rules.MaxAttempts }
+
+// ReplaceOverdue reports whether the current attempt, whose answer has not begun by its
+// FirstByteDeadline, is to be cancelled so that another attempt is made. It charges the budget for that
+// attempt, so that the budget cannot refuse it after the cancellation. The owner asks only if there is
+// another target. If the answer is no, the attempt goes on until the deadline of the request.
+func (m *Machine) ReplaceOverdue(now time.Time) bool {
+	return m.replaceable() && m.prepay(now)
+}
+
+// Move reports whether the stream that the current attempt sends is to be cut off so that another target
+// continues it, and charges the budget for that attempt. The attempt then ends as Moved.
+func (m *Machine) Move(now time.Time) bool {
+	return m.replaceable() && m.rules.Resume && m.prepay(now)
+}
+
+// prepay charges the budget for the next retry unless that has been done. It returns false if the
+// deadline has passed or the budget is exhausted. A charge for a retry that is not made is not
+// refunded: the retry is rarely spared, and the bounds of the budget hold either way.
+func (m *Machine) prepay(now time.Time) bool {
+	if !now.Before(m.rules.Deadline) {
+		return false
+	}
+	m.prepaid = m.prepaid || m.budget.SpendRetry(now)
+	return m.prepaid
+}
+
 func (m *Machine) attemptNotSent(now time.Time, o NotSent) Command {
 	m.notSent++
 	err := fault.New(fault.NotSent, "%v", o.Err)
@@ -157,8 +185,9 @@
 	return m.retry(now, err, m.forwarded)
 }
 
-// attemptMoved continues the answer at another target. It does not charge the budget: see Moved.
+// attemptMoved continues the answer at another target. The budget was charged by Move.
 func (m *Machine) attemptMoved(now time.Time) Command {
+	m.prepaid = false
 	m.mayHaveRun, m.forwarded = true, true
 	m.lastErr = fault.New(fault.Interrupted, "the answer was to continue at another target")
 	m.reasons = append(m.reasons, fault.Interrupted)
@@ -178,9 +207,14 @@
 	return m.try(now, resume)
 }
 
-// allowsRetry reports whether the route and the budget allow one more attempt, and charges it.
+// allowsRetry reports whether the route and the budget allow one more attempt, and charges it unless it
+// is prepaid.
 func (m *Machine) allowsRetry(now time.Time) bool {
-	return m.sent < m.rules.MaxAttempts && now.Before(m.rules.Deadline) && m.budget.SpendRetry(now)
+	if m.sent >= m.rules.MaxAttempts || !m.prepay(now) {
+		return false
+	}
+	m.prepaid = false
+	return true
 }
 
 func (m *Machine) expired(now time.Time) Command {
--- a/retry/outcome.go
+++ b/retry/outcome.go
@@ -24,7 +24,7 @@
 type Failed struct{ Status int }
 
 // FirstByteTimedOut means that the attempt was cancelled because no answer had begun by its
-// FirstByteDeadline. The request may have run.
+// FirstByteDeadline and Machine.ReplaceOverdue allowed another attempt. The request may have run.
 type FirstByteTimedOut struct{}
 
 // Broken means that the answer broke off after it had begun.
@@ -35,7 +35,7 @@
 }
 
 // Moved means that the attempt was cut off in the middle of its answer so that another target can
-// continue it. The next attempt has already been charged to the budget.
+// continue it. Machine.Move has already charged the next attempt to the budget.
 type Moved struct{}
 
 // Expired means that the deadline of the request passed.
@@ -52,16 +52,17 @@
 func (Expired) outcome()           {}
 
 // ResolveTimeout returns the outcome of an attempt that was cancelled at its FirstByteDeadline and
-// then ended with the outcome o. An answer that began at the last moment counts. In particular, an
-// answer of which the caller has a part must not be treated as one that never began.
+// then ended with the outcome o. What the target answered at the last moment counts: an answer of which
+// the caller has a part must not be treated as one that never began, and a request that the target
+// declined, or that was not sent, is proven not to have run.
 func ResolveTimeout(o Outcome) Outcome {
 	switch o := o.(type) {
-	case Answered, Failed:
-		return o
+	case Lost, Expired:
+		return FirstByteTimedOut{}
 	case Broken:
-		if o.Forwarded {
-			return o
+		if !o.Forwarded {
+			return FirstByteTimedOut{}
 		}
 	}
-	return FirstByteTimedOut{}
+	return o
 }
