mesh, node: boxes exchange the numbers of requests by organisation

Once a second a box adds the requests since its last message to the adverts of one round (`orgs`, arrays without names of fields): not to seeds and not in replies, so that each box receives a request once at most. Counts that no box can have are dropped and counted.

Ruled out: counts in each advert and reply (32 a second, several kilobytes); totals sent on from box to box (grow with organisations).

--- a/admission/fairshare/count.go
+++ b/admission/fairshare/count.go
@@ -30,12 +30,36 @@
 const (
 	// maxBytes bounds the counts of one message. A box sends them to eight others a second
 	// (membership.AdvertFanout), which is less than a kilobyte.
-	maxBytes = 120
-	// Upper bounds of the bytes of a message in addition to names: of the counts as a whole, for a service
-	// and class, and for an organisation.
-	messageOverhead, poolOverhead, countOverhead = 8, 14, 6
+	maxBytes = 124
+	// Bytes of a message in addition to names and numbers: of the counts as a whole, and for a service and
+	// class with the largest number of the rest.
+	messageOverhead, poolOverhead = 6, 7
 )
 
+// headBytes returns the bytes of an encoded number, which are also those before a text of that length.
+func headBytes(n int) int {
+	switch {
+	case n < 24:
+		return 1
+	case n < 1<<8:
+		return 2
+	case n < 1<<16:
+		return 3
+	default:
+		return 5
+	}
+}
+
+// bytes returns the bytes of the count in a message, without its service and class.
+func (c Count) bytes() int {
+	return 1 + headBytes(len(c.Organisation)) + len(c.Organisation) + headBytes(c.Requests)
+}
+
+// poolBytes returns the bytes of the service and class of the count.
+func (c Count) poolBytes() int {
+	return poolOverhead + headBytes(len(c.Service)) + len(c.Service) + headBytes(c.Class)
+}
+
 // bounded returns the largest of the counts that fit into a message, and for their services and classes
 // that of the rest. Of equal counts, those that come first in the list take precedence.
 func bounded(counts []Count) []Count {
@@ -49,10 +73,10 @@
 	var pools []poolKey // that the message names
 	free := maxBytes - messageOverhead
 	for _, c := range sorted {
-		size := len(c.Organisation) + countOverhead
+		size := c.bytes()
 		first := !slices.Contains(pools, c.pool())
 		if first {
-			size += len(c.Service) + poolOverhead
+			size += c.poolBytes()
 		}
 		if size > free {
 			continue
--- a/mesh/messages.go
+++ b/mesh/messages.go
@@ -82,6 +82,9 @@
 	Limits []LimitReport `json:"limits,omitempty"`
 	// Share reports how the sender shares limits; nil while it has received no limits.
 	Share *ShareReport `json:"share,omitempty"`
+	// Organisations are the requests of new callers by organisation. They are set in some of the adverts
+	// that a box sends, and not in replies, so that each other box receives a request once at most.
+	Organisations []RequestCounts `json:"orgs,omitempty"`
 	// NeedsAllLimits reports that the sender has just started and has received no limits yet. The
 	// reply then contains all limits and a share.
 	NeedsAllLimits bool `json:"blank,omitempty"`
--- a/node/adverts.go
+++ b/node/adverts.go
@@ -143,6 +143,7 @@
 	}
 	p.entry.quarantine.receive(now, a.WorkObservations, source)
 	p.entry.limiting.receiveReports(now, a.Limits, source)
+	p.receiveRequestCounts(now, a.Self.Box, a.Organisations)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.boxes.Receive(now, contactFrom(a.Self), a.Hall, membership.StoreProgress{Config: a.Config, Targets: a.Targets, Evacuations: a.Evacuations}, a.Leaving)
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"clovertrail.dev/admission"
+	"clovertrail.dev/admission/fairshare"
 	"clovertrail.dev/catalog"
 	"clovertrail.dev/core/call"
 	"clovertrail.dev/core/clock"
@@ -28,6 +29,7 @@
 	balancer       *routing.Balancer
 	gate           *admission.Gate
 	limits         *ratelimit.Register
+	shares         *fairshare.Shares
 	subset         map[domain.InstanceID]bool                // targets that this box prefers; nil for all
 	lastRequestAt  map[domain.ServiceName]time.Time          // by service: when a target was last requested
 	coldRates      map[domain.ServiceName]float64            // by service: requests a second that a cold target takes; without services that have no such rate
@@ -54,6 +56,7 @@
 		balancer:       routing.NewBalancer(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		gate:           admission.NewGate(),
 		limits:         ratelimit.NewRegister(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		shares:         fairshare.New(),
 		onLimitChanged: func(ratelimit.Report, string) {},
 		requestPermit:  func(context.Context, domain.ServiceName, []domain.InstanceID) domain.InstanceID { return "" },
 		lastRequestAt:  map[domain.ServiceName]time.Time{},
--- a/node/peering.go
+++ b/node/peering.go
@@ -174,11 +174,16 @@
 // is only for updates, the adverts list no other boxes.
 func (p *peering) round(ctx context.Context, updatesOnly bool) {
 	now := clock.Now()
+	var counts []mesh.RequestCounts
+	if !updatesOnly {
+		counts = p.entry.fleet.ownRequestCounts(now)
+	}
 	p.mu.Lock()
 	var addresses []string
 	for _, c := range p.boxes.PeersForAdvert(now, domain.HallName(p.entry.settings().Hall), !updatesOnly) {
 		addresses = append(addresses, c.Address)
 	}
+	peers := len(addresses)
 	if seeds := p.entry.settings().Seeds; len(seeds) > 0 && (len(addresses) == 0 || now.Sub(p.seededAt) > seedInterval) {
 		p.seededAt = now
 		addresses = append(addresses, seeds...)
@@ -194,8 +199,12 @@
 		p.allWorksAt = now
 	}
 	p.mu.Unlock()
-	for _, a := range addresses {
-		p.startCall(a, func() { p.exchange(ctx, a, updatesOnly, allWorks) })
+	for i, a := range addresses {
+		sent := counts
+		if i >= peers {
+			sent = nil // a seed may be a box that is sent them already
+		}
+		p.startCall(a, func() { p.exchange(ctx, a, updatesOnly, allWorks, sent) })
 	}
 	p.catchUp(ctx)
 }
@@ -216,12 +225,14 @@
 	}()
 }
 
-// exchange exchanges adverts with the box at the address. A box that does not respond is called
-// again in a later round.
-func (p *peering) exchange(ctx context.Context, address string, updatesOnly, allWorks bool) {
+// exchange exchanges adverts with the box at the address, and sends it the counts. A box that does not
+// respond is called again in a later round, without these counts.
+func (p *peering) exchange(ctx context.Context, address string, updatesOnly, allWorks bool, counts []mesh.RequestCounts) {
 	ctx, cancel := context.WithTimeout(ctx, peerCallTimeout)
 	defer cancel()
-	reply, err := mesh.Call[mesh.Advert, mesh.Advert](ctx, p.entry.mesh, address, mesh.ExchangeAdverts, p.advert(updatesOnly, allWorks))
+	a := p.advert(updatesOnly, allWorks)
+	a.Organisations = counts
+	reply, err := mesh.Call[mesh.Advert, mesh.Advert](ctx, p.entry.mesh, address, mesh.ExchangeAdverts, a)
 	if err == nil {
 		p.supersede(reply.LatestIncarnation)
 		p.receive(reply)
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -30,6 +30,7 @@
 	Quarantines   Name = "clovertrail_quarantines_total"       // reason: source ("own", "peer", "store") or "released"
 	Permits       Name = "clovertrail_permits_total"           // reason: "issuer", "own part" (fallback share), "none" (request without success)
 	Suspensions   Name = "clovertrail_suspended_seconds_total" // reason: empty; whole seconds, rounded up
+	InvalidCounts Name = "clovertrail_invalid_counts_total"    // reason: empty; numbers of requests of other boxes that no box can have
 	LinesDropped  Name = "clovertrail_log_lines_dropped_total" // reason: "full"
 )
 
