routing: Pick copies and looks up options only where it has to

Cause: a decision among the ranks of one group copied all options twice and looked their loads up six times, although they are of one tier, of one group and none is slow, which is the usual case.

lowestTier returns the given slice if all options have the same tier, withoutSlowRanks builds its map of the fastest ranks only if a rank is slow, and chooseGroup sums up loads only if there are several groups.

--- a/routing/balancer.go
+++ b/routing/balancer.go
@@ -210,14 +210,22 @@
 	return requests / float64(slots)
 }
 
-// lowestTier returns the options with the lowest tier.
+// lowestTier returns the options with the lowest tier; the given slice if all have the same tier.
 func lowestTier(options []Option) []Option {
+	if len(options) == 0 {
+		return nil
+	}
+	lowest, same := options[0].Tier, true
+	for _, o := range options {
+		same = same && o.Tier == lowest
+		lowest = min(lowest, o.Tier)
+	}
+	if same {
+		return options
+	}
 	var best []Option
 	for _, o := range options {
-		switch {
-		case len(best) == 0 || o.Tier < best[0].Tier:
-			best = append(best[:0:0], o)
-		case o.Tier == best[0].Tier:
+		if o.Tier == lowest {
 			best = append(best, o)
 		}
 	}
--- a/routing/groups.go
+++ b/routing/groups.go
@@ -42,10 +42,10 @@
 // capacity, the one with the lowest product of utilisation and step length is taken. docs/POLICY.md
 // states the effect of each rule near overload.
 func (b *Balancer) chooseGroup(now time.Time, hall domain.HallName, options []Option) []Option {
-	all := b.groupLoads(now, options)
-	if len(all) == 1 {
+	if !slices.ContainsFunc(options, func(o Option) bool { return o.Group != options[0].Group }) {
 		return options
 	}
+	all := b.groupLoads(now, options)
 	spare := slices.DeleteFunc(slices.Clone(all), func(g groupLoad) bool { return !g.hasCapacity() })
 	sameHall := slices.DeleteFunc(slices.Clone(spare), func(g groupLoad) bool { return !g.allIn(hall) })
 	switch {
--- a/routing/steps.go
+++ b/routing/steps.go
@@ -62,17 +62,15 @@
 // withoutSlowRanks removes the ranks that would lengthen the steps of their groups. Experts are
 // still placed on these ranks, but fewer (experts/rebalance).
 func (b *Balancer) withoutSlowRanks(options []Option) []Option {
+	if b.maxSlowdown(options) <= maxRelativeSlowdown {
+		return options
+	}
 	fastest := map[domain.GroupName]float64{}
-	slow := false
 	for _, o := range options {
 		slowdown := b.load(o.ID).slowdown
 		if f, ok := fastest[o.Group]; !ok || slowdown < f {
 			fastest[o.Group] = slowdown
 		}
-		slow = slow || slowdown > maxRelativeSlowdown
-	}
-	if !slow {
-		return options
 	}
 	var kept []Option
 	for _, o := range options {
