node: overload.interpret_reports enables the interpretation of reports

The setting had no reader. It is applied at the start and when settings change while the process runs. The wiring has no test of its own: no effect is visible with 8 boxes or fewer, and systems in tests have fewer. go test ./node/... ./local passes.

--- a/node/entry.go
+++ b/node/entry.go
@@ -54,6 +54,7 @@
 	s := settings()
 	e := &Entry{common: c, network: n, settings: settings, budgets: newBudgets(s.Bounds), ready: &readiness{}}
 	e.fleet = newFleet(domain.BoxID(s.Box), domain.HallName(s.Hall), rosterPolicy(s))
+	e.fleet.balancer.SetInterpretReports(s.Overload.InterpretReports)
 	e.pool = transport.NewPool(n.Dial, transport.DefaultSettings())
 	e.mesh = mesh.NewClient(n.Dial, func(m mesh.Method, sent, received int) { c.Metrics.CountCall(string(m), sent, received) })
 	e.engines = process.HTTPClient(n)
--- a/node/reload.go
+++ b/node/reload.go
@@ -16,11 +16,12 @@
 	return p
 }
 
-// ApplySettings puts changed settings in force, as far as that is possible without a restart: bounds
-// and seeds. Addresses, names and the intervals of watches take effect at the next start.
+// ApplySettings puts changed settings in force, as far as that is possible without a restart: bounds,
+// seeds and whether reports are interpreted. Addresses, names and the intervals of watches take effect at the next start.
 func (e *Entry) ApplySettings(s process.EntrySettings) {
 	e.budgets.setBounds(s.Bounds)
-	e.fleet.with(func(r *membership.Roster, _ *routing.Balancer) {
+	e.fleet.with(func(r *membership.Roster, b *routing.Balancer) {
 		r.SetPolicy(rosterPolicy(s))
+		b.SetInterpretReports(s.Overload.InterpretReports)
 	})
 }
