--- a/node/fair_shares.go
+++ b/node/fair_shares.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"clovertrail.dev/node/process"
 	"time"
 
 	"clovertrail.dev/core/domain"
@@ -11,11 +12,12 @@
 // This file has the exchange of the numbers of requests by organisation. Both sides are in adverts, and
 // the decisions in package fairshare.
 
-// setFairShares enables or disables the counts of requests by organisation.
-func (f *fleet) setFairShares(enabled bool) {
+// applyOverload enables and disables the mechanisms for overload.
+func (f *fleet) applyOverload(o process.Overload) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.shares.SetEnabled(enabled)
+	f.balancer.SetInterpretReports(o.InterpretReports)
+	f.shares.SetEnabled(o.FairShares)
 }
 
 // ownRequestCounts returns the requests of this box since the last call that returned any, to be sent to
