waitqueue: who waits while a group is stopped, and in which order it is released

Cause: a caller that is refused while a group is stopped returns once, after at most a third of its time, into the same outage, and is refused for good. The new package decides which requests wait instead. It is a state machine: returning callers wait, and requests that have started; first tries only if the group is expected to open before their callers leave. A request is refused as soon as its answer could no longer begin before its caller leaves.

Ruled out: queueing all.

Conclusion: returning callers wait. The package has no user yet.

--- /dev/null
+++ b/waitqueue/request.go
@@ -0,0 +1,69 @@
+package waitqueue
+
+import (
+	"cmp"
+	"time"
+
+	"clovertrail.dev/core/domain"
+	"clovertrail.dev/core/urgency"
+)
+
+// Stage states which further tries the caller of a request has.
+type Stage int
+
+// The stages.
+const (
+	// FirstTry: the caller returns once if it is refused.
+	FirstTry Stage = iota
+	// Returning: the caller was refused before and has no further try.
+	Returning
+	// Started: an attempt may have run, or the caller has a part of the answer. A refusal would not state
+	// that the request did not run, so the caller does not return.
+	Started
+)
+
+// String returns the name of the stage.
+func (s Stage) String() string { return [...]string{"first try", "returning", "started"}[s] }
+
+// Request is a request without a usable target.
+type Request struct {
+	Service domain.ServiceName
+	Class   urgency.Class
+	Stage   Stage
+	// LeavesAt is when the caller leaves unless it has received an event by then.
+	LeavesAt time.Time
+	// Deadline is when the caller stops waiting for the end of the answer.
+	Deadline time.Time
+	// FirstByte is the expected time from the choice of a target to the first byte of the answer.
+	FirstByte time.Duration
+	// OpensAt is when the group is expected to open; zero if that is unknown.
+	OpensAt time.Time
+}
+
+// minAnswerTime is the least time that a released request needs before its caller leaves: a connection to a
+// target in another data hall, the processing of the prompt and a pass of a group that has just opened and
+// whose passes are still long.
+const minAnswerTime = 300 * time.Millisecond
+
+// callerEnd returns when the caller leaves if its answer does not begin.
+func (r Request) callerEnd() time.Time {
+	if r.Deadline.Before(r.LeavesAt) {
+		return r.Deadline
+	}
+	return r.LeavesAt
+}
+
+// LatestRelease returns the time from which an answer can no longer begin before the caller leaves.
+func (r Request) LatestRelease() time.Time {
+	return r.callerEnd().Add(-max(r.FirstByte, minAnswerTime))
+}
+
+// opensInTime reports whether the group is expected to open before the request is refused.
+func (r Request) opensInTime() bool {
+	return !r.OpensAt.IsZero() && r.OpensAt.Before(r.LatestRelease())
+}
+
+// compare orders requests by class, and within a class by who leaves first.
+func (r Request) compare(o Request) int {
+	return cmp.Or(r.Class.Compare(o.Class), r.callerEnd().Compare(o.callerEnd()))
+}
