membership: when a stopped group is expected to open, and a group that a rank reports as stopped

Cause: a box could not tell an outage that is about to end from one of unknown length, and it went on sending to a group that had stopped as long as the reports of its ranks were older than the stop.

A 503 that names another target as the one at fault makes the group unfit until a rank reports a later step or formation, for a second at most: an idle group need not report steps.

Ruled out: ending that mark only with a report of progress; an idle group that reports none would never get work.

go test ./membership ./core/call ./routing ./admission passes; no figures of a whole system were taken for this part.

--- a/core/call/response.go
+++ b/core/call/response.go
@@ -85,3 +85,9 @@
 	own := r.AtFault == "" || r.AtFault == id
 	return r.Outcome == Declined && r.Status == http.StatusServiceUnavailable && r.RetryAt.IsZero() && own
 }
+
+// GroupStopped reports whether the target with the given id declined the request because another target is
+// at fault, as a rank does whose group has lost one.
+func (r Response) GroupStopped(id domain.ListedID) bool {
+	return r.Outcome == Declined && r.Status == http.StatusServiceUnavailable && r.AtFault != "" && r.AtFault != id
+}
--- a/membership/groups.go
+++ b/membership/groups.go
@@ -41,6 +41,7 @@
 	step          uint64    // the last step reported in epoch
 	steppedAt     time.Time // when a rank first reported step
 	unreachableAt time.Time // when a rank was last found unreachable
+	stopped       groupStop // the last observation that the group has stopped
 }
 
 // standing returns the standing of the group's ranks. If a rank is unreachable, it may be lost, so
@@ -51,7 +52,7 @@
 	switch {
 	case g == nil:
 		return Good
-	case g.broken:
+	case g.broken, g.stopped.inForce(now, g, p):
 		return Unfit
 	case g.stalled && now.Sub(g.steppedAt) > p.StallAfter || g.unreachableAt.After(g.steppedAt):
 		return Suspect
@@ -76,6 +77,7 @@
 		v.addRank(r.freshestRank(now, e, g))
 		v.stalled = v.stalled || e.progress.stalled(now, r.policy.StallAfter)
 		v.addProgress(e)
+		v.stopped = v.stopped.later(e.stopped)
 		if at := e.health.unreachableSince(now); at.After(v.unreachableAt) {
 			v.unreachableAt = at
 		}
--- a/membership/roster.go
+++ b/membership/roster.go
@@ -96,6 +96,8 @@
 	health       health
 	reportedRank domain.Rank // the target's rank by its own last report
 	reportedAt   time.Time   // time of the target's last report
+	backAt       time.Time   // time of the first report, or of the first one after UnresponsiveAfter without any
+	stopped      groupStop
 	progress     progress
 }
 
@@ -294,6 +296,9 @@
 	if !ok || !at.After(e.reportedAt) {
 		return false
 	}
+	if e.reportedAt.IsZero() || at.Sub(e.reportedAt) > r.policy.UnresponsiveAfter {
+		e.backAt = at
+	}
 	e.reportedRank, e.reportedAt = rank, at
 	if at.After(r.lastReportAt) {
 		r.lastReportAt = at
--- a/node/lease.go
+++ b/node/lease.go
@@ -51,6 +51,9 @@
 		if a.AtCapacity(l.target.ID().ListedID()) {
 			r.Rejected(now, l.target.ID())
 		}
+		if a.GroupStopped(l.target.ID().ListedID()) {
+			r.GroupStopped(now, l.target.ID())
+		}
 	})
 	if a.Leaving {
 		l.fleet.leavingReported(now, l.target.ID(), "answer")
