gateway, retry: a request may wait before an attempt

Cause: what a request needs once it may wait for a target for seconds. The time for the first byte of an attempt counted from the moment at which a target was asked for, so an attempt after a wait would have been cancelled at once (Machine.Delayed). The quarantine was checked before that wait only. A refusal after declined attempts hid why no further target was found, since the error of the last attempt replaced it; it has both now, with the kind of the last attempt as before. Query states whether an attempt may have run (Machine.NotRun), when the request arrived, its event gap objective and its id.

A caller whose request a stopped group declined is asked to return as late as it honours if the service has no other target; it was asked to return after 250 ms, into the same outage. Other refusals keep their times.

Ruled out: not counting declined attempts.

go test ./gateway ./retry passes.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"clovertrail.dev/admission"
 	"clovertrail.dev/catalog"
 	"clovertrail.dev/core/call"
 	"clovertrail.dev/core/clock"
@@ -229,23 +230,33 @@
 }
 
 // callerRetryAt returns when the caller of a declined request should retry; zero if the target does
-// not state it. If the target asked for rest, its retry time does not apply to the other targets of
+// not state it. If the target's group has stopped and the service has no other target, that is close to
+// the longest time that callers honour. If the target asked for rest, its retry time does not apply to the other targets of
 // the service. If one of these accepts requests now, the caller should retry as soon as it can reach
 // another box, otherwise when the first target of the service accepts requests again.
 func (a *attempt) callerRetryAt(now time.Time) time.Time {
 	if a.response.RestUntil().IsZero() {
+		if a.serviceStopped(now) {
+			return now.Add(admission.RetryAfterOutage(a.d.req.deadline.Sub(now), a.d.g.random()))
+		}
 		return a.response.RetryAt
 	}
 	at := a.d.g.deps.Fleet.AvailableAt(now, a.d.req.service)
 	if at.IsZero() {
 		return a.response.RetryAt
 	}
-	if soonest := now.Add(otherBoxRetryDelay); at.Before(soonest) {
+	if soonest := now.Add(OtherBoxRetryDelay); at.Before(soonest) {
 		return soonest
 	}
 	return at
 }
 
+// serviceStopped reports whether the target declined the request because its group has stopped, and no other
+// target of the service accepts requests.
+func (a *attempt) serviceStopped(now time.Time) bool {
+	return a.response.GroupStopped(a.lease.Target().ID().ListedID()) && a.d.g.deps.Fleet.AvailableAt(now, a.d.req.service).IsZero()
+}
+
 // requestedRest returns the time for which the target asked to be sent nothing; 0 if it did not.
 func (a *attempt) requestedRest() time.Duration {
 	until := a.response.RestUntil()
--- a/gateway/delivery.go
+++ b/gateway/delivery.go
@@ -93,14 +93,16 @@
 func (d *delivery) try(ctx context.Context, t retry.Try) retry.Command {
 	now := clock.Now()
 	// Checked before each attempt: work that ended the target of one attempt must not reach another.
-	if until, barred := d.g.deps.Quarantine.QuarantinedUntil(now, d.req.digest); barred {
-		return d.machine.Barred(now, fault.New(fault.Quarantined, "targets ended under this work").RetryAt(until))
+	if cmd, barred := d.barred(now); barred {
+		return cmd
 	}
 	lease, err := d.g.deps.Fleet.Acquire(ctx, now, Query{
-		Service: d.req.service, Tried: d.tried, First: len(d.tried) == 0,
+		Request: d.req.ID(), Service: d.req.service, Tried: d.tried, First: len(d.tried) == 0,
 		Route: d.req.route.Name(), Class: d.req.class, Organisation: d.req.org.Name,
-		LatencyObjective: d.req.route.LatencyObjective(), Deadline: d.req.deadline, LeavesAt: d.leavesAt(),
+		LatencyObjective: d.req.route.LatencyObjective(), EventGapObjective: d.req.route.EventGapObjective(),
+		ArrivedAt: d.req.arrived, Deadline: d.req.deadline, LeavesAt: d.leavesAt(), Started: !d.machine.NotRun(),
 	})
+	now = clock.Now() // the request may have waited for a target
 	if err != nil {
 		f := fault.Find(err)
 		if f == nil {
@@ -108,8 +110,12 @@
 		}
 		return d.machine.NoTarget(now, f)
 	}
+	if cmd, barred := d.barred(now); barred {
+		lease.Release(Neutral)
+		return cmd
+	}
 	d.tried = append(d.tried, lease.Target().ID())
-	a := &attempt{d: d, lease: lease, try: t}
+	a := &attempt{d: d, lease: lease, try: d.machine.Delayed(now, t)}
 	end := a.run(ctx)
 	d.limit = a.response.Limit
 	if _, served := end.(retry.Answered); served {
@@ -120,6 +126,15 @@
 	return cmd
 }
 
+// barred returns the next command if the request must not be sent to a target.
+func (d *delivery) barred(now time.Time) (retry.Command, bool) {
+	until, barred := d.g.deps.Quarantine.QuarantinedUntil(now, d.req.digest)
+	if !barred {
+		return nil, false
+	}
+	return d.machine.Barred(now, fault.New(fault.Quarantined, "targets ended under this work").RetryAt(until)), true
+}
+
 // leavesAt returns when the caller leaves unless it has received an event by then.
 func (d *delivery) leavesAt() time.Time {
 	last := d.req.arrived
--- a/gateway/fake_test.go
+++ b/gateway/fake_test.go
@@ -47,7 +47,7 @@
 func (testCodec) ParseResponse(now time.Time, r *http.Response) call.Response {
 	a := call.Response{
 		ID: call.ID(r.Header.Get("Id")), Status: r.StatusCode, Outcome: call.Served,
-		Leaving: r.Header.Get("Leaving") != "",
+		Leaving: r.Header.Get("Leaving") != "", AtFault: domain.ListedID(r.Header.Get("At-Fault")),
 	}
 	if rest, err := time.ParseDuration(r.Header.Get("Retry-After") + "s"); err == nil {
 		a.RetryAt = now.Add(rest)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -31,6 +31,8 @@
 
 // Query describes a request for which a target is to be chosen.
 type Query struct {
+	// Request is the id of the request, for the log.
+	Request call.ID
 	Service domain.ServiceName
 	// Tried lists the instances that already had an attempt of the request.
 	Tried []domain.InstanceID
@@ -43,6 +45,13 @@
 	Organisation domain.OrganisationName
 	// LatencyObjective is the time within which the response has to begin to meet the route's objective.
 	LatencyObjective time.Duration
+	// EventGapObjective is the longest pause between events that the route allows; 0 if it has no such limit.
+	EventGapObjective time.Duration
+	// ArrivedAt is when the request arrived at this box.
+	ArrivedAt time.Time
+	// Started reports that an attempt may have run or the caller has a part of the response, so that it does
+	// not try again if the request is refused.
+	Started bool
 	// Deadline is when the caller stops waiting for the end of the response. LeavesAt is when it leaves
 	// unless it has received an event by then; for other requests it is the deadline.
 	Deadline, LeavesAt time.Time
@@ -101,7 +110,8 @@
 type Fleet interface {
 	// Acquire leases a target for one attempt. If there is none it returns an error of package
 	// fault with the reason. For targets that have named a limit it may request a permit from
-	// another box.
+	// another box. It may wait while the group that would serve the request is stopped, until ctx ends
+	// or the caller is about to leave.
 	Acquire(ctx context.Context, now time.Time, q Query) (Lease, error)
 	// AvailableAt returns when a target of the service accepts requests, as far as is known: now
 	// if one does already; zero if that is unknown.
@@ -170,9 +180,9 @@
 // Stopping reports whether BeginStop was called.
 func (g *Gateway) Stopping() bool { return g.stopAt.Load() != nil }
 
-// otherBoxRetryDelay is the time after which a refused caller can retry at another box: the
+// OtherBoxRetryDelay is the time after which a refused caller can retry at another box: the
 // time of a new connection.
-const otherBoxRetryDelay = 20 * time.Millisecond
+const OtherBoxRetryDelay = 20 * time.Millisecond
 
 // checkTimeLeft refuses a request that a stopping box is unlikely to answer before its end.
 func (g *Gateway) checkTimeLeft(now time.Time, req *inboundRequest) error {
@@ -181,7 +191,7 @@
 		return nil
 	}
 	return fault.New(fault.Stopping, "this box stops at %s, and recent responses of the route took longer than the time left", end.Format(time.TimeOnly)).
-		RetryAt(now.Add(otherBoxRetryDelay))
+		RetryAt(now.Add(OtherBoxRetryDelay))
 }
 
 // ServeHTTP implements http.Handler.
--- a/gateway/memory.go
+++ b/gateway/memory.go
@@ -114,7 +114,7 @@
 	}
 	m.notify(m.ledger.GiveUp(h.holder))
 	return fault.New(fault.Overloaded, "the box holds %d bytes for slow callers and targets, its limit", m.ledger.Held()).
-		RetryAt(clock.Now().Add(otherBoxRetryDelay))
+		RetryAt(clock.Now().Add(OtherBoxRetryDelay))
 }
 
 // endOverdue ends the exchanges whose peers are the slowest, if others have waited for long.
--- a/gateway/status_test.go
+++ b/gateway/status_test.go
@@ -13,6 +13,7 @@
 const (
 	declinedRest    = "HTTP/1.1 503 Busy\nNot-Run: 1\nRetry-After: 3\nContent-Length: 0\n\n"
 	failedRest      = "HTTP/1.1 503 Oops\nSigned: 1\nRetry-After: 3\nContent-Length: 4\n\noops"
+	declinedStopped = "HTTP/1.1 503 Busy\nNot-Run: 1\nAt-Fault: c\nContent-Length: 0\n\n"
 	declinedLimited = "HTTP/1.1 429 Limited\nNot-Run: 1\nRetry-After: 3\nContent-Length: 0\n\n"
 	servedLeaving   = "HTTP/1.1 200 OK\nSigned: 1\nId: 1\nLeaving: 1\nContent-Length: 5\n\nhello"
 	declinedLeaving = "HTTP/1.1 503 Busy\nNot-Run: 1\nLeaving: 1\nContent-Length: 0\n\n"
@@ -81,6 +82,8 @@
 		{"first target accepts requests later", declinedRest, time.Minute, 30 * time.Second, time.Minute},
 		{"availability unknown", declinedRest, -1, time.Second, 3 * time.Second},
 		{"no rest requested", busy, 0, 0, 250 * time.Millisecond},
+		{"a stopped group, availability unknown", declinedStopped, -1, 6 * time.Second, 20 * time.Second / 3},
+		{"a stopped group, another target accepts requests now", declinedStopped, 0, 0, 250 * time.Millisecond},
 		{"limit of one caller", declinedLimited, 0, time.Second, 3 * time.Second},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
--- a/retry/machine.go
+++ b/retry/machine.go
@@ -54,6 +54,9 @@
 // Attempts returns the number of attempts that reached a target.
 func (m *Machine) Attempts() int { return m.sent }
 
+// NotRun reports whether no attempt may have run. A caller that is refused then can try again.
+func (m *Machine) NotRun() bool { return !m.mayHaveRun && !m.forwarded }
+
 // Start counts the request in the budget and returns the first command.
 func (m *Machine) Start(now time.Time) Command {
 	m.budget.AddRequest(now)
@@ -61,13 +64,23 @@
 }
 
 // NoTarget records that there is no target to send the attempt to, and returns the next command.
+// After earlier attempts the kind is that of the last one.
 func (m *Machine) NoTarget(now time.Time, err *fault.Error) Command {
 	if m.lastErr != nil {
-		err = m.lastErr
+		err = fault.New(m.lastErr.Kind(), "%v; then: %v", m.lastErr, err).RetryAt(m.lastErr.RetryTime())
 	}
 	return m.giveUp(now, err)
 }
 
+// Delayed returns the attempt as it is sent now, after it has waited for a target: the time for its first
+// byte begins now.
+func (m *Machine) Delayed(now time.Time, t Try) Try {
+	if !t.FirstByteDeadline.IsZero() {
+		t.FirstByteDeadline = now.Add(m.rules.FirstByteTimeout)
+	}
+	return t
+}
+
 // Barred records that the request must not be sent to any target now, and returns the next command.
 // Earlier attempts may still have run.
 func (m *Machine) Barred(now time.Time, err *fault.Error) Command { return m.giveUp(now, err) }
--- a/retry/machine_test.go
+++ b/retry/machine_test.go
@@ -152,6 +152,51 @@
 	}
 }
 
+// TestAttemptThatWaitedHasItsTime guards against cancelling an attempt for the time that its request waited for a
+// target.
+func TestAttemptThatWaitedHasItsTime(t *testing.T) {
+	m := retry.NewMachine(rules(repeat), &fakeBudget{left: 9})
+	first := m.Start(begin).(retry.Try)
+	waited := begin.Add(1500 * time.Millisecond)
+	if got := m.Delayed(waited, first).FirstByteDeadline; !got.Equal(waited.Add(time.Second)) {
+		t.Errorf("first byte deadline %v after the beginning, want 2.5s", got.Sub(begin))
+	}
+	last := m.Ended(waited, declined).(retry.Try)
+	if got := m.Delayed(waited, last).FirstByteDeadline; !got.IsZero() {
+		t.Errorf("the last attempt has a first byte deadline %v after the beginning, want none", got.Sub(begin))
+	}
+}
+
+// TestNoTargetAfterDeclinedAttempts guards against a refusal that hides why no further target was found, and
+// against one that states "not run" after an attempt that may have run.
+func TestNoTargetAfterDeclinedAttempts(t *testing.T) {
+	queued := fault.New(fault.NoTarget, "queued for 1s")
+	for _, tc := range []struct {
+		name    string
+		outcome retry.Outcome
+		want    string
+		notRun  bool
+	}{
+		{"declined", declined, "refuse overloaded", true},
+		{"lost", retry.Lost{Err: errLost}, "refuse fate_unknown", false},
+		{"broken off", retry.Broken{Err: errLost, Forwarded: true}, "abort interrupted", false},
+	} {
+		m := retry.NewMachine(rules(resume), &fakeBudget{left: 9})
+		m.Start(begin)
+		m.Ended(begin, tc.outcome)
+		if got := m.NotRun(); got != tc.notRun {
+			t.Errorf("%s: not run: %v, want %v", tc.name, got, tc.notRun)
+		}
+		cmd := m.NoTarget(begin, queued)
+		if got := summary(cmd); got != tc.want {
+			t.Errorf("%s: %s, want %s", tc.name, got, tc.want)
+		}
+		if f, ok := cmd.(retry.Refuse); ok && (!strings.Contains(f.Err.Error(), "queued for 1s") || f.Err.Kind() == fault.Overloaded && !strings.Contains(f.Err.Error(), "busy")) {
+			t.Errorf("%s: error %q lacks the last outcome or the wait", tc.name, f.Err)
+		}
+	}
+}
+
 func TestRefusalKeepsRetryAfterOfTarget(t *testing.T) {
 	at := begin.Add(3 * time.Second)
 	m := retry.NewMachine(rules(once), &fakeBudget{})
