node: returning callers wait for a stopped group

Cause: while a group was stopped, fleet.pick refused every request with no_target. A caller that returned within the outage was refused for good.

Acquire now waits where waitqueue.Queue says so, for services with groups and routes with an event gap objective; plain services are not affected, and max_queued 0 disables it. One goroutine for a box, which runs only while requests wait, makes the decisions as the state of targets changes, at most every 20 ms; a request waits on a channel. A request is released once a target of its service is rated good. A released request that a stopped group declines goes back to the queue if the retry state machine allows another attempt. A planned stop refuses those who wait, except for streams that broke off and requests that may have run: they cannot return, and a planned stop interrupts nothing. Metrics clovertrail_queued and clovertrail_queue_outcomes_total, lines "request queued", "queued request released" and "queued request refused", and explain says how long a request waited. The stand-in of a group can lose a rank, or be cut off from one.

Not mended here: a request that a stopped group declines is refused if the retry budget of its box is exhausted, as after the streams of a group broke off together.

Ruled out: a poll in each request (a trial of the lead); releasing to suspect targets, since a group that has lost a rank is suspect before its ranks report that it is not open, and each attempt there is lost.

--- a/cli/logs/explain.go
+++ b/cli/logs/explain.go
@@ -55,7 +55,7 @@
 	last := t.lines[len(t.lines)-1]
 	t.box = last.box
 	t.facts = t.factsAt(s, last)
-	t.cause = describeEnd(t.lines) + describeWork(s, last)
+	t.cause = describeEnd(t.lines) + describeWait(t.lines) + describeWork(s, last)
 	return t, nil
 }
 
@@ -147,6 +147,22 @@
 	return sentence
 }
 
+// describeWait describes how long a request waited for the group of its service to open; empty if it did not
+// wait.
+func describeWait(lines []Line) string {
+	var sentence string
+	for _, l := range lines {
+		waited := l.Duration("waited").Round(time.Millisecond).String()
+		switch l.msg {
+		case "queued request released":
+			sentence += "; it was queued for " + waited + " until its group was open"
+		case "queued request refused":
+			sentence += "; it was queued for " + waited + " for its group to open, and refused as " + l.Get("reason")
+		}
+	}
+	return sentence
+}
+
 // describeWork counts the requests with the same digest in the lines up to the last one of
 // this request, and names the targets that ended while they ran such a request; empty if
 // none ended.
--- a/cli/logs/logs_test.go
+++ b/cli/logs/logs_test.go
@@ -269,3 +269,21 @@
 		t.Errorf("got limit usage %+v", usage)
 	}
 }
+
+// TestExplainStatesTimeInQueue guards against a cause that hides that a refused request had waited for its group.
+func TestExplainStatesTimeInQueue(t *testing.T) {
+	const log = `time=2026-05-31T06:24:01.000Z level=INFO msg="request queued" box=front-1 request=r3 service=s route=a class=0/1 place=1 leaves_in=2s
+time=2026-05-31T06:24:01.100Z level=INFO msg="queued request released" box=front-1 request=r3 service=s waited=100ms leaves_in=1.9s
+time=2026-05-31T06:24:02.700Z level=INFO msg="queued request refused" box=front-1 request=r3 service=s reason=expired waited=1.5s leaves_in=300ms
+time=2026-05-31T06:24:02.700Z level=WARN msg="request refused" box=front-1 request=r3 route=a service=s kind=no_target err="no target" after=1.7s
+`
+	got, err := logs.Explain(read(t, log), "r3")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"refused as no_target", "queued for 100ms until its group was open", "queued for 1.5s for its group to open, and refused as expired"} {
+		if !strings.Contains(got.Cause(), want) {
+			t.Errorf("cause %q does not contain %q", got.Cause(), want)
+		}
+	}
+}
--- a/local/scenario_test.go
+++ b/local/scenario_test.go
@@ -24,7 +24,7 @@
 // groupShape is the shape of a small group of ranks. The demand moves to other experts every 3 s.
 var groupShape = standin.GroupShape{
 	Name: "g0", Ranks: 3, Layers: 2, Experts: 12, Slots: 6, Staging: 2,
-	StepTime: 30 * time.Millisecond, CopyTime: 50 * time.Millisecond, ExpertShare: 0.85,
+	StepTime: 30 * time.Millisecond, CopyTime: 50 * time.Millisecond, ExpertShare: 0.85, FormTime: formTime,
 	Demand: func(at time.Time, layer, expert int) float64 {
 		const experts, shiftInterval = 12, 3 * time.Second
 		hot := (int(at.UnixNano()/int64(shiftInterval)) + layer) % experts
@@ -65,6 +65,9 @@
 	fatalBody string                        // the body of requests that crash targets; empty if no request does
 	coldRate  float64                       // requests a second that a cold target takes; 0 if as many as others
 	evacuates bool                          // whether the platform has evacuations of data halls
+	overload  *process.Overload             // settings of the entry boxes; nil for the defaults
+
+	retrySlack float64 // of the bounds; 0 for that of a current platform
 }
 
 // exchange is one request of a caller and its reply.
@@ -224,12 +227,13 @@
 			halls = append(halls, domain.HallName(fmt.Sprintf("hall-%d", i+1)))
 		}
 		limits := bounds()
+		limits.RetrySlack = cmp.Or(sc.retrySlack, limits.RetrySlack)
 		if sc.evacuates {
 			limits.Evacuate = settings.Duration(evacuationBound)
 		}
 		sys, err := local.Start(local.Layout{
 			Halls: halls, Entries: cmp.Or(sc.entries, 4), Targets: cmp.Or(sc.targets, 4), Group: &shape,
-			Keys: map[string]string{"org": apiKey}, Bounds: limits, Memory: true, ColdRate: sc.coldRate, LinkMbps: sc.linkMbps, Log: sc.log,
+			Keys: map[string]string{"org": apiKey}, Bounds: limits, Memory: true, ColdRate: sc.coldRate, LinkMbps: sc.linkMbps, Log: sc.log, Overload: sc.overload,
 		})
 		if err != nil {
 			t.Fatal(err)
--- a/node/choosing.go
+++ b/node/choosing.go
@@ -22,10 +22,12 @@
 
 // Acquire implements gateway.Fleet.
 func (f *fleet) Acquire(ctx context.Context, now time.Time, q gateway.Query) (gateway.Lease, error) {
-	l, candidates, err := f.choose(now, q)
-	if len(candidates) > 0 {
-		granted := f.requestPermit(ctx, q.Service, candidates)
-		l, err = f.chooseWithPermit(clock.Now(), q, granted)
+	l, err := f.acquireNow(ctx, now, q)
+	for fault.KindOf(err) == fault.NoTarget {
+		if err := f.waiting.wait(ctx, q, err); err != nil {
+			return nil, err
+		}
+		l, err = f.acquireNow(ctx, clock.Now(), q)
 	}
 	if err != nil {
 		return nil, err
@@ -33,6 +35,16 @@
 	return l, nil
 }
 
+// acquireNow leases a target without waiting for a stopped group.
+func (f *fleet) acquireNow(ctx context.Context, now time.Time, q gateway.Query) (*lease, error) {
+	l, candidates, err := f.choose(now, q)
+	if len(candidates) > 0 {
+		granted := f.requestPermit(ctx, q.Service, candidates)
+		l, err = f.chooseWithPermit(clock.Now(), q, granted)
+	}
+	return l, err
+}
+
 // choose leases a target, or returns the targets for which a permit is to be requested first, the best
 // one first.
 func (f *fleet) choose(now time.Time, q gateway.Query) (*lease, []domain.InstanceID, error) {
--- a/node/entry.go
+++ b/node/entry.go
@@ -53,7 +53,7 @@
 func NewEntry(c telemetry.Common, n process.Network, settings func() process.EntrySettings) *Entry {
 	s := settings()
 	e := &Entry{common: c, network: n, settings: settings, budgets: newBudgets(s.Bounds), ready: &readiness{}}
-	e.fleet = newFleet(domain.BoxID(s.Box), domain.HallName(s.Hall), rosterPolicy(s))
+	e.fleet = newFleet(c, s)
 	e.pool = transport.NewPool(n.Dial, transport.DefaultSettings())
 	e.mesh = mesh.NewClient(n.Dial, func(m mesh.Method, sent, received int) { c.Metrics.CountCall(string(m), sent, received) })
 	e.engines = process.HTTPClient(n)
@@ -71,6 +71,8 @@
 	e.fleet.onLeaving = e.onTargetLeaving
 	e.limiting = newLimiting(e)
 	e.fleet.onLimitChanged, e.fleet.requestPermit = e.limiting.limitChanged, e.limiting.requestPermit
+	e.fleet.waiting.boxes = e.peering.reachableCount
+	e.fleet.waiting.formTime = e.formTime
 	e.hallPoller = newHallPoller(e)
 	e.view = &view{common: c, fleet: e.fleet, adopt: e.applyConfiguration, changed: e.peering.notify}
 	return e
@@ -88,6 +90,19 @@
 	return ""
 }
 
+// formTime returns the time that a group of the service takes to form; 0 if the configuration does not state
+// it.
+func (e *Entry) formTime(svc domain.ServiceName) time.Duration {
+	c := e.gateway.Catalog()
+	if c == nil {
+		return 0
+	}
+	if s, ok := c.Service(svc); ok && s.Engine != nil && s.Engine.Experts != nil {
+		return s.Engine.Experts.FormTime
+	}
+	return 0
+}
+
 // applyConfiguration puts the configuration in force.
 func (e *Entry) applyConfiguration(c *catalog.Catalog) {
 	e.gateway.Configure(c)
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -13,8 +13,10 @@
 	"clovertrail.dev/core/clock"
 	"clovertrail.dev/core/domain"
 	"clovertrail.dev/membership"
+	"clovertrail.dev/node/process"
 	"clovertrail.dev/ratelimit"
 	"clovertrail.dev/routing"
+	"clovertrail.dev/telemetry"
 )
 
 // fleet guards the state of the targets as this box sees them, and chooses targets for attempts. It
@@ -37,16 +39,17 @@
 	witness        func(domain.Target) string                // returns the address of another process on the network path to the target
 	onLimitChanged func(r ratelimit.Report, source string)   // called when the limit of a target changed
 	requestPermit  permitFunc
+	waiting        *waiting
 }
 
 // permitFunc requests permits for the first of the given targets that has permits left, and returns
 // that target; empty if none has permits left.
 type permitFunc func(ctx context.Context, svc domain.ServiceName, targets []domain.InstanceID) domain.InstanceID
 
-func newFleet(self domain.BoxID, hall domain.HallName, p membership.RosterPolicy) *fleet {
-	return &fleet{
-		hall:           hall,
-		roster:         membership.NewRoster(self, p),
+func newFleet(c telemetry.Common, s process.EntrySettings) *fleet {
+	f := &fleet{
+		hall:           domain.HallName(s.Hall),
+		roster:         membership.NewRoster(domain.BoxID(s.Box), rosterPolicy(s)),
 		onFailure:      func() {},
 		onEjected:      func(domain.InstanceID) {},
 		onLeaving:      func(domain.InstanceID, string) {},
@@ -58,6 +61,8 @@
 		requestPermit:  func(context.Context, domain.ServiceName, []domain.InstanceID) domain.InstanceID { return "" },
 		lastRequestAt:  map[domain.ServiceName]time.Time{},
 	}
+	f.waiting = newWaiting(c, f, s.Overload.MaxQueued)
+	return f
 }
 
 // with calls run under the lock.
@@ -65,6 +70,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	run(f.roster, f.balancer)
+	f.waiting.notify()
 }
 
 // options returns the targets of the service that may be sent new requests, without those already tried.
--- a/node/peering.go
+++ b/node/peering.go
@@ -80,6 +80,12 @@
 	return p.boxes.Reachable(clock.Now())
 }
 
+// reachableCount returns how many boxes are reachable now, including this one.
+func (p *peering) reachableCount() int {
+	boxes, _ := p.reachable()
+	return boxes
+}
+
 // issuer returns the box that issues the permits of the service; its name is empty if no issuer is
 // known.
 func (p *peering) issuer(now time.Time, svc domain.ServiceName) membership.Contact {
--- a/node/reload.go
+++ b/node/reload.go
@@ -16,11 +16,12 @@
 	return p
 }
 
-// ApplySettings puts changed settings in force, as far as that is possible without a restart: bounds
-// and seeds. Addresses, names and the intervals of watches take effect at the next start.
+// ApplySettings puts changed settings in force, as far as that is possible without a restart: bounds,
+// the number of requests that may wait, and seeds. Addresses, names and the intervals of watches take effect at the next start.
 func (e *Entry) ApplySettings(s process.EntrySettings) {
 	e.budgets.setBounds(s.Bounds)
 	e.fleet.with(func(r *membership.Roster, _ *routing.Balancer) {
 		r.SetPolicy(rosterPolicy(s))
 	})
+	e.fleet.waiting.setCapacity(s.Overload.MaxQueued)
 }
--- a/node/stop.go
+++ b/node/stop.go
@@ -21,6 +21,7 @@
 	end := start.Add(e.settings().Bounds.Stop.Std() - process.StopMargin)
 	e.ready.leaving.Store(true)
 	e.gateway.BeginStop(end)
+	e.fleet.waiting.stop()
 	e.peering.notify() // other boxes choose another issuer of permits
 	e.common.Log.Info("leaving", "in_flight", e.gateway.InFlight(), "until", end)
 	ctx, cancel := clock.WithDeadline(context.Background(), end)
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -31,6 +31,7 @@
 	Permits       Name = "clovertrail_permits_total"           // reason: "issuer", "own part" (fallback share), "none" (request without success)
 	Suspensions   Name = "clovertrail_suspended_seconds_total" // reason: empty; whole seconds, rounded up
 	LinesDropped  Name = "clovertrail_log_lines_dropped_total" // reason: "full"
+	QueueOutcomes Name = "clovertrail_queue_outcomes_total"    // of requests that waited for a group; reason: "released", "left", or the waitqueue.Reason
 )
 
 // The gauges.
@@ -38,6 +39,7 @@
 	ConfigSeq Name = "clovertrail_config_seq"     // reason: empty
 	StoreEra  Name = "clovertrail_store_era"      // reason: empty
 	StepSkew  Name = "clovertrail_step_time_skew" // reason: the group; maximum step time over mean
+	Queued    Name = "clovertrail_queued"         // requests that wait for a group to open; reason: the service
 )
 
 // The histograms, in seconds.
--- a/waitqueue/outage_test.go
+++ b/waitqueue/outage_test.go
@@ -199,8 +199,8 @@
 	if f.waitsForAll {
 		r.OpensAt = at(f.now)
 	}
-	const maxAttempts = 2
-	if r.Stage < f.queued || c.attempts >= maxAttempts {
+	const allowed = 2 // attempts
+	if r.Stage < f.queued || c.attempts >= allowed {
 		f.refuse(c)
 		return
 	}
--- a/waitqueue/property_test.go
+++ b/waitqueue/property_test.go
@@ -68,16 +68,16 @@
 }
 
 func (c *checkedQueue) add(capacity int) {
-	span := func(label string, least, most int) time.Duration {
-		return time.Duration(rapid.IntRange(least, most).Draw(c.T, label)) * ms
+	span := func(label string, most int) time.Duration {
+		return time.Duration(rapid.IntRange(0, most).Draw(c.T, label)) * ms
 	}
 	r := waitqueue.Request{
 		Service: rapid.SampledFrom([]domain.ServiceName{"s", "t"}).Draw(c.T, "service"), Class: rapid.SampledFrom(classes).Draw(c.T, "class"),
 		Stage:    rapid.SampledFrom([]waitqueue.Stage{waitqueue.FirstTry, waitqueue.Returning, waitqueue.Started}).Draw(c.T, "stage"),
-		LeavesAt: c.now.Add(span("leaves", 0, 3000)), Deadline: c.now.Add(span("deadline", 0, 6000)), FirstByte: span("first byte", 0, 900),
+		LeavesAt: c.now.Add(span("leaves", 3000)), Deadline: c.now.Add(span("deadline", 6000)), FirstByte: span("first byte", 900),
 	}
 	if rapid.Bool().Draw(c.T, "forming") {
-		r.OpensAt = c.now.Add(span("opens", 0, 2500))
+		r.OpensAt = c.now.Add(span("opens", 2500))
 	}
 	ticket, decisions := c.q.Add(c.now, r)
 	for _, d := range decisions {
