--- a/node/reload.go
+++ b/node/reload.go
@@ -24,4 +24,5 @@
 	e.fleet.with(func(r *membership.Roster, _ *routing.Balancer) {
 		r.SetPolicy(rosterPolicy(s))
 	})
+	e.fleet.waiting.setCapacity(s.Overload.MaxQueued)
 }
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -32,6 +32,7 @@
 	Suspensions   Name = "clovertrail_suspended_seconds_total" // reason: empty; whole seconds, rounded up
 	InvalidCounts Name = "clovertrail_invalid_counts_total"    // reason: empty; numbers of requests of other boxes that no box can have
 	LinesDropped  Name = "clovertrail_log_lines_dropped_total" // reason: "full"
+	QueueOutcomes Name = "clovertrail_queue_outcomes_total"    // of requests that waited for a group; reason: "released", "left", or the waitqueue.Reason
 )
 
 // The gauges.
@@ -39,6 +40,7 @@
 	ConfigSeq Name = "clovertrail_config_seq"     // reason: empty
 	StoreEra  Name = "clovertrail_store_era"      // reason: empty
 	StepSkew  Name = "clovertrail_step_time_skew" // reason: the group; maximum step time over mean
+	Queued    Name = "clovertrail_queued"         // requests that wait for a group to open; reason: the service
 )
 
 // The histograms, in seconds.
