waitqueue: a request is not released when its answer could not end before its deadline

Cause: a caller that comes back has what is left of its first 8 s. The latest release now also leaves the mean duration of a request, and what a group that has just opened takes longer.

Ruled out: callers that leave for want of a first event (their streams had begun).

--- a/node/waiting.go
+++ b/node/waiting.go
@@ -102,6 +102,7 @@
 	r := waitqueue.Request{
 		Service: q.Service, Class: q.Class, LeavesAt: q.LeavesAt, Deadline: q.Deadline,
 		FirstByte: f.meanFirstByte(now, q.Service),
+		Duration:  f.meanDuration(now, q.Service),
 		OpensAt:   f.roster.Reopening(now, q.Service, w.formTime(q.Service)),
 	}
 	switch {
@@ -299,3 +300,12 @@
 	}
 	return sum / time.Duration(max(len(targets), 1))
 }
+
+// meanDuration returns the mean duration of a request of this box at the service's targets. mu is held.
+func (f *fleet) meanDuration(now time.Time, svc domain.ServiceName) time.Duration {
+	var options []routing.Option
+	for _, r := range f.roster.Ranked(now, svc) {
+		options = append(options, optionOf(r))
+	}
+	return f.balancer.MeanDuration(options)
+}
--- a/routing/balancer.go
+++ b/routing/balancer.go
@@ -195,6 +195,17 @@
 	return wait + l.firstByte, wait
 }
 
+// MeanDuration returns the mean duration of the requests of this box at the options.
+func (b *Balancer) MeanDuration(options []Option) time.Duration {
+	var all loadSummary
+	for _, o := range options {
+		l := b.load(o.ID)
+		all.served += l.served
+		all.ended += l.ended
+	}
+	return all.meanDuration()
+}
+
 // InFlight returns the number of requests of this box that are running at the target.
 func (b *Balancer) InFlight(id domain.InstanceID) int { return b.load(id).inFlight }
 
--- a/waitqueue/property_test.go
+++ b/waitqueue/property_test.go
@@ -23,11 +23,19 @@
 
 // latest returns when a request must have been decided about.
 func latest(r waitqueue.Request) time.Time {
-	end := r.LeavesAt
-	if r.Deadline.Before(end) {
-		end = r.Deadline
+	begin := callerEnd(r).Add(-max(margin, r.FirstByte))
+	if whole := r.Deadline.Add(-r.Duration - 500*ms); r.Duration > 0 && r.Stage != waitqueue.Started && whole.Before(begin) {
+		return whole
 	}
-	return end.Add(-max(margin, r.FirstByte))
+	return begin
+}
+
+// callerEnd returns when the caller leaves.
+func callerEnd(r waitqueue.Request) time.Time {
+	if r.Deadline.Before(r.LeavesAt) {
+		return r.Deadline
+	}
+	return r.LeavesAt
 }
 
 // before reports whether a is to be released before b.
@@ -35,7 +43,7 @@
 	if a.Class != b.Class {
 		return a.Class.Rank() < b.Class.Rank()
 	}
-	return latest(a).Add(max(margin, a.FirstByte)).Before(latest(b).Add(max(margin, b.FirstByte)))
+	return callerEnd(a).Before(callerEnd(b))
 }
 
 // settle checks that the ticket waits, unless it was never queued, and has no decision yet.
@@ -74,7 +82,7 @@
 	r := waitqueue.Request{
 		Service: rapid.SampledFrom([]domain.ServiceName{"s", "s", "s", "t"}).Draw(c.T, "service"), Class: rapid.SampledFrom(classes).Draw(c.T, "class"),
 		Stage:    rapid.SampledFrom([]waitqueue.Stage{waitqueue.FirstTry, waitqueue.Returning, waitqueue.Started}).Draw(c.T, "stage"),
-		LeavesAt: c.now.Add(span("leaves", 4000)), Deadline: c.now.Add(span("deadline", 8000)), FirstByte: span("first byte", 900),
+		LeavesAt: c.now.Add(span("leaves", 4000)), Deadline: c.now.Add(span("deadline", 8000)), FirstByte: span("first byte", 900), Duration: span("duration", 3000),
 	}
 	if rapid.Bool().Draw(c.T, "forming") {
 		r.OpensAt = c.now.Add(span("opens", 2500))
--- a/waitqueue/queue_test.go
+++ b/waitqueue/queue_test.go
@@ -113,6 +113,12 @@
 			b.add("a", 0, patience, func(r *waitqueue.Request) { r.FirstByte = time.Second })
 			b.passes(time.Second)
 		}, []string{"a queued 1", "a refused expired"}},
+		{"an answer that could not end before the deadline", 9, func(b *box) {
+			b.add("a", 0, patience, func(r *waitqueue.Request) { r.Duration = 3 * time.Second })
+			b.passes(1500*ms - ms)
+			b.add("b", 0, patience, func(r *waitqueue.Request) { r.Duration = 3 * time.Second })
+			b.passes(ms)
+		}, []string{"a queued 1", "b queued 2", "a refused expired"}},
 		{"too little time from the beginning", 9, func(b *box) { b.add("a", 0, margin, nil) }, []string{"a refused expired"}},
 		{"a first try into an outage of unknown length", 9, func(b *box) { b.add("a", 0, patience, stage(waitqueue.FirstTry)) }, []string{"a refused unexpected"}},
 		{"a first try as the group forms", 9, func(b *box) { b.add("a", 0, patience, firstTry(600*ms)) }, []string{"a queued 1"}},
--- a/waitqueue/request.go
+++ b/waitqueue/request.go
@@ -36,6 +36,8 @@
 	Deadline time.Time
 	// FirstByte is the expected time from the choice of a target to the first byte of the answer.
 	FirstByte time.Duration
+	// Duration is the expected time from the choice of a target to the end of the answer; 0 if unknown.
+	Duration time.Duration
 	// OpensAt is when the group is expected to open; zero if that is unknown.
 	OpensAt time.Time
 }
@@ -45,6 +47,10 @@
 // whose passes are still long.
 const minAnswerTime = 300 * time.Millisecond
 
+// openingDelay is the time by which the answer of a group that has just opened takes longer than usual: its
+// passes are about twice as long until it has a map that suits the demand.
+const openingDelay = 500 * time.Millisecond
+
 // callerEnd returns when the caller leaves if its answer does not begin.
 func (r Request) callerEnd() time.Time {
 	if r.Deadline.Before(r.LeavesAt) {
@@ -53,9 +59,17 @@
 	return r.LeavesAt
 }
 
-// LatestRelease returns the time from which an answer can no longer begin before the caller leaves.
+// LatestRelease returns the time from which an answer can no longer begin before the caller leaves, or is not
+// expected to end before the deadline. The rest of an answer that has begun may be short.
 func (r Request) LatestRelease() time.Time {
-	return r.callerEnd().Add(-max(r.FirstByte, minAnswerTime))
+	latest := r.callerEnd().Add(-max(r.FirstByte, minAnswerTime))
+	if r.Duration == 0 || r.Stage == Started {
+		return latest
+	}
+	if end := r.Deadline.Add(-r.Duration - openingDelay); end.Before(latest) {
+		return end
+	}
+	return latest
 }
 
 // opensInTime reports whether the group is expected to open before the request is refused.
