waitqueue: more time for the first byte and for the whole answer after a group opens

Cause: as a group opens, prompts of all that waited are processed at once and passes are long. The latest release is now 500 ms before the caller leaves (300 before), and a mean answer and a quarter, plus 500 ms, before the deadline.

Ruled out: refusing waiters half a forming time earlier while ranks are missing; boxes see ranks return up to a second late, which leaves nothing of the 600 ms.

--- a/waitqueue/request.go
+++ b/waitqueue/request.go
@@ -43,13 +43,17 @@
 }
 
 // minAnswerTime is the least time that a released request needs before its caller leaves: a connection to a
-// target in another data hall, the processing of the prompt and a pass of a group that has just opened and
-// whose passes are still long.
-const minAnswerTime = 300 * time.Millisecond
+// target in another data hall, the processing of the prompt, beside those of all others that waited, and a pass
+// of a group that has just opened and whose passes are still long.
+const minAnswerTime = 500 * time.Millisecond
 
-// openingDelay is the time by which the answer of a group that has just opened takes longer than usual: its
-// passes are about twice as long until it has a map that suits the demand.
-const openingDelay = 500 * time.Millisecond
+// The answer of a group that has just opened takes longer than usual by openingDelay, since its passes are about
+// twice as long until it has a map that suits the demand. durationMargin leaves room for answers that are
+// longer than the mean: half of them would otherwise be cut at the deadline.
+const (
+	openingDelay   = 500 * time.Millisecond
+	durationMargin = 1.25
+)
 
 // callerEnd returns when the caller leaves if its answer does not begin.
 func (r Request) callerEnd() time.Time {
@@ -66,7 +70,7 @@
 	if r.Duration == 0 || r.Stage == Started {
 		return latest
 	}
-	if end := r.Deadline.Add(-r.Duration - openingDelay); end.Before(latest) {
+	if end := r.Deadline.Add(-time.Duration(durationMargin*float64(r.Duration)) - openingDelay); end.Before(latest) {
 		return end
 	}
 	return latest
