orders: states confirm orders, one round of reads after the copies, and holds that are refused are repeated

Cause: waits between a plan and its commit that serve nothing. An engine that carries out an Arm without an answer kept the group held until a repetition was answered. Ranks were read every 50 ms while they copy, and once more after all had reported the map, since some states were not fresh. A hold was placed at least two steps ahead where steps last under 250 ms, whatever part of the step had passed: after a shift, one more long step. A refused hold ended the attempt, and the next one copied again.

Now a state that shows the attempt's Arm counts as its response, and late ranks are read while arming. Ranks are read as the copies are due, all that are not fresh at once. Where the begin of the step was observed, the hold is placed at the first step that begins late enough at a fifth less than the usual length. Up to three steps are tried. Safety: the version and step of an Arm belong to one attempt, so that a state with both is the response that was lost; nothing is armed before the own rank holds.

Conclusion: fewer waits by construction; the time saved is not measured in this commit.

--- a/mapswitch/orders/attempt.go
+++ b/mapswitch/orders/attempt.go
@@ -61,6 +61,7 @@
 	c.phase, c.phaseSince = p, now
 	c.fence = c.numbers.fence()
 	c.attempt = Outcome{Rank: -1, StartedAt: now}
+	c.holds, c.refusedStep = 0, 0
 }
 
 // handleDone records that a rank carried out its order. A rank that has disarmed is then
@@ -137,7 +138,7 @@
 // late release of an earlier hold does not release this one.
 func (c *Coordinator) startHolding(now time.Time) {
 	c.enterPhase(now, holding)
-	c.holdStep = max(c.highestStep()+c.steps.lead(now, c.redundancy()), c.lastHeldStep+1)
+	c.holdStep = max(max(c.highestStep(), c.refusedStep)+c.steps.lead(now, c.redundancy()), c.lastHeldStep+1)
 	c.assignSelf(Hold{Step: c.holdStep})
 }
 
@@ -209,7 +210,7 @@
 	case yielding:
 		c.ranks[r].delivery.done = true // the rank has no such hold
 	case holding:
-		c.endAttempt(NotHeld)
+		c.handleHoldRefused(now)
 	case arming:
 		c.abort(now)
 	case clearing:
@@ -219,6 +220,21 @@
 	}
 }
 
+// maxHolds is the number of steps that an attempt requests to hold, one after another, before it
+// ends: if each began before its hold arrived, the steps are much shorter than expected.
+const maxHolds = 3
+
+// handleHoldRefused requests to hold a later step, since most likely the refused one had begun, and
+// the map is still prepared everywhere.
+func (c *Coordinator) handleHoldRefused(now time.Time) {
+	if c.holds++; c.recovering || c.holds >= maxHolds {
+		c.endAttempt(NotHeld)
+		return
+	}
+	c.refusedStep, c.attempt.Rank = c.holdStep, -1
+	c.startHolding(now)
+}
+
 // handleOutranked ends the attempt, since another coordinator has taken over. If the
 // attempt's hold remains, a coordinator finds it as an orphan.
 func (c *Coordinator) handleOutranked(r int) {
--- a/mapswitch/orders/coordinator.go
+++ b/mapswitch/orders/coordinator.go
@@ -54,6 +54,9 @@
 	current Placement
 	// holdStep is the step that the attempt holds or is about to hold.
 	holdStep Step
+	// holds is the number of steps that the attempt was refused to hold, refusedStep the last one.
+	holds       int
+	refusedStep Step
 	// copyTime is the expected time to copy the experts of the proposed map.
 	copyTime     time.Duration
 	lastDelivery uint64
--- a/mapswitch/orders/observing.go
+++ b/mapswitch/orders/observing.go
@@ -28,9 +28,32 @@
 		c.highestRequested = max(c.highestRequested, v)
 	}
 	c.trackOrphan(now, k)
+	c.confirm(k)
 	return true
 }
 
+// confirm records the order of a rank as carried out if the rank's state shows that: its response
+// may have been lost. The version of the attempt stands for one map, and only this attempt arms it
+// for the held step, so a state that shows the order proves what a response would.
+func (c *Coordinator) confirm(k *rank) {
+	switch o := k.delivery.order.(type) {
+	case Prepare:
+		if c.phase == preparing && k.state.Prepared == o.Version {
+			k.delivery.done = true
+		}
+	case Arm:
+		if c.phase == arming && k.state.Armed != nil && *k.state.Armed == Armed(o) {
+			k.delivery.done = true
+		}
+	}
+}
+
+// ObserveBegin records that the step began between two observations of an engine, the time between
+// which is a fraction of a step.
+func (c *Coordinator) ObserveBegin(before, now time.Time, s Step) {
+	c.steps.observeBegin(before, now, s)
+}
+
 func armedVersion(s State) Version {
 	if s.Armed == nil {
 		return 0
@@ -38,13 +61,22 @@
 	return s.Armed.Version
 }
 
-// NeedsRead reports whether the attempt waits for a read of the rank. While preparing, it
-// waits for every rank to report the prepared map, and then for the states that are not
-// fresh; while releasing, for the own rank to report that it no longer holds the step.
+// NeedsRead reports whether the attempt waits for a read of the rank. While preparing, it waits
+// for the ranks to report the prepared map once their copies are expected to be done. At that
+// time, ranks whose states are no longer fresh are read, too, so that one round of reads suffices
+// for the hold; later, once all ranks have prepared the map. While arming, it waits for the ranks
+// whose responses are late, and while releasing, for the own rank to report that it no longer
+// holds the step.
 func (c *Coordinator) NeedsRead(now time.Time, r int) bool {
 	switch c.phase {
 	case preparing:
-		return !c.hasPrepared(r) || c.AllPrepared() && !c.isFresh(now, r)
+		if now.Before(c.copiesDue()) {
+			return false
+		}
+		return !c.hasPrepared(r) || !c.isFresh(now, r) && (c.CopiesJustDue(now) || c.AllPrepared())
+	case arming:
+		d := &c.ranks[r].delivery
+		return !d.done && d.sends > 1
 	case releasing:
 		return r == c.self
 	default:
@@ -52,6 +84,16 @@
 	}
 }
 
+// copiesDue returns when the copies for the proposed map are expected to be done.
+func (c *Coordinator) copiesDue() time.Time { return c.phaseSince.Add(c.copyTime) }
+
+// CopiesJustDue reports whether the copies for the proposed map are expected to have been done in
+// the last moment.
+func (c *Coordinator) CopiesJustDue(now time.Time) bool {
+	due := c.copiesDue()
+	return c.phase == preparing && !now.Before(due) && now.Before(due.Add(freshFor))
+}
+
 // AllPrepared reports whether all ranks have prepared the map, so that the group is held
 // as soon as the states of all ranks are fresh.
 func (c *Coordinator) AllPrepared() bool {
@@ -77,7 +119,7 @@
 
 // highestStep returns the highest step that a rank has reported.
 func (c *Coordinator) highestStep() Step {
-	var s Step
+	s := c.steps.latest
 	for _, r := range c.ranks {
 		s = max(s, r.state.Step)
 	}
--- a/mapswitch/orders/steptimes.go
+++ b/mapswitch/orders/steptimes.go
@@ -1,6 +1,9 @@
 package orders
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // stepTimes estimates the duration of the group's steps, so that a hold is placed only as
 // many steps ahead as arming needs: where a slow rank makes steps long, a map that waits for
@@ -9,6 +12,9 @@
 	latest   Step // highest step that a rank has reported
 	latestAt time.Time
 	mean     time.Duration
+	// begunAfter is the time after which the step latest began, shortly before latestAt; zero if
+	// the step before it was not observed shortly before.
+	begunAfter time.Time
 }
 
 const (
@@ -37,7 +43,14 @@
 	case s > t.latest:
 		each := now.Sub(t.latestAt) / time.Duration(s-t.latest)
 		t.mean += time.Duration(stepTimeWeight * float64(each-t.mean))
-		t.latest, t.latestAt = s, now
+		t.latest, t.latestAt, t.begunAfter = s, now, time.Time{}
+	}
+}
+
+// observeBegin records that the step began between two observations of an engine.
+func (t *stepTimes) observeBegin(before, now time.Time, s Step) {
+	if t.observe(now, s); s == t.latest {
+		t.begunAfter = before
 	}
 }
 
@@ -51,8 +64,14 @@
 }
 
 // lead returns how many steps after the highest reported one a hold is to be placed, where
-// each order is sent redundancy times at once.
+// each order is sent redundancy times at once. If the begin of the current step was observed, the
+// hold is placed at the first step that begins late enough even if steps are shorter than usual.
 func (t *stepTimes) lead(now time.Time, redundancy int) Step {
 	within := holdLead + time.Duration(redundancy-1)*holdLeadPerRedundantSend
-	return 1 + Step(float64(within)/float64(t.expected(now))+1-leadTolerance)
+	lead := 1 + Step(float64(within)/float64(t.expected(now))+1-leadTolerance)
+	if t.begunAfter.IsZero() {
+		return lead
+	}
+	least := float64(t.mean) * (1 - leadTolerance)
+	return min(lead, max(1, Step(math.Ceil(float64(now.Add(within).Sub(t.begunAfter))/least))))
 }
