orders: a lost Prepare is sent again at once, and holds follow the last step

A Prepare whose relay had reported it as lost waited for twice the distribution time of the map before it was sent again, though nothing of it was in transit; the other ranks waited for the copies of that one. And the first steps after a shift are longer than the mean of the steps, so that a map was armed two steps of 130 to 200 ms ahead.

A Prepare whose call has ended without a response is sent again after the usual delay. Where the begin of the step was observed, its length is taken from the last step, not the mean; a step that already lasts longer than the last one is followed by the hold. A hold that comes late is refused and placed again.

--- a/mapswitch/orders/confirm_test.go
+++ b/mapswitch/orders/confirm_test.go
@@ -40,6 +40,29 @@
 	}
 }
 
+// TestLostPrepareIsResentSoon: an engine that leaves a Prepare unanswered starts to copy only with the
+// next one, and the others wait for it. As soon as its relay reports that, the map is not in transit
+// any more, and the time of its distribution has not to be waited for.
+func TestLostPrepareIsResentSoon(t *testing.T) {
+	begin := time.Unix(1_800_000_000, 0)
+	c := idleCoordinator(begin)
+	c.SetDistributionTime(200 * time.Millisecond)
+	c.Propose(begin, testMap, 0)
+	for _, call := range c.Next(begin) {
+		result := orders.Done
+		if call.Rank == 2 {
+			result = orders.Lost
+		}
+		c.HandleResult(begin.Add(30*time.Millisecond), call, result)
+	}
+	if got := countRanks(c.Next(begin.Add(40 * time.Millisecond))); got != 1 {
+		t.Errorf("orders to %d ranks after the loss was reported, want 1", got)
+	}
+	if got := countRanks(c.Next(begin.Add(80 * time.Millisecond))); got != 0 {
+		t.Errorf("orders to %d ranks while the map is in transit again, want none", got)
+	}
+}
+
 // TestLateRankIsReadWhileArming: a rank that has not answered the first Arm is read, so that its
 // state can confirm the order.
 func TestLateRankIsReadWhileArming(t *testing.T) {
@@ -127,6 +150,7 @@
 	}{
 		{"long steps, the current one just begun", 130 * ms, 20 * ms, true, 1},
 		{"long steps, the current one about to end", 130 * ms, 110 * ms, true, 2},
+		{"usual steps, the current one long", 60 * ms, 80 * ms, true, 1},
 		{"long steps, begin unknown", 130 * ms, 20 * ms, false, 2},
 		{"usual steps, the current one just begun", 60 * ms, 10 * ms, true, 2},
 	} {
--- a/mapswitch/orders/coordinator.go
+++ b/mapswitch/orders/coordinator.go
@@ -20,7 +20,10 @@
 	order  Order
 	done   bool
 	sentAt time.Time // zero before the first send
-	sends  int
+	// ended reports whether the last call ended without a response, so that the order is no
+	// longer in transit from this box.
+	ended bool
+	sends int
 }
 
 // rank is the coordinator's record of one rank.
--- a/mapswitch/orders/sending.go
+++ b/mapswitch/orders/sending.go
@@ -47,7 +47,7 @@
 			continue
 		}
 		c.recordLoss(!d.sentAt.IsZero())
-		d.sentAt = now
+		d.sentAt, d.ended = now, false
 		d.sends++
 		for range c.redundancyOf(d.order) {
 			calls = append(calls, Call{Rank: r, Epoch: c.epoch, Fence: c.fence, Order: d.order, deliveryID: d.id})
@@ -62,7 +62,7 @@
 	for i := resendsBeforeBackoff; i < d.sends && delay < maxResendDelay; i++ {
 		delay *= 2
 	}
-	if _, ok := d.order.(Prepare); ok {
+	if _, ok := d.order.(Prepare); ok && !d.ended {
 		return delay + 2*c.distributionTime
 	}
 	return delay
@@ -105,6 +105,7 @@
 		c.handleRefused(now, call.Rank)
 	case Outranked:
 		c.handleOutranked(call.Rank)
-	case Lost: // Next sends the order again
+	case Lost:
+		d.ended = true // Next sends the order again
 	}
 }
--- a/mapswitch/orders/steptimes.go
+++ b/mapswitch/orders/steptimes.go
@@ -12,6 +12,7 @@
 	latest   Step // highest step that a rank has reported
 	latestAt time.Time
 	mean     time.Duration
+	last     time.Duration // length of the last step, or the mean of the last ones if several began between two observations
 	// begunAfter is the time after which the step latest began, shortly before latestAt; zero if
 	// the step before it was not observed shortly before.
 	begunAfter time.Time
@@ -39,9 +40,10 @@
 func (t *stepTimes) observe(now time.Time, s Step) {
 	switch {
 	case t.latestAt.IsZero():
-		t.latest, t.latestAt, t.mean = s, now, initialStepTime
+		t.latest, t.latestAt, t.mean, t.last = s, now, initialStepTime, initialStepTime
 	case s > t.latest:
 		each := now.Sub(t.latestAt) / time.Duration(s-t.latest)
+		t.last = each
 		t.mean += time.Duration(stepTimeWeight * float64(each-t.mean))
 		t.latest, t.latestAt, t.begunAfter = s, now, time.Time{}
 	}
@@ -65,13 +67,18 @@
 
 // lead returns how many steps after the highest reported one a hold is to be placed, where
 // each order is sent redundancy times at once. If the begin of the current step was observed, the
-// hold is placed at the first step that begins late enough even if steps are shorter than usual.
+// hold is placed at the first step that begins late enough even if steps are shorter than the last
+// one. The mean would be too short after a shift of the demand, which makes steps longer at once. A
+// hold that is refused since its step has begun costs less than one more long step.
 func (t *stepTimes) lead(now time.Time, redundancy int) Step {
 	within := holdLead + time.Duration(redundancy-1)*holdLeadPerRedundantSend
 	lead := 1 + Step(float64(within)/float64(t.expected(now))+1-leadTolerance)
 	if t.begunAfter.IsZero() {
 		return lead
 	}
-	least := float64(t.mean) * (1 - leadTolerance)
+	if float64(now.Sub(t.begunAfter)) > float64(t.last)*(1+leadTolerance) {
+		return 1 // a step that is longer than the last one, as the first after a shift: its end is unknown
+	}
+	least := float64(t.last) * (1 - leadTolerance)
 	return min(lead, max(1, Step(math.Ceil(float64(now.Add(within).Sub(t.begunAfter))/least))))
 }
