node: a relay reports the engines that answer without waiting for one that does not

Cause: relays and forwarders replied to the coordinator only when all their engines had responded, with the timeout of the coordinator. One engine in ten that leaves an order unanswered withheld the results of the nine others, so that the order was sent to all of them again, and the forwarder counted as failed.

Once half of the engines have responded, a relay waits for the others for at most three times as long, and at least 20 ms more; missing ones are reported as lost, and their orders continue. It replies within 0.8 of the coordinator's timeout in any case. Reads through relays are unchanged: engines that leave orders unanswered respond to them.

Ruled out: shorter timeouts alone, since a map takes longer over a narrow link.

--- a/node/distribution/count_deltas.go
+++ b/node/distribution/count_deltas.go
@@ -19,6 +19,9 @@
 type CountDeltas struct {
 	mu   sync.Mutex
 	last map[domain.GroupName]map[int]countSample // sample of the previous request, by the requester's group and rank
+	// reversals is the number of requests at which the engine had started again, or a count was lower
+	// than before.
+	reversals int
 }
 
 // Requester identifies the coordinator that requests counts, by its group and rank.
@@ -52,15 +55,29 @@
 	}
 	before := d.last[requester.Group][requester.Rank]
 	d.last[requester.Group][requester.Rank] = countSample{at: now, born: born, counts: counts}
+	if len(before.counts) == len(counts) && before.born != born {
+		d.reversals++
+	}
 	if len(before.counts) != len(counts) || before.born != born || now.Sub(before.at) > maxSampleAge {
 		return nil
 	}
 	deltas := make([]uint64, len(counts))
 	for i, n := range counts {
 		if n < before.counts[i] {
+			d.reversals++
 			return nil
 		}
 		deltas[i] = n - before.counts[i]
 	}
 	return mesh.NewExpertCounts(deltas)
 }
+
+// TakeReversals returns the number of requests since the last call at which the engine had started
+// again, or a count was lower than before.
+func (d *CountDeltas) TakeReversals() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	n := d.reversals
+	d.reversals = 0
+	return n
+}
--- a/node/distribution/distribution_test.go
+++ b/node/distribution/distribution_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"clovertrail.dev/core/domain"
 	"clovertrail.dev/experts/rebalance"
 	"clovertrail.dev/mapswitch/orders"
 	"clovertrail.dev/mesh"
@@ -290,3 +291,27 @@
 		t.Error("update due or delayed for an agent that has the members")
 	}
 }
+
+// TestReversedCountsAreIgnoredAndCounted: an engine that has started again, or whose counts are lower
+// than before, must not add to the demand, and operators must see it.
+func TestReversedCountsAreIgnoredAndCounted(t *testing.T) {
+	d := distribution.NewCountDeltas()
+	from := distribution.Requester{Group: "g0"}
+	for i, tc := range []struct {
+		born      domain.StartTime
+		counts    []uint64
+		ignored   bool
+		reversals int
+	}{
+		{1, []uint64{5, 100}, true, 0}, // the first request
+		{1, []uint64{9, 120}, false, 0},
+		{1, []uint64{9, 20}, true, 1},
+		{1, []uint64{10, 30}, false, 0},
+		{2, []uint64{50, 200}, true, 1},
+	} {
+		got := d.Since(start.Add(time.Duration(i)*200*time.Millisecond), from, tc.born, tc.counts)
+		if n := d.TakeReversals(); (got == nil) != tc.ignored || n != tc.reversals {
+			t.Errorf("request %d: ignored: %v, reversals: %d; want %v, %d", i, got == nil, n, tc.ignored, tc.reversals)
+		}
+	}
+}
--- a/node/rank/relaying.go
+++ b/node/rank/relaying.go
@@ -79,18 +79,14 @@
 	if !ok {
 		return nil, fault.New(fault.BadRequest, "members of the group in epoch %d were not received", c.Order.Epoch)
 	}
-	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
-	defer cancel()
-	reply := &mesh.FanOutReply{Results: make([]mesh.FanOutResult, len(c.Ranks))}
-	var sends sync.WaitGroup
-	for i, r := range c.Ranks {
-		reply.Results[i].Result = orders.Lost
-		if m, known := members[r]; known {
-			sends.Go(func() { reply.Results[i] = a.relayOrder(ctx, m, c.Order) })
+	results := fanOut(ctx, len(c.Ranks), c.Timeout, func(ctx context.Context, i int) mesh.FanOutResult {
+		m, known := members[c.Ranks[i]]
+		if !known {
+			return mesh.FanOutResult{Result: orders.Lost}
 		}
-	}
-	sends.Wait()
-	return reply, nil
+		return a.relayOrder(ctx, m, c.Order)
+	})
+	return &mesh.FanOutReply{Results: results}, nil
 }
 
 // relayOrder sends the order to the own or another rank.
@@ -123,21 +119,14 @@
 	if o == nil {
 		return nil, fault.New(fault.BadRequest, "call to forward an order to %d engines contains no order", len(call.Engines))
 	}
-	ctx, cancel := context.WithTimeout(ctx, min(call.Timeout, maxForwardTime))
-	defer cancel()
-	reply := &mesh.FanOutReply{Results: make([]mesh.FanOutResult, len(call.Engines))}
-	var sends sync.WaitGroup
-	for i, address := range call.Engines {
-		sends.Go(func() {
-			engineCall := orders.Call{Epoch: call.Order.Epoch, Fence: call.Order.Fence, Order: o}
-			res, err := issueOrder(ctx, c, platform.NewEngine(address, client), engineCall)
-			if err != nil {
-				c.Log.Debug("engine did not respond to forwarded order; reporting it as lost", "engine", address, "order", orders.Name(o), "err", err)
-				res = orders.Lost
-			}
-			reply.Results[i].Result = res
-		})
-	}
-	sends.Wait()
-	return reply, nil
+	engineCall := orders.Call{Epoch: call.Order.Epoch, Fence: call.Order.Fence, Order: o}
+	results := fanOut(ctx, len(call.Engines), min(call.Timeout, maxForwardTime), func(ctx context.Context, i int) mesh.FanOutResult {
+		res, err := issueOrder(ctx, c, platform.NewEngine(call.Engines[i], client), engineCall)
+		if err != nil {
+			c.Log.Debug("engine did not respond to forwarded order; reporting it as lost", "engine", call.Engines[i], "order", orders.Name(o), "err", err)
+			res = orders.Lost
+		}
+		return mesh.FanOutResult{Result: res}
+	})
+	return &mesh.FanOutReply{Results: results}, nil
 }
