--- a/experts/rebalance/planner.go
+++ b/experts/rebalance/planner.go
@@ -1,6 +1,7 @@
 package rebalance
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -31,7 +32,8 @@
 type Planner struct {
 	Shape Shape
 	// Slowdowns states by rank how many times longer than usual its work takes. A rank
-	// beyond its end, or with a value below 1, counts as 1. Slow ranks are assigned less.
+	// beyond its end, or with a value below 1, infinite or not a number, counts as 1. Slow ranks
+	// are assigned less.
 	Slowdowns []float64
 	// Horizon is how long the load is assumed to stay unchanged.
 	Horizon time.Duration
@@ -168,8 +170,8 @@
 	all := make([]float64, p.Shape.Ranks)
 	for r := range all {
 		all[r] = 1
-		if r < len(p.Slowdowns) {
-			all[r] = max(p.Slowdowns[r], 1)
+		if r < len(p.Slowdowns) && p.Slowdowns[r] > 1 && !math.IsInf(p.Slowdowns[r], 1) {
+			all[r] = p.Slowdowns[r]
 		}
 	}
 	return all
