orders: a hold that arrives after its release is released at once

Cause: a repetition of a Hold that its engine carries out after the Release holds the group again, and the coordinator took it for the hold of another process: it waited for 0.4 s and aborted.

A hold of the own rank for the step that this coordinator released last is released again. All ranks are armed for that step or cleared, so nothing has to be aborted. The step after one that is longer than the last is held only where orders are not sent redundantly, since arming then takes longer.

A late Release of an earlier process ends the hold under which its successor disarms. That fault is older, and open: only a process that has not been restarted knows which step it released.

--- a/mapswitch/orders/attempt.go
+++ b/mapswitch/orders/attempt.go
@@ -38,6 +38,9 @@
 	// NotArmed: a rank refused to arm, or the attempt recovered an orphaned hold; all ranks
 	// were disarmed.
 	NotArmed EndReason = "not_armed"
+	// ReleasedAgain: the own rank carried out a late Hold of an attempt that had ended, and has
+	// released it.
+	ReleasedAgain EndReason = "released_again"
 	// Overruled: a rank has received a higher fence, so another coordinator is active.
 	Overruled EndReason = "overruled"
 	// Regrouped: the group was formed anew.
@@ -90,7 +93,9 @@
 func (c *Coordinator) advance(now time.Time) {
 	switch c.phase {
 	case idle:
-		c.recoverOrphan(now)
+		if !c.releaseAgain(now) {
+			c.recoverOrphan(now)
+		}
 	case preparing:
 		c.advancePreparing(now)
 	case yielding:
@@ -182,6 +187,7 @@
 		}
 		return
 	}
+	c.releasedStep = c.holdStep
 	if c.attempt.Reason == Committed && c.proposed != nil {
 		c.current = c.proposed
 	}
--- a/mapswitch/orders/confirm_test.go
+++ b/mapswitch/orders/confirm_test.go
@@ -181,3 +181,40 @@
 		})
 	}
 }
+
+// TestLateHoldIsReleasedAtOnce: a repetition of a Hold that arrives after the Release holds the group,
+// and as an orphan it would for half a second.
+func TestLateHoldIsReleasedAtOnce(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	c := idleCoordinator(now.Add(-time.Second))
+	version := proposePrepared(c, now, 0, 0, 0)
+	step := orders.Step(0)
+	for range 3 { // hold, arm, release
+		for _, call := range c.Next(now) {
+			if h, ok := call.Order.(orders.Hold); ok {
+				step = h.Step
+			}
+			c.HandleResult(now, call, orders.Done)
+		}
+	}
+	observe := func(held *orders.Step) {
+		for r := range modelRanks {
+			c.Observe(now, r, orders.State{Epoch: 1, Open: true, Step: 6, Armed: &orders.Armed{Version: version, Step: step}})
+		}
+		c.Observe(now, 0, orders.State{Epoch: 1, Open: true, Step: 6, Armed: &orders.Armed{Version: version, Step: step}, Held: held})
+	}
+	observe(nil)
+	c.Next(now)
+	if outcomes := c.TakeOutcomes(); len(outcomes) != 1 || outcomes[0].Reason != orders.Committed {
+		t.Fatalf("outcomes %v, want a committed attempt", outcomes)
+	}
+	other := step + 1
+	observe(&other)
+	if calls := c.Next(now); len(calls) > 0 {
+		t.Errorf("orders %v for a hold of another step, which may belong to another process", calls)
+	}
+	observe(&step)
+	if release, ok := findOrder[orders.Release](c.Next(now)); !ok || release.Step != step {
+		t.Errorf("released: %v, step %d; want step %d released at once", ok, release.Step, step)
+	}
+}
--- a/mapswitch/orders/coordinator.go
+++ b/mapswitch/orders/coordinator.go
@@ -67,6 +67,8 @@
 	// requested in this epoch.
 	highestRequested Version
 	lastHeldStep     Step
+	// releasedStep is the step whose hold the last ended attempt released; 0 if none did.
+	releasedStep Step
 	// recovering reports whether the current attempt aborts an earlier attempt that left an
 	// orphaned hold.
 	recovering bool
--- a/mapswitch/orders/orphan.go
+++ b/mapswitch/orders/orphan.go
@@ -51,6 +51,21 @@
 	c.assignSelf(Hold{Step: c.holdStep})
 }
 
+// releaseAgain releases a hold of the own rank for the step that this coordinator has held and
+// released before: a repetition of the Hold has arrived after the Release. All ranks are armed for
+// the step or cleared since, so that nothing has to be aborted, and the group is not left held for
+// ownOrphanAfter. If another coordinator found the hold in between, it holds the step itself.
+func (c *Coordinator) releaseAgain(now time.Time) bool {
+	own := c.ranks[c.self].state.Held
+	if own == nil || c.releasedStep == 0 || *own != c.releasedStep {
+		return false
+	}
+	c.beginAttempt(now, releasing)
+	c.attempt.Reason, c.holdStep = ReleasedAgain, *own
+	c.assignSelf(Release{Step: *own})
+	return true
+}
+
 // lowestOrphan returns the lowest step whose hold is orphaned.
 func (c *Coordinator) lowestOrphan(now time.Time) (step Step, found bool) {
 	for r, k := range c.ranks {
--- a/mapswitch/orders/steptimes.go
+++ b/mapswitch/orders/steptimes.go
@@ -76,7 +76,7 @@
 	if t.begunAfter.IsZero() {
 		return lead
 	}
-	if float64(now.Sub(t.begunAfter)) > float64(t.last)*(1+leadTolerance) {
+	if redundancy == 1 && float64(now.Sub(t.begunAfter)) > float64(t.last)*(1+leadTolerance) {
 		return 1 // a step that is longer than the last one, as the first after a shift: its end is unknown
 	}
 	least := float64(t.last) * (1 - leadTolerance)
