node: a long step makes the coordinator read the demand at once, and changed slowdowns a plan

Cause: shifts were seen 0.25 to 0.62 s after they began, with the next read of the counts (0.2 to 0.66 s apart while a map suits the demand). A rank that turned slow waited for these reads, too. Reads during a map change asked the few ranks that they were for for their counts, so that the next counts of all came an interval later, and ranks with a read in flight were left out of a read of the counts.

The coordinator observes the step of its own engine every 20 to 40 ms (rebalance.ShiftResponse), reads all counts at a long step and 100 ms later, and at the shortest interval until a plan settles; it also knows the begin of steps for holds. Changed slowdowns make a plan due. Counts are requested of all ranks only, also of those with another read in flight. Slowdowns that are none, and counts that go back, are ignored and counted. shift_reads turns the observation off. The stand-in group can leave one order in so many unanswered.

Without the rule the tests fail: shift_reads off, plans for changed slowdowns, late engines, resent Prepares. Ruled out: a plan right after the commit of a plan under a steep skew (no effect in these tests).

--- a/local/system.go
+++ b/local/system.go
@@ -47,6 +47,8 @@
 	// ColdRate is the number of requests a second that a cold target takes; 0 if cold targets take as many
 	// as others.
 	ColdRate float64
+	// Agent changes the settings of the agents; nil for the defaults.
+	Agent func(*process.AgentSettings)
 	// Memory runs the network in memory, without sockets of the machine.
 	Memory bool
 	// Log receives the log lines of all processes; nil for none.
@@ -161,6 +163,9 @@
 		a.settings.Box, a.settings.Hall, a.settings.Engine = fmt.Sprintf("rank-%d", r), string(hall), engine
 		a.settings.Peers, a.settings.Bounds = fmt.Sprintf("%s:%d", ip, agentPort), s.layout.Bounds
 		a.settings.LinkMbps = cmp.Or(s.layout.LinkMbps, 1000)
+		if s.layout.Agent != nil {
+			s.layout.Agent(&a.settings)
+		}
 		s.agents = append(s.agents, a)
 		if err := a.Start(); err != nil {
 			return err
--- a/node/rank/agent.go
+++ b/node/rank/agent.go
@@ -234,6 +234,9 @@
 			return nil, err
 		}
 		out.ExpertCounts = a.countDeltas.Since(clock.Now(), distribution.Requester{Group: r.Rank.Group, Rank: q.From}, born, counts)
+		if n := a.countDeltas.TakeReversals(); n > 0 {
+			a.common.Metrics.Count(telemetry.BadReports, "counts", n)
+		}
 	}
 	if q.WantExperts {
 		version, holds, err := a.engine.CurrentMap(ctx)
--- a/node/rank/dispatching.go
+++ b/node/rank/dispatching.go
@@ -50,9 +50,10 @@
 	}
 	if o.Reason == orders.Committed {
 		g.updateOverhead(took)
+		g.change.version = o.Version
 	}
-	g.log("map change ended", "version", o.Version, "end", o.Reason, "rank", o.Rank,
-		"copying", o.PrepareTime, "held", held, "after", took)
+	attrs := []any{"version", o.Version, "end", o.Reason, "rank", o.Rank, "copying", o.PrepareTime, "held", held, "after", took}
+	g.log("map change ended", append(attrs, g.causeAttrs(clock.Now())...)...)
 }
 
 // overheadWeight is the weight of the latest map change in overhead, which is a moving average.
--- a/node/rank/groupcoordinator.go
+++ b/node/rank/groupcoordinator.go
@@ -65,7 +65,13 @@
 	counts    *distribution.Counter
 	estimate  *rebalance.Estimate
 	pace      rebalance.Pace
-	slowdowns []float64 // by rank, as last reported
+	slowdowns *rebalance.Slowdowns
+	shift     rebalance.ShiftResponse
+	observed  stepReport // last observation of the own engine
+	change    mapChange
+	skewHigh  bool // the skew exceeded highSkew at the last plan
+	// skewHighAt is the time of the last plan at which the skew exceeded highSkew, or of the first plan.
+	skewHighAt time.Time
 	// experts holds the experts of the map in use, of version expertsVersion, by rank. Ranks
 	// whose experts have not been read are missing.
 	experts         map[int][][]int
@@ -81,8 +87,9 @@
 	changedRows     int           // rows of the proposed map that differ from the map in use
 	mapSends        chan struct{} // semaphore that limits the whole maps sent in parallel
 	lastAttemptEnd  time.Time
-	planDue         bool // counts were added to the estimate since the last plan
-	readInFlight    map[int]bool
+	planDue         bool         // counts were added to the estimate since the last plan
+	readInFlight    map[int]bool // by rank; reads without counts
+	countsInFlight  map[int]bool // by rank; reads with counts
 	leading         bool
 	unresponsive    *unresponsiveAgents
 	readFailed      map[int]bool // by rank, for the last read
@@ -100,6 +107,7 @@
 	rank       int
 	epoch      orders.Epoch // at the start of the read
 	withCounts bool         // the read requested expert counts
+	before     float64      // share of the counts that is from before a long step
 	startedAt  time.Time
 	report     *mesh.RankReport
 	err        error
@@ -110,6 +118,7 @@
 	assignment distribution.Assignment
 	epoch      orders.Epoch
 	withCounts bool
+	before     float64 // share of the counts that is from before a long step
 	startedAt  time.Time
 	report     *mesh.GatherReply
 	err        error
@@ -132,7 +141,7 @@
 func (batchDone) event()  {}
 
 func newGroupCoordinator(a *Agent) *groupCoordinator {
-	return &groupCoordinator{agent: a, numbers: orders.NewNumberGenerator(uint16(rand.Uint32())), results: make(chan event, 64), readInFlight: map[int]bool{}, unresponsive: newUnresponsiveAgents(), readFailed: map[int]bool{}}
+	return &groupCoordinator{agent: a, numbers: orders.NewNumberGenerator(uint16(rand.Uint32())), results: make(chan event, 64), readInFlight: map[int]bool{}, countsInFlight: map[int]bool{}, unresponsive: newUnresponsiveAgents(), readFailed: map[int]bool{}}
 }
 
 // beginStop makes run return as soon as no attempt holds the group.
@@ -203,7 +212,8 @@
 // tick reads the own engine, decides whether to coordinate, and starts the reads that are due.
 func (g *groupCoordinator) tick(ctx context.Context) {
 	now := clock.Now()
-	if now.Sub(g.lastFullRead) < readInterval && !g.awaitsReads() {
+	g.observeStep(ctx, now)
+	if now = clock.Now(); now.Sub(g.lastFullRead) < readInterval && !g.awaitsReads() && !g.shift.ReadDue(now) {
 		return
 	}
 	own, err := g.agent.engineReport(ctx, readInterval/2)
@@ -214,14 +224,16 @@
 	if g.coord == nil || !g.leading {
 		return
 	}
+	g.planIfDue(now)
 	switch since := now.Sub(g.lastFullRead); {
-	case since >= readInterval:
+	case since >= readInterval || g.shift.ReadDue(now):
+		g.reportSkewAge(now)
 		g.lastFullRead, g.lastPartialRead = now, now
 		g.readTime = time.Duration(readTimeDecay * float64(g.readTime))
-		g.readRanks(ctx, func(int) bool { return true })
-	case g.awaitsReads() && (now.Sub(g.lastPartialRead) >= readInterval/2 || g.coord.AllPrepared()):
+		g.readRanks(ctx, g.countsDue(now), func(int) bool { return true })
+	case g.awaitsReads() && (now.Sub(g.lastPartialRead) >= readInterval/2 || g.coord.AllPrepared() || g.coord.CopiesJustDue(now)):
 		g.lastPartialRead = now
-		g.readRanks(ctx, func(r int) bool { return r == g.rank || g.coord.NeedsRead(now, r) })
+		g.readRanks(ctx, false, func(r int) bool { return r == g.rank || g.coord.NeedsRead(now, r) })
 	}
 }
 
@@ -269,6 +281,7 @@
 	g.counts = distribution.NewCounter(shape)
 	g.experts, g.expertsVersion = map[int][][]int{}, 0
 	clear(g.readInFlight)
+	clear(g.countsInFlight)
 	g.unresponsive.reset()
 	g.sentMaps = distribution.NewSentMaps()
 	g.relays, g.readTime = nil, 0
@@ -279,7 +292,8 @@
 	g.changedRows = 0
 	g.overhead = max(g.overhead, g.distributionTime())
 	g.estimate, g.pace = rebalance.NewEstimate(shape), rebalance.Pace{}
-	g.slowdowns = make([]float64, g.size)
+	g.slowdowns, g.shift, g.observed, g.change = rebalance.NewSlowdowns(g.size), rebalance.ShiftResponse{}, stepReport{}, mapChange{}
+	g.skewHigh, g.skewHighAt = false, time.Time{}
 }
 
 // log logs the message with the group and the own rank.
--- a/node/rank/reading.go
+++ b/node/rank/reading.go
@@ -25,31 +25,47 @@
 // errNotRelayed is the error of a rank from which its relay received no response.
 var errNotRelayed = errors.New("relay received no response from the rank")
 
-// readRanks starts reads of the wanted ranks that have no read in flight.
-func (g *groupCoordinator) readRanks(ctx context.Context, wanted func(rank int) bool) {
+// countsDue reports whether the expert counts of all ranks are to be requested now.
+func (g *groupCoordinator) countsDue(now time.Time) bool {
+	return now.Sub(g.lastCountsRead) >= g.countsInterval() || g.shift.ReadDue(now)
+}
+
+// readRanks starts reads of the wanted ranks that have no read in flight. Expert counts may be
+// requested of all ranks only, since the counts of some cannot be planned with.
+func (g *groupCoordinator) readRanks(ctx context.Context, withCounts bool, wanted func(rank int) bool) {
 	_, known := g.coord.Current()
-	withCounts := clock.Since(g.lastCountsRead) >= g.countsInterval()
 	if withCounts {
 		g.lastCountsRead = clock.Now()
+		g.shift.CountsRead(g.lastCountsRead)
 	}
 	q := mesh.ReadQuery{From: g.rank, WantExpertCounts: withCounts, WantExperts: !known}
 	var viaRelay []int
 	for r, m := range g.members {
-		if g.readInFlight[r] || !wanted(r) {
+		if g.countsInFlight[r] || g.readInFlight[r] && !withCounts || !wanted(r) {
 			continue
 		}
-		g.readInFlight[r] = true
+		g.setInFlight(r, withCounts, true)
 		if g.usesRelay(r) {
 			viaRelay = append(viaRelay, r)
 			continue
 		}
-		go g.readRank(ctx, r, m, &q, readDone{rank: r, epoch: g.coord.Epoch(), withCounts: withCounts, startedAt: clock.Now()})
+		go g.readRank(ctx, r, m, &q, readDone{rank: r, epoch: g.coord.Epoch(), withCounts: withCounts, before: g.shift.Before(), startedAt: clock.Now()})
 	}
 	if len(viaRelay) > 0 {
 		g.readViaRelays(ctx, viaRelay, q)
 	}
 }
 
+// setInFlight records whether a read of the rank is in flight. A read with counts is started beside one
+// without: the counts of a rank that is left out are missing until the next round.
+func (g *groupCoordinator) setInFlight(r int, withCounts, inFlight bool) {
+	if withCounts {
+		g.countsInFlight[r] = inFlight
+	} else {
+		g.readInFlight[r] = inFlight
+	}
+}
+
 // usesRelay reports whether the rank is called through a relay. A rank whose last read failed
 // is called directly until a read succeeds, so that it does not delay the response of its relay.
 func (g *groupCoordinator) usesRelay(r int) bool {
@@ -63,11 +79,11 @@
 	for _, a := range g.relays.Assign(ranks, g.usesRelay) {
 		if a.Relay == distribution.NoRelay {
 			for _, r := range a.Ranks {
-				go g.readRank(ctx, r, g.members[r], &q, readDone{rank: r, epoch: e, withCounts: q.WantExpertCounts, startedAt: clock.Now()})
+				go g.readRank(ctx, r, g.members[r], &q, readDone{rank: r, epoch: e, withCounts: q.WantExpertCounts, before: g.shift.Before(), startedAt: clock.Now()})
 			}
 			continue
 		}
-		done := gatherDone{assignment: a, epoch: e, withCounts: q.WantExpertCounts, startedAt: clock.Now()}
+		done := gatherDone{assignment: a, epoch: e, withCounts: q.WantExpertCounts, before: g.shift.Before(), startedAt: clock.Now()}
 		go g.readViaRelay(ctx, g.members[a.Relay], &mesh.GatherQuery{Epoch: e, Ranks: a.Ranks, Read: q}, done)
 	}
 }
@@ -100,7 +116,7 @@
 
 // handleRead processes the outcome of a read of one rank.
 func (g *groupCoordinator) handleRead(now time.Time, e readDone) {
-	g.readInFlight[e.rank] = false
+	g.setInFlight(e.rank, e.withCounts, false)
 	g.recordReadResult(e.rank, e.err)
 	if e.err != nil || g.coord == nil || e.epoch != g.coord.Epoch() {
 		return
@@ -110,7 +126,7 @@
 		return
 	}
 	if e.withCounts && g.counts.Add(e.rank, e.report.ExpertCounts) {
-		g.handleCounts()
+		g.handleCounts(e.before)
 	}
 	g.planIfDue(now)
 }
@@ -119,7 +135,7 @@
 // relay's response are read directly next time.
 func (g *groupCoordinator) handleGather(now time.Time, e gatherDone) {
 	for _, r := range e.assignment.Ranks {
-		g.readInFlight[r] = false
+		g.setInFlight(r, e.withCounts, false)
 	}
 	if e.err != nil {
 		g.log("relay did not respond; its ranks are read again", "relay", e.assignment.Relay, "ranks", len(e.assignment.Ranks), "after", now.Sub(e.startedAt), "err", e.err)
@@ -144,7 +160,7 @@
 		}
 	}
 	if e.withCounts && g.counts.AddSum(ranks, e.report.ExpertCounts) {
-		g.handleCounts()
+		g.handleCounts(e.before)
 	}
 	g.planIfDue(now)
 }
@@ -171,7 +187,7 @@
 	if !g.coord.Observe(now, rank, r.State) {
 		return false
 	}
-	g.recordSlowdown(rank, r.Slowdown)
+	g.recordSlowdown(now, rank, r.Slowdown)
 	if r.Experts != nil {
 		g.recordExperts(rank, r)
 	}
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -18,35 +18,40 @@
 
 // The counters.
 const (
-	Refusals      Name = "clovertrail_refusals_total"          // reason: the fault.Kind
-	Retries       Name = "clovertrail_retries_total"           // reason: the fault.Kind
-	Answers       Name = "clovertrail_answers_total"           // reason: "ok", "broken", "cut by the stop" (a planned stop of the box)
-	Ejections     Name = "clovertrail_ejections_total"         // reason: "failure reports"
-	PlatformCalls Name = "clovertrail_platform_calls_total"    // reason: the call, followed by " failed" if it failed
-	ConfigApplied Name = "clovertrail_config_applied_total"    // reason: "store", or the peer that sent it
-	MeshBytes     Name = "clovertrail_mesh_bytes_total"        // reason: "sent" or "received", and the call, of the calls that this process makes
-	MapSwitches   Name = "clovertrail_map_switches_total"      // reason: the outcome of the change
-	MovedExperts  Name = "clovertrail_experts_moved_total"     // reason: the group
-	Quarantines   Name = "clovertrail_quarantines_total"       // reason: source ("own", "peer", "store") or "released"
-	Permits       Name = "clovertrail_permits_total"           // reason: "issuer", "own part" (fallback share), "none" (request without success)
-	Suspensions   Name = "clovertrail_suspended_seconds_total" // reason: empty; whole seconds, rounded up
-	LinesDropped  Name = "clovertrail_log_lines_dropped_total" // reason: "full"
+	Refusals      Name = "clovertrail_refusals_total"             // reason: the fault.Kind
+	Retries       Name = "clovertrail_retries_total"              // reason: the fault.Kind
+	Answers       Name = "clovertrail_answers_total"              // reason: "ok", "broken", "cut by the stop" (a planned stop of the box)
+	Ejections     Name = "clovertrail_ejections_total"            // reason: "failure reports"
+	PlatformCalls Name = "clovertrail_platform_calls_total"       // reason: the call, followed by " failed" if it failed
+	ConfigApplied Name = "clovertrail_config_applied_total"       // reason: "store", or the peer that sent it
+	MeshBytes     Name = "clovertrail_mesh_bytes_total"           // reason: "sent" or "received", and the call, of the calls that this process makes
+	MapSwitches   Name = "clovertrail_map_switches_total"         // reason: the outcome of the change
+	MovedExperts  Name = "clovertrail_experts_moved_total"        // reason: the group
+	Quarantines   Name = "clovertrail_quarantines_total"          // reason: source ("own", "peer", "store") or "released"
+	Permits       Name = "clovertrail_permits_total"              // reason: "issuer", "own part" (fallback share), "none" (request without success)
+	Suspensions   Name = "clovertrail_suspended_seconds_total"    // reason: empty; whole seconds, rounded up
+	LongSteps     Name = "clovertrail_long_steps_total"           // reason: the group; steps that lasted much longer than usual
+	BadReports    Name = "clovertrail_rank_reports_ignored_total" // reason: "slowdown" (not a positive number), "counts" (lower than before)
+	LinesDropped  Name = "clovertrail_log_lines_dropped_total"    // reason: "full"
 )
 
 // The gauges.
 const (
-	ConfigSeq Name = "clovertrail_config_seq"     // reason: empty
-	StoreEra  Name = "clovertrail_store_era"      // reason: empty
-	StepSkew  Name = "clovertrail_step_time_skew" // reason: the group; maximum step time over mean
+	ConfigSeq Name = "clovertrail_config_seq"        // reason: empty
+	StoreEra  Name = "clovertrail_store_era"         // reason: empty
+	StepSkew  Name = "clovertrail_step_time_skew"    // reason: the group; maximum step time over mean
+	SkewAge   Name = "clovertrail_skew_high_seconds" // reason: the group; time since the skew last exceeded 1.5, 0 while it does
+	SlowRanks Name = "clovertrail_slow_ranks"        // reason: the group
 )
 
 // The histograms, in seconds.
 const (
-	FirstByte   Name = "clovertrail_first_byte_seconds"   // reason: the kind of route
-	RequestTime Name = "clovertrail_request_seconds"      // reason: the kind of route
-	StreamPause Name = "clovertrail_stream_pause_seconds" // longest pause of a stream; reason: empty
-	StoreCalls  Name = "clovertrail_store_call_seconds"   // reason: the call
-	OrderTime   Name = "clovertrail_engine_order_seconds" // reason: the order
+	FirstByte     Name = "clovertrail_first_byte_seconds"     // reason: the kind of route
+	RequestTime   Name = "clovertrail_request_seconds"        // reason: the kind of route
+	StreamPause   Name = "clovertrail_stream_pause_seconds"   // longest pause of a stream; reason: empty
+	StoreCalls    Name = "clovertrail_store_call_seconds"     // reason: the call
+	ShiftResponse Name = "clovertrail_shift_response_seconds" // from the first long step after a shift until the map for it is in use; reason: the group
+	OrderTime     Name = "clovertrail_engine_order_seconds"   // reason: the order
 )
 
 // Metrics holds the counters, gauges and histograms of a process.
