--- a/mapswitch/orders/attempt.go
+++ b/mapswitch/orders/attempt.go
@@ -38,6 +38,9 @@
 	// NotArmed: a rank refused to arm, or the attempt recovered an orphaned hold; all ranks
 	// were disarmed.
 	NotArmed EndReason = "not_armed"
+	// ReleasedAgain: the own rank carried out a late Hold of an attempt that had ended, and has
+	// released it.
+	ReleasedAgain EndReason = "released_again"
 	// Overruled: a rank has received a higher fence, so another coordinator is active.
 	Overruled EndReason = "overruled"
 	// Regrouped: the group was formed anew.
@@ -61,6 +64,7 @@
 	c.phase, c.phaseSince = p, now
 	c.fence = c.numbers.fence()
 	c.attempt = Outcome{Rank: -1, StartedAt: now}
+	c.holds, c.refusedStep = 0, 0
 }
 
 // handleDone records that a rank carried out its order. A rank that has disarmed is then
@@ -89,7 +93,9 @@
 func (c *Coordinator) advance(now time.Time) {
 	switch c.phase {
 	case idle:
-		c.recoverOrphan(now)
+		if !c.releaseAgain(now) {
+			c.recoverOrphan(now)
+		}
 	case preparing:
 		c.advancePreparing(now)
 	case yielding:
@@ -137,7 +143,7 @@
 // late release of an earlier hold does not release this one.
 func (c *Coordinator) startHolding(now time.Time) {
 	c.enterPhase(now, holding)
-	c.holdStep = max(c.highestStep()+c.steps.lead(now, c.redundancy()), c.lastHeldStep+1)
+	c.holdStep = max(max(c.highestStep(), c.refusedStep)+c.steps.lead(now, c.redundancy()), c.lastHeldStep+1)
 	c.assignSelf(Hold{Step: c.holdStep})
 }
 
@@ -181,6 +187,7 @@
 		}
 		return
 	}
+	c.releasedStep = c.holdStep
 	if c.attempt.Reason == Committed && c.proposed != nil {
 		c.current = c.proposed
 	}
@@ -209,7 +216,7 @@
 	case yielding:
 		c.ranks[r].delivery.done = true // the rank has no such hold
 	case holding:
-		c.endAttempt(NotHeld)
+		c.handleHoldRefused(now)
 	case arming:
 		c.abort(now)
 	case clearing:
@@ -219,6 +226,21 @@
 	}
 }
 
+// maxHolds is the number of steps that an attempt requests to hold, one after another, before it
+// ends: if each began before its hold arrived, the steps are much shorter than expected.
+const maxHolds = 3
+
+// handleHoldRefused requests to hold a later step, since most likely the refused one had begun, and
+// the map is still prepared everywhere.
+func (c *Coordinator) handleHoldRefused(now time.Time) {
+	if c.holds++; c.recovering || c.holds >= maxHolds {
+		c.endAttempt(NotHeld)
+		return
+	}
+	c.refusedStep, c.attempt.Rank = c.holdStep, -1
+	c.startHolding(now)
+}
+
 // handleOutranked ends the attempt, since another coordinator has taken over. If the
 // attempt's hold remains, a coordinator finds it as an orphan.
 func (c *Coordinator) handleOutranked(r int) {
--- a/mapswitch/orders/coordinator.go
+++ b/mapswitch/orders/coordinator.go
@@ -20,7 +20,10 @@
 	order  Order
 	done   bool
 	sentAt time.Time // zero before the first send
-	sends  int
+	// ended reports whether the last call ended without a response, so that the order is no
+	// longer in transit from this box.
+	ended bool
+	sends int
 }
 
 // rank is the coordinator's record of one rank.
@@ -54,6 +57,9 @@
 	current Placement
 	// holdStep is the step that the attempt holds or is about to hold.
 	holdStep Step
+	// holds is the number of steps that the attempt was refused to hold, refusedStep the last one.
+	holds       int
+	refusedStep Step
 	// copyTime is the expected time to copy the experts of the proposed map.
 	copyTime     time.Duration
 	lastDelivery uint64
@@ -61,6 +67,8 @@
 	// requested in this epoch.
 	highestRequested Version
 	lastHeldStep     Step
+	// releasedStep is the step whose hold the last ended attempt released; 0 if none did.
+	releasedStep Step
 	// recovering reports whether the current attempt aborts an earlier attempt that left an
 	// orphaned hold.
 	recovering bool
