core/call: digests that a person enters are checked

Cause: operators are to name a work by its digest on a command line, and a digest in another spelling would name no work, or a second record of one.

ParseDigest accepts what DigestOf returns and nothing else; the error is of kind invalid_object. Ruled out: upper case and surrounding space taken as the same digest, which hides a copying error.

--- a/core/call/digest.go
+++ b/core/call/digest.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 
 	"clovertrail.dev/core/domain"
+	"clovertrail.dev/core/fault"
 )
 
 // Digest identifies the work of a request. Repeated requests of an organisation for the same
@@ -27,3 +28,12 @@
 	}
 	return Digest(hex.EncodeToString(h.Sum(nil)[:digestBytes]))
 }
+
+// ParseDigest checks a digest that a person entered.
+func ParseDigest(text string) (Digest, error) {
+	raw, err := hex.DecodeString(text)
+	if err != nil || len(raw) != digestBytes || hex.EncodeToString(raw) != text {
+		return "", fault.New(fault.InvalidObject, "%q is no digest, want %d lower-case hexadecimal digits", text, hex.EncodedLen(digestBytes)).Field("digest")
+	}
+	return Digest(text), nil
+}
