--- a/quarantine/register.go
+++ b/quarantine/register.go
@@ -40,6 +40,9 @@
 	// reportFor is how long an update of a work is sent to other boxes: six rounds of adverts,
 	// in each of which every box notifies eight others.
 	reportFor = 3 * time.Second
+	// maxClockDifference is how far the clocks of boxes and operators may differ. A time that is further
+	// ahead is not taken for the present.
+	maxClockDifference = 10 * time.Second
 	// maxReported is the maximum number of observations in one message, which take about three
 	// kilobytes. The latest observations are sent.
 	maxReported = 40
@@ -75,6 +78,7 @@
 	ended   map[domain.InstanceID]end
 	served  time.Time // zero for never; targets that ended before it do not count
 	updated time.Time // time of the last new observation
+	trial   trial
 }
 
 // end is the end of a target under a work.
@@ -215,9 +219,27 @@
 	return list[:min(maxReported, len(list))]
 }
 
+// InQuarantine returns the works in quarantine, sorted.
+func (r *Register) InQuarantine(now time.Time) []call.Digest {
+	var list []call.Digest
+	for d, w := range r.works {
+		if now.Before(w.until()) {
+			list = append(list, d)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
 // until returns the end of the work's quarantine; zero for none.
 func (w *work) until() time.Time {
-	var last time.Time
+	_, until := w.term()
+	return until
+}
+
+// term returns the beginning and the end of the work's quarantine; the end is zero for none. It begins with
+// the last target that ended.
+func (w *work) term() (last, until time.Time) {
 	alone := 0 // targets that ended without others
 	for _, e := range w.ended {
 		if e.at.After(last) {
@@ -233,9 +255,9 @@
 	}
 	evidence := w.evidence()
 	if evidence < need {
-		return time.Time{}
+		return last, time.Time{}
 	}
-	return last.Add(term(evidence - need))
+	return last, last.Add(term(evidence - need))
 }
 
 // evidence counts the ends that speak against the work. Weak ends within commonWindow of each other count
