quarantine: operators lift quarantines, and boxes that missed a release learn of it

Cause: a quarantine could not be lifted: any box that had it notified the others and wrote it again. A work that was released, as it was served, came back at boxes that read its record or were cut off; others dropped their observations and did not answer.

A Lift clears all ends from before its time and is kept for 49 hours, the longest quarantine and the time for which a work is remembered after it. A box that receives an end from before a lift, or from before the work was served, sends that again. Records may hold a lift or that the work was served, and are named by their content: after a release, the record of the next quarantine had the name of the first and was not written.

Found on the way: boxes sent each other "served" for as long as they remembered the work, as the time of an observation becomes later with each message.

Ruled out: removing the records (boxes write them again); a lift that names the ends it clears (a box that was cut off has others); a lift as "served" (such work needs four ended targets for a minute); a lift dated by a clock that is ahead taken for the present (each box that reads it anew clears later ends): it counts from the last end that its record names.

--- a/quarantine/doc.go
+++ b/quarantine/doc.go
@@ -9,6 +9,11 @@
 // After that time the work may be tried again, and each further target that ends makes the next
 // quarantine longer.
 //
+// In the second half of that time one box at a time may send one request of the work to one target as a
+// trial, as a circuit breaker does in its half-open state. If the target serves it, all boxes release
+// the work; if the target ends, the next, longer quarantine begins. An operator may lift a quarantine:
+// targets that ended before do not count any more.
+//
 // Other requests that run on a target as it ends are not mistaken for the cause: they run on the
 // same target as the crashing work only once or twice, and are served when they are sent again.
 // Once any target has served a work, the targets that ended under it before no longer count.
@@ -27,4 +32,8 @@
 //	case quarantine.Updated, quarantine.Quarantined:
 //		// send r.Latest(now, false) to other boxes
 //	}
+//	if r.BeginTrial(now, digest, fleet) {
+//		// send r.Claims(now) to other boxes and one request to one target
+//		r.EndTrial(now, digest)
+//	}
 package quarantine
--- a/quarantine/fleet_test.go
+++ b/quarantine/fleet_test.go
@@ -30,6 +30,7 @@
 	sent, due    time.Time
 	observations []quarantine.Observation
 	claims       []quarantine.Claim
+	lifts        []quarantine.Lift
 }
 
 // model is a fleet of boxes that exchange observations of one work, which each request reaches at a random
@@ -120,7 +121,7 @@
 func (m *model) send(b *modelBox, all bool) {
 	for range 3 {
 		x := message{to: m.boxes[m.rand.IntN(len(m.boxes))], from: b, sent: m.now, due: m.now.Add(time.Duration(m.rand.IntN(4)) * modelStep)}
-		x.observations, x.claims = b.register.Latest(m.now, all), b.register.Claims(m.now)
+		x.observations, x.claims, x.lifts = b.register.Latest(m.now, all), b.register.Claims(m.now), b.register.Lifts(m.now)
 		m.messages = append(m.messages, x)
 	}
 }
@@ -129,6 +130,9 @@
 // contents for later by the delay of the message.
 func (x message) receive(now time.Time) {
 	delay := now.Sub(x.sent)
+	for _, l := range x.lifts {
+		x.to.register.ObserveLift(now, quarantine.Lift{Digest: l.Digest, At: l.At.Add(delay)})
+	}
 	for _, o := range x.observations {
 		o.At = o.At.Add(delay)
 		x.to.register.Observe(now, o)
--- a/quarantine/recently_served.go
+++ b/quarantine/recently_served.go
@@ -17,8 +17,13 @@
 	next  int // index in order that is overwritten next
 }
 
+// add records that the work was served at the time, unless it is known to have been served later.
 func (s *recentlyServed) add(d call.Digest, at time.Time) {
-	if _, known := s.at[d]; !known {
+	last, known := s.at[d]
+	if known && last.After(at) {
+		return
+	}
+	if !known {
 		delete(s.at, s.order[s.next])
 		s.order[s.next] = d
 		s.next = (s.next + 1) % maxRecentlyServed
--- a/quarantine/register.go
+++ b/quarantine/register.go
@@ -40,6 +40,9 @@
 	// reportFor is how long an update of a work is sent to other boxes: six rounds of adverts,
 	// in each of which every box notifies eight others.
 	reportFor = 3 * time.Second
+	// echoWindow is the time within which two reports that a work was served, or lifted, are taken for one:
+	// longer than it takes to send a report on over several boxes.
+	echoWindow = 10 * time.Second
 	// maxClockDifference is how far the clocks of boxes and operators may differ. A time that is further
 	// ahead is not taken for the present.
 	maxClockDifference = 10 * time.Second
@@ -71,13 +74,15 @@
 	Quarantined
 	// Released: the work was served, and is no longer in quarantine.
 	Released
+	// Lifted: an operator lifted the work's quarantine.
+	Lifted
 )
 
 // work holds the observations of one digest.
 type work struct {
 	ended   map[domain.InstanceID]end
 	served  time.Time // zero for never; targets that ended before it do not count
-	updated time.Time // time of the last new observation
+	updated time.Time // time of the last new observation, or of the last end from before the work was served
 	trial   trial
 }
 
@@ -99,13 +104,17 @@
 // concurrent use.
 type Register struct {
 	works  map[call.Digest]*work
+	lifts  map[call.Digest]lift
 	served recentlyServed
 	recent recentEnds
 }
 
 // NewRegister returns an empty register.
 func NewRegister() *Register {
-	return &Register{works: map[call.Digest]*work{}, served: recentlyServed{at: map[call.Digest]time.Time{}}, recent: newRecentEnds()}
+	return &Register{
+		works: map[call.Digest]*work{}, lifts: map[call.Digest]lift{},
+		served: recentlyServed{at: map[call.Digest]time.Time{}}, recent: newRecentEnds(),
+	}
 }
 
 // Observe adds an observation of this box, of another box or of the store.
@@ -113,13 +122,20 @@
 	if o.Target == "" {
 		return r.observeServed(now, o)
 	}
+	if r.cleared(now, o) {
+		return Unchanged
+	}
 	w, known := r.works[o.Digest]
 	if !known {
 		w = &work{ended: map[domain.InstanceID]end{}, served: r.served.at[o.Digest], updated: now}
 		r.works[o.Digest] = w
 		r.evict(now)
 	}
-	if _, counted := w.ended[o.Target]; counted || !o.At.After(w.served) {
+	if !o.At.After(w.served) {
+		w.updated = now // the box that sent the end does not know that the work was served since
+		return Unchanged
+	}
+	if _, counted := w.ended[o.Target]; counted {
 		return Unchanged
 	}
 	w.ended[o.Target], w.updated = end{at: o.At}, now
@@ -141,19 +157,23 @@
 	case !o.At.After(w.served):
 		return Unchanged
 	}
-	quarantined := now.Before(w.until())
-	w.served, w.updated = o.At, now
-	for id, e := range w.ended {
-		if !e.at.After(o.At) {
-			delete(w.ended, id)
-		}
+	quarantined, echo := now.Before(w.until()), isEcho(w.served, o.At)
+	w.served = o.At
+	if !w.clear(o.At) && echo {
+		return Unchanged
 	}
+	w.updated = now
 	if quarantined && !now.Before(w.until()) {
 		return Released
 	}
 	return Updated
 }
 
+// isEcho reports whether two times that boxes report are probably of one event. Messages state ages, so that
+// the time of an event becomes later with each box that sends it on; boxes that took that for another event
+// would send it to each other for ever.
+func isEcho(known, reported time.Time) bool { return reported.Sub(known) <= echoWindow }
+
 // EndedTargets returns the number of targets known to have ended under the work.
 func (r *Register) EndedTargets(d call.Digest) int {
 	if w, known := r.works[d]; known {
