mesh, membership: adverts have fields for trials and lifts, and boxes name those that they reach

Cause: boxes are to exchange trials of work in quarantine and lifts. WorkObservation is encoded as an array, which boxes of the version before cannot decode with one element more; they ignore a field that they do not know. Nothing sets the fields yet.

go test ./membership ./mesh passes; TestAdvertOfAnotherVersionIsRead has the fields.

--- a/membership/boxes.go
+++ b/membership/boxes.go
@@ -160,10 +160,8 @@
 // than can report themselves within ReachableFor, reports of other boxes count too.
 func (b *Boxes) Reachable(now time.Time) (boxes, position int) {
 	boxes = 1
-	large := b.large()
 	for _, p := range b.order {
-		reported := now.Sub(p.ownReportAt) < ReachableFor || large && now.Sub(p.lastSeenAt) < b.seenFor()
-		if p.leaving || !reported {
+		if !b.reaches(now, p) {
 			continue
 		}
 		boxes++
@@ -174,6 +172,23 @@
 	return boxes, position
 }
 
+// ReachableBoxes returns the boxes that Reachable counts, this one included.
+func (b *Boxes) ReachableBoxes(now time.Time) []domain.BoxID {
+	list := []domain.BoxID{b.self}
+	for _, p := range b.order {
+		if b.reaches(now, p) {
+			list = append(list, p.contact.Box)
+		}
+	}
+	return list
+}
+
+// reaches reports whether the peer is not leaving and has recently reported itself.
+func (b *Boxes) reaches(now time.Time, p *peer) bool {
+	reported := now.Sub(p.ownReportAt) < ReachableFor || b.large() && now.Sub(p.lastSeenAt) < b.seenFor()
+	return reported && !p.leaving
+}
+
 // OtherHalls reports whether any box of another data hall has reported itself within
 // BoundSharerTimeout, and the time of the last such report.
 func (b *Boxes) OtherHalls(now time.Time, hall domain.HallName) (known bool, last time.Time) {
--- a/mesh/messages.go
+++ b/mesh/messages.go
@@ -78,6 +78,11 @@
 	LeavingTargets []domain.InstanceID `json:"leavers,omitempty"`
 	// WorkObservations are observations of work under which targets ended.
 	WorkObservations []WorkObservation `json:"works,omitempty"`
+	// Trials are the works in quarantine that a box tries, and Lifts those whose quarantine an operator
+	// lifted. Boxes of earlier versions ignore these
+	// fields; they could not decode a longer WorkObservation.
+	Trials []WorkTrial `json:"trials,omitempty"`
+	Lifts  []WorkLift  `json:"lifts,omitempty"`
 	// Limits are the limits that targets announced.
 	Limits []LimitReport `json:"limits,omitempty"`
 	// Share reports how the sender shares limits; nil while it has received no limits.
@@ -99,6 +104,20 @@
 	Age    time.Duration     // time from the observation until this message was sent
 }
 
+// WorkTrial reports that a box tries a work in quarantine, or did so lately.
+type WorkTrial struct {
+	_      struct{} `cbor:",toarray"`
+	Digest call.Digest
+	After  time.Duration // time from the end of the last target that ended under the work until the trial
+}
+
+// WorkLift reports that an operator lifted the quarantine of a work.
+type WorkLift struct {
+	_      struct{} `cbor:",toarray"`
+	Digest call.Digest
+	Age    time.Duration // time from the lift until this message was sent
+}
+
 // FailureReport reports that a target failed a request of a box. An advert contains up to a few
 // dozen, so it is encoded as an array, without names of fields.
 type FailureReport struct {
--- a/mesh/request_counts_test.go
+++ b/mesh/request_counts_test.go
@@ -101,7 +101,10 @@
 	var earlier struct {
 		Hall string `json:"hall"`
 	}
-	raw, err := cbor.Marshal(mesh.Advert{Hall: "h", Organisations: []mesh.RequestCounts{{Service: "s", Rest: 1}}})
+	raw, err := cbor.Marshal(mesh.Advert{
+		Hall: "h", Organisations: []mesh.RequestCounts{{Service: "s", Rest: 1}},
+		Trials: []mesh.WorkTrial{{Digest: "d", After: 1}}, Lifts: []mesh.WorkLift{{Digest: "d", Age: 1}},
+	})
 	if err != nil || cbor.Unmarshal(raw, &earlier) != nil || earlier.Hall != "h" {
 		t.Errorf("read as %+v, error %v", earlier, err)
 	}
