cli: quarantine lists the work in quarantine, lift lifts one

Cause: the only way to lift a quarantine was to remove its records and to start all entry boxes at once.

lift reads the records first and refuses a digest that has no quarantine, and one that is malformed, as invalid_object; nothing is written then. The record has one name over all tries and is created only if the name is free; where the store does not answer, the command reads whether the record is there.

The server of TestEvacuationCommands that loses answers is a function of its own now, with the same steps.

Seen to fail without their mechanism (go test ./cli): the check of the digest, that of known work, the next try after a lost answer, lifts in the list.

--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -6,11 +6,16 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
+	"time"
 
 	"clovertrail.dev/cli"
+	"clovertrail.dev/core/call"
+	"clovertrail.dev/core/domain"
 	"clovertrail.dev/platform/standin"
+	"clovertrail.dev/quarantine"
 )
 
 const logLines = `time=2026-05-31T06:24:03.000Z level=WARN msg="request refused" box=front-1 request=r1 service=s kind=no_target err="none" after=1ms
@@ -68,6 +73,8 @@
 		"evacuate an unknown hall":        {[]string{"evacuate", "--store", address, "hall-9"}, cli.ExitFailed, "", "invalid_object"},
 		"readmit a hall that is in use":   {[]string{"readmit", "--store", address, "hall-1"}, cli.ExitFailed, "", "not being evacuated"},
 		"evacuate with unreachable store": {[]string{"evacuate", "--store", "127.0.0.1:1", "hall-1"}, cli.ExitFailed, "", "list targets"},
+		"lift with unreachable store":     {[]string{"lift", "--store", "127.0.0.1:1", strings.Repeat("0", 32)}, cli.ExitFailed, "", "list quarantines"},
+		"list with unreachable store":     {[]string{"quarantine", "--store", "127.0.0.1:1"}, cli.ExitFailed, "", "list quarantines"},
 		"unknown flag":                    {[]string{"report", "--paint", log}, cli.ExitUsage, "", "paint"},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -83,23 +90,81 @@
 	}
 }
 
-// TestEvacuationCommands runs the commands that begin and end evacuations one after the other.
-func TestEvacuationCommands(t *testing.T) {
-	s := standin.NewStore()
-	if _, err := s.Put("servers", "t-1", standin.NewTarget("t-1", "app", nil).Object("10.0.0.1:80", "hall-1", "ready")); err != nil {
-		t.Fatal(err)
-	}
-	lostAnswers := 0 // number of writing calls that are executed and get no answer
-	store := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.Method != http.MethodGet && lostAnswers > 0 {
-			lostAnswers--
+// lossyServer serves the store. It executes lost writing calls without an answer.
+func lossyServer(t *testing.T, s *standin.Store, lost *int) (address string) {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method != http.MethodGet && *lost > 0 {
+			*lost--
 			s.ServeHTTP(httptest.NewRecorder(), r)
 			panic(http.ErrAbortHandler)
 		}
 		s.ServeHTTP(w, r)
 	}))
-	defer store.Close()
-	address := strings.TrimPrefix(store.URL, "http://")
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+// TestQuarantineCommands runs the commands that list and lift quarantines one after the other. It guards
+// against a lift that is reported but not in the store, and against one of work that is not there.
+func TestQuarantineCommands(t *testing.T) {
+	s, lostAnswers := standin.NewStore(), 0
+	address := lossyServer(t, s, &lostAnswers)
+	put := func(d call.Digest, ago time.Duration, targets ...string) {
+		var ended []quarantine.Observation
+		for _, id := range targets {
+			ended = append(ended, quarantine.Observation{Digest: d, Target: domain.InstanceID(id), At: time.Now().Add(-ago)})
+		}
+		r := quarantine.NewRecord(ended)
+		if _, err := s.Put("quarantine", r.Name(), r); err != nil {
+			t.Fatal(err)
+		}
+	}
+	digests := [...]call.Digest{call.DigestOf("o", "POST", "/0", nil), call.DigestOf("o", "POST", "/1", nil), call.DigestOf("o", "POST", "/2", nil)}
+	put(digests[0], 10*time.Second, "a@1", "b@2")
+	put(digests[1], 70*time.Second, "c@1", "d@2")
+	if _, err := s.Put("quarantine", "damaged", 7); err != nil {
+		t.Fatal(err)
+	}
+	for _, step := range []struct {
+		name    string
+		args    []string
+		lost    int
+		code    int
+		text    string // pattern that the output or the errors must match
+		records int    // in the store afterwards
+	}{
+		{"list", []string{"quarantine"}, 0, cli.ExitDone, string(digests[0]) + ` +a@1,b@2 .* from `, 3},
+		{"list work whose trial is due", []string{"quarantine"}, 0, cli.ExitDone, string(digests[1]) + ` +c@1,d@2 .* due`, 3},
+		{"list a record that cannot be decoded", []string{"quarantine"}, 0, cli.ExitDone, "damaged .*cannot be decoded", 3},
+		{"lift unknown work", []string{"lift", string(digests[2])}, 0, cli.ExitFailed, "invalid_object: .*no quarantine", 3},
+		{"lift a malformed digest", []string{"lift", "damaged"}, 0, cli.ExitUsage, "invalid_object: .* no digest", 3},
+		{"lift without a digest", []string{"lift"}, 0, cli.ExitUsage, "requires one argument: DIGEST", 3},
+		{"lift", []string{"lift", string(digests[0])}, 0, cli.ExitDone, "is lifted", 4},
+		{"lift again", []string{"lift", string(digests[0])}, 0, cli.ExitFailed, "invalid_object: .*no quarantine", 4},
+		{"list after the lift", []string{"quarantine"}, 0, cli.ExitDone, `TRIAL\n` + string(digests[1]), 4},
+		{"lift, the answer is lost", []string{"lift", string(digests[1])}, 1, cli.ExitDone, "is lifted", 5},
+	} {
+		lostAnswers = step.lost
+		var out, errOut bytes.Buffer
+		args := append([]string{"clovertrail", step.args[0], "--store", address}, step.args[1:]...)
+		code := cli.Run(t.Context(), args, &out, &errOut)
+		if code != step.code || !regexp.MustCompile(step.text).MatchString(out.String()+errOut.String()) {
+			t.Errorf("%s: got exit code %d, output %q, errors %q; want exit code %d", step.name, code, out.String(), errOut.String(), step.code)
+		}
+		if n := len(s.Names("quarantine")); n != step.records {
+			t.Errorf("%s: %d records in the store, want %d", step.name, n, step.records)
+		}
+	}
+}
+
+// TestEvacuationCommands runs the commands that begin and end evacuations one after the other.
+func TestEvacuationCommands(t *testing.T) {
+	s, lostAnswers := standin.NewStore(), 0
+	if _, err := s.Put("servers", "t-1", standin.NewTarget("t-1", "app", nil).Object("10.0.0.1:80", "hall-1", "ready")); err != nil {
+		t.Fatal(err)
+	}
+	address := lossyServer(t, s, &lostAnswers)
 	for _, step := range []struct {
 		name    string
 		args    []string
--- a/cli/run.go
+++ b/cli/run.go
@@ -55,7 +55,10 @@
 }
 
 func (a *app) command(errOut io.Writer) *ucli.Command {
-	commands := []*ucli.Command{a.explainCommand(), a.reportCommand(), a.statusCommand(), a.evacuateCommand(), a.readmitCommand(), a.checkCommand()}
+	commands := []*ucli.Command{
+		a.explainCommand(), a.reportCommand(), a.statusCommand(), a.evacuateCommand(), a.readmitCommand(),
+		a.quarantineCommand(), a.liftCommand(), a.checkCommand(),
+	}
 	for _, c := range commands {
 		c.OnUsageError = wrapUsageError
 	}
