--- a/gateway/delivery.go
+++ b/gateway/delivery.go
@@ -92,8 +92,12 @@
 func (d *delivery) try(ctx context.Context, t retry.Try) retry.Command {
 	now := clock.Now()
 	// Checked before each attempt: work that ended the target of one attempt must not reach another.
-	if cmd, barred := d.barred(now); barred {
-		return cmd
+	trial := false
+	if until, barred := d.quarantinedUntil(now); barred {
+		if trial = len(d.tried) == 0 && d.g.deps.Quarantine.BeginTrial(now, d.req.digest); !trial {
+			return d.refuseQuarantined(now, until)
+		}
+		defer func() { d.g.deps.Quarantine.EndTrial(clock.Now(), d.req.digest) }()
 	}
 	lease, err := d.g.deps.Fleet.Acquire(ctx, now, Query{
 		Request: d.req.ID(), Service: d.req.service, Tried: d.tried, First: len(d.tried) == 0,
@@ -109,9 +113,9 @@
 		}
 		return d.machine.NoTarget(now, f)
 	}
-	if cmd, barred := d.barred(now); barred {
+	if until, barred := d.quarantinedUntil(now); barred && !trial {
 		lease.Release(Neutral)
-		return cmd
+		return d.refuseQuarantined(now, until)
 	}
 	d.tried = append(d.tried, lease.Target().ID())
 	a := &attempt{d: d, lease: lease, try: d.machine.Delayed(now, t)}
@@ -129,17 +133,23 @@
 // that another target is tried, and charges the retry budget for that. Work in quarantine is not sent to
 // another target.
 func (d *delivery) replaceOverdue(now time.Time) bool {
-	_, barred := d.g.deps.Quarantine.QuarantinedUntil(now, d.req.digest)
-	return !barred && d.g.deps.Fleet.HasTarget(now, d.req.service, d.tried) && d.machine.ReplaceOverdue(now)
+	return !d.barred(now) && d.g.deps.Fleet.HasTarget(now, d.req.service, d.tried) && d.machine.ReplaceOverdue(now)
 }
 
-// barred returns the next command if the request must not be sent to a target.
-func (d *delivery) barred(now time.Time) (retry.Command, bool) {
-	until, barred := d.g.deps.Quarantine.QuarantinedUntil(now, d.req.digest)
-	if !barred {
-		return nil, false
-	}
-	return d.machine.Barred(now, fault.New(fault.Quarantined, "targets ended under this work").RetryAt(until)), true
+// quarantinedUntil reports whether the work of the request is in quarantine, and until when.
+func (d *delivery) quarantinedUntil(now time.Time) (until time.Time, barred bool) {
+	return d.g.deps.Quarantine.QuarantinedUntil(now, d.req.digest)
+}
+
+// barred reports whether the request must not be sent to another target.
+func (d *delivery) barred(now time.Time) bool {
+	_, barred := d.quarantinedUntil(now)
+	return barred
+}
+
+// refuseQuarantined returns the next command for a request whose work is in quarantine.
+func (d *delivery) refuseQuarantined(now, until time.Time) retry.Command {
+	return d.machine.Barred(now, fault.New(fault.Quarantined, "targets ended under this work").RetryAt(until))
 }
 
 // leavesAt returns when the caller leaves unless it has received an event by then.
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -18,8 +18,9 @@
 
 // The counters.
 const (
-	InvalidCounts Name = "clovertrail_invalid_counts_total"       // reason: empty; numbers of requests of other boxes that no box can have
 	QueueOutcomes Name = "clovertrail_queue_outcomes_total"       // of requests that waited for a group; reason: "released", "left", or the waitqueue.Reason
+	LongSteps     Name = "clovertrail_long_steps_total"           // reason: the group; steps that lasted much longer than usual
+	BadReports    Name = "clovertrail_rank_reports_ignored_total" // reason: "slowdown" (not a positive number), "counts" (lower than before)
 	Refusals      Name = "clovertrail_refusals_total"             // reason: the fault.Kind
 	Retries       Name = "clovertrail_retries_total"              // reason: the fault.Kind
 	Answers       Name = "clovertrail_answers_total"              // reason: "ok", "broken", "cut by the stop" (a planned stop of the box)
@@ -29,11 +30,10 @@
 	MeshBytes     Name = "clovertrail_mesh_bytes_total"           // reason: "sent" or "received", and the call, of the calls that this process makes
 	MapSwitches   Name = "clovertrail_map_switches_total"         // reason: the outcome of the change
 	MovedExperts  Name = "clovertrail_experts_moved_total"        // reason: the group
-	Quarantines   Name = "clovertrail_quarantines_total"          // reason: source ("own", "peer", "store") or "released"
+	Quarantines   Name = "clovertrail_quarantines_total"          // reason: source ("own", "peer", "store"), "trial", "released" or "lifted"
 	Permits       Name = "clovertrail_permits_total"              // reason: "issuer", "own part" (fallback share), "none" (request without success)
 	Suspensions   Name = "clovertrail_suspended_seconds_total"    // reason: empty; whole seconds, rounded up
-	LongSteps     Name = "clovertrail_long_steps_total"           // reason: the group; steps that lasted much longer than usual
-	BadReports    Name = "clovertrail_rank_reports_ignored_total" // reason: "slowdown" (not a positive number), "counts" (lower than before)
+	InvalidCounts Name = "clovertrail_invalid_counts_total"       // reason: empty; numbers of requests of other boxes that no box can have
 	LinesDropped  Name = "clovertrail_log_lines_dropped_total"    // reason: "full"
 )
 
