--- a/admission/gate.go
+++ b/admission/gate.go
@@ -51,7 +51,7 @@
 // should retry. spread is in [0, 1) and random, so that callers refused together do not retry
 // together.
 func (g *Gate) Admit(r Request, spread float64) (bool, time.Duration) {
-	retry := g.isRetry(r)
+	retry := g.Returning(r.Route, r.Remaining)
 	if r.LatencyObjective == 0 || r.Wait == 0 {
 		return true, 0
 	}
@@ -108,12 +108,13 @@
 	return max(time.Duration(most*(1-share*(1-spread))), minRetryAfter)
 }
 
-// isRetry reports whether the caller has been refused before, judged by the time to its deadline.
-func (g *Gate) isRetry(r Request) bool {
-	if r.Remaining > g.longest[r.Route] {
-		g.longest[r.Route] = r.Remaining
+// Returning reports whether a caller on the route has been refused before, judged by the time that it had to
+// its deadline when its request arrived.
+func (g *Gate) Returning(route string, remaining time.Duration) bool {
+	if remaining > g.longest[route] {
+		g.longest[route] = remaining
 	}
-	return float64(r.Remaining) < retryBelow*float64(g.longest[r.Route])
+	return float64(remaining) < retryBelow*float64(g.longest[route])
 }
 
 // Forget drops all state of routes, for example when the configuration changes.
