node: new callers of a loaded group are refused, the least urgent first

The fleet feeds the limiters with the gaps of streams and, before each first attempt, with the epoch and the reported load of the group of the chosen target. A refusal is given at once, as overloaded, and its text has the load, the limit, the class and its threshold. clovertrail_shed_total counts by class, clovertrail_concurrency_limit has the limit of each group, and 'load shedding began' and 'load shedding ended' are logged once each by the loop that checks readiness, so that nothing is written under the fleet's lock. overload.shed disables refusals at once; the limiters go on learning.

The limiter decides once a request, also when a permit is requested in between. It decides before the gate, which refuses as before. gateway.Query has the route's event gap objective: requests without one are not limited.

--- a/gateway/delivery.go
+++ b/gateway/delivery.go
@@ -99,7 +99,8 @@
 	lease, err := d.g.deps.Fleet.Acquire(ctx, now, Query{
 		Service: d.req.service, Tried: d.tried, First: len(d.tried) == 0,
 		Route: d.req.route.Name(), Class: d.req.class, Organisation: d.req.org.Name,
-		LatencyObjective: d.req.route.LatencyObjective(), Deadline: d.req.deadline, LeavesAt: d.leavesAt(),
+		LatencyObjective: d.req.route.LatencyObjective(), EventGapObjective: d.req.route.EventGapObjective(),
+		Deadline: d.req.deadline, LeavesAt: d.leavesAt(),
 	})
 	if err != nil {
 		f := fault.Find(err)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -43,6 +43,8 @@
 	Organisation domain.OrganisationName
 	// LatencyObjective is the time within which the response has to begin to meet the route's objective.
 	LatencyObjective time.Duration
+	// EventGapObjective is the longest pause between events that the route allows; 0 if it has no such limit.
+	EventGapObjective time.Duration
 	// Deadline is when the caller stops waiting for the end of the response. LeavesAt is when it leaves
 	// unless it has received an event by then; for other requests it is the deadline.
 	Deadline, LeavesAt time.Time
--- a/local/scenario_test.go
+++ b/local/scenario_test.go
@@ -65,6 +65,7 @@
 	fatalBody string                        // the body of requests that crash targets; empty if no request does
 	coldRate  float64                       // requests a second that a cold target takes; 0 if as many as others
 	evacuates bool                          // whether the platform has evacuations of data halls
+	overload  *process.Overload             // settings of the entry boxes; nil for the defaults
 }
 
 // exchange is one request of a caller and its reply.
@@ -229,7 +230,7 @@
 		}
 		sys, err := local.Start(local.Layout{
 			Halls: halls, Entries: cmp.Or(sc.entries, 4), Targets: cmp.Or(sc.targets, 4), Group: &shape,
-			Keys: map[string]string{"org": apiKey}, Bounds: limits, Memory: true, ColdRate: sc.coldRate, LinkMbps: sc.linkMbps, Log: sc.log,
+			Keys: map[string]string{"org": apiKey}, Bounds: limits, Memory: true, ColdRate: sc.coldRate, LinkMbps: sc.linkMbps, Log: sc.log, Overload: sc.overload,
 		})
 		if err != nil {
 			t.Fatal(err)
--- a/local/system.go
+++ b/local/system.go
@@ -47,6 +47,8 @@
 	// ColdRate is the number of requests a second that a cold target takes; 0 if cold targets take as many
 	// as others.
 	ColdRate float64
+	// Overload holds the settings of the entry boxes; nil for the defaults.
+	Overload *process.Overload
 	// Memory runs the network in memory, without sockets of the machine.
 	Memory bool
 	// Log receives the log lines of all processes; nil for none.
@@ -133,6 +135,9 @@
 		e.settings.Callers, e.settings.Ready, e.settings.Peers = at(callersPort), at(readyPort), at(peersPort)
 		e.settings.Meeting, e.settings.Metrics = at(meetingPort), at(metricsPort)
 		e.settings.Store, e.settings.AgentPort, e.settings.Bounds = s.storeAddress, agentPort, s.layout.Bounds
+		if s.layout.Overload != nil {
+			e.settings.Overload = *s.layout.Overload
+		}
 		s.entries = append(s.entries, e)
 		seeds = append(seeds, e.settings.Meeting)
 	}
--- a/node/choosing.go
+++ b/node/choosing.go
@@ -43,6 +43,9 @@
 	candidates := slices.DeleteFunc(slices.Clone(options), func(o routing.Option) bool { return !f.sendable(now, o) && !f.limits.TurnDue(now, o.ID) })
 	candidates = f.balancer.WithoutCold(now, candidates)
 	chosen, err := f.pick(now, q, options, candidates)
+	if shed := f.shed(now, q, chosen, options); shed != nil {
+		return nil, nil, shed
+	}
 	if err != nil {
 		return nil, nil, err
 	}
--- a/node/entry.go
+++ b/node/entry.go
@@ -69,6 +69,7 @@
 	e.peering = newPeering(e)
 	e.fleet.onFailure, e.fleet.onEjected, e.fleet.witness = e.peering.notify, e.onTargetEjected, e.witness
 	e.fleet.onLeaving = e.onTargetLeaving
+	e.fleet.shedding.enabled, e.fleet.shedding.onRefused = e.shedsLoad, e.onShed
 	e.limiting = newLimiting(e)
 	e.fleet.onLimitChanged, e.fleet.requestPermit = e.limiting.limitChanged, e.limiting.requestPermit
 	e.hallPoller = newHallPoller(e)
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -37,6 +37,7 @@
 	witness        func(domain.Target) string                // returns the address of another process on the network path to the target
 	onLimitChanged func(r ratelimit.Report, source string)   // called when the limit of a target changed
 	requestPermit  permitFunc
+	shedding       shedding
 }
 
 // permitFunc requests permits for the first of the given targets that has permits left, and returns
@@ -57,6 +58,7 @@
 		onLimitChanged: func(ratelimit.Report, string) {},
 		requestPermit:  func(context.Context, domain.ServiceName, []domain.InstanceID) domain.InstanceID { return "" },
 		lastRequestAt:  map[domain.ServiceName]time.Time{},
+		shedding:       newShedding(),
 	}
 }
 
--- a/node/lease.go
+++ b/node/lease.go
@@ -93,7 +93,9 @@
 // ReportEventGap implements gateway.Lease.
 func (l *lease) ReportEventGap(gap, objective time.Duration) {
 	l.fleet.with(func(_ *membership.Roster, b *routing.Balancer) {
-		b.RecordPause(clock.Now(), l.option, gap, objective)
+		now := clock.Now()
+		b.RecordPause(now, l.option, gap, objective)
+		l.fleet.shedding.limiters.ObserveGap(now, l.option.Group, gap, objective)
 	})
 }
 
--- a/node/readiness.go
+++ b/node/readiness.go
@@ -76,6 +76,7 @@
 			e.common.Log.Warn("cut off without targets", "stranded", isolated, "before", before)
 		}
 		e.logStandings(now)
+		e.logShedding(now)
 		clock.SleepUntil(ctx, now.Add(readinessInterval))
 	}
 }
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -30,14 +30,16 @@
 	Quarantines   Name = "clovertrail_quarantines_total"       // reason: source ("own", "peer", "store") or "released"
 	Permits       Name = "clovertrail_permits_total"           // reason: "issuer", "own part" (fallback share), "none" (request without success)
 	Suspensions   Name = "clovertrail_suspended_seconds_total" // reason: empty; whole seconds, rounded up
+	Shed          Name = "clovertrail_shed_total"              // reason: the class of the refused caller, such as "1/3" for the second of three
 	LinesDropped  Name = "clovertrail_log_lines_dropped_total" // reason: "full"
 )
 
 // The gauges.
 const (
-	ConfigSeq Name = "clovertrail_config_seq"     // reason: empty
-	StoreEra  Name = "clovertrail_store_era"      // reason: empty
-	StepSkew  Name = "clovertrail_step_time_skew" // reason: the group; maximum step time over mean
+	ConfigSeq        Name = "clovertrail_config_seq"        // reason: empty
+	StoreEra         Name = "clovertrail_store_era"         // reason: empty
+	StepSkew         Name = "clovertrail_step_time_skew"    // reason: the group; maximum step time over mean
+	ConcurrencyLimit Name = "clovertrail_concurrency_limit" // reason: the group; share of its slots, 1 while nothing is limited
 )
 
 // The histograms, in seconds.
