--- a/node/fleet.go
+++ b/node/fleet.go
@@ -42,6 +42,7 @@
 	onLimitChanged func(r ratelimit.Report, source string)   // called when the limit of a target changed
 	requestPermit  permitFunc
 	waiting        *waiting
+	shedding       shedding
 }
 
 // permitFunc requests permits for the first of the given targets that has permits left, and returns
@@ -63,6 +64,7 @@
 		onLimitChanged: func(ratelimit.Report, string) {},
 		requestPermit:  func(context.Context, domain.ServiceName, []domain.InstanceID) domain.InstanceID { return "" },
 		lastRequestAt:  map[domain.ServiceName]time.Time{},
+		shedding:       newShedding(),
 	}
 	f.waiting = newWaiting(c, f, s.Overload.MaxQueued)
 	return f
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -21,6 +21,7 @@
 	QueueOutcomes Name = "clovertrail_queue_outcomes_total"       // of requests that waited for a group; reason: "released", "left", or the waitqueue.Reason
 	LongSteps     Name = "clovertrail_long_steps_total"           // reason: the group; steps that lasted much longer than usual
 	BadReports    Name = "clovertrail_rank_reports_ignored_total" // reason: "slowdown" (not a positive number), "counts" (lower than before)
+	InvalidCounts Name = "clovertrail_invalid_counts_total"       // reason: empty; numbers of requests of other boxes that no box can have
 	Refusals      Name = "clovertrail_refusals_total"             // reason: the fault.Kind
 	Retries       Name = "clovertrail_retries_total"              // reason: the fault.Kind
 	Answers       Name = "clovertrail_answers_total"              // reason: "ok", "broken", "cut by the stop" (a planned stop of the box)
@@ -30,21 +31,22 @@
 	MeshBytes     Name = "clovertrail_mesh_bytes_total"           // reason: "sent" or "received", and the call, of the calls that this process makes
 	MapSwitches   Name = "clovertrail_map_switches_total"         // reason: the outcome of the change
 	MovedExperts  Name = "clovertrail_experts_moved_total"        // reason: the group
-	Quarantines   Name = "clovertrail_quarantines_total"          // reason: source ("own", "peer", "store"), "trial", "released" or "lifted"
+	Quarantines   Name = "clovertrail_quarantines_total"          // reason: source ("own", "peer", "store") or "released"
 	Permits       Name = "clovertrail_permits_total"              // reason: "issuer", "own part" (fallback share), "none" (request without success)
 	Suspensions   Name = "clovertrail_suspended_seconds_total"    // reason: empty; whole seconds, rounded up
-	InvalidCounts Name = "clovertrail_invalid_counts_total"       // reason: empty; numbers of requests of other boxes that no box can have
+	Shed          Name = "clovertrail_shed_total"                 // reason: the class of the refused caller, such as "1/3" for the second of three
 	LinesDropped  Name = "clovertrail_log_lines_dropped_total"    // reason: "full"
 )
 
 // The gauges.
 const (
-	Queued    Name = "clovertrail_queued"            // requests that wait for a group to open; reason: the service
-	ConfigSeq Name = "clovertrail_config_seq"        // reason: empty
-	StoreEra  Name = "clovertrail_store_era"         // reason: empty
-	StepSkew  Name = "clovertrail_step_time_skew"    // reason: the group; maximum step time over mean
-	SkewAge   Name = "clovertrail_skew_high_seconds" // reason: the group; time since the skew last exceeded 1.5, 0 while it does
-	SlowRanks Name = "clovertrail_slow_ranks"        // reason: the group
+	Queued           Name = "clovertrail_queued"            // requests that wait for a group to open; reason: the service
+	SkewAge          Name = "clovertrail_skew_high_seconds" // reason: the group; time since the skew last exceeded 1.5, 0 while it does
+	SlowRanks        Name = "clovertrail_slow_ranks"        // reason: the group
+	ConfigSeq        Name = "clovertrail_config_seq"        // reason: empty
+	StoreEra         Name = "clovertrail_store_era"         // reason: empty
+	StepSkew         Name = "clovertrail_step_time_skew"    // reason: the group; maximum step time over mean
+	ConcurrencyLimit Name = "clovertrail_concurrency_limit" // reason: the group; share of its slots, 1 while nothing is limited
 )
 
 // The histograms, in seconds.
