--- a/admission/limiters.go
+++ b/admission/limiters.go
@@ -28,6 +28,9 @@
 	Class     urgency.Class
 	Remaining time.Duration // time to the caller's deadline
 	Returning bool          // it has been refused before
+	// Share returns the likelihood with which a caller of this organisation is refused, given that of its
+	// class; nil if all organisations are treated alike.
+	Share func(refused float64) float64
 }
 
 // Refusal states why a caller is refused, and when it should retry.
@@ -95,8 +98,14 @@
 		return Refusal{}, true
 	}
 	s, limits := g.State(now)
+	if !limits {
+		return Refusal{}, true
+	}
 	share := s.Thresholds.RefusedShare(c.Class, s.Load)
-	if !limits || random >= share {
+	if c.Share != nil {
+		share = c.Share(share)
+	}
+	if random >= share {
 		return Refusal{}, true
 	}
 	g.refused(now, s, c.Class)
--- a/node/shedding.go
+++ b/node/shedding.go
@@ -37,6 +37,12 @@
 	}
 	remaining := q.Deadline.Sub(now)
 	caller := admission.Caller{Class: q.Class, Remaining: remaining, Returning: f.gate.Returning(q.Route, remaining)}
+	if !caller.Returning {
+		f.shares.Requested(now, q.Service, q.Class, q.Organisation)
+	}
+	caller.Share = func(refused float64) float64 {
+		return f.shares.Factor(now, q.Service, q.Class, q.Organisation, refused)
+	}
 	refusal, ok := f.shedding.limiters.Admit(now, o.Group, caller, rand.Float64())
 	if ok {
 		return nil
