cli: status shows the overload of boxes

The state of shedding, waiting requests and skew is in the memory of boxes and not in the store, so status could not show it. A box that does not answer or gives anything but metrics of a box has a row that says so, and the exit code is 1 as for a failed command: the command line has no code of its own for a partial result. The rows of boxes are shown also if the store does not answer.

Checked: go test ./cli/... passes. Each of these changes makes TestFindings, TestReadRejectsOtherTexts or TestStatusOfBoxes fail: values that are NaN, infinite or negative accepted; names of others accepted; classes in the order of their names; no error for a failed box; the status of the response ignored.

--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -16,6 +16,7 @@
 	"clovertrail.dev/core/domain"
 	"clovertrail.dev/platform/standin"
 	"clovertrail.dev/quarantine"
+	"clovertrail.dev/telemetry"
 )
 
 const logLines = `time=2026-05-31T06:24:03.000Z level=WARN msg="request refused" box=front-1 request=r1 service=s kind=no_target err="none" after=1ms
@@ -193,3 +194,40 @@
 		}
 	}
 }
+
+// TestStatusOfBoxes guards against a box without metrics that is passed over in silence, or that hides the others.
+func TestStatusOfBoxes(t *testing.T) {
+	serve := func(h http.Handler) string {
+		server := httptest.NewServer(h)
+		t.Cleanup(server.Close)
+		return strings.TrimPrefix(server.URL, "http://")
+	}
+	m := telemetry.NewMetrics()
+	m.Set(telemetry.ConcurrencyLimit, "g0", 0.5)
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", m.Handler())
+	storeAddress, box, other := serve(standin.NewStore()), serve(mux), serve(http.NotFoundHandler())
+	const lost, limit = "127.0.0.1:1", ` +group g0 +limits new callers to 0.50 of its slots`
+	for _, tt := range []struct {
+		name, store, boxes string
+		code               int
+		text               string // pattern that the output and the errors must match
+	}{
+		{"no box", storeAddress, "", cli.ExitDone, `RANK\n$`},
+		{"a box", storeAddress, box, cli.ExitDone, box + limit},
+		{"a box that does not answer", storeAddress, lost + "," + box, cli.ExitFailed, lost + ` +- +unknown: .*refused\n` + box + limit + `\n.* 1 of 2 boxes`},
+		{"another server", storeAddress, other, cli.ExitFailed, other + " +- +unknown: invalid metrics: status 404"},
+		{"the store does not answer", lost, box, cli.ExitFailed, box + limit + `\n.*list configurations`},
+		{"no address", storeAddress, "box-1", cli.ExitUsage, "--box: .*missing port"},
+	} {
+		var out, errOut bytes.Buffer
+		args := []string{"clovertrail", "status", "--store", tt.store}
+		if tt.boxes != "" {
+			args = append(args, "--box", tt.boxes)
+		}
+		code := cli.Run(t.Context(), args, &out, &errOut)
+		if code != tt.code || !regexp.MustCompile(tt.text).MatchString(out.String()+errOut.String()) {
+			t.Errorf("%s: got exit code %d, output %q, errors %q; want exit code %d", tt.name, code, out.String(), errOut.String(), tt.code)
+		}
+	}
+}
--- a/cli/run.go
+++ b/cli/run.go
@@ -17,7 +17,7 @@
 // Exit codes.
 const (
 	ExitDone   = 0
-	ExitFailed = 1 // the command failed, or no log has the request
+	ExitFailed = 1 // the command failed, no log has the request, or the metrics of a box cannot be read
 	ExitUsage  = 2 // the command line or a settings file is invalid, or a log file cannot be opened
 )
 
--- a/cli/status.go
+++ b/cli/status.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"maps"
 	"net/http"
@@ -27,6 +28,7 @@
 		Flags: []ucli.Flag{
 			storeFlag(),
 			&ucli.BoolFlag{Name: "all", Usage: "show all targets"},
+			boxFlag(),
 		},
 		Action: a.status,
 	}
@@ -47,7 +49,17 @@
 	return &ucli.StringFlag{Name: "store", Required: true, Usage: "`HOST:PORT` of the store", Sources: ucli.EnvVars("CLOVERTRAIL_STORE")}
 }
 
+// status shows the store's records and, with boxes given, their overload, also if the store does not answer.
 func (a *app) status(ctx context.Context, c *ucli.Command) error {
+	boxes := c.StringSlice("box")
+	if err := checkBoxes(boxes); err != nil {
+		return err
+	}
+	return errors.Join(a.storeStatus(ctx, c), a.boxStatus(ctx, boxes))
+}
+
+// storeStatus shows the configuration, the data halls and the targets in the store.
+func (a *app) storeStatus(ctx context.Context, c *ucli.Command) error {
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
 	platformStore := platform.NewStore(c.String("store"), http.DefaultClient, nil)
