cli/logs: explain and report show overload

explain named a request that a limiter refused only by its kind. It now gives the limiter's text and the class of the caller, and for a queued request its first place beside the time that it waited; a caller that left while it waited, of which boxes log no outcome, is said to have been queued. report lists the requests refused at concurrency limits by class and the outcomes of waits, and has a fourth plot, the highest skew of a group by second: that of a proposal until the change is committed, then the expected one. A change that is not committed leaves the skew as it is. Values that no skew can have are ignored, as gonum/plot refuses NaN and infinities.

Limits: a skew is known only where maps were proposed, so a shift that no proposal followed does not show; released, refused and left waits are counted a wait, and a request may wait more than once.

TestReportSummarisesLines expects four plots in place of three.

--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -23,6 +23,13 @@
 time=2026-05-31T06:24:04.000Z level=INFO msg="request answered" box=front-1 request=r2 target=i-2 events=4 pause=70ms first=90ms after=1.2s
 `
 
+const overloadLines = `time=2026-05-31T06:24:03.000Z level=WARN msg="request refused" box=front-1 request=r1 service=s class=1/3 kind=overloaded err="overloaded: clovertrail: group g0 has a load of 1; callers of class 1/3 are refused from 0.9 on" after=1ms
+time=2026-05-31T06:24:03.000Z level=INFO msg="request queued" box=front-1 request=r2 service=s class=0/3 place=1 leaves_in=2s
+time=2026-05-31T06:24:03.400Z level=INFO msg="queued request released" box=front-1 request=r2 service=s waited=400ms leaves_in=1.6s
+time=2026-05-31T06:24:04.000Z level=INFO msg="map proposed" box=side-1 group=g0 skew=2.5 expected=1.25
+time=2026-05-31T06:24:06.000Z level=INFO msg="map change ended" box=side-1 group=g0 end=committed
+`
+
 const entrySettings = `{"box": "b", "hall": "h", "callers": "1:1", "ready": "1:2", "peers": "1:3", "store": "1:4"`
 
 // writeFile writes a file into a temporary folder and returns its path.
@@ -62,6 +69,7 @@
 		"explain without a log":           {[]string{"explain", "r1"}, cli.ExitUsage, "", "requires the arguments REQUEST LOG"},
 		"explain a missing file":          {[]string{"explain", "r1", log + "x"}, cli.ExitUsage, "", "no such file"},
 		"report":                          {[]string{"report", "--svg", svg, log}, cli.ExitDone, "refused as no_target", ""},
+		"report of overload":              {[]string{"report", writeFile(t, "b.log", overloadLines)}, cli.ExitDone, "BY CLASS  \n1/3                                      1\n\nWAITS FOR A GROUP TO OPEN  \nreleased                   1\n", ""},
 		"report without a log":            {[]string{"report"}, cli.ExitUsage, "", "requires the arguments LOG"},
 		"valid settings":                  {[]string{"check-settings", writeFile(t, "s.json", entrySettings+"}")}, cli.ExitDone, "valid for role entry", ""},
 		"invalid settings":                {[]string{"check-settings", writeFile(t, "s.json", entrySettings+",\n\"agent_port\": -1}")}, cli.ExitUsage, "", "s.json:2"},
--- a/cli/log_commands.go
+++ b/cli/log_commands.go
@@ -62,7 +62,7 @@
 	out := table{header: []string{"TIME", "BOX", "LINE", "TARGET", "DETAILS"}}
 	for _, l := range t.Lines() {
 		details := ""
-		for _, key := range []string{"attempt", "end", "next", "status", "kind", "err", "events", "pause", "first", "after", "config"} {
+		for _, key := range []string{"attempt", "end", "next", "status", "kind", "err", "events", "pause", "first", "class", "place", "reason", "waited", "leaves_in", "after", "config"} {
 			if v := l.Get(key); v != "" {
 				details += key + "=" + strconv.Quote(v) + " "
 			}
@@ -83,7 +83,7 @@
 
 func (a *app) reportCommand() *ucli.Command {
 	return &ucli.Command{
-		Name: "report", Usage: "summarise logs: outcomes of requests, failed attempts, latency, map changes", ArgsUsage: "LOG...",
+		Name: "report", Usage: "summarise logs: outcomes of requests, failed attempts, latency, map changes, overload", ArgsUsage: "LOG...",
 		Flags:  []ucli.Flag{&ucli.StringFlag{Name: "svg", Usage: "also write the plots to `FILE` as SVG"}},
 		Action: a.report,
 	}
@@ -106,7 +106,7 @@
 	lines, _ := r.Lines()
 	from, to := r.Span()
 	_, _ = fmt.Fprintf(a.out, "%d lines, %s from %s\n", lines, to.Sub(from).Round(time.Second), from.Format(time.RFC3339))
-	tables := reportTables(r)
+	tables := append(reportTables(r), overloadTables(r)...)
 	if limits := set.LimitUsages(); len(limits) > 0 {
 		tables = append(tables, limitTable(limits))
 	}
@@ -131,6 +131,18 @@
 	}
 }
 
+// overloadTables lists the requests refused at concurrency limits and the outcomes of waiting, where there are any.
+func overloadTables(r *logs.Report) []table {
+	var list []table
+	if shed := r.Shed(); len(shed) > 0 {
+		list = append(list, countTable("REFUSED AT CONCURRENCY LIMITS, BY CLASS", shed))
+	}
+	if waits := r.QueueOutcomes(); len(waits) > 0 {
+		list = append(list, countTable("WAITS FOR A GROUP TO OPEN", waits))
+	}
+	return list
+}
+
 // limitTable compares the requests sent to targets that announced limits with the requests
 // that the limits allowed.
 func limitTable(list []logs.LimitUsage) table {
--- a/cli/logs/explain.go
+++ b/cli/logs/explain.go
@@ -124,6 +124,9 @@
 	case "request refused", "answer broken off":
 		kind := fault.Kind(last.Get("kind"))
 		sentence = strings.TrimPrefix(last.msg, "request ") + " as " + string(kind) + ": " + kind.Response().Text()
+		if isShed(last) {
+			sentence += "; it was a new caller of class " + last.Get("class") + ", and " + limiterText(last)
+		}
 	default:
 		sentence = "the lines end before the request does"
 	}
@@ -147,22 +150,48 @@
 	return sentence
 }
 
-// describeWait describes how long a request waited for the group of its service to open; empty if it did not
-// wait.
+// limiterText returns the text of the limiter in a line of which isShed is true.
+func limiterText(l Line) string {
+	text := l.Get("err")
+	if i := strings.Index(text, "group "); i >= 0 {
+		text = text[i:] // without the kind and the class of the error
+	}
+	return text
+}
+
+// describeWait describes how long a request waited for the group of its service to open, and its first place in the
+// queue; empty if it did not wait.
 func describeWait(lines []Line) string {
 	var sentence string
+	var queued Line // the line that the request was queued, while it waits
 	for _, l := range lines {
 		waited := l.Duration("waited").Round(time.Millisecond).String()
 		switch l.msg {
+		case "request queued":
+			queued = l
 		case "queued request released":
-			sentence += "; it was queued for " + waited + " until its group was open"
+			sentence += "; it was queued for " + waited + " until its group was open" + firstPlace(queued)
+			queued = Line{}
 		case "queued request refused":
-			sentence += "; it was queued for " + waited + " for its group to open, and refused as " + l.Get("reason")
+			sentence += "; it was queued for " + waited + " for its group to open, and refused as " + l.Get("reason") + firstPlace(queued)
+			queued = Line{}
 		}
 	}
+	if queued.msg != "" {
+		waited := lines[len(lines)-1].at.Sub(queued.at).Round(time.Millisecond).String()
+		sentence += "; it was queued for " + waited + " until the last line" + firstPlace(queued)
+	}
 	return sentence
 }
 
+// firstPlace describes the place at which a request was queued; empty without that line.
+func firstPlace(queued Line) string {
+	if queued.Get("place") == "" {
+		return ""
+	}
+	return ", at first in place " + queued.Get("place")
+}
+
 // describeWork counts the requests with the same digest in the lines up to the last one of
 // this request, and names the targets that ended while they ran such a request; empty if
 // none ended.
--- a/cli/logs/logs_test.go
+++ b/cli/logs/logs_test.go
@@ -160,7 +160,7 @@
 	if err := r.WriteSVG(&svg); err != nil || !strings.Contains(svg.String(), "changes of maps a second") {
 		t.Errorf("got %d bytes of SVG, error %v", svg.Len(), err)
 	}
-	if got := r.TextPlots(40); len(got) != 3 || !strings.Contains(got[1], "requests a second") {
+	if got := r.TextPlots(40); len(got) != 4 || !strings.Contains(got[1], "requests a second") {
 		t.Errorf("got text plots %q", got)
 	}
 }
@@ -281,7 +281,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, want := range []string{"refused as no_target", "queued for 100ms until its group was open", "queued for 1.5s for its group to open, and refused as expired"} {
+	for _, want := range []string{"refused as no_target", "queued for 100ms until its group was open, at first in place 1", "queued for 1.5s for its group to open, and refused as expired"} {
 		if !strings.Contains(got.Cause(), want) {
 			t.Errorf("cause %q does not contain %q", got.Cause(), want)
 		}
--- a/cli/logs/plot.go
+++ b/cli/logs/plot.go
@@ -31,22 +31,26 @@
 
 // panels lists the plots of a report from top to bottom.
 var panels = []struct {
-	title  string
-	curves []curve
+	title    string
+	decimals uint // of the scale of a text plot
+	curves   []curve
 }{
-	{"time until answers began, 95 in 100, ms", []curve{
+	{"time until answers began, 95 in 100, ms", 0, []curve{
 		{"first", func(s Second) float64 { return float64(s.FirstByteP95) / float64(time.Millisecond) }},
 	}},
-	{"requests a second", []curve{
+	{"requests a second", 0, []curve{
 		{"answered", func(s Second) float64 { return float64(s.Answered) }},
 		{"refused", func(s Second) float64 { return float64(s.Refused) }},
 	}},
-	{"changes of maps a second", []curve{
+	{"changes of maps a second", 0, []curve{
 		{"in use", func(s Second) float64 { return float64(s.MapChanges) }},
 	}},
+	{"highest skew of a group", 1, []curve{
+		{"skew", func(s Second) float64 { return s.Skew }},
+	}},
 }
 
-// WriteSVG writes plots of latency, requests and map changes over the span as SVG.
+// WriteSVG writes plots of latency, requests, map changes and skew over the span as SVG.
 func (r *Report) WriteSVG(w io.Writer) error {
 	canvas := vgsvg.New(plotWidth, plotHeight*vg.Length(len(panels)))
 	for i, p := range panels {
@@ -95,7 +99,7 @@
 			series = append(series, values)
 		}
 		out = append(out, asciigraph.PlotMany(series, asciigraph.Height(textPlotHeight), asciigraph.Width(columns),
-			asciigraph.Precision(0), asciigraph.LowerBound(0), asciigraph.Caption(p.title)))
+			asciigraph.Precision(p.decimals), asciigraph.LowerBound(0), asciigraph.Caption(p.title)))
 	}
 	return out
 }
--- a/cli/logs/report.go
+++ b/cli/logs/report.go
@@ -30,6 +30,7 @@
 	Answered, Refused int
 	MapChanges        int           // map changes that were committed
 	FirstByteP95      time.Duration // 95th percentile of the time to the first byte of an answer
+	Skew              float64       // the highest skew of a group; 0 before the first map proposed
 }
 
 // Report summarises the lines of all boxes.
@@ -39,7 +40,9 @@
 	outcomes       map[string]int // requests by outcome
 	attempts       map[string]int // failed attempts by outcome
 	changes        map[string]int // map changes by outcome
-	skews          []float64      // one for each map proposed
+	shed           map[string]int // requests refused at the concurrency limit by class
+	queue          queueCounts
+	skews          []float64 // one for each map proposed
 	firstByte      *hdrhistogram.Histogram
 	pauses         *hdrhistogram.Histogram
 	seconds        []Second
@@ -61,6 +64,7 @@
 	r := &Report{
 		lines: len(s.lines), damaged: s.damaged,
 		outcomes: map[string]int{}, attempts: map[string]int{}, changes: map[string]int{},
+		shed: map[string]int{}, queue: queueCounts{outcomes: map[string]int{}},
 		firstByte: newHistogram(), pauses: newHistogram(),
 	}
 	if len(s.lines) == 0 {
@@ -72,8 +76,15 @@
 	for i := range r.seconds {
 		r.seconds[i].From = r.from.Add(time.Duration(i) * time.Second)
 	}
+	skew := newSkewSeries()
 	for _, l := range s.lines {
 		r.add(l, firstBytes)
+		r.queue.add(l)
+		skew.apply(r.second(l), l)
+	}
+	skew.extend(len(r.seconds))
+	for i, v := range skew.highest {
+		r.seconds[i].Skew = v
 	}
 	for i, h := range firstBytes {
 		r.seconds[i].FirstByteP95 = microseconds(h.ValueAtQuantile(95))
@@ -81,10 +92,13 @@
 	return r
 }
 
+// second returns the second of the span that the line belongs to.
+func (r *Report) second(l Line) int { return int(l.at.Sub(r.from) / time.Second) }
+
 // add counts a line. firstBytes holds a histogram of the time to the first byte for each second
 // of the span that has an answer.
 func (r *Report) add(l Line, firstBytes map[int]*hdrhistogram.Histogram) {
-	at := int(l.at.Sub(r.from) / time.Second)
+	at := r.second(l)
 	switch l.msg {
 	case "request answered":
 		r.outcomes["answered"]++
@@ -100,6 +114,9 @@
 	case "request refused":
 		r.outcomes["refused as "+l.Get("kind")]++
 		r.seconds[at].Refused++
+		if isShed(l) {
+			r.shed[l.Get("class")]++
+		}
 	case "answer broken off":
 		r.outcomes["broken off as "+l.Get("kind")]++
 	case "caller left":
