waitqueue: the latest release follows what the box has seen of first bytes and answers

The margins are now multiples of the mean first byte (at least 300 ms) and of the mean of whole answers, over all targets, as a box sends each of them a request every few seconds only.

After: 8 of 8 runs pass (go test ./local -run 'TestReturningCallersWaitForStoppedGroup|TestCallerThatLeaves' -count=8).

--- a/node/lease.go
+++ b/node/lease.go
@@ -106,6 +106,9 @@
 func (l *lease) Release(v gateway.Verdict) {
 	now := clock.Now()
 	l.fleet.with(func(r *membership.Roster, b *routing.Balancer) {
+		if v == gateway.Good {
+			b.Answered(now, l.ticket)
+		}
 		b.Ended(now, l.ticket)
 		switch v {
 		case gateway.Good:
--- a/node/waiting.go
+++ b/node/waiting.go
@@ -99,10 +99,11 @@
 // requestOf describes the request for the queue. The fleet's mu is held.
 func (w *waiting) requestOf(now time.Time, q gateway.Query) waitqueue.Request {
 	f := w.fleet
+	options := f.optionsOf(now, q.Service)
 	r := waitqueue.Request{
 		Service: q.Service, Class: q.Class, LeavesAt: q.LeavesAt, Deadline: q.Deadline,
-		FirstByte: f.meanFirstByte(now, q.Service),
-		Duration:  f.meanDuration(now, q.Service),
+		FirstByte: f.balancer.MeanFirstByte(options),
+		Duration:  f.balancer.MeanAnswer(options),
 		OpensAt:   f.roster.Reopening(now, q.Service, w.formTime(q.Service)),
 	}
 	switch {
@@ -289,23 +290,11 @@
 	return waitqueue.Room{Free: free, ReportedAt: reportedAt, Boxes: sharing}
 }
 
-// meanFirstByte returns the mean time to the first byte of the service's targets, without a wait for a slot.
-// mu is held.
-func (f *fleet) meanFirstByte(now time.Time, svc domain.ServiceName) time.Duration {
-	var sum time.Duration
-	targets := f.roster.Ranked(now, svc)
-	for _, r := range targets {
-		total, wait := f.balancer.EstimateFirstByte(now, optionOf(r))
-		sum += total - wait
-	}
-	return sum / time.Duration(max(len(targets), 1))
-}
-
-// meanDuration returns the mean duration of a request of this box at the service's targets. mu is held.
-func (f *fleet) meanDuration(now time.Time, svc domain.ServiceName) time.Duration {
+// optionsOf returns all targets of the service as options. mu is held.
+func (f *fleet) optionsOf(now time.Time, svc domain.ServiceName) []routing.Option {
 	var options []routing.Option
 	for _, r := range f.roster.Ranked(now, svc) {
 		options = append(options, optionOf(r))
 	}
-	return f.balancer.MeanDuration(options)
+	return options
 }
--- a/routing/balancer.go
+++ b/routing/balancer.go
@@ -103,6 +103,10 @@
 	firstByte  time.Duration // mean time to the first byte, without the wait for a slot
 	served     time.Duration // duration of the requests of this box that have ended, weighted by how recent they are
 	ended      float64       // number of these requests, weighted in the same way
+	begun      time.Duration // time to the first byte of the requests of this box, weighted in the same way
+	begins     float64       // number of these requests, weighted in the same way
+	answered   time.Duration // as served, of the requests that were answered to their end
+	answers    float64       // number of these requests, weighted in the same way
 }
 
 // Ticket is one request of this box at a target. Like the Balancer that returned it, it is not
@@ -151,6 +155,8 @@
 	t.began = true
 	served := max(now.Sub(t.sentAt)-t.wait, 0)
 	t.load.firstByte += time.Duration(meanSmoothing * float64(served-t.load.firstByte))
+	t.load.begun = served + time.Duration((1-meanSmoothing)*float64(t.load.begun))
+	t.load.begins = 1 + (1-meanSmoothing)*t.load.begins
 }
 
 // Ended records that the request of the ticket is over. Only the first call for a ticket counts.
@@ -163,6 +169,15 @@
 	t.load = nil
 }
 
+// Answered records that the request of the ticket was answered to its end now. Ended follows.
+func (b *Balancer) Answered(now time.Time, t *Ticket) {
+	if t.load == nil {
+		return
+	}
+	t.load.answered = now.Sub(t.sentAt) + time.Duration((1-meanSmoothing)*float64(t.load.answered))
+	t.load.answers = 1 + (1-meanSmoothing)*t.load.answers
+}
+
 // recordEnd records that a request of this box has ended after the duration.
 func (l *load) recordEnd(d time.Duration) {
 	l.duration += time.Duration(meanSmoothing * float64(d-l.duration))
@@ -195,15 +210,34 @@
 	return wait + l.firstByte, wait
 }
 
-// MeanDuration returns the mean duration of the requests of this box at the options.
-func (b *Balancer) MeanDuration(options []Option) time.Duration {
-	var all loadSummary
+// MeanFirstByte returns the mean time to the first byte of the requests of this box at the options, without the
+// wait for a slot; 0 before there is one.
+func (b *Balancer) MeanFirstByte(options []Option) time.Duration {
+	sum, begins := time.Duration(0), 0.0
+	for _, o := range options {
+		l := b.load(o.ID)
+		sum += l.begun
+		begins += l.begins
+	}
+	if begins == 0 {
+		return 0
+	}
+	return time.Duration(float64(sum) / begins)
+}
+
+// MeanAnswer returns the mean duration of the requests of this box that the options answered to their end; 0
+// before there is one. Requests that were cut off, as by an outage of their group, do not count.
+func (b *Balancer) MeanAnswer(options []Option) time.Duration {
+	sum, answers := time.Duration(0), 0.0
 	for _, o := range options {
 		l := b.load(o.ID)
-		all.served += l.served
-		all.ended += l.ended
+		sum += l.answered
+		answers += l.answers
+	}
+	if answers == 0 {
+		return 0
 	}
-	return all.meanDuration()
+	return time.Duration(float64(sum) / answers)
 }
 
 // InFlight returns the number of requests of this box that are running at the target.
--- a/waitqueue/request.go
+++ b/waitqueue/request.go
@@ -34,25 +34,24 @@
 	LeavesAt time.Time
 	// Deadline is when the caller stops waiting for the end of the answer.
 	Deadline time.Time
-	// FirstByte is the expected time from the choice of a target to the first byte of the answer.
+	// FirstByte is the mean time from the choice of a target to the first byte of the answer; 0 if unknown.
 	FirstByte time.Duration
-	// Duration is the expected time from the choice of a target to the end of the answer; 0 if unknown.
+	// Duration is the mean time from the choice of a target to the end of the answer; 0 if unknown.
 	Duration time.Duration
 	// OpensAt is when the group is expected to open; zero if that is unknown.
 	OpensAt time.Time
 }
 
 // minAnswerTime is the least time that a released request needs before its caller leaves: a connection to a
-// target in another data hall, the processing of the prompt, beside those of all others that waited, and a pass
-// of a group that has just opened and whose passes are still long.
-const minAnswerTime = 500 * time.Millisecond
+// target in another data hall, the processing of the prompt and a pass of the group.
+const minAnswerTime = 300 * time.Millisecond
 
-// The answer of a group that has just opened takes longer than usual by openingDelay, since its passes are about
-// twice as long until it has a map that suits the demand. durationMargin leaves room for answers that are
-// longer than the mean: half of them would otherwise be cut at the deadline.
+// A group that has just opened has long passes until it has a map that suits the demand, and processes the
+// prompts of all that waited at once. Its answers begin later and take longer than on average by these factors,
+// which leave room for answers that are longer than the mean too.
 const (
-	openingDelay   = 500 * time.Millisecond
-	durationMargin = 1.25
+	openingFirstByteFactor = 2.5
+	openingDurationFactor  = 1.25
 )
 
 // callerEnd returns when the caller leaves if its answer does not begin.
@@ -66,16 +65,20 @@
 // LatestRelease returns the time from which an answer can no longer begin before the caller leaves, or is not
 // expected to end before the deadline. The rest of an answer that has begun may be short.
 func (r Request) LatestRelease() time.Time {
-	latest := r.callerEnd().Add(-max(r.FirstByte, minAnswerTime))
+	latest := r.callerEnd().Add(-max(multiple(openingFirstByteFactor, r.FirstByte), minAnswerTime))
 	if r.Duration == 0 || r.Stage == Started {
 		return latest
 	}
-	if end := r.Deadline.Add(-time.Duration(durationMargin*float64(r.Duration)) - openingDelay); end.Before(latest) {
+	if end := r.Deadline.Add(-multiple(openingDurationFactor, r.Duration)); end.Before(latest) {
 		return end
 	}
 	return latest
 }
 
+func multiple(factor float64, d time.Duration) time.Duration {
+	return time.Duration(factor * float64(d))
+}
+
 // opensInTime reports whether the group is expected to open before the request is refused.
 func (r Request) opensInTime() bool {
 	return !r.OpensAt.IsZero() && r.OpensAt.Before(r.LatestRelease())
