admission: a configuration with shorter timeouts does not make all callers returning

Cause: Gate.longest, by which callers that return are told from new ones, was never reduced: Forget was not called outside its test. After a route's timeout fell below nine tenths of the longest time seen on the box, all its callers counted as returning until the process ended: the concurrency limit refused none of them, all could wait for a stopped group, and the gate let first tries wait for as long as retries.

SetTimeouts takes the place of Forget: it bounds the longest times by the timeouts of the configuration in force, also for requests that arrived under the previous one, and drops routes that are gone. The test of Forget becomes the row of a route that is gone.

Ruled out: calling Forget at each configuration, after which a returning caller counts as new until a new one has come. go test ./admission -run TimeoutsBound: 3 of 6 rows fail if SetTimeouts does nothing.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -10,7 +10,8 @@
 // Retries therefore take precedence: they may wait for as long as the latency objective permits, and
 // first tries only for a share of that time.
 type Gate struct {
-	longest map[string]time.Duration // by route: the longest time to the deadline of any caller
+	longest  map[string]time.Duration // by route: the longest time to the deadline of any caller
+	timeouts map[string]time.Duration // by route: the longest time that the configuration allows
 }
 
 // Request is a request at a Gate.
@@ -111,11 +112,24 @@
 // Returning reports whether a caller on the route has been refused before, judged by the time that it had to
 // its deadline when its request arrived.
 func (g *Gate) Returning(route string, remaining time.Duration) bool {
+	if timeout, ok := g.timeouts[route]; ok {
+		remaining = min(remaining, timeout) // the request may have arrived under an earlier configuration
+	}
 	if remaining > g.longest[route] {
 		g.longest[route] = remaining
 	}
 	return float64(remaining) < retryBelow*float64(g.longest[route])
 }
 
-// Forget drops all state of routes, for example when the configuration changes.
-func (g *Gate) Forget() { clear(g.longest) }
+// SetTimeouts sets the timeouts of all routes when the configuration changes. It drops the state of other
+// routes. Without it, all callers of a route whose timeout became shorter would count as returning.
+func (g *Gate) SetTimeouts(timeouts map[string]time.Duration) {
+	g.timeouts = timeouts
+	for route, longest := range g.longest {
+		if timeout, ok := timeouts[route]; ok {
+			g.longest[route] = min(longest, timeout)
+		} else {
+			delete(g.longest, route)
+		}
+	}
+}
--- a/admission/gate_test.go
+++ b/admission/gate_test.go
@@ -53,12 +53,33 @@
 	}
 }
 
-func TestForgetResetsRoutes(t *testing.T) {
-	g := admission.NewGate()
-	g.Admit(request(fullTime, 0), 0)
-	g.Forget()
-	if ok, _ := g.Admit(request(5*time.Second, 150*time.Millisecond), 0); ok {
-		t.Error("a first try was treated as a retry")
+// TestTimeoutsBoundWhoCountsAsReturning guards against a configuration with a shorter timeout after which all
+// callers of a route count as returning, so that none of them is refused under overload any more.
+func TestTimeoutsBoundWhoCountsAsReturning(t *testing.T) {
+	const route, shorter = "r", 5 * time.Second
+	for _, tc := range []struct {
+		name     string
+		timeouts map[string]time.Duration
+		late     time.Duration // time to the deadline of a request that arrived before the change
+		caller   time.Duration
+		want     bool
+	}{
+		{"no change", nil, 0, shorter, true},
+		{"first try after the change", map[string]time.Duration{route: shorter}, 0, shorter, false},
+		{"retry after the change", map[string]time.Duration{route: shorter}, 0, shorter / 2, true},
+		{"a request from before the change is decided after it", map[string]time.Duration{route: shorter}, fullTime, shorter, false},
+		{"the route is gone and comes back", map[string]time.Duration{}, 0, shorter, false},
+		{"unchanged timeout", map[string]time.Duration{route: fullTime}, 0, shorter, true},
+	} {
+		g := admission.NewGate()
+		g.Returning(route, fullTime)
+		if tc.timeouts != nil {
+			g.SetTimeouts(tc.timeouts)
+		}
+		g.Returning(route, tc.late)
+		if got := g.Returning(route, tc.caller); got != tc.want {
+			t.Errorf("%s: counts as returning: %v, want %v", tc.name, got, tc.want)
+		}
 	}
 }
 
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"time"
 
 	"clovertrail.dev/core/domain"
 	"clovertrail.dev/core/urgency"
@@ -159,6 +160,17 @@
 	return rates
 }
 
+// Timeouts returns the timeouts of the routes, by name; of several routes with one name, the longest.
+func (c *Catalog) Timeouts() map[string]time.Duration {
+	timeouts := map[string]time.Duration{}
+	for _, byPrefix := range c.hosts {
+		for _, r := range byPrefix {
+			timeouts[r.Name()] = max(timeouts[r.Name()], r.Timeout())
+		}
+	}
+	return timeouts
+}
+
 // Service returns the properties of a service; false if it is not configured.
 func (c *Catalog) Service(name domain.ServiceName) (Service, bool) {
 	s, ok := c.services[name]
--- a/node/entry.go
+++ b/node/entry.go
@@ -110,7 +110,7 @@
 // applyConfiguration puts the configuration in force.
 func (e *Entry) applyConfiguration(c *catalog.Catalog) {
 	e.gateway.Configure(c)
-	e.fleet.setColdRates(c)
+	e.fleet.configure(c)
 	e.ready.configured.Store(true)
 }
 
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -122,11 +122,12 @@
 	}
 }
 
-// setColdRates sets the rates of cold targets to those of the configuration.
-func (f *fleet) setColdRates(c *catalog.Catalog) {
+// configure sets the rates of cold targets and the timeouts of routes to those of the configuration.
+func (f *fleet) configure(c *catalog.Catalog) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.coldRates = c.ColdRates()
+	f.gate.SetTimeouts(c.Timeouts())
 }
 
 // standings returns the standing of each target of the services that were requested.
