routing: the mean duration that bounds a wait is that of whole answers

Cause: waitqueue refuses a request when a mean answer and a quarter would not end before its deadline. The mean counted all attempts, so also streams that a stopped group held for 1.5 s and then cut, and attempts that it declined: in the outage itself the mean of a box rose from 485 ms (true median of 184 ended answers) to 836 ms at the median and 1,374 ms at most (trial with the values printed), and callers were refused that could have been served. Without any answer the mean was 1 s in place of 0, which waitqueue.Request takes for unknown.

The wait queue now uses the mean of the requests that ended with a whole answer; load interpretation keeps that of all.

Leaving out the others for load interpretation too: they occupy slots. TestMeanDurationIsOfWholeAnswers fails (1.29 s, want 500 ms) with the previous sums. go test -race ./routing ./node ./gateway ./waitqueue pass.

--- a/node/lease.go
+++ b/node/lease.go
@@ -106,7 +106,11 @@
 func (l *lease) Release(v gateway.Verdict) {
 	now := clock.Now()
 	l.fleet.with(func(r *membership.Roster, b *routing.Balancer) {
-		b.Ended(now, l.ticket)
+		if v == gateway.Good {
+			b.Answered(now, l.ticket)
+		} else {
+			b.Ended(now, l.ticket)
+		}
 		switch v {
 		case gateway.Good:
 			r.Succeeded(now, l.target.ID())
--- a/routing/balancer.go
+++ b/routing/balancer.go
@@ -103,6 +103,9 @@
 	firstByte  time.Duration // mean time to the first byte, without the wait for a slot
 	served     time.Duration // duration of the requests of this box that have ended, weighted by how recent they are
 	ended      float64       // number of these requests, weighted in the same way
+	// answered and answers are as served and ended, of the requests whose whole answer has arrived.
+	answered time.Duration
+	answers  float64
 }
 
 // Ticket is one request of this box at a target. Like the Balancer that returned it, it is not
@@ -163,6 +166,16 @@
 	t.load = nil
 }
 
+// Answered records that the request of the ticket is over and its whole answer has arrived. It takes the place
+// of Ended.
+func (b *Balancer) Answered(now time.Time, t *Ticket) {
+	if t.load != nil {
+		t.load.answered = now.Sub(t.sentAt) + time.Duration((1-meanSmoothing)*float64(t.load.answered))
+		t.load.answers = 1 + (1-meanSmoothing)*t.load.answers
+	}
+	b.Ended(now, t)
+}
+
 // recordEnd records that a request of this box has ended after the duration.
 func (l *load) recordEnd(d time.Duration) {
 	l.duration += time.Duration(meanSmoothing * float64(d-l.duration))
@@ -195,13 +208,17 @@
 	return wait + l.firstByte, wait
 }
 
-// MeanDuration returns the mean duration of the requests of this box at the options.
+// MeanDuration returns the mean duration of the requests of this box at the options whose whole answer has
+// arrived; 0 without any. Others say nothing about it: a group that stops holds its streams before it cuts them.
 func (b *Balancer) MeanDuration(options []Option) time.Duration {
 	var all loadSummary
 	for _, o := range options {
 		l := b.load(o.ID)
-		all.served += l.served
-		all.ended += l.ended
+		all.served += l.answered
+		all.ended += l.answers
+	}
+	if all.ended == 0 {
+		return 0
 	}
 	return all.meanDuration()
 }
--- /dev/null
+++ b/routing/mean_duration_test.go
@@ -0,0 +1,31 @@
+package routing_test
+
+import (
+	"testing"
+	"time"
+
+	"clovertrail.dev/routing"
+)
+
+// TestMeanDurationIsOfWholeAnswers guards against a wait queue that refuses callers early because the group that
+// stopped had held the streams of this box before it cut them, or because the box has not seen an answer yet.
+func TestMeanDurationIsOfWholeAnswers(t *testing.T) {
+	const usual, cut = 500 * time.Millisecond, 2 * time.Second
+	b, options := newBalancer(), []routing.Option{option("a", "near", "g"), option("b", "near", "g")}
+	if got := b.MeanDuration(options); got != 0 {
+		t.Errorf("mean duration %v without an answer, want 0", got)
+	}
+	for i := range 6 {
+		whole, broken := b.Sent(start, options[i%2]), b.Sent(start, options[i%2])
+		b.Answered(start.Add(usual), whole)
+		b.Ended(start.Add(usual), whole)
+		b.Ended(start.Add(cut), broken)
+		b.Answered(start.Add(cut), broken)
+	}
+	if got := b.MeanDuration(options); (got - usual).Abs() > time.Millisecond {
+		t.Errorf("mean duration %v, want %v", got, usual)
+	}
+	if n := b.InFlight("a") + b.InFlight("b"); n != 0 {
+		t.Errorf("%d requests in flight, want 0", n)
+	}
+}
