node: a request that may wait rates the targets of its service once instead of three times

Cause: waiting.add listed and rated all targets for their state, again for the mean first byte and again for the mean duration, with the fleet's lock held, for each request that arrives while a group is stopped. Behaviour is unchanged, so there is no new test.

--- a/node/waiting.go
+++ b/node/waiting.go
@@ -76,10 +76,11 @@
 	if len(f.options(now, q.Service, q.Tried)) > 0 {
 		return nil, nil
 	}
-	if s := f.serviceState(now, q.Service); s.usable || !s.stopped {
+	s := f.serviceState(now, q.Service)
+	if s.usable || !s.stopped {
 		return nil, noTarget
 	}
-	request := w.requestOf(now, q)
+	request := w.requestOf(now, q, s.all)
 	ticket, decisions := w.queue.Add(now, request)
 	r := &waitingRequest{ticket: ticket, query: q, decided: make(chan error, 1)}
 	w.requests[ticket] = r
@@ -96,13 +97,13 @@
 	return r, nil
 }
 
-// requestOf describes the request for the queue. The fleet's mu is held.
-func (w *waiting) requestOf(now time.Time, q gateway.Query) waitqueue.Request {
+// requestOf describes the request for the queue. targets are all of its service. The fleet's mu is held.
+func (w *waiting) requestOf(now time.Time, q gateway.Query, targets []routing.Option) waitqueue.Request {
 	f := w.fleet
 	r := waitqueue.Request{
 		Service: q.Service, Class: q.Class, LeavesAt: q.LeavesAt, Deadline: q.Deadline,
-		FirstByte: f.meanFirstByte(now, q.Service),
-		Duration:  f.meanDuration(now, q.Service),
+		FirstByte: f.meanFirstByte(now, targets),
+		Duration:  f.balancer.MeanDuration(targets),
 		OpensAt:   f.roster.Reopening(now, q.Service, w.formTime(q.Service)),
 	}
 	switch {
@@ -261,6 +262,7 @@
 type serviceState struct {
 	usable  bool             // some target may get requests
 	stopped bool             // a rank is not usable and may be again, with its group
+	all     []routing.Option // targets that are not leaving
 	good    []routing.Option // targets of which nothing speaks against use
 }
 
@@ -271,8 +273,10 @@
 		_, grouped := r.Target.Rank()
 		s.usable = s.usable || r.Standing.Usable()
 		s.stopped = s.stopped || grouped && (r.Standing == membership.Unreachable || r.Standing == membership.Unfit)
+		o := optionOf(r)
+		s.all = append(s.all, o)
 		if r.Standing == membership.Good {
-			s.good = append(s.good, optionOf(r))
+			s.good = append(s.good, o)
 		}
 	}
 	return s
@@ -289,23 +293,12 @@
 	return waitqueue.Room{Free: free, ReportedAt: reportedAt, Boxes: sharing}
 }
 
-// meanFirstByte returns the mean time to the first byte of the service's targets, without a wait for a slot.
-// mu is held.
-func (f *fleet) meanFirstByte(now time.Time, svc domain.ServiceName) time.Duration {
+// meanFirstByte returns the mean time to the first byte of the targets, without a wait for a slot. mu is held.
+func (f *fleet) meanFirstByte(now time.Time, targets []routing.Option) time.Duration {
 	var sum time.Duration
-	targets := f.roster.Ranked(now, svc)
-	for _, r := range targets {
-		total, wait := f.balancer.EstimateFirstByte(now, optionOf(r))
+	for _, o := range targets {
+		total, wait := f.balancer.EstimateFirstByte(now, o)
 		sum += total - wait
 	}
 	return sum / time.Duration(max(len(targets), 1))
 }
-
-// meanDuration returns the mean duration of a request of this box at the service's targets. mu is held.
-func (f *fleet) meanDuration(now time.Time, svc domain.ServiceName) time.Duration {
-	var options []routing.Option
-	for _, r := range f.roster.Ranked(now, svc) {
-		options = append(options, optionOf(r))
-	}
-	return f.balancer.MeanDuration(options)
-}
