--- a/node/lease.go
+++ b/node/lease.go
@@ -108,8 +108,9 @@
 	l.fleet.with(func(r *membership.Roster, b *routing.Balancer) {
 		if v == gateway.Good {
 			b.Answered(now, l.ticket)
+		} else {
+			b.Ended(now, l.ticket)
 		}
-		b.Ended(now, l.ticket)
 		switch v {
 		case gateway.Good:
 			r.Succeeded(now, l.target.ID())
--- a/node/waiting.go
+++ b/node/waiting.go
@@ -76,10 +76,11 @@
 	if len(f.options(now, q.Service, q.Tried)) > 0 {
 		return nil, nil
 	}
-	if s := f.serviceState(now, q.Service); s.usable || !s.stopped {
+	s := f.serviceState(now, q.Service)
+	if s.usable || !s.stopped {
 		return nil, noTarget
 	}
-	request := w.requestOf(now, q)
+	request := w.requestOf(now, q, s.all)
 	ticket, decisions := w.queue.Add(now, request)
 	r := &waitingRequest{ticket: ticket, query: q, decided: make(chan error, 1)}
 	w.requests[ticket] = r
@@ -96,14 +97,13 @@
 	return r, nil
 }
 
-// requestOf describes the request for the queue. The fleet's mu is held.
-func (w *waiting) requestOf(now time.Time, q gateway.Query) waitqueue.Request {
+// requestOf describes the request for the queue. targets are all of its service. The fleet's mu is held.
+func (w *waiting) requestOf(now time.Time, q gateway.Query, targets []routing.Option) waitqueue.Request {
 	f := w.fleet
-	options := f.optionsOf(now, q.Service)
 	r := waitqueue.Request{
 		Service: q.Service, Class: q.Class, LeavesAt: q.LeavesAt, Deadline: q.Deadline,
-		FirstByte: f.balancer.MeanFirstByte(options),
-		Duration:  f.balancer.MeanAnswer(options),
+		FirstByte: f.balancer.MeanFirstByte(targets),
+		Duration:  f.balancer.MeanAnswer(targets),
 		OpensAt:   f.roster.Reopening(now, q.Service, w.formTime(q.Service)),
 	}
 	switch {
@@ -262,6 +262,7 @@
 type serviceState struct {
 	usable  bool             // some target may get requests
 	stopped bool             // a rank is not usable and may be again, with its group
+	all     []routing.Option // targets that are not leaving
 	good    []routing.Option // targets of which nothing speaks against use
 }
 
@@ -272,8 +273,10 @@
 		_, grouped := r.Target.Rank()
 		s.usable = s.usable || r.Standing.Usable()
 		s.stopped = s.stopped || grouped && (r.Standing == membership.Unreachable || r.Standing == membership.Unfit)
+		o := optionOf(r)
+		s.all = append(s.all, o)
 		if r.Standing == membership.Good {
-			s.good = append(s.good, optionOf(r))
+			s.good = append(s.good, o)
 		}
 	}
 	return s
@@ -289,12 +292,3 @@
 	sharing := float64(boxes) * float64(len(own)) / float64(len(s.good)) // boxes that choose among the same targets
 	return waitqueue.Room{Free: free, ReportedAt: reportedAt, Boxes: sharing}
 }
-
-// optionsOf returns all targets of the service as options. mu is held.
-func (f *fleet) optionsOf(now time.Time, svc domain.ServiceName) []routing.Option {
-	var options []routing.Option
-	for _, r := range f.roster.Ranked(now, svc) {
-		options = append(options, optionOf(r))
-	}
-	return options
-}
--- a/routing/balancer.go
+++ b/routing/balancer.go
@@ -169,13 +169,14 @@
 	t.load = nil
 }
 
-// Answered records that the request of the ticket was answered to its end now. Ended follows.
+// Answered records that the request of the ticket is over and its whole answer has arrived. It takes the place
+// of Ended.
 func (b *Balancer) Answered(now time.Time, t *Ticket) {
-	if t.load == nil {
-		return
+	if t.load != nil {
+		t.load.answered = now.Sub(t.sentAt) + time.Duration((1-meanSmoothing)*float64(t.load.answered))
+		t.load.answers = 1 + (1-meanSmoothing)*t.load.answers
 	}
-	t.load.answered = now.Sub(t.sentAt) + time.Duration((1-meanSmoothing)*float64(t.load.answered))
-	t.load.answers = 1 + (1-meanSmoothing)*t.load.answers
+	b.Ended(now, t)
 }
 
 // recordEnd records that a request of this box has ended after the duration.
