node: a request that waited for its group is not refused for lack of capacity after its release

Review: after a release the request still counted as one that may be refused, so that the gate or the limiter could turn away a caller that had waited for seconds and has no further try.

--- a/node/choosing.go
+++ b/node/choosing.go
@@ -27,6 +27,7 @@
 		if err := f.waiting.wait(ctx, q, err); err != nil {
 			return nil, err
 		}
+		q.First = false // who has waited is not refused for lack of capacity any more
 		l, err = f.acquireNow(ctx, clock.Now(), q)
 	}
 	if err != nil {
