node/rank: a read of counts is recorded when one is sent, and failed observations are spaced

Review: a long step that is found while counts of all ranks are in flight advanced the time of the last read although none was sent, so that one of the two reads after a shift was lost; and a call to the own engine that fails was repeated at each tick of the coordinator.

--- a/node/rank/groupcoordinator.go
+++ b/node/rank/groupcoordinator.go
@@ -68,6 +68,7 @@
 	slowdowns *rebalance.Slowdowns
 	shift     rebalance.ShiftResponse
 	observed  stepReport // last observation of the own engine
+	observeAt time.Time  // from when on the own engine is observed again
 	change    mapChange
 	skewHigh  bool // the skew exceeded highSkew at the last plan
 	// skewHighAt is the time of the last plan at which the skew exceeded highSkew, or of the first plan.
--- a/node/rank/reading.go
+++ b/node/rank/reading.go
@@ -34,16 +34,18 @@
 // requested of all ranks only, since the counts of some cannot be planned with.
 func (g *groupCoordinator) readRanks(ctx context.Context, withCounts bool, wanted func(rank int) bool) {
 	_, known := g.coord.Current()
-	if withCounts {
-		g.lastCountsRead = clock.Now()
-		g.shift.CountsRead(g.lastCountsRead)
-	}
 	q := mesh.ReadQuery{From: g.rank, WantExpertCounts: withCounts, WantExperts: !known}
 	var viaRelay []int
+	sent := false // a read has been started
 	for r, m := range g.members {
 		if g.countsInFlight[r] || g.readInFlight[r] && !withCounts || !wanted(r) {
 			continue
 		}
+		if withCounts && !sent {
+			g.lastCountsRead = clock.Now()
+			g.shift.CountsRead(g.lastCountsRead)
+		}
+		sent = true
 		g.setInFlight(r, withCounts, true)
 		if g.usesRelay(r) {
 			viaRelay = append(viaRelay, r)
--- a/node/rank/shifts.go
+++ b/node/rank/shifts.go
@@ -22,9 +22,10 @@
 // observeStep observes the step of the own engine if an observation is due. The reads that a long
 // step causes are started by tick.
 func (g *groupCoordinator) observeStep(ctx context.Context, now time.Time) {
-	if !g.leading || g.coord == nil || !g.agent.settings().ShiftReads || now.Sub(g.observed.at) < g.shift.Interval() {
+	if !g.leading || g.coord == nil || !g.agent.settings().ShiftReads || now.Before(g.observeAt) {
 		return
 	}
+	g.observeAt = now.Add(g.shift.Interval()) // also after a call that fails
 	maxAge := time.Duration(0)
 	if g.shift.Interval() >= readInterval {
 		maxAge = readInterval // the engine is idle: no calls in addition to those of tick
