ratelimit: the simulated boxes wait for turns and start as new incarnations

Each reply without a permit cleared the turn that it had just assigned, so boxes never waited for a turn.

--- a/ratelimit/fleet_test.go
+++ b/ratelimit/fleet_test.go
@@ -45,6 +45,7 @@
 	hall      int
 	frozen    bool
 	rate      float64 // requests a second that callers send to this box for the target
+	starts    domain.Incarnation
 	leaving   bool
 	endsAt    time.Duration // when a box that is leaving ends
 	startsAt  time.Duration // when a box that has left starts again; 0 if it does not
@@ -81,6 +82,7 @@
 	n.allocator = ratelimit.NewAllocator(n.id, f.rand)
 	n.register = ratelimit.NewRegister(f.rand)
 	n.saved = 0
+	n.starts++
 }
 
 // connected reports whether messages pass between two boxes.
@@ -137,7 +139,7 @@
 	for _, n := range f.nodes {
 		for _, x := range f.nodes {
 			if x != n && f.connected(n, x) {
-				n.boxes.Receive(at(now), membership.Contact{Box: x.id, Address: string(x.id)}, "hall", membership.StoreProgress{}, x.leaving)
+				n.boxes.Receive(at(now), membership.Contact{Box: x.id, Address: string(x.id), Incarnation: x.starts}, "hall", membership.StoreProgress{}, x.leaving)
 				n.boxes.ReceiveShareReport(x.id, shares[x.id])
 			}
 		}
@@ -168,7 +170,9 @@
 	for _, t := range g.Turns {
 		n.register.SetTurn(t.Target, t.At)
 	}
-	n.register.AddPermits(now, limited, max(g.Permits-1, 0))
+	if g.Permits > 0 {
+		n.register.AddPermits(now, limited, g.Permits-1)
+	}
 	return g.Permits > 0
 }
 
