ratelimit: fallback reports and turns end once another issuer replies

Cause: a box that the issuer declines uses its fallback share, and reported that for two seconds after its last use, also when the next issuer had replied after a moment; that issuer withheld the share meanwhile, a quarter of the limit in a fleet of four. Besides, boxes waited for turns that the former issuer or their fallback share had assigned, and did not ask the next one. A rolling restart of four boxes so left a target with 8 of 16.5 requests at times, and TestTargetLimitsAreRespected/boxes_stop_one_after_another failed at its lower bound.

The report ends with the issuer's reply. A turn has its assigner and is dropped when permits come from another; boxes check that when an advert arrives, with each round, and when an issuer begins or ceases to reply. No turn of the fallback share is later than the next probe of the issuer.

--- a/node/adverts.go
+++ b/node/adverts.go
@@ -134,6 +134,7 @@
 // store's contents, a round follows in which it queries a peer for that part.
 func (p *peering) receive(a *mesh.Advert) {
 	now := clock.Now()
+	defer p.entry.limiting.dropFormerTurns(now) // after mu is unlocked; the advert may change the issuer
 	source := "peer " + string(a.Self.Box)
 	p.entry.timeline.observe(store.Later(store.Later(a.Targets, a.Evacuations), a.Config.At), source)
 	progress := p.storeProgress()
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -254,6 +254,20 @@
 	return list
 }
 
+// servicesWithTurns returns the services at whose targets this box waits for a turn.
+func (f *fleet) servicesWithTurns(now time.Time) []domain.ServiceName {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.limits.ServicesWithTurns(now)
+}
+
+// dropFormerTurns drops the turns at the targets of by's service that another assigner than by assigned.
+func (f *fleet) dropFormerTurns(by ratelimit.Assigner) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.limits.DropFormerTurns(by)
+}
+
 // hasLimits reports whether any target has a limit, or had one until recently.
 func (f *fleet) hasLimits() bool {
 	f.mu.Lock()
@@ -287,7 +301,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, t := range g.Turns {
-		f.limits.SetTurn(t.Target, t.At)
+		f.limits.SetTurn(g.By, t)
 	}
 	if g.Target != "" {
 		f.limits.AddPermits(requested, g.Target, g.Permits)
--- a/node/limiting.go
+++ b/node/limiting.go
@@ -75,7 +75,7 @@
 	case ratelimit.Remote:
 		g = l.requestFromIssuer(ctx, svc, issuer, permitWants{reports, wants}, s.Prefetch)
 	case ratelimit.Fallback:
-		g, label = l.issueFallback(now, svc, wants), "own part"
+		g, label = l.issueFallback(now, svc, issuer.Box, wants), "own part"
 		if s.Probe != "" {
 			l.requestFromIssuer(ctx, svc, issuer, permitWants{}, true) // only checks whether the issuer replies
 		}
@@ -172,9 +172,10 @@
 	var g ratelimit.Grant
 	if err == nil {
 		g = reply.Grant(now)
+		g.By = ratelimit.Assigner{Service: r.svc, Issuer: r.issuer.Box}
 	}
 	l.mu.Lock()
-	l.recordReply(now, r, reply, err)
+	changed := l.recordReply(now, r, reply, err)
 	detached := r.detached
 	if !detached {
 		r.reply <- g
@@ -183,22 +184,39 @@
 	if detached {
 		l.entry.fleet.storeGrant(r.sentAt, g)
 	}
+	if changed {
+		l.dropFormerTurns(now)
+		l.entry.peering.notify() // other boxes count this one by whether it uses its fallback share
+	}
+}
+
+// dropFormerTurns drops the turns of issuers that are replaced or do not reply, and those of the fallback
+// share once the issuer replies.
+func (l *limiting) dropFormerTurns(now time.Time) {
+	for _, svc := range l.entry.fleet.servicesWithTurns(now) {
+		issuer := l.entry.peering.issuer(now, svc)
+		l.mu.Lock()
+		by := l.allocator.Assigner(svc, issuer.Box)
+		l.mu.Unlock()
+		l.entry.fleet.dropFormerTurns(by)
+	}
 }
 
-// recordReply records the reply to a request or its failure, and logs if the issuer starts or ceases to
-// reply with permits. mu is held.
-func (l *limiting) recordReply(now time.Time, r *permitRequest, reply *mesh.PermitReply, err error) {
+// recordReply records the reply to a request or its failure. It logs and returns whether the issuer starts
+// or ceases to reply with permits. mu is held.
+func (l *limiting) recordReply(now time.Time, r *permitRequest, reply *mesh.PermitReply, err error) bool {
 	log := l.entry.common.Log.With("service", r.svc, "peer", r.issuer.Box, "after", now.Sub(r.sentAt))
 	switch {
 	case err != nil && l.allocator.RequestFailed(now, r.issuer.Box):
 		log.Warn("permit request to issuer failed, using the fallback share of limits", "err", err)
-		l.entry.peering.notify()
 	case err == nil && !reply.Issuer && l.allocator.RequestDeclined(now, r.issuer.Box):
 		log.Info("permit request declined by a box that is not the issuer, using the fallback share of limits")
-		l.entry.peering.notify()
 	case err == nil && reply.Issuer && l.allocator.ReplyReceived(r.svc, r.issuer.Box, now.Sub(r.sentAt) <= maxPermitWait):
 		log.Info("issuer replies again, using the permits that it issues")
+	default:
+		return false
 	}
+	return true
 }
 
 // issue issues permits as the issuer of the service.
@@ -209,12 +227,13 @@
 	return l.allocator.Issue(now, svc, wants, ratelimit.Share(served, sharers))
 }
 
-// issueFallback issues permits to this box from its fallback share.
-func (l *limiting) issueFallback(now time.Time, svc domain.ServiceName, wants []ratelimit.Want) ratelimit.Grant {
+// issueFallback issues permits to this box from its fallback share. issuer is the issuer according to the
+// boxes that this one knows.
+func (l *limiting) issueFallback(now time.Time, svc domain.ServiceName, issuer domain.BoxID, wants []ratelimit.Want) ratelimit.Grant {
 	_, sharers := l.entry.peering.issuerShare(now)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.allocator.IssueFallback(now, svc, wants, ratelimit.Share(1, sharers))
+	return l.allocator.IssueFallback(now, svc, issuer, wants, ratelimit.Share(1, sharers))
 }
 
 // permit implements mesh.Permit.
--- a/node/peering.go
+++ b/node/peering.go
@@ -212,6 +212,7 @@
 		}
 		p.startCall(a, func() { p.exchange(ctx, a, updatesOnly, allWorks, sent) })
 	}
+	p.entry.limiting.dropFormerTurns(now) // the issuer also changes as time passes
 	p.catchUp(ctx)
 }
 
--- a/ratelimit/allocator.go
+++ b/ratelimit/allocator.go
@@ -18,7 +18,7 @@
 	// updates.
 	declineBackoff = 200 * time.Millisecond
 	// fallbackReported is how long after the last use of its fallback share a box still reports that
-	// it uses it: a few rounds of messages between boxes.
+	// it uses it, unless the issuer has replied since: a few rounds of messages between boxes.
 	fallbackReported = 2 * time.Second
 )
 
@@ -67,6 +67,7 @@
 	Target  domain.InstanceID // empty if there are no permits
 	Permits int
 	Turns   []Turn
+	By      Assigner // of the turns
 }
 
 // Allocator issues permits: to all boxes where this box is the issuer of a service, and to itself while
@@ -74,9 +75,9 @@
 type Allocator struct {
 	rand       *rand.Rand
 	self       domain.BoxID
-	issued     map[domain.ServiceName]*Buckets // buckets of the services for which this box is the issuer
-	fallback   map[domain.ServiceName]*Buckets // buckets of the services for which this box uses its fallback share
-	fallbackAt time.Time                       // when this box last used a fallback share
+	issued     map[domain.ServiceName]*Buckets  // buckets of the services for which this box is the issuer
+	fallback   map[domain.ServiceName]*Buckets  // buckets of the services for which this box uses its fallback share
+	fallbackAt map[domain.ServiceName]time.Time // when this box last used its fallback share of the service
 	peers      map[domain.BoxID]*peer
 }
 
@@ -92,7 +93,7 @@
 func NewAllocator(self domain.BoxID, rnd *rand.Rand) *Allocator {
 	return &Allocator{
 		rand: rnd, self: self, peers: map[domain.BoxID]*peer{},
-		issued: map[domain.ServiceName]*Buckets{}, fallback: map[domain.ServiceName]*Buckets{},
+		issued: map[domain.ServiceName]*Buckets{}, fallback: map[domain.ServiceName]*Buckets{}, fallbackAt: map[domain.ServiceName]time.Time{},
 	}
 }
 
@@ -140,7 +141,7 @@
 	hadFailed := p.failures > 0
 	p.pending--
 	p.failures, p.slow = 0, !inTime
-	delete(a.fallback, svc)
+	a.endFallback(svc)
 	return hadFailed
 }
 
@@ -177,24 +178,46 @@
 // Issue issues permits to a box, where this box is the issuer of the service. share is the share of
 // the limit that belongs to all boxes that this issuer serves.
 func (a *Allocator) Issue(now time.Time, svc domain.ServiceName, wants []Want, share float64) Grant {
-	delete(a.fallback, svc)
-	return a.grant(now, a.issued, svc, wants, share)
+	a.endFallback(svc)
+	return a.grant(now, a.issued, Assigner{svc, a.self}, wants, share)
+}
+
+// IssueFallback issues permits to this box from its fallback share. issuer is as in Source. If the issuer has
+// failed, no turn is later than the next probe of it: while this box waits for a turn it requests no permits,
+// and so would not probe the issuer either.
+func (a *Allocator) IssueFallback(now time.Time, svc domain.ServiceName, issuer domain.BoxID, wants []Want, share float64) Grant {
+	a.fallbackAt[svc] = now
+	g := a.grant(now, a.fallback, Assigner{Service: svc}, wants, share)
+	if p, ok := a.peers[issuer]; ok && p.failures > 0 {
+		g.limitTurns(later(p.retryAt, now.Add(declineBackoff)))
+	}
+	return g
 }
 
-// IssueFallback issues permits to this box from its fallback share.
-func (a *Allocator) IssueFallback(now time.Time, svc domain.ServiceName, wants []Want, share float64) Grant {
-	a.fallbackAt = now
-	return a.grant(now, a.fallback, svc, wants, share)
+// limitTurns brings the turns after last forward to it.
+func (g *Grant) limitTurns(last time.Time) {
+	for i, t := range g.Turns {
+		if t.At.After(last) {
+			g.Turns[i].At = last
+		}
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
 }
 
 // grant issues permits for the first target in wants that has any, and turns at the targets before it.
-func (a *Allocator) grant(now time.Time, buckets map[domain.ServiceName]*Buckets, svc domain.ServiceName, wants []Want, share float64) Grant {
-	b, ok := buckets[svc]
+func (a *Allocator) grant(now time.Time, buckets map[domain.ServiceName]*Buckets, by Assigner, wants []Want, share float64) Grant {
+	b, ok := buckets[by.Service]
 	if !ok {
 		b = NewBuckets(a.rand)
-		buckets[svc] = b
+		buckets[by.Service] = b
 	}
-	g := Grant{}
+	g := Grant{By: by}
 	for _, w := range wants {
 		if math.IsInf(w.Rate, 0) {
 			g.Target, g.Permits = w.Target, 1 // the limit has ended, but the requesting box does not know yet
@@ -213,5 +236,16 @@
 // UsesFallback reports whether this box has recently used its fallback share. Issuers must then not count
 // it among the boxes that they serve, or its share would be issued twice.
 func (a *Allocator) UsesFallback(now time.Time) bool {
-	return !a.fallbackAt.IsZero() && now.Sub(a.fallbackAt) < fallbackReported
+	for _, at := range a.fallbackAt {
+		if now.Sub(at) < fallbackReported {
+			return true
+		}
+	}
+	return false
+}
+
+// endFallback ends the use of the fallback share of the service, as permits come from its issuer again.
+func (a *Allocator) endFallback(svc domain.ServiceName) {
+	delete(a.fallback, svc)
+	delete(a.fallbackAt, svc)
 }
--- a/ratelimit/allocator_test.go
+++ b/ratelimit/allocator_test.go
@@ -68,12 +68,59 @@
 	if a.UsesFallback(at(0)) {
 		t.Error("UsesFallback is true before the first permit")
 	}
-	a.IssueFallback(at(time.Second), service, []ratelimit.Want{{Target: limited, Rate: 1}}, 0.5)
+	a.IssueFallback(at(time.Second), service, "other", []ratelimit.Want{{Target: limited, Rate: 1}}, 0.5)
 	if !a.UsesFallback(at(2*time.Second)) || a.UsesFallback(at(10*time.Second)) {
 		t.Error("UsesFallback is false one second after IssueFallback, or still true nine seconds after it")
 	}
 }
 
+// TestUsesFallbackEndsWithReply: once the issuer replies, a box no longer reports that it uses its fallback
+// share. The issuer would withhold the share of a box that it declined for a moment for two seconds, a
+// quarter of the limit in a fleet of four.
+func TestUsesFallbackEndsWithReply(t *testing.T) {
+	a := ratelimit.NewAllocator("self", source())
+	wants := []ratelimit.Want{{Target: limited, Rate: 1}}
+	a.IssueFallback(at(0), service, "other", wants, 0.5)
+	a.IssueFallback(at(0), "second", "other", wants, 0.5)
+	a.RequestSent("other")
+	a.ReplyReceived(service, "other", true)
+	if !a.UsesFallback(at(time.Millisecond)) {
+		t.Error("UsesFallback is false although the fallback share of another service is in use")
+	}
+	a.Issue(at(time.Millisecond), "second", wants, 1)
+	if a.UsesFallback(at(2 * time.Millisecond)) {
+		t.Error("UsesFallback is true although permits of all services come from issuers")
+	}
+}
+
+// TestFallbackTurnsEndAtProbe: a box whose issuer did not reply probes it in time. Boxes have turns of many
+// seconds in their fallback shares, and would keep to those shares for as long.
+func TestFallbackTurnsEndAtProbe(t *testing.T) {
+	const share = 0.01
+	wants := []ratelimit.Want{{Target: limited, Rate: 1}}
+	for _, tc := range []struct {
+		name  string
+		fail  func(*ratelimit.Allocator)
+		after time.Duration // time from the failure to IssueFallback
+		last  time.Duration // latest turn
+	}{
+		{"declined", func(a *ratelimit.Allocator) { a.RequestDeclined(at(0), "other") }, 0, 200 * time.Millisecond},
+		{"no reply", func(a *ratelimit.Allocator) { a.RequestFailed(at(0), "other") }, 0, time.Second},
+		{"probe in progress", func(a *ratelimit.Allocator) { a.RequestFailed(at(0), "other") }, 2 * time.Second, 2200 * time.Millisecond},
+	} {
+		a := ratelimit.NewAllocator("self", source())
+		a.RequestSent("other")
+		tc.fail(a)
+		g := a.IssueFallback(at(tc.after), service, "other", wants, share)
+		if len(g.Turns) != 1 || !g.Turns[0].At.Equal(at(tc.last)) {
+			t.Errorf("%s: turns %v, want one at %v", tc.name, g.Turns, at(tc.last))
+		}
+	}
+	if g := ratelimit.NewAllocator("self", source()).IssueFallback(at(0), service, "", wants, share); !g.Turns[0].At.After(at(4 * time.Second)) {
+		t.Errorf("no issuer is known: turn %v, want that of the fallback share", g.Turns[0].At)
+	}
+}
+
 // TestGrants: the first target with a permit is granted, with turns at the targets before it; a target whose
 // limit has ended is granted immediately; and a box that was not the issuer for a time starts with new
 // buckets.
--- a/ratelimit/doc.go
+++ b/ratelimit/doc.go
@@ -31,6 +31,6 @@
 //		n, turn := buckets.Take(now, id, rate*ratelimit.Share(reporting, sharing))
 //		// and record its reply:
 //		r.AddPermits(now, id, n)
-//		r.SetTurn(id, turn)
+//		r.SetTurn(by, turn)
 //	}
 package ratelimit
--- a/ratelimit/fleet_test.go
+++ b/ratelimit/fleet_test.go
@@ -157,6 +157,7 @@
 	if n.register.UsePermit(now, limited) {
 		return true
 	}
+	n.register.DropFormerTurns(n.allocator.Assigner(service, n.boxes.Issuer(now, service, n.leaving).Box))
 	if !n.register.TurnDue(now, limited) {
 		return false
 	}
@@ -165,10 +166,10 @@
 		g, ok = f.requestPermits(n, now, wants)
 	}
 	if !ok {
-		g = n.allocator.IssueFallback(now, service, wants, ratelimit.Share(1, sharing))
+		g = n.allocator.IssueFallback(now, service, n.boxes.Issuer(now, service, n.leaving).Box, wants, ratelimit.Share(1, sharing))
 	}
 	for _, t := range g.Turns {
-		n.register.SetTurn(t.Target, t.At)
+		n.register.SetTurn(g.By, t)
 	}
 	if g.Permits > 0 {
 		n.register.AddPermits(now, limited, g.Permits-1)
--- a/ratelimit/register.go
+++ b/ratelimit/register.go
@@ -55,6 +55,7 @@
 	permits      int       // unused permits
 	permitsUntil time.Time // when the permits expire
 	turn         time.Time // time before which this box gets no permits
+	turnBy       Assigner  // assigner of the turn
 }
 
 // NewRegister returns a register without limits.
@@ -189,10 +190,10 @@
 	e.permitsUntil, e.turn = requested.Add(permitLifetime), time.Time{}
 }
 
-// SetTurn records that there is no permit for this box before its turn.
-func (r *Register) SetTurn(id domain.InstanceID, turn time.Time) {
-	if e, ok := r.entries[id]; ok {
-		e.turn = turn
+// SetTurn records that by has no permit for this box before the turn.
+func (r *Register) SetTurn(by Assigner, t Turn) {
+	if e, ok := r.entries[t.Target]; ok {
+		e.turn, e.turnBy = t.At, by
 	}
 }
 
--- a/ratelimit/register_test.go
+++ b/ratelimit/register_test.go
@@ -102,7 +102,7 @@
 		r := ratelimit.NewRegister(source())
 		r.Update(at(0), report(5, 0))
 		r.AddPermits(at(second), limited, 3)
-		r.SetTurn(limited, at(9*second))
+		r.SetTurn(ratelimit.Assigner{}, ratelimit.Turn{Target: limited, At: at(9 * second)})
 		tc.do(r)
 		spent := 0
 		for r.UsePermit(at(second+100*time.Millisecond), limited) {
