--- a/ratelimit/fleet_test.go
+++ b/ratelimit/fleet_test.go
@@ -45,6 +45,10 @@
 	hall      int
 	frozen    bool
 	rate      float64 // requests a second that callers send to this box for the target
+	starts    domain.Incarnation
+	leaving   bool
+	endsAt    time.Duration // when a box that is leaving ends
+	startsAt  time.Duration // when a box that has left starts again; 0 if it does not
 }
 
 // fleet is a set of boxes and the requests that they sent to the target.
@@ -78,6 +82,7 @@
 	n.allocator = ratelimit.NewAllocator(n.id, f.rand)
 	n.register = ratelimit.NewRegister(f.rand)
 	n.saved = 0
+	n.starts++
 }
 
 // connected reports whether messages pass between two boxes.
@@ -92,6 +97,7 @@
 func (f *fleet) run(length time.Duration, events map[time.Duration]func(*fleet)) {
 	for now := time.Duration(0); now < length; now += step {
 		f.now = now
+		f.proceed()
 		if e, ok := events[now]; ok {
 			e(f)
 		}
@@ -133,7 +139,7 @@
 	for _, n := range f.nodes {
 		for _, x := range f.nodes {
 			if x != n && f.connected(n, x) {
-				n.boxes.Receive(at(now), membership.Contact{Box: x.id, Address: string(x.id)}, "hall", membership.StoreProgress{}, false)
+				n.boxes.Receive(at(now), membership.Contact{Box: x.id, Address: string(x.id), Incarnation: x.starts}, "hall", membership.StoreProgress{}, x.leaving)
 				n.boxes.ReceiveShareReport(x.id, shares[x.id])
 			}
 		}
@@ -151,6 +157,7 @@
 	if n.register.UsePermit(now, limited) {
 		return true
 	}
+	n.register.DropFormerTurns(n.allocator.Assigner(service, n.boxes.Issuer(now, service, n.leaving).Box))
 	if !n.register.TurnDue(now, limited) {
 		return false
 	}
@@ -159,18 +166,20 @@
 		g, ok = f.requestPermits(n, now, wants)
 	}
 	if !ok {
-		g = n.allocator.IssueFallback(now, service, wants, ratelimit.Share(1, sharing))
+		g = n.allocator.IssueFallback(now, service, n.boxes.Issuer(now, service, n.leaving).Box, wants, ratelimit.Share(1, sharing))
 	}
 	for _, t := range g.Turns {
-		n.register.SetTurn(t.Target, t.At)
+		n.register.SetTurn(g.By, t)
+	}
+	if g.Permits > 0 {
+		n.register.AddPermits(now, limited, g.Permits-1)
 	}
-	n.register.AddPermits(now, limited, max(g.Permits-1, 0))
 	return g.Permits > 0
 }
 
 // requestPermits sends the wants to the issuer; false if none is known or replies.
 func (f *fleet) requestPermits(n *node, now time.Time, wants []ratelimit.Want) (ratelimit.Grant, bool) {
-	issuer := n.boxes.Issuer(now, service, false).Box
+	issuer := n.boxes.Issuer(now, service, n.leaving).Box
 	switch src := n.allocator.Source(now, service, issuer).(type) {
 	case ratelimit.Local:
 		return f.issue(n, now, wants), true
@@ -192,7 +201,7 @@
 	case !f.connected(n, x):
 		n.allocator.RequestFailed(now, x.id)
 		return ratelimit.Grant{}, false
-	case !x.allocator.IsIssuer(x.boxes.Issuer(now, service, false).Box, service):
+	case !x.allocator.IsIssuer(x.boxes.Issuer(now, service, x.leaving).Box, service):
 		n.allocator.RequestDeclined(now, x.id)
 		return ratelimit.Grant{}, false
 	}
