soak: routes and organisations have priorities, and the levels at targets are checked

The soak configured one class only, so it could not see a level that a caller claims and a target receives, a level in a service with one class, or levels that do not follow the classes. Runs now take three sets of priorities in turn by seed: one class, routes only, routes and organisations. Callers claim levels 0, none and 9 in turn; the expected levels are written out rather than computed with core/urgency.

Ruled out: drawing the priorities or the claims, which would change what existing seeds draw.

--- a/soak/environment.go
+++ b/soak/environment.go
@@ -106,7 +106,7 @@
 
 // newEnvironment starts the store, the targets and the boxes.
 func newEnvironment(o Options) (*environment, error) {
-	e := &environment{options: o, recorder: newRecorder(), store: standin.NewStore()}
+	e := &environment{options: o, recorder: newRecorder(prioritiesOf(o.Seed)), store: standin.NewStore()}
 	for n := range 3 {
 		e.organisations = append(e.organisations, organisation{name: fmt.Sprintf("org-%d", n), key: fmt.Sprintf("key-%d", n)})
 	}
@@ -244,7 +244,10 @@
 }
 
 func (e *environment) configuration(version int) map[string]any {
-	return standin.Configuration(version, service, e.keysByOrganisation())
+	document := standin.Configuration(version, service, e.keysByOrganisation())
+	p := e.recorder.priorities
+	standin.SetPriorities(document, p.routes, p.organisations)
+	return document
 }
 
 func (e *environment) keysByOrganisation() map[string]string {
--- a/soak/recorder.go
+++ b/soak/recorder.go
@@ -45,6 +45,8 @@
 // recorder records requests, faults and the state of the environment, for the checks after the run.
 // All its add and mark methods may be called from any goroutine.
 type recorder struct {
+	priorities priorities
+
 	mu sync.Mutex
 	// runs are the executions of requests by targets, by request id.
 	runs      map[string][]standin.Run
@@ -69,9 +71,10 @@
 	limitSummaries []string
 }
 
-func newRecorder() *recorder {
+func newRecorder(p priorities) *recorder {
 	return &recorder{
-		runs: map[string][]standin.Run{}, stops: map[string][]span{}, drainingSince: map[string]time.Time{}, configStoredAt: map[int]time.Time{},
+		priorities: p,
+		runs:       map[string][]standin.Run{}, stops: map[string][]span{}, drainingSince: map[string]time.Time{}, configStoredAt: map[int]time.Time{},
 		leavingReportedAt: map[string]time.Time{}, hallOf: map[string]string{},
 	}
 }
@@ -140,6 +143,7 @@
 	}
 	for _, ex := range rec.exchanges {
 		rec.checkReply(ex, violate)
+		rec.checkLevels(ex, violate)
 		rec.checkDraining(ex, violate)
 		rec.checkEvacuations(ex, violate)
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -131,6 +131,7 @@
 	b, org := e.boxes[r.IntN(len(e.boxes))], e.organisations[r.IntN(len(e.organisations))]
 	ex := exchange{box: b.name, boxStart: b.startCount(), organisation: org.name}
 	ex.request = standin.Request{ID: id, Key: org.key, Timeout: callerTimeout}
+	ex.request.Level = claimedLevels[len(id)%len(claimedLevels)]
 	switch r.IntN(4) {
 	case 0:
 		ex.request.Path, ex.request.Body, ex.atMostOnce = "/once/x", "body of "+id, true
