--- a/cmd/clovertrail-soak/main.go
+++ b/cmd/clovertrail-soak/main.go
@@ -42,6 +42,7 @@
 			&cli.BoolFlag{Name: "limits", Usage: "make targets state in their responses a limit for all boxes together"},
 			&cli.BoolFlag{Name: "restores", Usage: "restore the store from older backups"},
 			&cli.BoolFlag{Name: "evacuations", Usage: "evacuate data halls"},
+			&cli.BoolFlag{Name: "outages", Usage: "stop a group of targets for seconds, with callers who return once when refused"},
 			&cli.DurationFlag{Name: "for", Value: 30 * time.Second, Usage: "duration of a run"},
 			&cli.StringFlag{Name: "logs", Value: filepath.Join(os.TempDir(), "clovertrail-soak"), Usage: "`FOLDER` for settings files and logs"},
 		},
@@ -69,7 +70,7 @@
 				r, err := soak.Run(ctx, soak.Options{
 					Program: cmd.String("program"), Seed: seed, Duration: cmd.Duration("for"),
 					Boxes: cmd.Int("boxes"), Targets: cmd.Int("targets"), Callers: cmd.Int("callers"), FatalRequests: cmd.Bool("fatal"), TargetRequests: cmd.Bool("asks"),
-					TargetLimits: cmd.Bool("limits"), Restores: cmd.Bool("restores"), Evacuations: cmd.Bool("evacuations"),
+					TargetLimits: cmd.Bool("limits"), Restores: cmd.Bool("restores"), Evacuations: cmd.Bool("evacuations"), Outages: cmd.Bool("outages"),
 					Dir: filepath.Join(cmd.String("logs"), fmt.Sprintf("seed-%d", seed)),
 				})
 				results <- result{r, err}
@@ -99,6 +100,9 @@
 	for _, x := range r.LimitSummaries {
 		fmt.Println("  ", x)
 	}
+	if r.OutageSummary != "" {
+		fmt.Println("  ", r.OutageSummary)
+	}
 	for _, v := range r.Violations {
 		fmt.Printf("  %s: %s\n", v.Guarantee, v.Details)
 	}
--- a/soak/box.go
+++ b/soak/box.go
@@ -13,10 +13,11 @@
 	"time"
 )
 
-// box is an entry process that is restarted whenever it exits.
+// box is an entry process, or an agent, that is restarted whenever it exits.
 type box struct {
 	name          string
 	program       string
+	role          string
 	settingsFile  string
 	callerAddress string
 	// storeProxy is the proxy through which the box connects to the store.
@@ -42,37 +43,63 @@
 // configApplyBound is the time within which a new configuration must come into force.
 const configApplyBound = 2 * time.Second
 
-// newBox writes the settings file of a box and creates its log. The seeds are the addresses on which
+// newBox writes the settings file of an entry box and creates its log. The seeds are the addresses on which
 // other boxes accept the adverts of new ones.
-func newBox(dir, program, name, hall string, addresses []string, seeds []string, storeProxy *proxy) (*box, error) {
-	b := &box{name: name, program: program, callerAddress: addresses[0], storeProxy: storeProxy, settingsFile: filepath.Join(dir, name+".json")}
-	log, err := os.Create(filepath.Join(dir, name+".log"))
+func newBox(o Options, name, hall string, addresses []string, seeds []string, storeProxy *proxy) (*box, error) {
+	settings := map[string]any{
+		"box": name, "hall": hall, "callers": addresses[0], "ready": addresses[1], "peers": addresses[2], "meeting": addresses[3],
+		"seeds": seeds, "store": storeProxy.address(), "bounds": o.bounds(),
+	}
+	if o.Outages {
+		settings["agent_port"] = agentPort
+	}
+	b, err := newProcess(o, "entry", name, settings)
+	if err != nil {
+		return nil, err
+	}
+	b.callerAddress, b.storeProxy = addresses[0], storeProxy
+	return b, nil
+}
+
+// bounds returns the bounds in the settings of processes.
+func (o Options) bounds() map[string]any {
+	retrySlack := 40
+	if o.Outages {
+		retrySlack = ampleRetrySlack
+	}
+	return map[string]any{
+		"drain": drainBound.String(), "stop": stopBound.String(), "config_apply": configApplyBound.String(), "evacuate": evacuationBound.String(),
+		"contact": "3s", "retry_share": 0.2, "retry_slack": retrySlack, "retry_window": "10s",
+	}
+}
+
+// newProcess writes the settings file of a process of the role and creates its log.
+func newProcess(o Options, role, name string, settings map[string]any) (*box, error) {
+	b := &box{name: name, program: o.Program, role: role, settingsFile: filepath.Join(o.Dir, name+".json")}
+	log, err := os.Create(filepath.Join(o.Dir, name+".log"))
 	if err != nil {
 		return nil, err
 	}
 	b.log = log
-	raw, err := json.Marshal(map[string]any{
-		"box": name, "hall": hall, "callers": addresses[0], "ready": addresses[1], "peers": addresses[2], "meeting": addresses[3],
-		"seeds": seeds, "store": storeProxy.address(),
-		"bounds": map[string]any{
-			"drain": drainBound.String(), "stop": stopBound.String(), "config_apply": configApplyBound.String(), "evacuate": evacuationBound.String(),
-			"contact": "3s", "retry_share": 0.2, "retry_slack": 40, "retry_window": "10s",
-		},
-	})
+	raw, err := json.Marshal(settings)
 	if err != nil {
 		return nil, err
 	}
 	return b, os.WriteFile(b.settingsFile, raw, 0o600)
 }
 
+// loopback returns one of the loopback addresses of the run's own, which are derived from its seed.
+func loopback(seed uint64, n, port int) string {
+	const octet = 250
+	return fmt.Sprintf("127.%d.%d.%d:%d", 1+seed/octet%octet, 1+seed%octet, n, port)
+}
+
 // freeAddresses returns n addresses without a listener. They are on a loopback address of the run's
-// own, derived from its seed, so that no other run takes them before the boxes listen on them.
+// own, so that no other run takes them before the boxes listen on them.
 func freeAddresses(seed uint64, n int) ([]string, error) {
-	const octet = 250
-	loopback := fmt.Sprintf("127.%d.%d.1:0", 1+seed/octet%octet, 1+seed%octet)
 	list := make([]string, 0, n)
 	for range n {
-		l, err := net.Listen("tcp", loopback)
+		l, err := net.Listen("tcp", loopback(seed, 1, 0))
 		if err != nil {
 			return nil, err
 		}
@@ -92,7 +119,7 @@
 
 // startLocked starts the process. The caller holds mu.
 func (b *box) startLocked() error {
-	cmd := exec.Command(b.program, "entry")
+	cmd := exec.Command(b.program, b.role)
 	cmd.Env = append(os.Environ(), "CLOVERTRAIL_BOOT="+b.settingsFile)
 	cmd.Stdout, cmd.Stderr = b.log, b.log
 	if err := cmd.Start(); err != nil {
--- a/soak/doc.go
+++ b/soak/doc.go
@@ -10,8 +10,8 @@
 //
 // Guarantees with a time bound are checked only while no fault that excuses a violation was in
 // effect; the others are always checked. The soak does not cover changes of a process's clock, which
-// would need privileges, faults of storage, because no process has any, and groups of ranks
-// (mapswitch/orders has a model of them).
+// would need privileges, faults of storage, because no process has any, and changes of the expert maps of
+// groups (mapswitch/orders has a model of them).
 //
 // # Usage
 //
--- a/soak/environment.go
+++ b/soak/environment.go
@@ -38,6 +38,9 @@
 	// Evacuations makes the operator evacuate halls. It does not change the other random draws of the
 	// seed.
 	Evacuations bool
+	// Outages adds a group that loses a rank for seconds, again and again, with callers who return once
+	// when they are refused. It does not change the other random draws of the seed.
+	Outages bool
 }
 
 // Default sizes of a run: few processes, so that many runs fit on one machine.
@@ -88,6 +91,9 @@
 	store       *standin.Store
 	storeServer *http.Server
 	boxes       []*box
+	agents      []*box         // of the ranks of the group
+	group       *standin.Group // nil without outages
+	rankServers []*http.Server
 
 	// configMu serialises writes of the configuration. Lock order: configMu, then mu.
 	configMu sync.Mutex
@@ -120,9 +126,17 @@
 			return nil, err
 		}
 	}
-	if err := e.writeNextConfiguration(); err != nil {
+	if err := os.MkdirAll(o.Dir, 0o700); err != nil {
 		return nil, err
 	}
+	if o.Outages {
+		if err := e.startGroup(); err != nil {
+			return e, err
+		}
+	}
+	if err := e.writeNextConfiguration(); err != nil {
+		return e, err
+	}
 	return e, e.startBoxes(l.Addr().String())
 }
 
@@ -135,9 +149,6 @@
 func hallName(n int) string { return fmt.Sprintf("hall-%d", n%2) }
 
 func (e *environment) startBoxes(store string) error {
-	if err := os.MkdirAll(e.options.Dir, 0o700); err != nil {
-		return err
-	}
 	addresses, err := freeAddresses(e.options.Seed, 4*e.options.Boxes)
 	if err != nil {
 		return err
@@ -148,7 +159,7 @@
 			return err
 		}
 		boxAddresses := addresses[4*n : 4*n+4]
-		b, err := newBox(e.options.Dir, e.options.Program, fmt.Sprintf("box-%d", n), hallName(n), boxAddresses, []string{addresses[3], addresses[7%len(addresses)]}, p)
+		b, err := newBox(e.options, fmt.Sprintf("box-%d", n), hallName(n), boxAddresses, []string{addresses[3], addresses[7%len(addresses)]}, p)
 		if err != nil {
 			return err
 		}
@@ -245,6 +256,10 @@
 
 func (e *environment) configuration(version int) map[string]any {
 	document := standin.Configuration(version, service, e.keysByOrganisation())
+	if e.options.Outages {
+		standin.AddGroup(document, groupService, groupShape)
+		standin.SetTimeout(document, groupService, groupTimeout)
+	}
 	p := e.recorder.priorities
 	standin.SetPriorities(document, p.routes, p.organisations)
 	return document
@@ -273,6 +288,12 @@
 		b.kill()
 		b.storeProxy.close()
 	}
+	for _, a := range e.agents {
+		a.kill()
+	}
+	for _, s := range e.rankServers {
+		_ = s.Close() // the server is discarded even if this fails
+	}
 	for _, h := range e.hosts {
 		h.current.close()
 	}
--- /dev/null
+++ b/soak/outages.go
@@ -0,0 +1,225 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"clovertrail.dev/platform/standin"
+)
+
+const (
+	// groupService is the service of the group.
+	groupService = "model"
+	// enginePort and agentPort are the ports of ranks and their agents, each rank on a loopback address of its
+	// own. They are below the ports that systems assign to connections.
+	enginePort, agentPort = 21000, 21001
+	// minRankOutage and maxRankOutage bound the time for which a rank is lost. The group then forms for formTime, and
+	// requests that have begun can wait for it: their callers leave after groupPatience. One outage in three is
+	// longer by longerBy, so that callers would leave while they wait.
+	minRankOutage, maxRankOutage = 1600 * time.Millisecond, 2200 * time.Millisecond
+	longerBy                     = 5 * time.Second
+	formTime                     = 500 * time.Millisecond
+	// maxOutagePause is the longest pause between two outages.
+	maxOutagePause = 2 * time.Second
+	// groupPatience is the time after which a caller of the group leaves without an event: eight times the event
+	// gap objective of its route. groupTimeout is its time-out, and that of the route: boxes recognise a caller that
+	// returns by its shorter time to the deadline, which a shorter time-out of the route would hide.
+	groupPatience, groupTimeout = 4 * time.Second, 8 * time.Second
+	// groupCallerPause is the time between two callers of the group.
+	groupCallerPause = 40 * time.Millisecond
+	// groupMaxAttempts is the number of ranks that the route allows a request to be sent to.
+	groupMaxAttempts = 2
+	// ampleRetrySlack allows each request its attempts, so that no stream is cut because a retry budget is
+	// exhausted, which checkOutages could not tell from a cut by a planned stop.
+	ampleRetrySlack = 10000
+	// leaveSlack is the time that a request may be held after its caller leaves. Boxes refuse a request that waits
+	// half a second before that. stallTime is the time for which ranks that have stopped hold requests themselves.
+	leaveSlack, stallTime = 500 * time.Millisecond, 1500 * time.Millisecond
+	// groupTries is the number of tries of a caller of the group.
+	groupTries = 2
+)
+
+var groupShape = standin.GroupShape{
+	Name: "g0", Ranks: 3, Layers: 1, Experts: 6, Slots: 4, Staging: 1, StepTime: 20 * time.Millisecond, CopyTime: 50 * time.Millisecond,
+	ExpertShare: 0.85, FormTime: formTime, Demand: func(time.Time, int, int) float64 { return 1.0 / 6 },
+}
+
+// startGroup starts the ranks of the group and their agents.
+func (e *environment) startGroup() error {
+	e.group = standin.NewGroup(groupShape, groupService, e.recorder.addRun)
+	for r := range groupShape.Ranks {
+		e.group.Target(r).ChangeBehaviour(func(b *standin.Behaviour) {
+			b.ResponseTime, b.Events, b.EventGap = 150*time.Millisecond, 15, 20*time.Millisecond
+		})
+		engine := e.rankAddress(r, enginePort)
+		l, err := net.Listen("tcp", engine)
+		if err != nil {
+			return err
+		}
+		e.rankServers = append(e.rankServers, startServer(l, e.group.Handler(r)))
+		e.recorder.markHall(e.group.ID(r), hallName(r))
+		a, err := newProcess(e.options, "agent", fmt.Sprintf("agent-%d", r), map[string]any{
+			"box": fmt.Sprintf("agent-%d", r), "hall": hallName(r), "engine": engine, "peers": e.rankAddress(r, agentPort), "bounds": e.options.bounds(),
+		})
+		if err != nil {
+			return err
+		}
+		e.agents = append(e.agents, a)
+		if err := a.start(); err != nil {
+			return err
+		}
+	}
+	for id, entry := range e.rankEntries() {
+		if _, err := e.store.Put("servers", id, entry); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (e *environment) rankAddress(rank, port int) string {
+	return loopback(e.options.Seed, 2+rank, port)
+}
+
+// rankEntries returns the entries of the group's ranks in the store, by target.
+func (e *environment) rankEntries() map[string]map[string]any {
+	entries := map[string]map[string]any{}
+	for r := range e.rankServers {
+		entries[e.group.ID(r)] = e.group.Object(r, e.rankAddress(r, enginePort), hallName(r))
+	}
+	return entries
+}
+
+// runOutages makes the group lose a rank for seconds, repeatedly, and makes planned stops of boxes during half
+// of the outages. It ends with ctx, or when too little time is left before until.
+func (e *environment) runOutages(ctx context.Context, until time.Time) {
+	r := rand.New(rand.NewPCG(e.options.Seed, 8))
+	go e.group.Run(ctx)
+	var stops sync.WaitGroup
+	defer stops.Wait()
+	time.Sleep(warmUp)
+	for ctx.Err() == nil {
+		lasts, long := minRankOutage+time.Duration(r.Int64N(int64(maxRankOutage-minRankOutage))), r.IntN(3) == 0
+		if long {
+			lasts += longerBy
+		}
+		opens := time.Now().Add(lasts + formTime)
+		if opens.After(until) {
+			return
+		}
+		if long {
+			e.recorder.addFault(action{name: "long outage", affects: scopeGroup}, "", time.Now(), opens)
+		}
+		e.group.Lose(r.IntN(groupShape.Ranks))
+		stopAfter, b := time.Duration(r.Int64N(int64(lasts))), e.boxes[r.IntN(len(e.boxes))]
+		time.Sleep(stopAfter)
+		if r.IntN(2) == 0 {
+			stops.Go(func() { stopBox(e, nil, b, nil) })
+		}
+		time.Sleep(lasts - stopAfter)
+		e.group.Return()
+		time.Sleep(formTime + time.Duration(r.Int64N(int64(maxOutagePause))))
+	}
+}
+
+// sendGroupRequests starts callers of the group until ctx ends.
+func (e *environment) sendGroupRequests(ctx context.Context) {
+	r := rand.New(rand.NewPCG(e.options.Seed, 9))
+	c := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}}
+	var callers sync.WaitGroup
+	for n := 0; ctx.Err() == nil; n++ {
+		box, org := r.IntN(len(e.boxes)), e.organisations[r.IntN(len(e.organisations))]
+		callers.Go(func() { e.runReturningCaller(c, n, box, org) })
+		time.Sleep(groupCallerPause)
+	}
+	callers.Wait()
+}
+
+// runReturningCaller sends a request to the group, and once more to another box if it is refused as not run. It
+// waits beyond its deadline, so that a request that is held for too long is seen.
+func (e *environment) runReturningCaller(c *http.Client, n, box int, org organisation) {
+	deadline := time.Now().Add(groupTimeout)
+	for try := range groupTries {
+		id := fmt.Sprintf("g-%d-%d", n, try)
+		reply := e.exchange(c, e.boxes[(box+try)%len(e.boxes)], exchange{organisation: org.name, group: true, request: standin.Request{
+			ID: id, Key: org.key, Path: standin.GroupPath + "x", Body: "body of " + id, Level: claimedLevels[n%len(claimedLevels)],
+			Timeout: time.Until(deadline), Grace: 2 * timingSlack,
+		}})
+		if !reply.NotRun() {
+			return
+		}
+		time.Sleep(min(reply.RetryAfter, time.Until(deadline)/3))
+	}
+}
+
+// countAttempts records the attempts that reached the ranks of the group.
+func (e *environment) countAttempts() {
+	for r := range e.rankServers {
+		for _, a := range e.group.Target(r).Arrivals() {
+			e.recorder.attempts[a.ID] = append(e.recorder.attempts[a.ID], a.At)
+		}
+	}
+}
+
+// checkOutages reports requests to the group that were held until after their callers leave or their deadline,
+// and those that a planned stop of their box cut although another attempt was allowed.
+func (rec *recorder) checkOutages(ex exchange, violate violationFunc) {
+	if !ex.group || !rec.faultFree(ex.box, ex.sentAt, ex.endedAt, scopeBox) {
+		return
+	}
+	id, began := ex.request.ID, ex.reply.BeganAt
+	if began.IsZero() {
+		began = ex.endedAt
+	}
+	most := min(groupPatience, ex.request.Timeout)
+	leaves := ex.sentAt.Add(most)
+	byRank := slices.ContainsFunc(rec.attempts[id], func(at time.Time) bool { return at.After(leaves.Add(-stallTime)) && at.Before(leaves) })
+	if held := began.Sub(ex.sentAt); !byRank && held > most+leaveSlack {
+		violate("held", "request %s to %s was held for %v, but its caller leaves after %v", id, ex.box, held, most)
+	}
+	if took := ex.endedAt.Sub(ex.sentAt); took > ex.request.Timeout+timingSlack {
+		violate("held", "request %s to %s ended after %v, its deadline was after %v", id, ex.box, took, ex.request.Timeout)
+	}
+	cut := !ex.reply.Correct && !ex.reply.NotRun() && !ex.reply.ConnectionRefused() && len(rec.attempts[id]) < groupMaxAttempts && rec.faultFree(ex.box, ex.sentAt, ex.endedAt, scopeGroup)
+	for _, s := range rec.stops[ex.box] {
+		if cut && ex.sentAt.Before(s.to) && ex.endedAt.After(s.from) {
+			violate("planned stop", "request %s to %s failed %v after the stop signal: status %d, %v, %d attempts", id, ex.box, ex.endedAt.Sub(s.from), ex.reply.Status, ex.reply.Err, len(rec.attempts[id]))
+		}
+	}
+}
+
+// addGroupTotals counts what became of the requests to the group, so that a run shows whether requests waited.
+func (rep *Report) addGroupTotals(rec *recorder) {
+	const waitedFor = 500 * time.Millisecond // much longer than a rank that runs takes to begin an answer
+	var tries, served, stopped, refused int
+	for _, ex := range rec.exchanges {
+		if !ex.group {
+			continue
+		}
+		tries++
+		if ex.reply.NotRun() {
+			refused++
+		}
+		if !ex.reply.Correct {
+			continue
+		}
+		served++
+		if ex.reply.BeganAt.Sub(ex.sentAt) < waitedFor && ex.endedAt.Sub(ex.reply.BeganAt) < minRankOutage {
+			continue
+		}
+		rep.Waited++
+		if slices.ContainsFunc(rec.stops[ex.box], func(s span) bool { return ex.sentAt.Before(s.from) && ex.endedAt.After(s.from) }) {
+			stopped++
+		}
+	}
+	if tries > 0 {
+		rep.OutageSummary = fmt.Sprintf("group: %d tries, %d served (%d after a wait, %d of them through a planned stop), %d refused as not run, %d failed otherwise",
+			tries, served, rep.Waited, stopped, refused, tries-served-refused)
+	}
+}
--- a/soak/priorities.go
+++ b/soak/priorities.go
@@ -6,8 +6,8 @@
 // receive for them. The levels are written out, so that the check does not repeat the code that it checks.
 type priorities struct {
 	routes, organisations map[string]int
-	// levels are the levels by first element of the path, one map for each priority of organisations; nil if
-	// all requests are of one class, and must carry no level.
+	// levels are the levels by first element of the path, "group" for the route to the group, one map for each
+	// priority of organisations. Requests without an entry, whose service has one class, must carry no level.
 	levels []map[string]string
 }
 
@@ -22,8 +22,8 @@
 	{
 		routes: map[string]int{"once": 0, "stream": 2}, organisations: map[string]int{"org-1": 1, "org-2": 1},
 		levels: []map[string]string{
-			{"once": "2", "again": "3", "v": "3", "stream": "4"},
-			{"once": "5", "again": "6", "v": "6", "stream": "7"},
+			{"once": "2", "again": "3", "v": "3", "stream": "4", "group": "4"},
+			{"once": "5", "again": "6", "v": "6", "stream": "7", "group": "5"},
 		},
 	},
 }
@@ -40,6 +40,9 @@
 		return ""
 	}
 	kind, _, _ := strings.Cut(strings.TrimPrefix(ex.request.Path, "/"), "/")
+	if ex.group {
+		kind = "group"
+	}
 	return p.levels[p.organisations[ex.organisation]][strings.TrimRight(kind, "0123456789")]
 }
 
--- a/soak/recorder.go
+++ b/soak/recorder.go
@@ -26,6 +26,7 @@
 	// organisation is the owner of the API key in the request.
 	organisation string
 	atMostOnce   bool
+	group        bool // whether the group's route serves the request
 	// routeVersion is the version of the configuration that added the route; 0 if every version has it.
 	routeVersion int
 	box          string
@@ -49,7 +50,9 @@
 
 	mu sync.Mutex
 	// runs are the executions of requests by targets, by request id.
-	runs      map[string][]standin.Run
+	runs map[string][]standin.Run
+	// attempts are the times at which attempts reached ranks of the group, by request id.
+	attempts  map[string][]time.Time
 	exchanges []exchange
 	// faults are all injected faults; planned work, such as stops, is not included.
 	faults []span
@@ -74,7 +77,7 @@
 func newRecorder(p priorities) *recorder {
 	return &recorder{
 		priorities: p,
-		runs:       map[string][]standin.Run{}, stops: map[string][]span{}, drainingSince: map[string]time.Time{}, configStoredAt: map[int]time.Time{},
+		runs:       map[string][]standin.Run{}, attempts: map[string][]time.Time{}, stops: map[string][]span{}, drainingSince: map[string]time.Time{}, configStoredAt: map[int]time.Time{},
 		leavingReportedAt: map[string]time.Time{}, hallOf: map[string]string{},
 	}
 }
@@ -125,7 +128,7 @@
 // the first time until the second.
 func (rec *recorder) faultFree(box string, from, to time.Time, scopes ...faultScope) bool {
 	for _, s := range rec.faults {
-		relevant := s.box == box || s.affects == scopeStore || s.affects == scopeTarget
+		relevant := s.box == box || s.affects == scopeStore || s.affects == scopeTarget || s.affects == scopeGroup
 		if relevant && slices.Contains(scopes, s.affects) && s.from.Before(to) && s.to.After(from.Add(-contactBound)) {
 			return false
 		}
@@ -144,6 +147,8 @@
 	for _, ex := range rec.exchanges {
 		rec.checkReply(ex, violate)
 		rec.checkLevels(ex, violate)
+		rec.checkPlannedStop(ex, violate)
+		rec.checkOutages(ex, violate)
 		rec.checkDraining(ex, violate)
 		rec.checkEvacuations(ex, violate)
 	}
@@ -175,7 +180,12 @@
 			violate("keys", "request %s to %s: target received organisation %q, API key forwarded: %v", ex.request.ID, ex.box, r.Organisation, r.KeyForwarded)
 		}
 	}
-	if ex.reply.Err == nil || ex.reply.ConnectionRefused() || ex.reply.TimedOut() {
+}
+
+// checkPlannedStop reports requests that a planned stop of their box cut. checkOutages has the check of requests
+// to the group.
+func (rec *recorder) checkPlannedStop(ex exchange, violate violationFunc) {
+	if ex.group || ex.reply.Err == nil || ex.reply.ConnectionRefused() || ex.reply.TimedOut() {
 		return
 	}
 	for _, s := range rec.stops[ex.box] {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -38,7 +38,11 @@
 	Actions []string
 	// LimitSummaries describe the requests that targets received while they stated a limit.
 	LimitSummaries []string
-	Violations     []Violation
+	// Waited is the number of requests to the group that were served although they had to wait.
+	Waited int
+	// OutageSummary describes what became of the requests to the group; empty without outages.
+	OutageSummary string
+	Violations    []Violation
 }
 
 // MinDuration is the shortest duration of a run that leaves time for actions.
@@ -75,6 +79,10 @@
 	if o.Evacuations {
 		actors.Go(func() { e.runEvacuations(runCtx, end.Add(-coolDown)) })
 	}
+	if o.Outages {
+		callers.Go(func() { e.sendGroupRequests(runCtx) })
+		actors.Go(func() { e.runOutages(runCtx, end.Add(-coolDown)) })
+	}
 	if o.TargetRequests {
 		actors.Go(func() { e.runTargetRequests(runCtx, end.Add(-coolDown)) })
 	}
@@ -83,6 +91,8 @@
 	actors.Wait()
 	repaired := time.Now()
 	callers.Wait()
+	e.countAttempts()
+	rep.addGroupTotals(e.recorder)
 	rep.Violations, rep.LimitSummaries = e.recorder.violations(), e.recorder.limitSummaries
 	rep.addTotals(e, repaired, end)
 	return rep, ctx.Err()
@@ -129,7 +139,7 @@
 // exchange.
 func (e *environment) sendRequest(c *http.Client, r *rand.Rand, id string) {
 	b, org := e.boxes[r.IntN(len(e.boxes))], e.organisations[r.IntN(len(e.organisations))]
-	ex := exchange{box: b.name, boxStart: b.startCount(), organisation: org.name}
+	ex := exchange{organisation: org.name}
 	ex.request = standin.Request{ID: id, Key: org.key, Timeout: callerTimeout}
 	ex.request.Level = claimedLevels[len(id)%len(claimedLevels)]
 	switch r.IntN(4) {
@@ -143,13 +153,19 @@
 		ex.routeVersion = 1 + r.IntN(e.newestVersion())
 		ex.request.Path = standin.VersionPath(ex.routeVersion) + "x"
 	}
-	ex.sentAt = time.Now()
+	e.exchange(c, b, ex)
+}
+
+// exchange sends a request to the box, records the exchange and returns the reply.
+func (e *environment) exchange(c *http.Client, b *box, ex exchange) standin.Reply {
+	ex.box, ex.boxStart, ex.sentAt = b.name, b.startCount(), time.Now()
 	ex.reply = standin.Send(context.Background(), c, "http://"+b.callerAddress, ex.request)
 	ex.endedAt = time.Now()
 	if b.startCount() != ex.boxStart {
 		ex.boxStart = unknownStart
 	}
 	e.recorder.addExchange(ex)
+	return ex.reply
 }
 
 // unknownStart marks a request during which its box was restarted, or for which the start count was
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -24,11 +24,11 @@
 	if out, err := exec.Command("go", "build", "-o", program, "clovertrail.dev/cmd/clovertrail-node").CombinedOutput(); err != nil {
 		t.Fatalf("build of clovertrail-node failed: %v: %s", err, out)
 	}
-	for _, o := range []soak.Options{{Seed: 1}, {Seed: 134}, {Seed: 1, FatalRequests: true}, {Seed: 405, FatalRequests: true}, {Seed: 600, TargetRequests: true}, {Seed: 800, TargetLimits: true}, {Seed: 901, Restores: true}, {Seed: 1000, Evacuations: true}} {
+	for _, o := range []soak.Options{{Seed: 1}, {Seed: 134}, {Seed: 1, FatalRequests: true}, {Seed: 405, FatalRequests: true}, {Seed: 600, TargetRequests: true}, {Seed: 800, TargetLimits: true}, {Seed: 901, Restores: true}, {Seed: 1000, Evacuations: true}, {Seed: 1301, Outages: true}} {
 		seed := o.Seed
 		o.Program, o.Duration, o.Dir = program, soak.MinDuration+3*1e9, t.TempDir()
-		if o.TargetLimits || o.Restores || o.Evacuations {
-			o.Duration += 6 * time.Second // a limit period, an evacuation, or a restore with its recovery needs more time
+		if o.TargetLimits || o.Restores || o.Evacuations || o.Outages {
+			o.Duration += 6 * time.Second // a limit period, an evacuation, an outage, or a restore with its recovery needs more time
 		}
 		r, err := soak.Run(context.Background(), o)
 		if err != nil {
@@ -37,6 +37,9 @@
 		for _, v := range r.Violations {
 			t.Errorf("seed %d: %s: %s (%v)", seed, v.Guarantee, v.Details, r.Actions)
 		}
+		if o.Outages && r.Waited == 0 {
+			t.Errorf("seed %d: no request waited for the group: %s", seed, r.OutageSummary)
+		}
 		if r.Served == 0 {
 			t.Errorf("seed %d: no request was served", seed)
 		}
--- a/soak/store_restores.go
+++ b/soak/store_restores.go
@@ -84,6 +84,9 @@
 		e.mu.Unlock()
 		_ = e.store.PutIfChanged("servers", in.id, in.entry(h, state))
 	}
+	for id, entry := range e.rankEntries() {
+		_ = e.store.PutIfChanged("servers", id, entry)
+	}
 }
 
 // removeLapsed removes the entries of targets that no longer run.
@@ -94,6 +97,9 @@
 		current[h.current.id] = true
 		e.mu.Unlock()
 	}
+	for id := range e.rankEntries() {
+		current[id] = true
+	}
 	for _, id := range e.store.Names("servers") {
 		if !current[id] {
 			e.store.Remove("servers", id)
