orders: a Release or Disarm that outlives its process no longer breaks the one map of a step

Cause: a new process does not know what the one before it released. A late Release ended the hold under which the new process disarmed the ranks (TestLateReleaseOfEndedProcess), and the second copy of the Release of an aborted attempt ended the hold of the next attempt for the same step (TestReleaseRepeatedAfterAbort). The phase "yielding" covered neither: it is for two holds of different steps.

A hold is now released only once all ranks are armed with one version, for a step not before the held one; ranks are disarmed only from versions that are void, that is, one rank that is not armed with it has a higher one. So no order of an ended process can undo a recovery. An orphaned attempt is completed if all ranks can be armed with it. An abort arms the map in use under a new version before the release, which is a round of reads and one of Arms more. A recovery takes no hold of its own; "yielding" is gone. Completing leaves a map that the coordinator has not proposed, so Current is unknown, and read again, once a rank reports a version above the known one; before, the coordinator kept planning with the map that it had read first after another coordinator had changed it.

Ruled out (docs/design/map-switch.md): a hold of a later step at the own rank, since the orphaned step begins before it; a hold at a second rank, whose own Release may be in transit; completing alone, since Disarms may be late; holding only later steps after a restart, which delays each start and empties the model's histories; held steps in versions.

--- a/mapswitch/orders/attempt.go
+++ b/mapswitch/orders/attempt.go
@@ -12,16 +12,15 @@
 const (
 	idle      phase = iota // no attempt is under way
 	preparing              // ranks copy the experts of the proposed map
-	yielding               // the coordinator's own rank is requested to release a hold later than an orphaned one
 	holding                // the coordinator's own rank is requested to hold a step
 	arming                 // under the hold, ranks are requested to arm
-	clearing               // under the hold, ranks are requested to disarm and to prepare a new version that voids earlier ones
+	clearing               // under a hold, ranks are requested to disarm void versions and to prepare a replacement
 	releasing              // ranks are requested to release their holds
 )
 
 // String returns the name of the phase.
 func (p phase) String() string {
-	return [...]string{"idle", "preparing", "yielding", "holding", "arming", "clearing", "releasing"}[p]
+	return [...]string{"idle", "preparing", "holding", "arming", "clearing", "releasing"}[p]
 }
 
 // EndReason states why an attempt ended.
@@ -36,8 +35,11 @@
 	// NotHeld: the coordinator's own rank refused the hold.
 	NotHeld EndReason = "not_held"
 	// NotArmed: a rank refused to arm, or the attempt recovered an orphaned hold; all ranks
-	// were disarmed.
+	// continue with the map in use, under a new version.
 	NotArmed EndReason = "not_armed"
+	// Completed: the attempt recovered an orphaned hold, and armed the remaining ranks with the
+	// version of the ended attempt.
+	Completed EndReason = "completed"
 	// ReleasedAgain: the own rank carried out a late Hold of an attempt that had ended, and has
 	// released it.
 	ReleasedAgain EndReason = "released_again"
@@ -49,6 +51,7 @@
 
 // Outcome describes an attempt.
 type Outcome struct {
+	// Version is the version that the attempt requested last.
 	Version Version
 	Reason  EndReason
 	// Rank is the rank that made the attempt fail; -1 if none did.
@@ -64,17 +67,19 @@
 	c.phase, c.phaseSince = p, now
 	c.fence = c.numbers.fence()
 	c.attempt = Outcome{Rank: -1, StartedAt: now}
-	c.holds, c.refusedStep = 0, 0
+	c.holds, c.refusedStep, c.holdStep = 0, 0, 0
+	c.replacements = 0
 }
 
-// handleDone records that a rank carried out its order. A rank that has disarmed is then
-// requested to prepare a voiding version (see voidingOrder).
+// handleDone records that a rank carried out its order.
 func (c *Coordinator) handleDone(r int) {
 	k := &c.ranks[r]
-	if _, disarmed := k.delivery.order.(Disarm); disarmed && c.phase == clearing {
-		k.state.Armed = nil
-		c.assignVoiding(r)
+	switch o := k.delivery.order.(type) {
+	case Disarm:
+		c.prepareAfterDisarm(r)
 		return
+	case Prepare:
+		c.voidBelow(o.Version)
 	}
 	k.delivery.done = true
 }
@@ -98,24 +103,16 @@
 		}
 	case preparing:
 		c.advancePreparing(now)
-	case yielding:
-		if c.allDelivered() {
-			c.enterPhase(now, holding)
-			c.assignSelf(Hold{Step: c.holdStep})
-		}
 	case holding:
 		if c.allDelivered() {
 			c.advanceHolding(now)
 		}
 	case arming:
 		if c.allDelivered() {
-			c.attempt.Reason = Committed
 			c.startReleasing(now)
 		}
 	case clearing:
-		if c.allDelivered() {
-			c.startReleasing(now)
-		}
+		c.advanceClearing(now)
 	case releasing:
 		c.advanceReleasing(now)
 	}
@@ -139,57 +136,69 @@
 	c.startHolding(now)
 }
 
-// startHolding requests the own rank to hold a step that was never held before, so that a
-// late release of an earlier hold does not release this one.
+// startHolding requests the own rank to hold a step that this coordinator has not requested to
+// hold before, so that a late Hold or Release of an earlier attempt does not disturb this one.
 func (c *Coordinator) startHolding(now time.Time) {
 	c.enterPhase(now, holding)
 	c.holdStep = max(max(c.highestStep(), c.refusedStep)+c.steps.lead(now, c.redundancy()), c.lastHeldStep+1)
+	c.lastHeldStep = c.holdStep
 	c.assignSelf(Hold{Step: c.holdStep})
 }
 
-// advanceHolding requests all ranks to arm, now that the own rank holds the step. An
-// attempt that recovers an orphaned hold aborts instead.
+// advanceHolding requests all ranks to arm, now that the own rank holds the step.
 func (c *Coordinator) advanceHolding(now time.Time) {
 	c.attempt.HeldFrom = now
-	c.lastHeldStep = max(c.lastHeldStep, c.holdStep)
-	if c.recovering {
-		c.abort(now)
-		return
-	}
+	c.startArming(now, Armed{Version: c.attempt.Version, Step: c.holdStep}, c.proposed, Committed)
+}
+
+// startArming requests all ranks to arm, except those that reported to be armed so already. The
+// map of the version is nil if it is not known. The attempt ends for the reason given once all ranks
+// are armed and the holds released.
+func (c *Coordinator) startArming(now time.Time, a Armed, m Placement, reason EndReason) {
 	c.enterPhase(now, arming)
-	c.assign(func(int) Order { return Arm{Version: c.attempt.Version, Step: c.holdStep} })
+	c.attempt.Version, c.attempt.Reason = a.Version, reason
+	c.armStep, c.armedMap = a.Step, m
+	c.assign(func(r int) Order {
+		if s := c.ranks[r].state.Armed; s != nil && *s == a {
+			return nil
+		}
+		return Arm(a)
+	})
 }
 
-// startReleasing requests the own rank to release its hold and, in an attempt that
-// recovers an orphaned hold, all other ranks to release theirs.
+// startReleasing requests all ranks to release holds up to the step for which all ranks are armed.
+// A copy of such a Release that arrives late is harmless: a hold up to that step is needed no
+// more, and since armed ranks do not prepare another map, later attempts hold later steps. A hold of
+// a later step is left, and recovered as an orphaned one.
 func (c *Coordinator) startReleasing(now time.Time) {
 	c.enterPhase(now, releasing)
 	c.assign(func(r int) Order {
 		h := c.ranks[r].state.Held
-		switch {
-		case r == c.self:
-			return Release{Step: c.holdStep}
-		case c.recovering && h != nil:
-			return Release{Step: *h}
-		default:
+		if r == c.self && c.holdStep != 0 {
+			h = &c.holdStep
+		}
+		if h == nil || *h > c.armStep {
 			return nil
 		}
+		return Release{Step: *h}
 	})
 }
 
 // advanceReleasing ends the attempt once the own rank reports that it no longer holds the
 // step.
 func (c *Coordinator) advanceReleasing(now time.Time) {
-	s := c.ranks[c.self].state
-	if !c.allDelivered() || s.Held != nil && *s.Held == c.holdStep {
-		if c.allDelivered() && now.Sub(c.phaseSince) > ResendAfter {
+	if !c.allDelivered() {
+		return
+	}
+	if h := c.ranks[c.self].state.Held; h != nil && *h <= c.armStep {
+		if now.Sub(c.phaseSince) > ResendAfter {
 			c.startReleasing(now) // a late Hold arrived after the Release
 		}
 		return
 	}
-	c.releasedStep = c.holdStep
-	if c.attempt.Reason == Committed && c.proposed != nil {
-		c.current = c.proposed
+	c.releasedStep = c.armStep
+	if c.armedMap != nil {
+		c.setMapInUse(c.armedMap, c.attempt.Version)
 	}
 	c.endAttempt(c.attempt.Reason)
 }
@@ -198,11 +207,10 @@
 	c.attempt.Reason = reason
 	c.outcomes = append(c.outcomes, c.attempt)
 	c.phase = idle
-	c.proposed = nil
-	c.recovering = false
+	c.proposed, c.armedMap = nil, nil
 	for r := range c.ranks {
 		k := &c.ranks[r]
-		k.read, k.orphanSince, k.refusals = false, time.Time{}, 0 // ranks are read again before another attempt
+		k.read, k.orphanSince, k.refused = false, time.Time{}, false // ranks are read again before another attempt
 	}
 }
 
@@ -213,12 +221,10 @@
 	switch c.phase {
 	case preparing:
 		c.endAttempt(NotPrepared)
-	case yielding:
-		c.ranks[r].delivery.done = true // the rank has no such hold
 	case holding:
 		c.handleHoldRefused(now)
 	case arming:
-		c.abort(now)
+		c.handleArmRefused(now)
 	case clearing:
 		c.handleClearingRefused(r)
 	case releasing:
@@ -233,7 +239,7 @@
 // handleHoldRefused requests to hold a later step, since most likely the refused one had begun, and
 // the map is still prepared everywhere.
 func (c *Coordinator) handleHoldRefused(now time.Time) {
-	if c.holds++; c.recovering || c.holds >= maxHolds {
+	if c.holds++; c.holds >= maxHolds {
 		c.endAttempt(NotHeld)
 		return
 	}
--- a/mapswitch/orders/coordinator.go
+++ b/mapswitch/orders/coordinator.go
@@ -36,8 +36,9 @@
 	// coordinator requested; zero if it holds none.
 	orphanSince time.Time
 	delivery    delivery
-	// refusals counts the voiding orders (see voidingOrder) that the rank refused.
-	refusals int
+	// refused reports whether the rank refused to prepare the replacement (see abort) and has not
+	// been requested to disarm since.
+	refused bool
 }
 
 // Coordinator changes the maps of one group in one epoch. It is not safe for
@@ -53,10 +54,20 @@
 	attempt    Outcome
 	fence      Fence
 	proposed   Placement
-	// current is the map in use; nil until it has been read.
-	current Placement
-	// holdStep is the step that the attempt holds or is about to hold.
+	// current is the last known map in use; nil until it has been read. It is the map in use while
+	// no rank reports a version above currentVersion.
+	current        Placement
+	currentVersion Version
+	// holdStep is the step that the attempt holds or is about to hold at the own rank; 0 if none.
 	holdStep Step
+	// armStep is the step for which the last attempt that armed did so, armedMap its map; nil if
+	// that is not known.
+	armStep  Step
+	armedMap Placement
+	// voidBound is above all versions that are known to be void (see isVoid).
+	voidBound Version
+	// replacements is the number of replacements (see abort) that the attempt has requested.
+	replacements int
 	// holds is the number of steps that the attempt was refused to hold, refusedStep the last one.
 	holds       int
 	refusedStep Step
@@ -66,12 +77,10 @@
 	// highestRequested is the highest version that any coordinator is known to have
 	// requested in this epoch.
 	highestRequested Version
-	lastHeldStep     Step
-	// releasedStep is the step whose hold the last ended attempt released; 0 if none did.
+	// lastHeldStep is the last step that the own rank was requested to hold.
+	lastHeldStep Step
+	// releasedStep is the step up to which the last attempt that released holds did so; 0 if none did.
 	releasedStep Step
-	// recovering reports whether the current attempt aborts an earlier attempt that left an
-	// orphaned hold.
-	recovering bool
 	// loss is the share of orders that get no response in time.
 	loss float64
 	// distributionTime is the time to send a map to all ranks.
@@ -98,19 +107,40 @@
 // Phase returns the name of the attempt's phase, for logs.
 func (c *Coordinator) Phase() string { return c.phase.String() }
 
-// Holding reports whether the coordinator has requested its own rank to hold a step.
+// Holding reports whether the coordinator has requested its own rank to hold a step, or is
+// recovering an orphaned hold.
 func (c *Coordinator) Holding() bool { return c.phase >= holding }
 
-// Current returns the map in use; false if it has not been read yet.
-func (c *Coordinator) Current() (Placement, bool) { return c.current, c.current != nil }
+// Current returns the map in use; false if it has not been read yet, or was changed by another
+// coordinator.
+func (c *Coordinator) Current() (Placement, bool) {
+	if c.current == nil {
+		return nil, false
+	}
+	for _, r := range c.ranks {
+		if r.state.Map > c.currentVersion {
+			return nil, false
+		}
+	}
+	return c.current, true
+}
 
-// SetCurrent sets the map in use, as read from all ranks at the same version.
+// SetCurrent sets the map in use, as read from all ranks at the same version. It is ignored if
+// ranks report different versions since then.
 func (c *Coordinator) SetCurrent(p Placement) {
+	version := c.ranks[c.self].state.Map
+	for _, r := range c.ranks {
+		if r.state.Map != version {
+			return
+		}
+	}
 	if c.phase == idle {
-		c.current = p
+		c.setMapInUse(p, version)
 	}
 }
 
+func (c *Coordinator) setMapInUse(p Placement, v Version) { c.current, c.currentVersion = p, v }
+
 // SetDistributionTime sets how long sending a map to all ranks takes, in addition to the
 // time of any order: maps of large groups fill a narrow link for a while.
 func (c *Coordinator) SetDistributionTime(d time.Duration) { c.distributionTime = d }
--- a/mapswitch/orders/doc.go
+++ b/mapswitch/orders/doc.go
@@ -13,22 +13,33 @@
 //     no rank can begin that step.
 //  3. Every rank arms the version for that step. Lost orders are repeated.
 //  4. Once all ranks have reported the armed map, the hold is released. If a rank
-//     refuses instead, every rank disarms and prepares one more new version, which makes
-//     all orders of the failed attempt void wherever they are still in transit, and only
-//     then is the hold released.
+//     refuses instead, every rank disarms and prepares the map in use under one more new
+//     version, which makes all orders of the failed attempt void wherever they are still
+//     in transit. That version is armed and released like any other.
 //
 // The hold is placed at the coordinator's own rank on purpose. If the coordinator's
 // process ends, the next process on the same box finds the hold; if the box fails, the
 // group is formed anew and nothing is held. A coordinator that finds an orphaned hold,
-// at any rank, aborts the attempt that the hold belongs to as in point 4, under a hold
-// of its own, and releases both. If nothing fails, all ranks have armed before the group
+// at any rank, completes the attempt if all ranks can be armed with its version, and otherwise
+// aborts it as in point 4. If nothing fails, all ranks have armed before the group
 // reaches the step, so the hold does not delay the group.
 //
-// A late order is harmless for at least one of these reasons: its epoch is over; its
-// version is no longer the prepared one; its step has begun; or, where engines check
-// fences, its fence is lower than one received since. Safety depends neither on clocks,
-// nor on the store, nor on there being only one coordinator: two of them only make each
-// other's attempts fail.
+// # Safety
+//
+// A process that starts knows neither which orders are in transit nor whether an attempt was
+// released. Two rules make every order harmless that was sent before:
+//
+//   - A hold is released only once all ranks are armed with one version, for a step not before the
+//     held one. Armed ranks prepare nothing until that step has begun, so a hold that another attempt
+//     depends on is for a later step, and a late Release does not end it.
+//   - A rank is disarmed only from a version that is void: some rank that was never armed with it has
+//     a higher one, so that not all ranks were armed with it, and its hold was not released for it.
+//     A late Disarm thus finds the version void, and a late Arm finds it replaced.
+//
+// Hence, all ranks that were armed with one version stay armed with it until the step begins, and
+// until all ranks are armed the step is held. Safety depends neither on clocks, nor on fences, nor on
+// the store, nor on there being only one coordinator: two of them only make each other's attempts
+// fail. Orders of an earlier epoch are refused.
 //
 // A Coordinator is a state machine without I/O.
 //
--- a/mapswitch/orders/observing.go
+++ b/mapswitch/orders/observing.go
@@ -26,6 +26,7 @@
 	c.steps.observe(now, s.Step)
 	for _, v := range []Version{s.Map, s.Prepared, armedVersion(s)} {
 		c.highestRequested = max(c.highestRequested, v)
+		c.voidBelow(v)
 	}
 	c.trackOrphan(now, k)
 	c.confirm(k)
@@ -38,7 +39,7 @@
 func (c *Coordinator) confirm(k *rank) {
 	switch o := k.delivery.order.(type) {
 	case Prepare:
-		if c.phase == preparing && k.state.Prepared == o.Version {
+		if k.state.Prepared == o.Version {
 			k.delivery.done = true
 		}
 	case Arm:
@@ -65,8 +66,8 @@
 // for the ranks to report the prepared map once their copies are expected to be done. At that
 // time, ranks whose states are no longer fresh are read, too, so that one round of reads suffices
 // for the hold; later, once all ranks have prepared the map. While arming, it waits for the ranks
-// whose responses are late, and while releasing, for the own rank to report that it no longer
-// holds the step.
+// whose responses are late, while clearing, for the ranks to report the prepared replacement, and
+// while releasing, for the own rank to report that it no longer holds the step.
 func (c *Coordinator) NeedsRead(now time.Time, r int) bool {
 	switch c.phase {
 	case preparing:
@@ -77,6 +78,8 @@
 	case arming:
 		d := &c.ranks[r].delivery
 		return !d.done && d.sends > 1
+	case clearing:
+		return !c.hasPrepared(r)
 	case releasing:
 		return r == c.self
 	default:
--- a/mapswitch/orders/orphan.go
+++ b/mapswitch/orders/orphan.go
@@ -27,60 +27,43 @@
 	}
 }
 
-// recoverOrphan aborts the attempt of a lost process that left a hold behind. Before
-// anything else, the coordinator holds the same step at its own rank, so that the group
-// stays held until the end of the abort, whatever becomes of the orphaned hold. It does not
-// complete the map change of the other process, which may still be running.
+// recoverOrphan completes or aborts the attempt of a lost process that left a hold behind.
+// That process may still be running, or its orders in transit.
 func (c *Coordinator) recoverOrphan(now time.Time) {
-	step, found := c.lowestOrphan(now)
-	if !found || !c.allRead() || c.current == nil {
+	if !c.hasOrphan(now) || !c.allRead() || c.current == nil {
 		return // an abort needs a map that all ranks accept
 	}
-	c.beginAttempt(now, holding)
-	c.recovering, c.holdStep = true, step
-	own := c.ranks[c.self].state.Held
-	switch {
-	case own != nil && *own < step:
-		c.holdStep = *own
-	case own != nil && *own > step:
-		// A rank holds only one step. The lower hold elsewhere keeps the group held meanwhile.
-		c.enterPhase(now, yielding)
-		c.assignSelf(Release{Step: *own})
-		return
-	}
-	c.assignSelf(Hold{Step: c.holdStep})
+	c.beginAttempt(now, clearing)
+	c.attempt.HeldFrom = now
+	c.abort(now, 0)
 }
 
-// releaseAgain releases a hold of the own rank for the step that this coordinator has held and
-// released before: a repetition of the Hold has arrived after the Release. All ranks are armed for
-// the step or cleared since, so that nothing has to be aborted, and the group is not left held for
-// ownOrphanAfter. If another coordinator found the hold in between, it holds the step itself.
+// releaseAgain releases a hold of the own rank up to the step for which the last attempt had armed all
+// ranks: a repetition of the Hold has arrived after the Release. Nothing has to be aborted, and the
+// group is not left held for ownOrphanAfter.
 func (c *Coordinator) releaseAgain(now time.Time) bool {
 	own := c.ranks[c.self].state.Held
-	if own == nil || c.releasedStep == 0 || *own != c.releasedStep {
+	if own == nil || *own > c.releasedStep {
 		return false
 	}
 	c.beginAttempt(now, releasing)
-	c.attempt.Reason, c.holdStep = ReleasedAgain, *own
+	c.attempt.Reason, c.holdStep, c.armStep = ReleasedAgain, *own, c.releasedStep
 	c.assignSelf(Release{Step: *own})
 	return true
 }
 
-// lowestOrphan returns the lowest step whose hold is orphaned.
-func (c *Coordinator) lowestOrphan(now time.Time) (step Step, found bool) {
+// hasOrphan reports whether the hold of a rank is orphaned.
+func (c *Coordinator) hasOrphan(now time.Time) bool {
 	for r, k := range c.ranks {
 		after := orphanAfter
 		if r == c.self {
 			after = ownOrphanAfter
 		}
-		if k.orphanSince.IsZero() || now.Sub(k.orphanSince) < after || k.state.Held == nil {
-			continue
-		}
-		if !found || *k.state.Held < step {
-			step, found = *k.state.Held, true
+		if !k.orphanSince.IsZero() && now.Sub(k.orphanSince) >= after {
+			return true
 		}
 	}
-	return step, found
+	return false
 }
 
 func (c *Coordinator) allRead() bool {
--- a/mapswitch/orders/recovery_test.go
+++ b/mapswitch/orders/recovery_test.go
@@ -200,3 +200,40 @@
 		})
 	}
 }
+
+// TestHoldOfLaterStepIsKept: ranks refuse the map of an attempt that holds a step, since another coordinator
+// has armed all of them for an earlier step. The hold must outlast that step: its release may arrive
+// late, after the next process has held the same step.
+func TestHoldOfLaterStepIsKept(t *testing.T) {
+	h := newHistory(t, 1, false)
+	h.longStep = true
+	other := func(rank int, o orders.Order) {
+		if res := h.group.Execute(orders.Call{Rank: rank, Epoch: h.group.Epoch(), Order: o}); res != orders.Done {
+			t.Fatalf("%s of the other coordinator at rank %d: %v", orders.Describe(o), rank, res)
+		}
+	}
+	h.inTransit = func(c orders.Call) bool {
+		switch o := c.Order.(type) {
+		case orders.Hold:
+			other(0, orders.Hold{Step: o.Step - 1})
+			for r := range modelRanks {
+				other(r, orders.Prepare{Version: 1 << 40, Map: testMap})
+				h.group.FinishCopying(r)
+				other(r, orders.Arm{Version: 1 << 40, Step: o.Step - 1})
+			}
+		case orders.Release:
+			for r := range modelRanks {
+				if a := h.group.State(r).Armed; a == nil || a.Step < o.Step {
+					t.Errorf("%s sent to rank %d while rank %d is armed with %v", orders.Describe(o), c.Rank, r, a)
+				}
+			}
+		}
+		return false
+	}
+	h.changeUntil(isOrder[orders.Hold])
+	for range 40 {
+		h.round()
+	}
+	h.longStep = false
+	h.checkReleased()
+}
--- a/mapswitch/orders/sending.go
+++ b/mapswitch/orders/sending.go
@@ -26,6 +26,12 @@
 	}
 }
 
+// assignTo creates a delivery for one rank, and leaves those of the others.
+func (c *Coordinator) assignTo(r int, o Order) {
+	c.lastDelivery++
+	c.ranks[r].delivery = delivery{id: c.lastDelivery, order: o}
+}
+
 // assignSelf creates a delivery for the coordinator's own rank only.
 func (c *Coordinator) assignSelf(o Order) {
 	c.assign(func(r int) Order {
