orders: the fence of a new process starts above those of the versions that ranks report

Traced: a process that was outranked twice sends orders with fence 17,817. The next process starts at 1, and its fences are 1, 1,033 and 17,545: all three attempts are outranked, and the fourth would not be. The comment of the generator names five attempts for four million, and its test four for 60,000, so the check of three demands more than was promised. The model does what engines with fences do, and an outranked recovery leaves the group held until the hold counts as orphaned again, so the generator is mended and the check stays.

Versions are derived from fences: a version that a rank reports tells which fence it had at the least. A fence that was raised and has led to no reported version can still take several attempts, so that three attempts are likelier now, not promised.

Ruled out: a larger factor, which reaches the bound of 2^28 after fewer restarts.

TestFirstFenceExceedsThatOfPreviousProcess fails without the rule: fence 1, want one above 281,737.

--- a/mapswitch/orders/attempt.go
+++ b/mapswitch/orders/attempt.go
@@ -65,6 +65,7 @@
 
 func (c *Coordinator) beginAttempt(now time.Time, p phase) {
 	c.phase, c.phaseSince = p, now
+	c.numbers.skipTo(c.highestRequested, len(c.ranks))
 	c.fence = c.numbers.fence()
 	c.attempt = Outcome{Rank: -1, StartedAt: now}
 	c.holds, c.refusedStep, c.holdStep = 0, 0, 0
--- a/mapswitch/orders/numbergenerator.go
+++ b/mapswitch/orders/numbergenerator.go
@@ -8,8 +8,8 @@
 // A version is higher than all that the ranks of the group have reported, and differs from
 // those of every other process by the rank and by a salt, drawn at the start: orders of a
 // process that has ended may still be in transit. A fence is higher than all earlier ones
-// of this process and, as soon as a rank reports that it has received a higher one, exceeds
-// that within a few attempts.
+// of this process and than those from which the versions were derived that ranks have reported;
+// as soon as a rank reports that it has received a higher one, it exceeds that within a few attempts.
 type NumberGenerator struct {
 	salt      Version
 	lastFence Fence
@@ -39,6 +39,13 @@
 	return n.lastFence
 }
 
+// skipTo makes the next fence higher than those from which the version was derived: a new process
+// would otherwise be outranked by the orders of the previous one.
+func (n *NumberGenerator) skipTo(highest Version, ranks int) {
+	derived := Fence(min(highest/Version(ranks)>>saltBits, Version(maxRaisedFence/fenceRaiseFactor-1)))
+	n.lastFence = max(n.lastFence, derived)
+}
+
 // raiseFence raises the next fence, after a rank reported that it received a higher one.
 func (n *NumberGenerator) raiseFence() {
 	if n.lastFence < maxRaisedFence/fenceRaiseFactor {
--- a/mapswitch/orders/numbergenerator_test.go
+++ b/mapswitch/orders/numbergenerator_test.go
@@ -63,6 +63,30 @@
 	t.Errorf("after four attempts the fence is still not above %d, which ranks have received", received)
 }
 
+// TestFirstFenceExceedsThatOfPreviousProcess: the previous process raised its fence, and ranks have prepared
+// its map. If the next process is outranked several times, the group stays held meanwhile.
+func TestFirstFenceExceedsThatOfPreviousProcess(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	state := orders.State{Epoch: 1, Open: true, Step: 5}
+	propose := func(c *orders.Coordinator) orders.Call {
+		observeAllRanks(c, now, state)
+		if !c.Propose(now, testMap, 0) {
+			t.Fatal("Propose returned false; want an attempt to start")
+		}
+		return c.Next(now)[0]
+	}
+	previous := orders.NewCoordinator(0, modelRanks, 1, orders.NewNumberGenerator(9))
+	call := propose(previous)
+	for range 3 {
+		previous.HandleResult(now, call, orders.Outranked)
+		call = propose(previous)
+	}
+	state.Prepared = call.Order.(orders.Prepare).Version
+	if got := propose(orders.NewCoordinator(1, modelRanks, 1, orders.NewNumberGenerator(10))).Fence; got <= call.Fence {
+		t.Errorf("got fence %d; want one above %d", got, call.Fence)
+	}
+}
+
 func observeAllRanks(c *orders.Coordinator, now time.Time, s orders.State) {
 	for r := range modelRanks {
 		c.Observe(now, r, s)
