--- a/admission/fairshare/shares_test.go
+++ b/admission/fairshare/shares_test.go
@@ -26,7 +26,7 @@
 		boxes    int
 		orgs     []organisation
 		least    float64       // least share of all requests that is refused
-		hears    time.Duration // how long boxes hear each other
+		hears    time.Duration // how long boxes receive messages of each other
 		o        [2]float64    // bounds of the refused share of the organisations o*
 		x        [2]float64    // and of the organisations x*
 		meanWith float64       // how far the refused share of all requests may be from the required one
--- a/admission/step_model.go
+++ b/admission/step_model.go
@@ -4,7 +4,7 @@
 
 // stepModel is the usual length of a group's steps as a function of the load: base * (1 + growth * load),
 // with the load as a share of the group's slots. It fits the line to the lengths seen at different loads. The
-// fit leans on a prior, since a constant load tells nothing about the growth.
+// fit leans on a prior, since a constant load carries no information on the growth.
 type stepModel struct {
 	// Moments of the observations, each weighted by how recent it is.
 	weight, loads, lengths, squares, products float64
--- a/experts/rebalance/shiftmodel/run.go
+++ b/experts/rebalance/shiftmodel/model_test.go
@@ -1,4 +1,8 @@
-package shiftmodel
+// Package shiftmodel_test has a model of a group whose demand shifts, and of the coordinator that reads the
+// demand, plans maps and puts them in use, in order to compare ways to respond to a shift. Steps and reads
+// have fixed lengths apart from the skew, all orders arrive, and requests prefer experts independently of
+// each other.
+package shiftmodel_test
 
 import (
 	"math/rand/v2"
--- a/experts/rebalance/shiftmodel/result.go
+++ b/experts/rebalance/shiftmodel/result_test.go
@@ -1,4 +1,4 @@
-package shiftmodel
+package shiftmodel_test
 
 import (
 	"slices"
--- a/experts/rebalance/shiftmodel/run_test.go
+++ b/experts/rebalance/shiftmodel/shifts_test.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"clovertrail.dev/experts/rebalance"
-	"clovertrail.dev/experts/rebalance/shiftmodel"
 )
 
 const ms = time.Millisecond
@@ -14,8 +13,8 @@
 var shape = rebalance.Shape{Ranks: 72, Layers: 12, Experts: 144, Slots: 3, Staging: 2, CopyTime: 36 * ms, ExpertShare: 0.85}
 
 // config is that of a group whose demand shifts every 2.7 s.
-func config(seed uint64, countsAtEnd bool, preference float64) shiftmodel.Config {
-	return shiftmodel.Config{
+func config(seed uint64, countsAtEnd bool, preference float64) Config {
+	return Config{
 		Planner: rebalance.Planner{Shape: shape, Horizon: 2 * time.Second, CopySlowdown: 0.15, MaxCopies: 4, MinSaving: 0.08, Overhead: 120 * ms},
 		Seed:    seed, Length: 28 * time.Second, ShiftEvery: 2730 * ms, StepTime: 60 * ms, CountsAtEnd: countsAtEnd, Preference: preference,
 		ReadInterval: 220 * ms, ReadTime: 50 * ms, ChangeTime: 120 * ms,
@@ -47,7 +46,7 @@
 			before, after := config(1, tc.countsAtEnd, tc.preference), config(1, tc.countsAtEnd, tc.preference)
 			before.Estimator = withoutWatch{rebalance.NewEstimate(shape)}
 			after.Estimator, after.Watch, after.SecondRead = rebalance.NewEstimate(shape), true, 100*ms
-			b, a := shiftmodel.Run(before), shiftmodel.Run(after)
+			b, a := Run(before), Run(after)
 			logResult(t, "without the watch", b)
 			logResult(t, "with the watch", a)
 			if a.LongSteps < a.Shifts-1 || a.LongSteps > a.Shifts+1 {
@@ -63,7 +62,7 @@
 	}
 }
 
-func logResult(t *testing.T, name string, r shiftmodel.Result) {
+func logResult(t *testing.T, name string, r Result) {
 	t.Logf("%s: mean skew %.2f; first plan %v after a shift, in use after %v at %.2f; skew after 0.2 s %.2f, 0.4 s %.2f, 0.6 s %.2f, 1 s %.2f, 2 s %.2f; %d reads, %d changes, %d copies",
 		name, r.Mean, r.Planned, r.InUse, r.FirstSkew, r.After(200*ms), r.After(400*ms), r.After(600*ms), r.After(time.Second), r.After(2*time.Second), r.Reads, r.Changes, r.Copies)
 }
@@ -72,11 +71,11 @@
 // prompts at once. That costs reads of the counts, but must change no map: copies are paid for, and
 // slow down further steps.
 func TestLongStepsWithoutShifts(t *testing.T) {
-	run := func(longStepEvery time.Duration) shiftmodel.Result {
+	run := func(longStepEvery time.Duration) Result {
 		c := config(2, false, 1)
 		c.ShiftEvery, c.LongStepEvery = time.Hour, longStepEvery
 		c.Estimator, c.Watch, c.SecondRead = rebalance.NewEstimate(shape), true, 100*ms
-		return shiftmodel.Run(c)
+		return Run(c)
 	}
 	calm, long := run(0), run(3*time.Second)
 	if calm.LongSteps > 0 || calm.Reads > 55 {
--- a/experts/rebalance/stepwatch.go
+++ b/experts/rebalance/stepwatch.go
@@ -31,7 +31,7 @@
 	Epoch uint64
 	Step  uint64 // the last step that has begun
 	// Busy reports whether the engine runs requests. While it does not, the group may run no
-	// steps at all, and the time since the last one says nothing.
+	// steps at all, and the time since the last one is no evidence of a long step.
 	Busy bool
 }
 
--- a/membership/reopening.go
+++ b/membership/reopening.go
@@ -15,7 +15,7 @@
 
 // Reopening returns when a stopped group of the service is expected to open: formTime after its last missing
 // rank was reported again. It returns the zero time if that is unknown: a rank is missing or lost, formTime
-// is 0, this box began to receive reports of all ranks at the same time, so that it cannot tell which
+// is 0, this box began to receive reports of all ranks at the same time, so that it does not know which
 // of them was missing, or a group that was expected to open did not.
 func (r *Roster) Reopening(now time.Time, svc domain.ServiceName, formTime time.Duration) time.Time {
 	var earliest time.Time
--- a/node/waiting.go
+++ b/node/waiting.go
@@ -263,7 +263,7 @@
 	usable  bool             // some target may get requests
 	stopped bool             // a rank is not usable and may be again, with its group
 	all     []routing.Option // targets that are not leaving
-	good    []routing.Option // targets of which nothing speaks against use
+	good    []routing.Option // targets rated good
 }
 
 // serviceState returns the state of the service's targets, whatever the subset of this box. mu is held.
--- a/quarantine/register.go
+++ b/quarantine/register.go
@@ -96,7 +96,7 @@
 	shared bool
 }
 
-// weak reports whether the end says little about the work: other targets ended at about the same time, and
+// weak reports whether the end is weak evidence against the work: other targets ended at about the same time, and
 // other works were lost with this target.
 func (e end) weak() bool { return e.common && e.shared }
 
@@ -280,7 +280,7 @@
 	return last, last.Add(term(evidence - need))
 }
 
-// evidence counts the ends that speak against the work. Weak ends within commonWindow of each other count
+// evidence counts the ends that suggest that the work ends its targets. Weak ends within commonWindow of each other count
 // once: a request that is retried while a rack loses power meets several targets that end.
 func (w *work) evidence() int {
 	var weak []time.Time
--- a/quarantine/trial_test.go
+++ b/quarantine/trial_test.go
@@ -76,7 +76,7 @@
 }
 
 // TestOneBoxHasTheTurn guards against boxes that all try a popular work at the moment at which that is due,
-// before any of them has heard of another's trial, and against boxes that never get a turn.
+// before any of them has received the claim of another's trial, and against boxes that never get a turn.
 func TestOneBoxHasTheTurn(t *testing.T) {
 	const boxes = 37
 	var names []domain.BoxID
--- a/soak/outages.go
+++ b/soak/outages.go
@@ -36,7 +36,7 @@
 	// groupMaxAttempts is the number of ranks that the route allows a request to be sent to.
 	groupMaxAttempts = 2
 	// ampleRetrySlack allows each request its attempts, so that no stream is cut because a retry budget is
-	// exhausted, which checkOutages could not tell from a cut by a planned stop.
+	// exhausted, which checkOutages cannot distinguish from a cut by a planned stop.
 	ampleRetrySlack = 10000
 	// leaveSlack is the time that a request may be held after its caller leaves. Boxes refuse a request that waits
 	// half a second before that. stallTime is the time for which ranks that have stopped hold requests themselves.
