--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -36,8 +36,8 @@
 	Service domain.ServiceName
 	// Tried lists the instances that already had an attempt of the request.
 	Tried []domain.InstanceID
-	// First reports whether this is the first attempt. Further attempts are not refused for
-	// lack of capacity.
+	// First reports whether this is the first attempt. Further attempts, and one that has waited for a
+	// target, are not refused for lack of capacity.
 	First bool
 	Route string
 	// Class is the urgency of the request.
--- a/node/fair_shares.go
+++ b/node/fair_shares.go
@@ -1,11 +1,11 @@
 package node
 
 import (
-	"clovertrail.dev/node/process"
 	"time"
 
 	"clovertrail.dev/core/domain"
 	"clovertrail.dev/mesh"
+	"clovertrail.dev/node/process"
 	"clovertrail.dev/telemetry"
 )
 
--- a/routing/balancer.go
+++ b/routing/balancer.go
@@ -101,12 +101,9 @@
 	slowdown   float64
 	duration   time.Duration // mean duration of a request of this box
 	firstByte  time.Duration // mean time to the first byte, without the wait for a slot
-	served     time.Duration // duration of the requests of this box that have ended, weighted by how recent they are
-	ended      float64       // number of these requests, weighted in the same way
-	begun      time.Duration // time to the first byte of the requests of this box, weighted in the same way
-	begins     float64       // number of these requests, weighted in the same way
-	answered   time.Duration // as served, of the requests that were answered to their end
-	answers    float64       // number of these requests, weighted in the same way
+	ended      recentMean    // of the durations of requests of this box that have ended
+	begun      recentMean    // of the times to the first byte of requests of this box, without the wait for a slot
+	answered   recentMean    // of the durations of requests of this box that were answered to their end
 }
 
 // Ticket is one request of this box at a target. Like the Balancer that returned it, it is not
@@ -155,8 +152,7 @@
 	t.began = true
 	served := max(now.Sub(t.sentAt)-t.wait, 0)
 	t.load.firstByte += time.Duration(meanSmoothing * float64(served-t.load.firstByte))
-	t.load.begun = served + time.Duration((1-meanSmoothing)*float64(t.load.begun))
-	t.load.begins = 1 + (1-meanSmoothing)*t.load.begins
+	t.load.begun.add(served)
 }
 
 // Ended records that the request of the ticket is over. Only the first call for a ticket counts.
@@ -173,8 +169,7 @@
 // of Ended.
 func (b *Balancer) Answered(now time.Time, t *Ticket) {
 	if t.load != nil {
-		t.load.answered = now.Sub(t.sentAt) + time.Duration((1-meanSmoothing)*float64(t.load.answered))
-		t.load.answers = 1 + (1-meanSmoothing)*t.load.answers
+		t.load.answered.add(now.Sub(t.sentAt))
 	}
 	b.Ended(now, t)
 }
@@ -182,8 +177,7 @@
 // recordEnd records that a request of this box has ended after the duration.
 func (l *load) recordEnd(d time.Duration) {
 	l.duration += time.Duration(meanSmoothing * float64(d-l.duration))
-	l.served = d + time.Duration((1-meanSmoothing)*float64(l.served))
-	l.ended = 1 + (1-meanSmoothing)*l.ended
+	l.ended.add(d)
 }
 
 // recordInterval records that a report is received now. Intervals count up to maxReportAge, so that one
@@ -214,31 +208,21 @@
 // MeanFirstByte returns the mean time to the first byte of the requests of this box at the options, without the
 // wait for a slot; 0 before there is one.
 func (b *Balancer) MeanFirstByte(options []Option) time.Duration {
-	sum, begins := time.Duration(0), 0.0
+	var all recentMean
 	for _, o := range options {
-		l := b.load(o.ID)
-		sum += l.begun
-		begins += l.begins
+		all.join(b.load(o.ID).begun)
 	}
-	if begins == 0 {
-		return 0
-	}
-	return time.Duration(float64(sum) / begins)
+	return all.value()
 }
 
 // MeanAnswer returns the mean duration of the requests of this box that the options answered to their end; 0
 // before there is one. Requests that were cut off, as by an outage of their group, do not count.
 func (b *Balancer) MeanAnswer(options []Option) time.Duration {
-	sum, answers := time.Duration(0), 0.0
+	var all recentMean
 	for _, o := range options {
-		l := b.load(o.ID)
-		sum += l.answered
-		answers += l.answers
-	}
-	if answers == 0 {
-		return 0
+		all.join(b.load(o.ID).answered)
 	}
-	return time.Duration(float64(sum) / answers)
+	return all.value()
 }
 
 // InFlight returns the number of requests of this box that are running at the target.
--- a/routing/load_summary.go
+++ b/routing/load_summary.go
@@ -18,17 +18,13 @@
 	others        float64 // requests of other boxes
 	reportedSlots float64
 	age, interval time.Duration
-	// served is the duration of the ended requests of this box and ended is their number, both
-	// weighted by how recent the requests are.
-	served time.Duration
-	ended  float64
+	ended         recentMean // of the durations of requests of this box
 }
 
 func (s *loadSummary) add(now time.Time, o Option, l *load) {
 	s.inFlight += float64(l.inFlight)
 	s.slots += slotsOf(o)
-	s.served += l.served
-	s.ended += l.ended
+	s.ended.join(l.ended)
 	if !l.hasRecentReport(now) {
 		return
 	}
@@ -50,10 +46,10 @@
 // meanDuration returns the mean duration of a request. Requests of all options count, since a box of a
 // large fleet sends each target a request only every few seconds.
 func (s *loadSummary) meanDuration() time.Duration {
-	if s.ended == 0 {
-		return initialDuration
+	if mean := s.ended.value(); mean > 0 {
+		return max(mean, minFade)
 	}
-	return max(time.Duration(float64(s.served)/s.ended), minFade)
+	return initialDuration
 }
 
 // arrivals returns the number of requests that all boxes are expected to send to the options from the
