soak: a planned stop that cuts a request to the group shows its course

The violations of the planned stop under outages said only that a request failed some time after the signal. That does not distinguish a stop that cuts what could be served, a box that notices the opening of the group late, and a caller that leaves before the group opens. The line now has the request's attempts and the periods in which the group was stopped, in time since the request was sent.

--- a/soak/outages.go
+++ b/soak/outages.go
@@ -116,6 +116,7 @@
 		if long {
 			e.recorder.addFault(action{name: "long outage", affects: scopeGroup}, "", time.Now(), opens)
 		}
+		lostAt := time.Now()
 		e.group.Lose(r.IntN(groupShape.Ranks))
 		stopAfter, b := time.Duration(r.Int64N(int64(lasts))), e.boxes[r.IntN(len(e.boxes))]
 		time.Sleep(stopAfter)
@@ -124,6 +125,7 @@
 		}
 		time.Sleep(lasts - stopAfter)
 		e.group.Return()
+		e.recorder.addOutage(lostAt, time.Now().Add(formTime))
 		time.Sleep(formTime + time.Duration(r.Int64N(int64(maxOutagePause))))
 	}
 }
@@ -189,11 +191,26 @@
 	cut := !ex.reply.Correct && !ex.reply.NotRun() && !ex.reply.ConnectionRefused() && len(rec.attempts[id]) < groupMaxAttempts && rec.faultFree(ex.box, ex.sentAt, ex.endedAt, scopeGroup)
 	for _, s := range rec.stops[ex.box] {
 		if cut && ex.sentAt.Before(s.to) && ex.endedAt.After(s.from) {
-			violate("planned stop", "request %s to %s failed %v after the stop signal: status %d, %v, %d attempts", id, ex.box, ex.endedAt.Sub(s.from), ex.reply.Status, ex.reply.Err, len(rec.attempts[id]))
+			violate("planned stop", "request %s to %s failed %v after the stop signal: status %d, %v; %s", id, ex.box, ex.endedAt.Sub(s.from), ex.reply.Status, ex.reply.Err, rec.timeline(ex))
 		}
 	}
 }
 
+// timeline describes the course of a request to the group: what affected it when, in time since it was sent.
+func (rec *recorder) timeline(ex exchange) string {
+	since := func(at time.Time) time.Duration { return at.Sub(ex.sentAt).Round(time.Millisecond) }
+	text := fmt.Sprintf("ended after %v, answer began after %v, caller leaves after %v at the latest", since(ex.endedAt), since(ex.reply.BeganAt), ex.request.Timeout.Round(time.Millisecond))
+	for _, at := range rec.attempts[ex.request.ID] {
+		text += fmt.Sprintf(", attempt at %v", since(at))
+	}
+	for _, o := range rec.outages {
+		if o.from.Before(ex.endedAt) && o.to.After(ex.sentAt) {
+			text += fmt.Sprintf(", group stopped from %v to %v", since(o.from), since(o.to))
+		}
+	}
+	return text
+}
+
 // addGroupTotals counts what became of the requests to the group, so that a run shows whether requests waited.
 func (rep *Report) addGroupTotals(rec *recorder) {
 	const waitedFor = 500 * time.Millisecond // much longer than a rank that runs takes to begin an answer
--- a/soak/recorder.go
+++ b/soak/recorder.go
@@ -56,6 +56,8 @@
 	exchanges []exchange
 	// faults are all injected faults; planned work, such as stops, is not included.
 	faults []span
+	// outages are the periods in which the group was stopped.
+	outages []span
 	// stops are the planned stops, by box.
 	stops map[string][]span
 	// drainingSince has the times at which the store accepted the draining state, by target.
@@ -106,6 +108,12 @@
 	rec.stops[box] = append(rec.stops[box], span{"stop", scopeNone, box, from, to})
 }
 
+func (rec *recorder) addOutage(from, opens time.Time) {
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	rec.outages = append(rec.outages, span{name: "outage", affects: scopeNone, from: from, to: opens})
+}
+
 func (rec *recorder) markDraining(target string) {
 	rec.mu.Lock()
 	defer rec.mu.Unlock()
