waitqueue: a request that may have run waits while an answer can still begin

What callers saw: a group stopped twice, open for 0.3 s in between. Streams that it had begun, and requests sent to it shortly before the second stop, were refused with 502 or broken off 0.40 to 0.43 s before their callers leave; for two of them the group had been open again for 99 and 139 ms.

Cause: the queue refuses two and a half mean times to a first byte before the caller leaves. For a request that did not run this is worth it: the refusal says so. A request that may have run has no other way to an answer, and waits for less than it could.

TestQueueDecisions failed before (a request that has started waits while an answer can still begin: refused expired).

--- a/waitqueue/queue_test.go
+++ b/waitqueue/queue_test.go
@@ -125,6 +125,17 @@
 		{"a first try as the group forms", 9, func(b *box) { b.add("a", 0, patience, firstTry(600*ms)) }, []string{"a queued 1"}},
 		{"a first try that leaves before the group is formed", 9, func(b *box) { b.add("a", 0, patience, firstTry(patience-margin+ms)) }, []string{"a refused unexpected"}},
 		{"an answer that broke off goes on waiting for its group", 9, func(b *box) { b.add("a", 0, 500*ms, stage(waitqueue.Started)) }, []string{"a queued 1"}},
+		{"a request that has started waits while an answer can still begin", 9, func(b *box) {
+			b.add("a", 0, patience, func(r *waitqueue.Request) { r.Stage, r.FirstByte = waitqueue.Started, 170*ms })
+			b.passes(patience - 170*ms - ms)
+			b.usable(100, clock.Now())
+		}, []string{"a queued 1", "open", "a released"}},
+		{"a request that has started is not held until its caller leaves", 9, func(b *box) {
+			b.add("a", 0, patience, func(r *waitqueue.Request) { r.Stage, r.FirstByte = waitqueue.Started, 170*ms })
+			b.passes(patience - 170*ms)
+			b.add("b", 0, patience, stage(waitqueue.Started))
+			b.passes(patience - margin)
+		}, []string{"a queued 1", "a refused expired", "b queued 1", "b refused expired"}},
 		{"the most urgent first, then who leaves first", 9, func(b *box) {
 			b.add("late", 1, patience, nil)
 			b.add("soon", 1, time.Second, nil)
--- a/waitqueue/request.go
+++ b/waitqueue/request.go
@@ -62,11 +62,15 @@
 	return r.LeavesAt
 }
 
-// LatestRelease returns the time from which an answer can no longer begin before the caller leaves, or is not
-// expected to end before the deadline. The rest of an answer that has begun may be short.
+// LatestRelease returns the time from which an answer is not expected to begin before the caller leaves, or to end
+// before the deadline. A request that has started waits for as long as an answer can begin at all: refusing it earlier
+// gains its caller nothing, as the refusal would not state that it did not run, and the rest of the answer may be short.
 func (r Request) LatestRelease() time.Time {
+	if r.Stage == Started {
+		return r.callerEnd().Add(-cmp.Or(r.FirstByte, minAnswerTime))
+	}
 	latest := r.callerEnd().Add(-max(multiple(openingFirstByteFactor, r.FirstByte), minAnswerTime))
-	if r.Duration == 0 || r.Stage == Started {
+	if r.Duration == 0 {
 		return latest
 	}
 	if end := r.Deadline.Add(-multiple(openingDurationFactor, r.Duration)); end.Before(latest) {
