soak: planned stops excuse requests whose callers leave before their group can answer, and no others

The check excused all requests to the group near a long outage, and none near short ones.

The excuse is now computed for each request and holds for all outages alike: one that overlaps the request, and from whose end on the caller stays for less than the age of the reports on which boxes rely (1 s) and the time to an event.

--- a/soak/actions.go
+++ b/soak/actions.go
@@ -21,8 +21,6 @@
 	// scopeStore is the store, for all boxes.
 	scopeStore
 	scopeTarget
-	// scopeGroup is the group, lost for longer than its callers wait.
-	scopeGroup
 )
 
 // action is a fault or planned work that lasts for some time.
--- a/soak/outages.go
+++ b/soak/outages.go
@@ -41,6 +41,12 @@
 	// leaveSlack is the time that a request may be held after its caller leaves. Boxes refuse a request that waits
 	// half a second before that. stallTime is the time for which ranks that have stopped hold requests themselves.
 	leaveSlack, stallTime = 500 * time.Millisecond, 1500 * time.Millisecond
+	// firstEventTime and eventGap are the times from the arrival of a request at a rank until the first event of its
+	// answer, and between events.
+	firstEventTime, eventGap = 150 * time.Millisecond, 20 * time.Millisecond
+	// reopeningNoticeBound is the age up to which boxes rely on reports, so the time within which they notice that the
+	// group has opened.
+	reopeningNoticeBound = time.Second
 	// groupTries is the number of tries of a caller of the group.
 	groupTries = 2
 )
@@ -55,7 +61,7 @@
 	e.group = standin.NewGroup(groupShape, groupService, e.recorder.addRun)
 	for r := range groupShape.Ranks {
 		e.group.Target(r).ChangeBehaviour(func(b *standin.Behaviour) {
-			b.ResponseTime, b.Events, b.EventGap = 150*time.Millisecond, 15, 20*time.Millisecond
+			b.ResponseTime, b.Events, b.EventGap = firstEventTime, 15, eventGap
 		})
 		engine := e.rankAddress(r, enginePort)
 		l, err := net.Listen("tcp", engine)
@@ -105,17 +111,13 @@
 	defer stops.Wait()
 	time.Sleep(warmUp)
 	for ctx.Err() == nil {
-		lasts, long := minRankOutage+time.Duration(r.Int64N(int64(maxRankOutage-minRankOutage))), r.IntN(3) == 0
-		if long {
+		lasts := minRankOutage + time.Duration(r.Int64N(int64(maxRankOutage-minRankOutage)))
+		if r.IntN(3) == 0 {
 			lasts += longerBy
 		}
-		opens := time.Now().Add(lasts + formTime)
-		if opens.After(until) {
+		if time.Now().Add(lasts + formTime).After(until) {
 			return
 		}
-		if long {
-			e.recorder.addFault(action{name: "long outage", affects: scopeGroup}, "", time.Now(), opens)
-		}
 		lostAt := time.Now()
 		e.group.Lose(r.IntN(groupShape.Ranks))
 		stopAfter, b := time.Duration(r.Int64N(int64(lasts))), e.boxes[r.IntN(len(e.boxes))]
@@ -170,7 +172,7 @@
 }
 
 // checkOutages reports requests to the group that were held until after their callers leave or their deadline,
-// and those that a planned stop of their box cut although another attempt was allowed.
+// and those that a planned stop of their box cut although another attempt was allowed and an answer could have begun.
 func (rec *recorder) checkOutages(ex exchange, violate violationFunc) {
 	if !ex.group || !rec.faultFree(ex.box, ex.sentAt, ex.endedAt, scopeBox) {
 		return
@@ -188,7 +190,7 @@
 	if took := ex.endedAt.Sub(ex.sentAt); took > ex.request.Timeout+timingSlack {
 		violate("held", "request %s to %s ended after %v, its deadline was after %v", id, ex.box, took, ex.request.Timeout)
 	}
-	cut := !ex.reply.Correct && !ex.reply.NotRun() && !ex.reply.ConnectionRefused() && len(rec.attempts[id]) < groupMaxAttempts && rec.faultFree(ex.box, ex.sentAt, ex.endedAt, scopeGroup)
+	cut := !ex.reply.Correct && !ex.reply.NotRun() && !ex.reply.ConnectionRefused() && len(rec.attempts[id]) < groupMaxAttempts && !rec.leavesBeforeAnswer(ex)
 	for _, s := range rec.stops[ex.box] {
 		if cut && ex.sentAt.Before(s.to) && ex.endedAt.After(s.from) {
 			violate("planned stop", "request %s to %s failed %v after the stop signal: status %d, %v; %s", id, ex.box, ex.endedAt.Sub(s.from), ex.reply.Status, ex.reply.Err, rec.timeline(ex))
@@ -196,10 +198,34 @@
 	}
 }
 
+// leavesBeforeAnswer reports whether the caller leaves before an answer can begin: the group was stopped while the
+// request waited, and opens, if at all, too late for boxes to notice it and for a rank to send an event.
+func (rec *recorder) leavesBeforeAnswer(ex exchange) bool {
+	leaves := ex.leavesAt()
+	return slices.ContainsFunc(rec.outages, func(o span) bool {
+		return o.from.Before(ex.endedAt) && o.to.After(ex.sentAt) && leaves.Before(o.to.Add(reopeningNoticeBound+firstEventTime+eventGap))
+	})
+}
+
+// leavesAt returns when the caller of a request to the group leaves unless it has received a further event by then.
+func (ex exchange) leavesAt() time.Time {
+	leaves, deadline := ex.sentAt.Add(groupPatience), ex.sentAt.Add(ex.request.Timeout)
+	if !ex.reply.LastEventAt.IsZero() {
+		leaves = ex.reply.LastEventAt.Add(groupPatience)
+	}
+	if deadline.Before(leaves) {
+		return deadline
+	}
+	return leaves
+}
+
 // timeline describes the course of a request to the group: what affected it when, in time since it was sent.
 func (rec *recorder) timeline(ex exchange) string {
 	since := func(at time.Time) time.Duration { return at.Sub(ex.sentAt).Round(time.Millisecond) }
-	text := fmt.Sprintf("ended after %v, answer began after %v, caller leaves after %v at the latest", since(ex.endedAt), since(ex.reply.BeganAt), ex.request.Timeout.Round(time.Millisecond))
+	text := fmt.Sprintf("ended after %v, caller leaves after %v", since(ex.endedAt), since(ex.leavesAt()))
+	if last := ex.reply.LastEventAt; !last.IsZero() {
+		text += fmt.Sprintf(", last event at %v", since(last))
+	}
 	for _, at := range rec.attempts[ex.request.ID] {
 		text += fmt.Sprintf(", attempt at %v", since(at))
 	}
--- a/soak/recorder.go
+++ b/soak/recorder.go
@@ -136,7 +136,7 @@
 // the first time until the second.
 func (rec *recorder) faultFree(box string, from, to time.Time, scopes ...faultScope) bool {
 	for _, s := range rec.faults {
-		relevant := s.box == box || s.affects == scopeStore || s.affects == scopeTarget || s.affects == scopeGroup
+		relevant := s.box == box || s.affects == scopeStore || s.affects == scopeTarget
 		if relevant && slices.Contains(scopes, s.affects) && s.from.Before(to) && s.to.After(from.Add(-contactBound)) {
 			return false
 		}
