process: a stop signal is not lost when a reload signal arrives with it

What callers saw: a box that was sent SIGHUP and SIGTERM together went on serving, said that it was ready, and was killed after the stop time with its requests in flight.

Cause: one channel with room for one signal received both kinds, and os/signal drops what does not fit. When a paused process resumes, SIGHUP is delivered first and fills the channel.

The fix has a channel for each kind. Signals are received before the settings are read.

--- a/node/main.go
+++ b/node/main.go
@@ -4,9 +4,7 @@
 	"context"
 	"fmt"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 
 	"clovertrail.dev/core/clock"
 	"clovertrail.dev/node/process"
@@ -45,6 +43,7 @@
 
 // Main runs the process of the role with the settings file until the platform stops it.
 func Main(role, file string) error {
+	signals := process.NotifySignals()
 	debug.SetGCPercent(gcPercent)
 	load, ok := loaders[role]
 	if !ok {
@@ -60,37 +59,15 @@
 		p.logLines.Run(ended)
 		close(logged)
 	}()
-	stop, changed := handleSignals(p.common)
-	go p.watchSettings(changed)
+	go signals.Run(p.common.Log)
+	go p.watchSettings(signals.Changed())
 	go clock.NewSuspensionMonitor(clock.ReadMachineOffset).Run(context.Background(), p.onSuspended)
-	err = p.process.Run(stop)
+	err = p.process.Run(signals.Stop())
 	close(ended)
 	<-logged
 	return err
 }
 
-// handleSignals returns a channel that is closed on a signal to stop the process, and a channel
-// that receives a value on a signal to read the settings file again.
-func handleSignals(c telemetry.Common) (stop, changed chan struct{}) {
-	stop, changed = make(chan struct{}), make(chan struct{}, 1)
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	go func() {
-		for s := range signals {
-			c.Log.Info("signal", "signal", s)
-			if s != syscall.SIGHUP {
-				close(stop)
-				return
-			}
-			select {
-			case changed <- struct{}{}:
-			default: // a reload is already pending
-			}
-		}
-	}()
-	return stop, changed
-}
-
 func loadEntry(path string) (*loadedProcess, error) {
 	f, err := settings.Open(path, process.DefaultEntrySettings)
 	if err != nil {
