soak: signals, stops and changes in series, and callers that keep their connections

--series pauses boxes while reload and stop signals arrive together, stops two boxes at once, stops a box again shortly after its restart, and writes configurations and settings one after the other; a caller for each box keeps its connection until the box closes it. Checked in all runs from now on: a planned stop ends within its time, and no process ends by itself.

--- a/soak/actions.go
+++ b/soak/actions.go
@@ -80,7 +80,7 @@
 }
 
 // stopBox makes a planned stop of the box. As on the platform, a process that does not exit in time
-// is killed.
+// is killed, which is recorded.
 func stopBox(e *environment, _ *rand.Rand, b *box, _ func()) {
 	b.mu.Lock()
 	exited, starts := b.exited, b.starts
@@ -91,6 +91,7 @@
 	case <-exited:
 	case <-time.After(stopBound):
 		if b.startCount() == starts {
+			e.recorder.addOverdueStop(b.name, began, time.Now())
 			b.signal(syscall.SIGKILL)
 		}
 	}
--- a/soak/box.go
+++ b/soak/box.go
@@ -24,9 +24,14 @@
 	storeProxy *proxy
 	log        io.Writer
 
-	mu     sync.Mutex
-	cmd    *exec.Cmd
-	starts int
+	mu        sync.Mutex
+	cmd       *exec.Cmd
+	starts    int
+	startedAt time.Time
+	// ending is true if a signal that ends the current process was sent.
+	ending bool
+	// onUnexpectedExit is called when a process exits that no signal has ended.
+	onUnexpectedExit func(box string, err error)
 	// restart is true if the process is to be started again after an exit.
 	restart bool
 	// exited is closed when the current process has exited.
@@ -45,7 +50,8 @@
 
 // newBox writes the settings file of an entry box and creates its log. The seeds are the addresses on which
 // other boxes accept the adverts of new ones.
-func newBox(o Options, name, hall string, addresses []string, seeds []string, storeProxy *proxy) (*box, error) {
+func newBox(e *environment, name, hall string, addresses []string, seeds []string, storeProxy *proxy) (*box, error) {
+	o := e.options
 	settings := map[string]any{
 		"box": name, "hall": hall, "callers": addresses[0], "ready": addresses[1], "peers": addresses[2], "meeting": addresses[3],
 		"seeds": seeds, "store": storeProxy.address(), "bounds": o.bounds(),
@@ -53,7 +59,7 @@
 	if o.Outages {
 		settings["agent_port"] = agentPort
 	}
-	b, err := newProcess(o, "entry", name, settings)
+	b, err := e.newProcess("entry", name, settings)
 	if err != nil {
 		return nil, err
 	}
@@ -74,8 +80,9 @@
 }
 
 // newProcess writes the settings file of a process of the role and creates its log.
-func newProcess(o Options, role, name string, settings map[string]any) (*box, error) {
-	b := &box{name: name, program: o.Program, role: role, settingsFile: filepath.Join(o.Dir, name+".json")}
+func (e *environment) newProcess(role, name string, settings map[string]any) (*box, error) {
+	o := e.options
+	b := &box{name: name, program: o.Program, role: role, settingsFile: filepath.Join(o.Dir, name+".json"), onUnexpectedExit: e.recorder.addUnexpectedExit}
 	log, err := os.Create(filepath.Join(o.Dir, name+".log"))
 	if err != nil {
 		return nil, err
@@ -125,8 +132,9 @@
 	if err := cmd.Start(); err != nil {
 		return err
 	}
-	b.cmd, b.exited = cmd, make(chan struct{})
+	b.cmd, b.exited, b.ending = cmd, make(chan struct{}), false
 	b.starts++
+	b.startedAt = time.Now()
 	go b.restartOnExit(cmd, b.exited)
 	return nil
 }
@@ -136,7 +144,12 @@
 
 // restartOnExit waits for the process to exit, and restarts it unless the box was killed.
 func (b *box) restartOnExit(cmd *exec.Cmd, exited chan struct{}) {
-	_ = cmd.Wait() // the log of the box shows why it exited
+	err := cmd.Wait()
+	b.mu.Lock()
+	if b.cmd == cmd && !b.ending {
+		b.onUnexpectedExit(b.name, err)
+	}
+	b.mu.Unlock()
 	close(exited)
 	time.Sleep(restartDelay)
 	b.mu.Lock()
@@ -148,11 +161,16 @@
 	}
 }
 
-// signal sends a signal to the current process.
+// signalReadyTime is the time from the start of a process within which it is ready to receive signals. The kernel
+// ends it on a SIGHUP that arrives earlier.
+const signalReadyTime = 100 * time.Millisecond
+
+// signal sends a signal to the current process. A SIGHUP is not sent to a process that is starting.
 func (b *box) signal(s syscall.Signal) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.cmd != nil {
+	if b.cmd != nil && (s != syscall.SIGHUP || time.Since(b.startedAt) > signalReadyTime) {
+		b.ending = b.ending || s == syscall.SIGTERM || s == syscall.SIGKILL
 		_ = b.cmd.Process.Signal(s) // fails if the process has just exited
 	}
 }
--- a/soak/doc.go
+++ b/soak/doc.go
@@ -1,6 +1,8 @@
 // Package soak runs entry boxes as separate processes on one machine, injects faults into their
 // surroundings, and checks the guarantees of the system against the records of callers and targets.
 //
+// Callers keep connections open until the boxes close them.
+//
 // The store, the targets and the callers are the stand-ins of platform/standin, and run in this
 // process. A loopback proxy between each box and the store, and in front of each target, delays
 // data, resets connections, or drops data in one or both directions. Boxes are stopped, paused,
--- a/soak/environment.go
+++ b/soak/environment.go
@@ -41,6 +41,9 @@
 	// Outages adds a group that loses a rank for seconds, again and again, with callers who return once
 	// when they are refused. It does not change the other random draws of the seed.
 	Outages bool
+	// Series sends boxes signals, stops and changes in series, which overlap, and adds a caller for each box
+	// that keeps its connection open. It does not change the other random draws of the seed.
+	Series bool
 }
 
 // Default sizes of a run: few processes, so that many runs fit on one machine.
@@ -159,7 +162,7 @@
 			return err
 		}
 		boxAddresses := addresses[4*n : 4*n+4]
-		b, err := newBox(e.options, fmt.Sprintf("box-%d", n), hallName(n), boxAddresses, []string{addresses[3], addresses[7%len(addresses)]}, p)
+		b, err := newBox(e, fmt.Sprintf("box-%d", n), hallName(n), boxAddresses, []string{addresses[3], addresses[7%len(addresses)]}, p)
 		if err != nil {
 			return err
 		}
--- a/soak/outages.go
+++ b/soak/outages.go
@@ -70,7 +70,7 @@
 		}
 		e.rankServers = append(e.rankServers, startServer(l, e.group.Handler(r)))
 		e.recorder.markHall(e.group.ID(r), hallName(r))
-		a, err := newProcess(e.options, "agent", fmt.Sprintf("agent-%d", r), map[string]any{
+		a, err := e.newProcess("agent", fmt.Sprintf("agent-%d", r), map[string]any{
 			"box": fmt.Sprintf("agent-%d", r), "hall": hallName(r), "engine": engine, "peers": e.rankAddress(r, agentPort), "bounds": e.options.bounds(),
 		})
 		if err != nil {
--- a/soak/recorder.go
+++ b/soak/recorder.go
@@ -60,6 +60,10 @@
 	outages []span
 	// stops are the planned stops, by box.
 	stops map[string][]span
+	// overdueStops are the planned stops that boxes did not end in time.
+	overdueStops []span
+	// unexpectedExits are the exits of processes that no signal of the run had ended.
+	unexpectedExits []string
 	// drainingSince has the times at which the store accepted the draining state, by target.
 	drainingSince map[string]time.Time
 	// configStoredAt has the times at which the store accepted a configuration, by version.
@@ -108,6 +112,18 @@
 	rec.stops[box] = append(rec.stops[box], span{"stop", scopeNone, box, from, to})
 }
 
+func (rec *recorder) addOverdueStop(box string, from, to time.Time) {
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	rec.overdueStops = append(rec.overdueStops, span{"stop", scopeNone, box, from, to})
+}
+
+func (rec *recorder) addUnexpectedExit(box string, err error) {
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	rec.unexpectedExits = append(rec.unexpectedExits, fmt.Sprintf("%s: %v", box, err))
+}
+
 func (rec *recorder) addOutage(from, opens time.Time) {
 	rec.mu.Lock()
 	defer rec.mu.Unlock()
@@ -160,6 +176,7 @@
 		rec.checkDraining(ex, violate)
 		rec.checkEvacuations(ex, violate)
 	}
+	rec.checkProcesses(violate)
 	rec.checkConfigurations(violate)
 	rec.checkFatalRequests(violate)
 	rec.checkRest(violate)
@@ -203,6 +220,18 @@
 	}
 }
 
+// checkProcesses reports processes that ended by themselves, and those that a planned stop did not end in time.
+func (rec *recorder) checkProcesses(violate violationFunc) {
+	for _, exit := range rec.unexpectedExits {
+		violate("processes", "%s ended by itself", exit)
+	}
+	for _, s := range rec.overdueStops {
+		if rec.faultFree(s.box, s.from, s.to, scopeBox) {
+			violate("planned stop", "%s did not end within %v after the stop signal", s.box, s.to.Sub(s.from))
+		}
+	}
+}
+
 // checkRetryAfter reports a response that rejects a request for lack of capacity without stating when
 // to retry.
 func checkRetryAfter(ex exchange, violate violationFunc) {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -83,6 +83,12 @@
 		callers.Go(func() { e.sendGroupRequests(runCtx) })
 		actors.Go(func() { e.runOutages(runCtx, end.Add(-coolDown)) })
 	}
+	if o.Series {
+		for n, b := range e.boxes {
+			callers.Go(func() { e.runHeldConnection(runCtx, n, b) })
+		}
+		actors.Go(func() { e.runSeries(runCtx, end.Add(-coolDown-seriesEndTime)) })
+	}
 	if o.TargetRequests {
 		actors.Go(func() { e.runTargetRequests(runCtx, end.Add(-coolDown)) })
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -26,6 +26,12 @@
 	runSoak(t, []soak.Options{{Seed: 1301, Outages: true}})
 }
 
+// TestGuaranteesHoldInSeries guards against stop signals that are lost, stops that cut requests on open connections, and
+// changes that are not applied when signals, stops and changes follow each other closely.
+func TestGuaranteesHoldInSeries(t *testing.T) {
+	runSoak(t, []soak.Options{{Seed: 1400, Series: true}})
+}
+
 // runSoak makes a short run with each of the options and reports what violates the guarantees.
 func runSoak(t *testing.T, list []soak.Options) {
 	t.Helper()
@@ -39,8 +45,8 @@
 	for _, o := range list {
 		seed := o.Seed
 		o.Program, o.Duration, o.Dir = program, soak.MinDuration+3*1e9, t.TempDir()
-		if o.TargetLimits || o.Restores || o.Evacuations || o.Outages {
-			o.Duration += 6 * time.Second // a limit period, an evacuation, an outage, or a restore with its recovery needs more time
+		if o.TargetLimits || o.Restores || o.Evacuations || o.Outages || o.Series {
+			o.Duration += 6 * time.Second // a limit period, an evacuation, an outage, two stops in series, or a restore with its recovery needs more time
 		}
 		r, err := soak.Run(context.Background(), o)
 		if err != nil {
