--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -26,6 +26,12 @@
 	lastChunk    = "0\n\n"
 )
 
+// longBody is longer than what the gateway buffers of a response, longFailure a failure response with it.
+var (
+	longBody    = strings.Repeat("oops", 32<<10)
+	longFailure = fmt.Sprintf("HTTP/1.1 500 Oops\nSigned: 1\nId: 1\nContent-Length: %d\n\n%s", len(longBody), longBody)
+)
+
 // rawChunk formats bytes of events as one chunk. Their line feeds must be marked, because the
 // fake target turns other line feeds into HTTP line ends.
 func rawChunk(text string) string { return fmt.Sprintf("%x\n%s\n", len(text), text) }
@@ -58,6 +64,9 @@
 		{"failed, not repeatable", "/once/", []string{failed}, []string{ok}, 500, "oops", 1, []string{"a bad"}},
 		{"failed, repeated", "/repeat/", []string{failed}, []string{ok}, 200, "hello", 2, []string{"a bad", "b good"}},
 		{"failed twice", "/repeat/", []string{failed}, []string{failed}, 500, "oops", 2, []string{"a bad", "b bad"}},
+		{"failed with a long body, not repeatable", "/once/", []string{longFailure}, []string{ok}, 500, longBody, 1, []string{"a bad"}},
+		{"failed with a long body, repeated", "/repeat/", []string{longFailure}, []string{ok}, 200, "hello", 2, []string{"a bad", "b good"}},
+		{"failed twice with a long body", "/repeat/", []string{longFailure}, []string{longFailure}, 500, longBody, 2, []string{"a bad", "b bad"}},
 		{"silent, repeated", "/impatient/", []string{hang}, []string{ok}, 200, "hello", 2, []string{"a bad", "b good"}},
 		{"lost, then all busy", "/repeat/", []string{""}, []string{busy}, 502, "", 2, []string{"a bad", "b full"}},
 	}
@@ -66,6 +75,7 @@
 			a, b := newTarget(t, "a", tc.first...), newTarget(t, "b", tc.second...)
 			r := newFixture(t, a, b)
 			got := r.request("POST", tc.path, "body")
+			r.server.Close() // waits for the handler, which may end after a long response is received
 			if got.broken || got.status != tc.status {
 				t.Errorf("status %d, broken %v", got.status, got.broken)
 			}
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 
+	"clovertrail.dev/core/clock"
 	"clovertrail.dev/retry"
 )
 
@@ -52,23 +53,40 @@
 		b.send(a.d)
 		return retry.Answered{}, Good
 	}
-	b.sendBuffered(a.d)
-	a.d.hold.transfer(func() { _, err = io.Copy(progressWriter{a.d.w, a.d.hold}, resp.Body) })
-	if err != nil {
+	if err := a.forwardRest(b); err != nil {
 		return a.responseBroken(ctx, err, true)
 	}
 	return retry.Answered{}, Good
 }
 
 // bufferFailure buffers a failure response, which is sent to the caller if there is no other
-// attempt.
+// attempt. A response that is too long to be buffered is dropped if there is one, and forwarded otherwise.
 func (a *attempt) bufferFailure(ctx context.Context, resp *http.Response) (retry.Outcome, Verdict) {
 	body, whole, err := a.readBuffered(resp)
-	if err != nil || !whole {
-		return a.responseBroken(ctx, errors.Join(err, errTruncated), false)
+	if err != nil {
+		return a.responseBroken(ctx, err, false)
+	}
+	a.responseStarted()
+	b, failed := &bufferedResponse{resp: resp, body: body}, retry.Failed{Status: resp.StatusCode}
+	switch {
+	case whole:
+		a.d.buffered = b
+		return failed, Bad
+	case a.d.headSent || a.d.replaceOverdue(clock.Now()):
+		return failed, Bad
 	}
-	a.d.buffered = &bufferedResponse{resp: resp, body: body}
-	return retry.Failed{Status: resp.StatusCode}, Bad
+	if err := a.forwardRest(b); err != nil {
+		return a.responseBroken(ctx, err, true)
+	}
+	failed.Forwarded = true
+	return failed, Bad
+}
+
+// forwardRest sends the buffered part of the response to the caller, and then the rest as it arrives.
+func (a *attempt) forwardRest(b *bufferedResponse) (err error) {
+	b.sendBuffered(a.d)
+	a.d.hold.transfer(func() { _, err = io.Copy(progressWriter{a.d.w, a.d.hold}, b.resp.Body) })
+	return err
 }
 
 // readBuffered reads up to maxBufferedBytes, less if the box has no room for them, and reports whether
--- a/retry/machine.go
+++ b/retry/machine.go
@@ -99,7 +99,7 @@
 	case Declined:
 		return m.retry(now, o.Err, m.forwarded)
 	case Failed:
-		return m.attemptFailed(now)
+		return m.attemptFailed(now, o)
 	case Lost:
 		return m.attemptLost(now, fault.New(fault.FateUnknown, "%v", o.Err))
 	case FirstByteTimedOut:
@@ -168,8 +168,11 @@
 
 // attemptFailed repeats a request that may run again. Otherwise the target's answer is delivered,
 // unless the caller already has the beginning of another answer.
-func (m *Machine) attemptFailed(now time.Time) Command {
+func (m *Machine) attemptFailed(now time.Time, o Failed) Command {
 	m.mayHaveRun = true
+	if o.Forwarded {
+		return Deliver{}
+	}
 	if m.forwarded {
 		return m.retry(now, fault.New(fault.TargetFailed, "the target that was to continue the answer failed"), true)
 	}
--- a/retry/machine_test.go
+++ b/retry/machine_test.go
@@ -112,6 +112,7 @@
 		{"moved, then broken", resume, 9, []retry.Outcome{retry.Moved{}, retry.Broken{Err: errLost, Forwarded: true}}, []string{"resume", "abort interrupted"}},
 		{"timed out and repeated", repeat, 1, []retry.Outcome{retry.FirstByteTimedOut{}, retry.Answered{}}, []string{"try", "deliver"}},
 		{"failed and repeated", repeat, 1, []retry.Outcome{retry.Failed{Status: 500}, retry.Failed{Status: 500}}, []string{"try", "deliver"}},
+		{"failed, and its answer forwarded", repeat, 9, []retry.Outcome{retry.Failed{Status: 500, Forwarded: true}}, []string{"deliver"}},
 		{"failed without budget", repeat, 0, []retry.Outcome{retry.Failed{Status: 500}}, []string{"deliver"}},
 		{"broken before forwarding", resume, 1, []retry.Outcome{notForwarded, retry.Answered{}}, []string{"try", "deliver"}},
 		{"broken and resumed", resume, 1, []retry.Outcome{forwarded, retry.Answered{}}, []string{"resume", "deliver"}},
--- a/retry/outcome.go
+++ b/retry/outcome.go
@@ -21,7 +21,11 @@
 
 // Failed means that the target ran the request and answered that it could not serve it. That answer
 // can still be delivered.
-type Failed struct{ Status int }
+type Failed struct {
+	Status int
+	// Forwarded reports that the whole answer went to the caller, because it is too long to be kept.
+	Forwarded bool
+}
 
 // FirstByteTimedOut means that the attempt was cancelled because no answer had begun by its
 // FirstByteDeadline and Machine.ReplaceOverdue allowed another attempt. The request may have run.
