routing: a request that waited for its group may use a rank that it tried before

What callers saw: requests that waited for a stopped group were refused with 502, or broken off, as it opened, with an attempt and up to 1.8 s left.

Cause: the queue releases a request once any rank is good; the request may only use ranks that it has not tried. If the first rank that is known to be open, or the only one outside evacuated halls, had its first attempt, there was no target, and as a target was usable the request did not go back to the queue either.

What is left has two other causes: requests lost at the only rank in use before its group is known to have stopped, and waiting requests that are refused while all halls count as evacuated.

--- a/local/outage_test.go
+++ b/local/outage_test.go
@@ -125,11 +125,13 @@
 		name     string
 		overload *process.Overload // nil for the defaults
 		outage   rankOutage
-		stops    bool // whether some requests wait at a box that stops
+		stops    bool  // whether some requests wait at a box that stops
+		empty    []int // indexes of the halls that are evacuated
 	}{
 		{name: "a rank ends"},
 		{name: "a data hall is cut off", outage: rankOutage{cut: true}},
 		{name: "a box stops", outage: rankOutage{during: func(s *local.System) { go s.Entries()[1].Stop() }}, stops: true},
+		{name: "one rank is in use", empty: []int{1, 2}},
 		{name: "nobody may wait", overload: &disabled},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -139,7 +141,13 @@
 			for link := 1; tc.outage.cut && link <= 2; link++ {
 				sc.faults = append(sc.faults, faultSpec{kind: "silence link", at: outageAt, lasts: outageLasts, index: link})
 			}
-			sc.operator = tc.outage.run
+			sc.evacuates = len(tc.empty) > 0
+			sc.operator = func(s *local.System, h *history) {
+				for _, hall := range tc.empty {
+					evacuate(s, hall)
+				}
+				tc.outage.run(s, h)
+			}
 			sc.run(t, func(s *local.System, h *history) {
 				refused, broken := checkUnserved(t, s, h, tc.outage.at)
 				outcomes := s.Metrics().Totals(telemetry.QueueOutcomes)
--- a/node/choosing.go
+++ b/node/choosing.go
@@ -22,13 +22,13 @@
 
 // Acquire implements gateway.Fleet.
 func (f *fleet) Acquire(ctx context.Context, now time.Time, q gateway.Query) (gateway.Lease, error) {
-	l, err := f.acquireNow(ctx, now, q)
+	l, err := f.acquireNow(ctx, now, q, false)
 	for fault.KindOf(err) == fault.NoTarget {
 		if err := f.waiting.wait(ctx, q, err); err != nil {
 			return nil, err
 		}
 		q.First = false // who has waited is not refused for lack of capacity any more
-		l, err = f.acquireNow(ctx, clock.Now(), q)
+		l, err = f.acquireNow(ctx, clock.Now(), q, true)
 	}
 	if err != nil {
 		return nil, err
@@ -36,23 +36,24 @@
 	return l, nil
 }
 
-// acquireNow leases a target without waiting for a stopped group.
-func (f *fleet) acquireNow(ctx context.Context, now time.Time, q gateway.Query) (*lease, error) {
-	l, candidates, err := f.choose(now, q)
+// acquireNow leases a target without waiting for a stopped group. waited states whether the request has waited for
+// one before.
+func (f *fleet) acquireNow(ctx context.Context, now time.Time, q gateway.Query, waited bool) (*lease, error) {
+	l, candidates, err := f.choose(now, q, waited)
 	if len(candidates) > 0 {
 		granted := f.requestPermit(ctx, q.Service, candidates)
-		l, err = f.chooseWithPermit(clock.Now(), q, granted)
+		l, err = f.chooseWithPermit(clock.Now(), q, waited, granted)
 	}
 	return l, err
 }
 
 // choose leases a target, or returns the targets for which a permit is to be requested first, the best
 // one first.
-func (f *fleet) choose(now time.Time, q gateway.Query) (*lease, []domain.InstanceID, error) {
+func (f *fleet) choose(now time.Time, q gateway.Query, waited bool) (*lease, []domain.InstanceID, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.lastRequestAt[q.Service] = now
-	options := f.options(now, q.Service, q.Tried)
+	options := f.untriedOptions(now, q.Service, q.Tried, waited)
 	candidates := slices.DeleteFunc(slices.Clone(options), func(o routing.Option) bool { return !f.selectable(now, o) })
 	candidates = f.balancer.WithoutCold(now, candidates)
 	chosen, err := f.pick(now, q, options, candidates)
@@ -70,10 +71,10 @@
 
 // chooseWithPermit leases the target for which a permit was granted. If there is none, it leases a
 // target that requests can be sent to without requesting a permit.
-func (f *fleet) chooseWithPermit(now time.Time, q gateway.Query, granted domain.InstanceID) (*lease, error) {
+func (f *fleet) chooseWithPermit(now time.Time, q gateway.Query, waited bool, granted domain.InstanceID) (*lease, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	options := f.options(now, q.Service, q.Tried)
+	options := f.untriedOptions(now, q.Service, q.Tried, waited)
 	if i := slices.IndexFunc(options, func(o routing.Option) bool { return o.ID == granted }); i >= 0 {
 		return f.newLease(now, options[i]), nil
 	}
@@ -97,7 +98,7 @@
 func (f *fleet) HasTarget(now time.Time, svc domain.ServiceName, tried []domain.InstanceID) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return slices.ContainsFunc(f.options(now, svc, tried), func(o routing.Option) bool { return f.selectable(now, o) })
+	return slices.ContainsFunc(f.untriedOptions(now, svc, tried, false), func(o routing.Option) bool { return f.selectable(now, o) })
 }
 
 // sendable reports whether a request may be sent to the option without requesting a permit: the option
@@ -179,7 +180,7 @@
 func (f *fleet) AvailableAt(now time.Time, svc domain.ServiceName) time.Time {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	options := f.options(now, svc, nil)
+	options := f.options(now, svc)
 	if len(options) == 0 {
 		return f.roster.EarliestRestEnd(now, svc)
 	}
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -78,18 +77,24 @@
 	f.waiting.notify()
 }
 
-// options returns the targets of the service that may be sent new requests, without those already tried.
-// mu is held.
-func (f *fleet) options(now time.Time, svc domain.ServiceName, tried []domain.InstanceID) []routing.Option {
+// options returns the targets of the service that may be sent new requests. mu is held.
+func (f *fleet) options(now time.Time, svc domain.ServiceName) []routing.Option {
+	return f.untriedOptions(now, svc, nil, false)
+}
+
+// untriedOptions returns the options for a request that had attempts at the tried targets, as routing.Untried
+// decides. mu is held.
+func (f *fleet) untriedOptions(now time.Time, svc domain.ServiceName, tried []domain.InstanceID, waited bool) []routing.Option {
 	var options []routing.Option
 	for _, r := range f.roster.Ranked(now, svc) {
-		if r.Standing.Usable() && !slices.Contains(tried, r.Target.ID()) {
+		if r.Standing.Usable() {
 			o := optionOf(r)
 			f.updateCold(now, r.Target)
 			o.Cold, o.Limited = f.limits.Cold(now, o.ID), f.limits.NeedsPermit(now, o.ID)
 			options = append(options, o)
 		}
 	}
+	options = routing.Untried(options, tried, waited)
 	if f.subset == nil {
 		return options
 	}
@@ -151,7 +156,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for svc, at := range f.lastRequestAt {
-		if now.Sub(at) < demandWindow && len(f.options(now, svc, nil)) == 0 {
+		if now.Sub(at) < demandWindow && len(f.options(now, svc)) == 0 {
 			return true
 		}
 	}
--- a/node/lease.go
+++ b/node/lease.go
@@ -90,7 +90,7 @@
 func (l *lease) IsStraggler(now time.Time, tried []domain.InstanceID) bool {
 	l.fleet.mu.Lock()
 	defer l.fleet.mu.Unlock()
-	return l.fleet.balancer.IsStraggler(now, l.option, l.fleet.options(now, l.target.Service(), tried))
+	return l.fleet.balancer.IsStraggler(now, l.option, l.fleet.untriedOptions(now, l.target.Service(), tried, false))
 }
 
 // ReportEventGap implements gateway.Lease.
--- a/node/waiting.go
+++ b/node/waiting.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"clovertrail.dev/core/clock"
@@ -73,10 +74,10 @@
 	if w.capacity == 0 || q.EventGapObjective == 0 {
 		return nil, noTarget
 	}
-	if len(f.options(now, q.Service, q.Tried)) > 0 {
+	if len(f.untriedOptions(now, q.Service, q.Tried, false)) > 0 {
 		return nil, nil
 	}
-	s := f.serviceState(now, q.Service)
+	s := f.serviceState(now, q.Service, q.Tried)
 	if s.usable || !s.stopped {
 		return nil, noTarget
 	}
@@ -160,7 +161,7 @@
 	now := clock.Now()
 	w.settle(now, w.queue.Expire(now))
 	for _, svc := range w.queue.Services() {
-		switch s := f.serviceState(now, svc); {
+		switch s := f.serviceState(now, svc, nil); {
 		case len(s.good) > 0:
 			w.settle(now, w.queue.Usable(now, svc, f.room(s, boxes)))
 		case !s.usable && !s.stopped:
@@ -260,18 +261,19 @@
 
 // serviceState states which targets of a service can take requests.
 type serviceState struct {
-	usable  bool             // some target may get requests
+	usable  bool             // some target may get requests, except those that were tried
 	stopped bool             // a rank is not usable and may be again, with its group
 	all     []routing.Option // targets that are not leaving
 	good    []routing.Option // targets rated good
 }
 
-// serviceState returns the state of the service's targets, whatever the subset of this box. mu is held.
-func (f *fleet) serviceState(now time.Time, svc domain.ServiceName) serviceState {
+// serviceState returns the state of the service's targets for a request that had attempts at the tried ones, whatever
+// the subset of this box. mu is held.
+func (f *fleet) serviceState(now time.Time, svc domain.ServiceName, tried []domain.InstanceID) serviceState {
 	var s serviceState
 	for _, r := range f.roster.Ranked(now, svc) {
 		_, grouped := r.Target.Rank()
-		s.usable = s.usable || r.Standing.Usable()
+		s.usable = s.usable || r.Standing.Usable() && !slices.Contains(tried, r.Target.ID())
 		s.stopped = s.stopped || grouped && (r.Standing == membership.Unreachable || r.Standing == membership.Unfit)
 		o := optionOf(r)
 		s.all = append(s.all, o)
