waitqueue: requests that have started outlast an evacuation of all ranks

What callers saw: streams that waited for their group were broken off two seconds before they would have left, as the operator moved an evacuation from one hall to the other, or the store came back from a backup, and for a moment all halls counted as evacuated.

Cause: evacuated ranks count neither as usable nor as stopped, so that the group counted as gone and all waiting requests were refused. For a request that may have run the refusal does not say 'not run', so its caller does not return.

TestQueueDecisions 'a request that has started outlasts an evacuation of all ranks' needs the new event; requests that have not started are refused as before.

--- a/node/fleet.go
+++ b/node/fleet.go
@@ -179,6 +179,14 @@
 	return o
 }
 
+func optionsOf(list []membership.Ranked) []routing.Option {
+	options := make([]routing.Option, 0, len(list))
+	for _, r := range list {
+		options = append(options, optionOf(r))
+	}
+	return options
+}
+
 // ReportFault implements gateway.Fleet.
 func (f *fleet) ReportFault(listed domain.ListedID) {
 	f.with(func(r *membership.Roster, _ *routing.Balancer) {
--- a/node/waiting.go
+++ b/node/waiting.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"clovertrail.dev/core/clock"
@@ -77,11 +76,11 @@
 	if len(f.untriedOptions(now, q.Service, q.Tried, false)) > 0 {
 		return nil, nil
 	}
-	s := f.serviceState(now, q.Service, q.Tried)
-	if s.usable || !s.stopped {
+	a := f.roster.Availability(now, q.Service, q.Tried)
+	if a.Usable() || !a.HasRanks() {
 		return nil, noTarget
 	}
-	request := w.requestOf(now, q, s.all)
+	request := w.requestOf(now, q, a)
 	ticket, decisions := w.queue.Add(now, request)
 	r := &waitingRequest{ticket: ticket, query: q, decided: make(chan error, 1)}
 	w.requests[ticket] = r
@@ -98,14 +97,15 @@
 	return r, nil
 }
 
-// requestOf describes the request for the queue. targets are all of its service. The fleet's mu is held.
-func (w *waiting) requestOf(now time.Time, q gateway.Query, targets []routing.Option) waitqueue.Request {
-	f := w.fleet
+// requestOf describes the request for the queue. The fleet's mu is held.
+func (w *waiting) requestOf(now time.Time, q gateway.Query, a membership.Availability) waitqueue.Request {
+	f, targets := w.fleet, optionsOf(a.All())
 	r := waitqueue.Request{
 		Service: q.Service, Class: q.Class, LeavesAt: q.LeavesAt, Deadline: q.Deadline,
 		FirstByte: f.balancer.MeanFirstByte(targets),
 		Duration:  f.balancer.MeanAnswer(targets),
 		OpensAt:   f.roster.Reopening(now, q.Service, w.formTime(q.Service)),
+		Withdrawn: !a.Stopped(),
 	}
 	switch {
 	case q.Started:
@@ -161,10 +161,13 @@
 	now := clock.Now()
 	w.settle(now, w.queue.Expire(now))
 	for _, svc := range w.queue.Services() {
-		switch s := f.serviceState(now, svc, nil); {
-		case len(s.good) > 0:
-			w.settle(now, w.queue.Usable(now, svc, f.room(s, boxes)))
-		case !s.usable && !s.stopped:
+		switch a := f.roster.Availability(now, svc, nil); {
+		case len(a.Good()) > 0:
+			w.settle(now, w.queue.Usable(now, svc, f.room(a, boxes)))
+		case a.Usable() || a.Stopped():
+		case a.HasRanks():
+			w.settle(now, w.queue.Withdrawn(now, svc))
+		default:
 			w.settle(now, w.queue.Gone(now, svc))
 		}
 	}
@@ -259,38 +262,13 @@
 	w.common.Log.Info(msg, append([]any{"request", q.Request, "service", q.Service, "route", q.Route, "class", q.Class}, attrs...)...)
 }
 
-// serviceState states which targets of a service can take requests.
-type serviceState struct {
-	usable  bool             // some target may get requests, except those that were tried
-	stopped bool             // a rank is not usable and may be again, with its group
-	all     []routing.Option // targets that are not leaving
-	good    []routing.Option // targets rated good
-}
-
-// serviceState returns the state of the service's targets for a request that had attempts at the tried ones, whatever
-// the subset of this box. mu is held.
-func (f *fleet) serviceState(now time.Time, svc domain.ServiceName, tried []domain.InstanceID) serviceState {
-	var s serviceState
-	for _, r := range f.roster.Ranked(now, svc) {
-		_, grouped := r.Target.Rank()
-		s.usable = s.usable || r.Standing.Usable() && !slices.Contains(tried, r.Target.ID())
-		s.stopped = s.stopped || grouped && (r.Standing == membership.Unreachable || r.Standing == membership.Unfit)
-		o := optionOf(r)
-		s.all = append(s.all, o)
-		if r.Standing == membership.Good {
-			s.good = append(s.good, o)
-		}
-	}
-	return s
-}
-
 // room returns what the targets that this box chooses among have free. mu is held.
-func (f *fleet) room(s serviceState, boxes int) waitqueue.Room {
-	own := s.good
+func (f *fleet) room(a membership.Availability, boxes int) waitqueue.Room {
+	own := optionsOf(a.Good())
 	if f.subset != nil {
 		own = routing.InSubset(own, func(id domain.InstanceID) bool { return f.subset[id] })
 	}
 	free, reportedAt := f.balancer.FreeSlots(own)
-	sharing := float64(boxes) * float64(len(own)) / float64(len(s.good)) // boxes that choose among the same targets
+	sharing := float64(boxes) * float64(len(own)) / float64(len(a.Good())) // boxes that choose among the same targets
 	return waitqueue.Room{Free: free, ReportedAt: reportedAt, Boxes: sharing}
 }
--- a/waitqueue/doc.go
+++ b/waitqueue/doc.go
@@ -21,6 +21,7 @@
 //	q := waitqueue.New(256)
 //	ticket, decisions := q.Add(now, request)      // no target of the service is usable
 //	decisions = q.Usable(now, service, room)      // its group is open
+//	decisions = q.Withdrawn(now, service)         // its ranks are evacuated
 //	decisions = q.Gone(now, service)              // its group will not come back
 //	decisions = q.Expire(now)                     // at q.NextExpiry() at the latest
 //	decisions = q.Stop(now)                       // the box begins a planned stop
--- a/waitqueue/queue.go
+++ b/waitqueue/queue.go
@@ -72,6 +72,8 @@
 // refusal reports whether the request must not wait, whatever places are free, and why.
 func (q *Queue) refusal(now time.Time, w *waiter) (Reason, bool) {
 	switch {
+	case w.request.Withdrawn && w.request.Stage != Started:
+		return Gone, true
 	case w.request.Stage == FirstTry && !w.request.opensInTime():
 		return Unexpected, true
 	case !now.Before(w.latest):
@@ -115,6 +117,12 @@
 	return q.refuseAll(now, Gone, func(w *waiter) bool { return w.request.Service == svc })
 }
 
+// Withdrawn records that the ranks of the service are listed but not expected to take requests soon. Requests that
+// have started go on waiting, as a refusal would not let their callers return; the others are refused.
+func (q *Queue) Withdrawn(now time.Time, svc domain.ServiceName) []Decision {
+	return q.refuseAll(now, Gone, func(w *waiter) bool { return w.request.Service == svc && w.request.Stage != Started })
+}
+
 // Expire refuses the requests whose answers could no longer begin in time.
 func (q *Queue) Expire(now time.Time) []Decision {
 	return q.refuseAll(now, Expired, func(w *waiter) bool { return !now.Before(w.latest) })
--- a/waitqueue/queue_test.go
+++ b/waitqueue/queue_test.go
@@ -136,6 +136,14 @@
 			b.add("b", 0, patience, stage(waitqueue.Started))
 			b.passes(patience - margin)
 		}, []string{"a queued 1", "a refused expired", "b queued 1", "b refused expired"}},
+		{"a request that has started outlasts an evacuation of all ranks", 9, func(b *box) {
+			b.add("a", 0, patience, stage(waitqueue.Started))
+			b.add("b", 0, patience, nil)
+			b.record(b.q.Withdrawn(clock.Now(), "s"))
+			b.add("c", 0, patience, func(r *waitqueue.Request) { r.Withdrawn = true })
+			b.add("d", 0, patience, func(r *waitqueue.Request) { r.Stage, r.Withdrawn = waitqueue.Started, true })
+			b.usable(100, clock.Now())
+		}, []string{"a queued 1", "b queued 2", "b refused gone", "c refused gone", "d queued 2", "open", "a released", "d released"}},
 		{"the most urgent first, then who leaves first", 9, func(b *box) {
 			b.add("late", 1, patience, nil)
 			b.add("soon", 1, time.Second, nil)
--- a/waitqueue/request.go
+++ b/waitqueue/request.go
@@ -40,6 +40,9 @@
 	Duration time.Duration
 	// OpensAt is when the group is expected to open; zero if that is unknown.
 	OpensAt time.Time
+	// Withdrawn states that the ranks of the service are listed but not expected to take requests soon, as when the
+	// data halls of all are evacuated.
+	Withdrawn bool
 }
 
 // minAnswerTime is the least time that a released request needs before its caller leaves: a connection to a
