admission: one long deadline does not make later callers count as returning

What callers saw: after one caller with a long deadline, first tries with shorter deadlines counted as returning. While a group was stopped they were held in the queue in place of being told to come back, and under overload none of them was refused early. The finding was from reading the code.

Cause: a caller returns if it has less than nine tenths of the longest time that any caller of the route had, and that time never decreased.

Evidence: TestOneLongDeadlineDoesNotMakeLaterCallersReturning fails without the periods: a minute of first tries with 5 s after one with 8 s all count as returning. The longest time of the last 15 to 30 s counts now. Routes whose callers have different deadlines at all times are not told apart by this, as before.

--- a/admission/doc.go
+++ b/admission/doc.go
@@ -9,12 +9,12 @@
 //
 //	g := admission.NewGate()
 //	r := admission.Request{Route: "r", Remaining: remaining, LatencyObjective: objective, FirstByte: f, Wait: w}
-//	ok, retryAfter := g.Admit(r, rnd.Float64())
+//	ok, retryAfter := g.Admit(now, r, rnd.Float64())
 //
 //	l := admission.NewLimiters()
 //	l.ObserveGap(now, group, gap, objective)  // on each event of a stream
 //	l.ObserveLoad(now, group, epoch, load)    // before each decision
-//	c := admission.Caller{Class: class, Remaining: remaining, Returning: g.Returning("r", remaining)}
+//	c := admission.Caller{Class: class, Remaining: remaining, Returning: g.Returning(now, "r", remaining)}
 //	refusal, ok := l.Admit(now, group, c, rnd.Float64())
 //	for _, change := range l.Changes(now) { ... } // where shedding began or ended
 package admission
--- a/admission/gate.go
+++ b/admission/gate.go
@@ -10,7 +10,7 @@
 // Retries therefore take precedence: they may wait for as long as the latency objective permits, and
 // first tries only for a share of that time.
 type Gate struct {
-	longest  map[string]time.Duration // by route: the longest time to the deadline of any caller
+	longest  map[string]*callerTime   // by route: the longest time to the deadline of recent callers
 	timeouts map[string]time.Duration // by route: the longest time that the configuration allows
 }
 
@@ -29,7 +29,7 @@
 	// latency objective.
 	firstTryShare = 0.6
 	// A request counts as a retry if its time to the deadline is less than retryBelow times the
-	// longest such time on its route.
+	// longest recent one on its route.
 	retryBelow = 0.9
 	// maxRetryAfterShare is the largest retry-after that callers honour, as a share of their time to the
 	// deadline.
@@ -46,13 +46,13 @@
 )
 
 // NewGate returns a gate without any routes.
-func NewGate() *Gate { return &Gate{longest: map[string]time.Duration{}} }
+func NewGate() *Gate { return &Gate{longest: map[string]*callerTime{}} }
 
 // Admit reports whether the request is forwarded; if not, it also returns after how long the caller
 // should retry. spread is in [0, 1) and random, so that callers refused together do not retry
 // together.
-func (g *Gate) Admit(r Request, spread float64) (bool, time.Duration) {
-	retry := g.Returning(r.Route, r.Remaining)
+func (g *Gate) Admit(now time.Time, r Request, spread float64) (bool, time.Duration) {
+	retry := g.Returning(now, r.Route, r.Remaining)
 	if r.LatencyObjective == 0 || r.Wait == 0 {
 		return true, 0
 	}
@@ -111,14 +111,16 @@
 
 // Returning reports whether a caller on the route has been refused before, judged by the time that it had to
 // its deadline when its request arrived.
-func (g *Gate) Returning(route string, remaining time.Duration) bool {
+func (g *Gate) Returning(now time.Time, route string, remaining time.Duration) bool {
 	if timeout, ok := g.timeouts[route]; ok {
 		remaining = min(remaining, timeout) // the request may have arrived under an earlier configuration
 	}
-	if remaining > g.longest[route] {
-		g.longest[route] = remaining
+	longest, ok := g.longest[route]
+	if !ok {
+		longest = &callerTime{}
+		g.longest[route] = longest
 	}
-	return float64(remaining) < retryBelow*float64(g.longest[route])
+	return float64(remaining) < retryBelow*float64(longest.add(now, remaining))
 }
 
 // SetTimeouts sets the timeouts of all routes when the configuration changes. It drops the state of other
@@ -127,7 +129,7 @@
 	g.timeouts = timeouts
 	for route, longest := range g.longest {
 		if timeout, ok := timeouts[route]; ok {
-			g.longest[route] = min(longest, timeout)
+			longest.limit(timeout)
 		} else {
 			delete(g.longest, route)
 		}
--- a/admission/gate_test.go
+++ b/admission/gate_test.go
@@ -13,6 +13,8 @@
 	firstByte = 200 * time.Millisecond // time until an answer begins, without a wait for a slot
 )
 
+var begin = time.Unix(1_800_000_000, 0)
+
 func request(remaining, wait time.Duration) admission.Request {
 	return admission.Request{Route: "r", Remaining: remaining, LatencyObjective: slo, FirstByte: firstByte + wait, Wait: wait}
 }
@@ -33,8 +35,8 @@
 	}
 	for _, tc := range tests {
 		g := admission.NewGate()
-		g.Admit(request(fullTime, 0), 0) // records the longest time to the deadline on the route
-		if got, _ := g.Admit(tc.request, 0); got != tc.want {
+		g.Admit(begin, request(fullTime, 0), 0) // records the longest time to the deadline on the route
+		if got, _ := g.Admit(begin, tc.request, 0); got != tc.want {
 			t.Errorf("%s: admitted %v, want %v", tc.name, got, tc.want)
 		}
 	}
@@ -43,7 +45,7 @@
 func TestRetryAfterIsWithinWhatCallersHonour(t *testing.T) {
 	g := admission.NewGate()
 	for _, spread := range []float64{0, 0.5, 0.99} {
-		ok, after := g.Admit(request(fullTime, time.Second), spread)
+		ok, after := g.Admit(begin, request(fullTime, time.Second), spread)
 		if ok || after < fullTime/6 || after > fullTime/3 {
 			t.Errorf("spread %v: admitted %v, retry after %v", spread, ok, after)
 		}
@@ -72,17 +74,39 @@
 		{"unchanged timeout", map[string]time.Duration{route: fullTime}, 0, shorter, true},
 	} {
 		g := admission.NewGate()
-		g.Returning(route, fullTime)
+		g.Returning(begin, route, fullTime)
 		if tc.timeouts != nil {
 			g.SetTimeouts(tc.timeouts)
 		}
-		g.Returning(route, tc.late)
-		if got := g.Returning(route, tc.caller); got != tc.want {
+		g.Returning(begin, route, tc.late)
+		if got := g.Returning(begin, route, tc.caller); got != tc.want {
 			t.Errorf("%s: counts as returning: %v, want %v", tc.name, got, tc.want)
 		}
 	}
 }
 
+// TestOneLongDeadlineDoesNotMakeLaterCallersReturning guards against one caller with a long deadline after which all
+// callers of the route count as refused before: they would be held while their group is stopped, although they
+// could return, and none of them would be refused early under overload.
+func TestOneLongDeadlineDoesNotMakeLaterCallersReturning(t *testing.T) {
+	const route, usual, every = "r", 5 * time.Second, 200 * time.Millisecond
+	g := admission.NewGate()
+	g.Returning(begin, route, fullTime)
+	now := begin
+	for ; now.Before(begin.Add(time.Minute)); now = now.Add(every) {
+		g.Returning(now, route, usual)
+		if !g.Returning(now, route, usual*2/3) {
+			t.Fatalf("%v after the long deadline, a caller that returns counts as new", now.Sub(begin))
+		}
+	}
+	if g.Returning(now, route, usual) {
+		t.Errorf("%v after the only long deadline, a first try counts as returning", now.Sub(begin))
+	}
+	if now = now.Add(time.Hour); g.Returning(now, route, usual/2) {
+		t.Error("the first caller after an hour counts as returning")
+	}
+}
+
 // TestRetryAfterOutageServesMoreCallers simulates an outage: a group with ranks in several halls is
 // down for 6.4 s while one of the halls is cut off: 5.8 s of the cut and the time to form the group again.
 // Callers have 8 s to their deadline and retry once.
--- a/admission/group_test.go
+++ b/admission/group_test.go
@@ -184,7 +184,7 @@
 		if s.returned {
 			g.shedReturning++
 		}
-	} else if ok, after = b.gate.Admit(gateRequest(b.requests[rank], remaining), g.rand.Float64()); ok {
+	} else if ok, after = b.gate.Admit(now, gateRequest(b.requests[rank], remaining), g.rand.Float64()); ok {
 		b.requests[rank]++
 		s.box, g.waiting[rank] = b, append(g.waiting[rank], s)
 		return
--- a/node/choosing.go
+++ b/node/choosing.go
@@ -159,7 +159,7 @@
 func (f *fleet) admit(now time.Time, q gateway.Query, o routing.Option) error {
 	firstByte, wait := f.balancer.EstimateFirstByte(now, o)
 	request := admission.Request{Route: q.Route, Remaining: q.Deadline.Sub(now), LatencyObjective: q.LatencyObjective, FirstByte: firstByte, Wait: wait}
-	ok, retryAfter := f.gate.Admit(request, rand.Float64())
+	ok, retryAfter := f.gate.Admit(now, request, rand.Float64())
 	if ok || !q.First {
 		return nil
 	}
--- a/node/shedding.go
+++ b/node/shedding.go
@@ -36,7 +36,7 @@
 		return nil
 	}
 	remaining := q.Deadline.Sub(now)
-	caller := admission.Caller{Class: q.Class, Remaining: remaining, Returning: f.gate.Returning(q.Route, q.Deadline.Sub(q.ArrivedAt))}
+	caller := admission.Caller{Class: q.Class, Remaining: remaining, Returning: f.gate.Returning(now, q.Route, q.Deadline.Sub(q.ArrivedAt))}
 	if !caller.Returning {
 		f.shares.Requested(now, q.Service, q.Class, q.Organisation)
 	}
--- a/node/waiting.go
+++ b/node/waiting.go
@@ -110,7 +110,7 @@
 	switch {
 	case q.Started:
 		r.Stage = waitqueue.Started
-	case f.gate.Returning(q.Route, q.Deadline.Sub(q.ArrivedAt)):
+	case f.gate.Returning(now, q.Route, q.Deadline.Sub(q.ArrivedAt)):
 		r.Stage = waitqueue.Returning
 	}
 	return r
