retry: boxes that are restarted keep to the retry bounds together

What callers and targets would see: after all boxes are killed together while a service fails, more retries in a window than the bounds allow; three such restarts within ten seconds come to 1.5 times the bounds.

Cause: the budget of a process that has just started was full, though the one before may have spent it, and until the first adverts are answered each box took itself for the only one.

A box now has what it gained since its start, and its part of the share of the bounds that is kept for restarts, one retry at most. It gains nothing before it knows how many boxes there are, and then for the whole time. The half of the finding about limits of targets is refuted: a box issues permits only once it is settled.

TestLiftReleasesWorkAtAllBoxes sent its request to forty boxes in the moment of their start and needs it to be retried; it waits for two seconds now. Its checks are unchanged.

--- a/local/quarantine_end_test.go
+++ b/local/quarantine_end_test.go
@@ -60,6 +60,7 @@
 			sc.callers = 2
 			sc.operator = func(s *local.System, h *history) {
 				s.Store.SetFailureMode(standin.Healthy, storeDelay)
+				time.Sleep(2 * time.Second) // each box has a retry to spend then
 				sendFatal(s, h, 0)
 				time.Sleep(4 * time.Second)
 				stopCrashing(s)
--- a/node/budgets.go
+++ b/node/budgets.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"clovertrail.dev/core/clock"
 	"clovertrail.dev/core/domain"
 	"clovertrail.dev/node/process"
 	"clovertrail.dev/retry"
@@ -14,20 +15,22 @@
 //
 // Lock order: mu is the only lock.
 type budgets struct {
+	startedAt time.Time // start of the box
+
 	mu        sync.Mutex
 	bounds    retry.Bounds
 	byService map[domain.ServiceName]*retry.TokenBudget
 }
 
 func newBudgets(b process.Bounds) *budgets {
-	return &budgets{bounds: retryBounds(b, 1), byService: map[domain.ServiceName]*retry.TokenBudget{}}
+	return &budgets{startedAt: clock.Now(), bounds: retryBounds(b, 0), byService: map[domain.ServiceName]*retry.TokenBudget{}}
 }
 
 func retryBounds(b process.Bounds, boxes int) retry.Bounds {
 	return retry.Bounds{Share: b.RetryShare, Slack: b.RetrySlack, Window: b.RetryWindow.Std(), Boxes: boxes}
 }
 
-// setBoxes sets the number of boxes that share the budget.
+// setBoxes sets the number of boxes that share the budget, which is not known before the first call.
 func (b *budgets) setBoxes(n int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -79,7 +82,7 @@
 func (b *budgets) tokenBudget(svc domain.ServiceName) *retry.TokenBudget {
 	t, ok := b.byService[svc]
 	if !ok {
-		t = retry.NewTokenBudget(b.bounds, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+		t = retry.NewTokenBudget(b.bounds, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), b.startedAt)
 		b.byService[svc] = t
 	}
 	return t
--- a/node/peering.go
+++ b/node/peering.go
@@ -55,6 +55,7 @@
 	seededAt     time.Time // time of the last advert to the seeds
 	allWorksAt   time.Time // time of the last round that reported all works in quarantine
 	boundSharers int       // the number of boxes that share bounds, as last logged
+	sharersKnown bool      // whether that number is known; false in the first rounds
 	hasAllLimits bool      // a box that has run for a while has sent this one all limits
 }
 
@@ -206,7 +207,8 @@
 		p.seededAt = now
 		addresses = append(addresses, seeds...)
 	}
-	if n := p.boxes.BoundSharers(now); n != p.boundSharers {
+	if n := p.boxes.BoundSharers(now); n != p.boundSharers || !p.sharersKnown && p.boxes.Settled(now) {
+		p.sharersKnown = true
 		p.entry.common.Log.Info("number of boxes that share bounds changed", "boxes", n, "before", p.boundSharers)
 		p.boundSharers = n
 		p.entry.budgets.setBoxes(n)
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -23,7 +23,7 @@
 	Slack float64
 	// Window is the period that the bounds apply to.
 	Window time.Duration
-	// Boxes is the number of boxes that share the bounds.
+	// Boxes is the number of boxes that share the bounds; 0 if it is not known yet.
 	Boxes int
 }
 
@@ -43,6 +43,9 @@
 // window irrespective of its requests. Each is half of the box's part of the slack; but if that is less
 // than one retry, the box may save up one, or as much of one as maxSavedShare allows.
 func (b Bounds) parts() (saved, gained float64) {
+	if b.Boxes == 0 {
+		return min(1, b.Slack*usedShare*maxSavedShare), 0
+	}
 	boxes := float64(max(b.Boxes, 1))
 	total := b.Slack * usedShare
 	if half := total / 2 / boxes; half >= 1 {
@@ -73,13 +76,15 @@
 	tokens float64 // unspent retries
 	sum    float64 // fractions of a retry that were asked for, below 1
 	last   time.Time
+	shared bool // whether the number of boxes was known before
 }
 
-// NewTokenBudget returns the budget of one box, which has as many unspent retries as it may have.
-func NewTokenBudget(b Bounds, rnd *rand.Rand) *TokenBudget {
-	t := &TokenBudget{sum: rnd.Float64()}
+// NewTokenBudget returns the budget of a box that started at the given time. It has the retries that the box gained
+// since then, and the box's part of the unused share of the bounds, one retry at most: the box may have spent others
+// before it was started again.
+func NewTokenBudget(b Bounds, rnd *rand.Rand, startedAt time.Time) *TokenBudget {
+	t := &TokenBudget{sum: rnd.Float64(), last: startedAt}
 	t.SetBounds(b)
-	t.tokens = t.cap
 	return t
 }
 
@@ -87,6 +92,10 @@
 func (t *TokenBudget) SetBounds(b Bounds) {
 	t.bounds = b
 	t.cap, t.gain = b.parts()
+	if !t.shared && b.Boxes > 0 {
+		t.shared = true
+		t.tokens += min(1, b.Slack*(1-usedShare)/float64(b.Boxes))
+	}
 	t.tokens = min(t.tokens, t.cap)
 }
 
@@ -115,8 +124,11 @@
 	return true
 }
 
-// refill adds the part of the slack for the time since the last call.
+// refill adds the part of the slack for the time since the last call, once it is known which part that is.
 func (t *TokenBudget) refill(now time.Time) {
+	if t.bounds.Boxes == 0 {
+		return
+	}
 	if !t.last.IsZero() && now.After(t.last) && t.bounds.Window > 0 {
 		t.tokens = min(t.cap, t.tokens+t.gain*float64(now.Sub(t.last))/float64(t.bounds.Window))
 	}
