routing: an answer that an outage interrupted does not count as long

What callers saw: a returning caller refused for good 80 ms before its group opened, with 1 to 2.7 s left, where the others waited.

Cause: the wait queue takes a mean answer and a quarter for the time that a request needs, and the mean counted interrupted answers with the length of the outage.

Evidence: the queue now logs what a refusal was computed from: leaves_in=1.04s answer=1.040s, after one answer of 2.95 s with a pause of 2.505 s; the others take 0.45 s.

The longest pause of an answer no longer counts. TestMeanAnswerIsOfWholeAnswers failed before (mean of 825 ms for 500 ms); TestReturningCallersWaitForStoppedGroup passed 240 of 240 times, four at once.

--- a/node/lease.go
+++ b/node/lease.go
@@ -97,6 +97,7 @@
 func (l *lease) ReportEventGap(gap, objective time.Duration) {
 	l.fleet.with(func(_ *membership.Roster, b *routing.Balancer) {
 		now := clock.Now()
+		b.Paused(l.ticket, gap)
 		b.RecordPause(now, l.option, gap, objective)
 		l.fleet.shedding.limiters.ObserveGap(now, l.option.Group, gap, objective)
 	})
--- a/node/waiting.go
+++ b/node/waiting.go
@@ -38,6 +38,7 @@
 type waitingRequest struct {
 	ticket  waitqueue.Ticket
 	query   gateway.Query
+	request waitqueue.Request
 	decided chan error // receives nil when the request is released, else its refusal
 }
 
@@ -82,7 +83,7 @@
 	}
 	request := w.requestOf(now, q, a)
 	ticket, decisions := w.queue.Add(now, request)
-	r := &waitingRequest{ticket: ticket, query: q, decided: make(chan error, 1)}
+	r := &waitingRequest{ticket: ticket, query: q, request: request, decided: make(chan error, 1)}
 	w.requests[ticket] = r
 	w.settle(now, decisions)
 	select {
@@ -222,6 +223,8 @@
 	r := w.requests[d.Ticket]
 	err := w.refusal(now, r.query, d)
 	if !d.Queued {
+		w.log("request not queued", r, "reason", d.Reason, "stage", r.request.Stage, "leaves_in", r.query.LeavesAt.Sub(now),
+			"first_byte", r.request.FirstByte, "answer", r.request.Duration, "opens_at", r.request.OpensAt)
 		delete(w.requests, d.Ticket)
 		r.decided <- err
 		return
--- a/routing/balancer.go
+++ b/routing/balancer.go
@@ -113,6 +113,7 @@
 	sentAt time.Time
 	wait   time.Duration // expected wait for a slot
 	began  bool
+	pause  time.Duration // longest time between two events of the answer so far
 }
 
 func (b *Balancer) load(id domain.InstanceID) *load {
@@ -155,6 +156,9 @@
 	t.load.begun.add(served)
 }
 
+// Paused records the time between two events of the answer.
+func (b *Balancer) Paused(t *Ticket, pause time.Duration) { t.pause = max(t.pause, pause) }
+
 // Ended records that the request of the ticket is over. Only the first call for a ticket counts.
 func (b *Balancer) Ended(now time.Time, t *Ticket) {
 	if t.load == nil {
@@ -169,7 +173,7 @@
 // of Ended.
 func (b *Balancer) Answered(now time.Time, t *Ticket) {
 	if t.load != nil {
-		t.load.answered.add(now.Sub(t.sentAt))
+		t.load.answered.add(now.Sub(t.sentAt) - t.pause)
 	}
 	b.Ended(now, t)
 }
@@ -215,8 +219,9 @@
 	return all.value()
 }
 
-// MeanAnswer returns the mean duration of the requests of this box that the options answered to their end; 0
-// before there is one. Requests that were cut off, as by an outage of their group, do not count.
+// MeanAnswer returns the mean duration of the requests of this box that the options answered to their end, each
+// without its longest pause; 0 before there is one. Neither the requests that an outage of their group cut off count
+// nor the time for which it interrupted others.
 func (b *Balancer) MeanAnswer(options []Option) time.Duration {
 	var all recentMean
 	for _, o := range options {
--- a/routing/mean_answer_test.go
+++ b/routing/mean_answer_test.go
@@ -8,7 +8,8 @@
 )
 
 // TestMeanAnswerIsOfWholeAnswers guards against a wait queue that refuses callers early because the group that
-// stopped had held the streams of this box before it cut them, or because the box has not seen an answer yet.
+// stopped had held the streams of this box before it cut them or went on with them, or because the box has not seen an
+// answer yet.
 func TestMeanAnswerIsOfWholeAnswers(t *testing.T) {
 	const usual, cut = 500 * time.Millisecond, 2 * time.Second
 	b, options := newBalancer(), []routing.Option{option("a", "near", "g"), option("b", "near", "g")}
@@ -25,6 +26,13 @@
 	if got := b.MeanAnswer(options); (got - usual).Abs() > time.Millisecond {
 		t.Errorf("mean duration %v, want %v", got, usual)
 	}
+	held := b.Sent(start, options[0])
+	b.Paused(held, 20*time.Millisecond)
+	b.Paused(held, cut)
+	b.Answered(start.Add(usual+cut), held)
+	if got := b.MeanAnswer(options); (got - usual).Abs() > time.Millisecond {
+		t.Errorf("mean duration %v after an answer that was interrupted for %v, want %v", got, cut, usual)
+	}
 	if n := b.InFlight("a") + b.InFlight("b"); n != 0 {
 		t.Errorf("%d requests in flight, want 0", n)
 	}
