membership: boxes that follow a part of the ranks expect their group to open

What callers saw: in fleets of more than 64 boxes all first tries were refused while a group formed, although it opened before they would have left. The finding was from reading the code.

Cause: a group is expected to open once all its ranks report again, and a box of a large fleet receives reports of a part of them only.

A box now takes the ranks that it follows for the whole group; that one of them was missing and is back is still needed. The case 'all followed ranks report again' of TestReopeningIsKnownOnceAllRanksReport failed before (unknown, want 400 ms). Not played on a deployment of that size.

--- a/membership/reopening_test.go
+++ b/membership/reopening_test.go
@@ -45,48 +45,54 @@
 func TestReopeningIsKnownOnceAllRanksReport(t *testing.T) {
 	const s = time.Second
 	for _, tc := range []struct {
-		name string
-		play func(*groupOfFour)
-		want time.Duration // from now until the group is expected to open; negative if it is late, -s if that is unknown
+		name     string
+		play     func(*groupOfFour)
+		followed map[domain.InstanceID]bool
+		want     time.Duration // from now until the group is expected to open; negative if it is late, -s if that is unknown
 	}{
-		{"a hall with two ranks is cut off", func(g *groupOfFour) { g.report(3*s, false, 0, 1) }, -s},
+		{"a hall with two ranks is cut off", func(g *groupOfFour) { g.report(3*s, false, 0, 1) }, nil, -s},
 		{"one rank of the hall reports again", func(g *groupOfFour) {
 			g.report(3*s, false, 0, 1)
 			g.report(200*time.Millisecond, false, 0, 1, 2)
-		}, -s},
+		}, nil, -s},
 		{"all ranks report again", func(g *groupOfFour) {
 			g.report(3*s, false, 0, 1)
 			g.report(400*time.Millisecond, false, 0, 1, 2, 3)
-		}, formTime - 200*time.Millisecond},
+		}, nil, formTime - 200*time.Millisecond},
 		{"it is about to open", func(g *groupOfFour) {
 			g.report(3*s, false, 0, 1)
 			g.report(s, false, 0, 1, 2, 3)
-		}, formTime - 800*time.Millisecond},
+		}, nil, formTime - 800*time.Millisecond},
 		{"it does not open", func(g *groupOfFour) {
 			g.report(3*s, false, 0, 1)
 			g.report(2*s, false, 0, 1, 2, 3)
-		}, -s},
-		{"it has just stopped, and the lost ranks are not missed yet", func(g *groupOfFour) { g.report(s, false, 0, 1) }, -s},
+		}, nil, -s},
+		{"it has just stopped, and the lost ranks are not missed yet", func(g *groupOfFour) { g.report(s, false, 0, 1) }, nil, -s},
 		{"a rank that is back could not be reached since", func(g *groupOfFour) {
 			g.report(3*s, false, 0, 1)
 			g.report(200*time.Millisecond, false, 0, 1, 2, 3)
 			g.Unreachable(g.now.Add(time.Millisecond), rankID(3))
-		}, -s},
+		}, nil, -s},
+		{"all followed ranks report again", func(g *groupOfFour) {
+			g.report(3*s, false, 1)
+			g.report(400*time.Millisecond, false, 1, 3)
+		}, map[domain.InstanceID]bool{rankID(1): true, rankID(3): true}, formTime - 200*time.Millisecond},
+		{"a followed rank is missing", func(g *groupOfFour) { g.report(3*s, false, 1) }, map[domain.InstanceID]bool{rankID(1): true, rankID(3): true}, -s},
 		{"a rank is listed no more", func(g *groupOfFour) {
 			g.report(3*s, false, 0, 1)
 			g.report(200*time.Millisecond, false, 0, 1, 2, 3)
 			g.ApplyUpdate(g.now, membership.TargetUpdate{ID: rankID(3), At: pos(20)})
-		}, -s},
+		}, nil, -s},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			g := newGroupOfFour()
 			g.report(3*s, true, 0, 1, 2, 3)
 			tc.play(g)
-			got := g.Reopening(g.now, "s", formTime)
+			got := g.Reopening(g.now, "s", formTime, tc.followed)
 			if known := !got.IsZero(); known != (tc.want != -s) || known && got.Sub(g.now) != tc.want {
 				t.Errorf("expected to open in %v, known: %v; want %v, and -1s if unknown", got.Sub(g.now), known, tc.want)
 			}
-			if at := g.Reopening(g.now, "s", 0); !at.IsZero() {
+			if at := g.Reopening(g.now, "s", 0, tc.followed); !at.IsZero() {
 				t.Errorf("expected to open at %v although its time to form is unknown", at)
 			}
 		})
@@ -94,7 +100,7 @@
 	t.Run("a box that has just started", func(t *testing.T) {
 		g := newGroupOfFour()
 		g.report(400*time.Millisecond, false, 0, 1, 2, 3)
-		if at := g.Reopening(g.now, "s", formTime); !at.IsZero() {
+		if at := g.Reopening(g.now, "s", formTime, nil); !at.IsZero() {
 			t.Errorf("expected to open at %v although no rank was seen missing", at)
 		}
 	})
--- a/node/waiting.go
+++ b/node/waiting.go
@@ -105,7 +105,7 @@
 		Service: q.Service, Class: q.Class, LeavesAt: q.LeavesAt, Deadline: q.Deadline,
 		FirstByte: f.balancer.MeanFirstByte(targets),
 		Duration:  f.balancer.MeanAnswer(targets),
-		OpensAt:   f.roster.Reopening(now, q.Service, w.formTime(q.Service)),
+		OpensAt:   f.roster.Reopening(now, q.Service, w.formTime(q.Service), f.subset),
 		Withdrawn: !a.Stopped(),
 	}
 	switch {
