membership: intervals of reports, and halls without targets are not queried

Moves the intervals of queries and the age up to which reports of other boxes are relied on from node to membership, with a test.

The loop that queries a data hall now ends once no target is listed in the hall. It went on for ever, and as hubs divide their queries among halls, each hall that had ever had a target made their reports of the others older (finding from reading; the test of HallQueryInterval shows the effect: 200 ms with three halls, 600 ms with twelve).

--- a/node/agent_poller.go
+++ b/node/agent_poller.go
@@ -19,13 +19,6 @@
 )
 
 const (
-	// agentPollInterval is the time between two queries of this box to one agent: a few steps of
-	// the engine, and shorter than a caller's request takes, so that a reported load is still
-	// valid when it is used.
-	agentPollInterval = 200 * time.Millisecond
-	// fullRatePollers is how many boxes may query an agent at that interval. If there are more,
-	// each queries it less often, so that the total rate at the agent stays the same.
-	fullRatePollers = 12
 	// agentPollTimeout bounds a request to an agent.
 	agentPollTimeout = 400 * time.Millisecond
 	// otherGroupAgents is the number of agents of other groups whose addresses an agent receives as
@@ -54,7 +47,7 @@
 func (p *agentPoller) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		p.updateLoops(ctx)
-		clock.SleepUntil(ctx, clock.Now().Add(agentPollInterval))
+		clock.SleepUntil(ctx, clock.Now().Add(membership.QueryInterval))
 	}
 }
 
@@ -65,10 +58,11 @@
 	p.halls.updateRole(ctx)
 	var ranks []domain.Target
 	p.entry.fleet.with(func(r *membership.Roster, _ *routing.Balancer) { ranks = r.Ranks() })
-	listed := map[domain.InstanceID]bool{}
+	listed, halls := map[domain.InstanceID]bool{}, map[domain.HallName]bool{}
 	polled := p.halls.targetsToPoll(ranks)
 	for _, t := range ranks {
 		listed[t.ID()] = true
+		halls[t.Hall()] = true
 		p.halls.startLoop(ctx, t.Hall())
 		if _, running := p.agents[t.ID()]; !running && polled[t.ID()] {
 			actx, cancel := context.WithCancel(ctx)
@@ -82,16 +76,17 @@
 			delete(p.agents, id)
 		}
 	}
+	p.halls.stopLoops(halls)
 	p.halls.forget(func(id domain.InstanceID) bool { return listed[id] })
 }
 
 // poll queries the agent of one target until ctx ends.
 func (p *agentPoller) poll(ctx context.Context, id domain.InstanceID) {
 	update := distribution.NewGroupUpdate(rand.Float64())
-	pause := agentPollInterval
+	pause := membership.QueryInterval
 	for ctx.Err() == nil {
 		pollers := p.pollers(id)
-		usual := pollInterval(pollers)
+		usual := membership.QueryIntervalFor(pollers)
 		update.SetBoxes(pollers)
 		if err := p.query(ctx, id, update); err != nil {
 			pause = max(min(pause*2, maxAgentPollPause), usual)
@@ -120,12 +115,6 @@
 	}
 }
 
-// pollInterval returns the time between two requests of one box to a process that the given number
-// of boxes query.
-func pollInterval(boxes int) time.Duration {
-	return agentPollInterval * time.Duration(max(boxes, fullRatePollers)) / fullRatePollers
-}
-
 func (p *agentPoller) hallOf(id domain.InstanceID) domain.HallName {
 	var t domain.Target
 	p.entry.fleet.with(func(r *membership.Roster, _ *routing.Balancer) { t, _ = r.Get(id) })
--- a/node/hall_poller.go
+++ b/node/hall_poller.go
@@ -15,15 +15,8 @@
 	"clovertrail.dev/routing"
 )
 
-const (
-	// hallPollTimeout bounds a request for the report of a hall.
-	hallPollTimeout = agentPollTimeout
-	// minMaxReportAge is the lower limit of maxReportAge, the age at which this box no longer relies
-	// on another box's report of a target and queries the target itself: the time of several requests
-	// to the target and to that box. It is shorter than the time after which a target that does not
-	// report is suspect.
-	minMaxReportAge = time.Second
-)
+// hallPollTimeout bounds a request for the report of a hall.
+const hallPollTimeout = agentPollTimeout
 
 // hallPoller receives the status of targets from other entry boxes: for each other data hall from
 // one box there, or, in a hall with hubs, for all halls from one of the hubs. It also serves such
@@ -43,14 +36,14 @@
 	first        bool                 // whether no box of the hall precedes this one
 	hubFollowsAt time.Time            // when a hub of the hall last reported that it follows the store
 	storeHealthy func() bool
-	lostHubs     map[domain.BoxID]bool    // hubs of the hall that did not answer the last query of this hub
-	halls        map[domain.HallName]bool // the halls with a running poll loop
+	lostHubs     map[domain.BoxID]bool                  // hubs of the hall that did not answer the last query of this hub
+	halls        map[domain.HallName]context.CancelFunc // cancels the poll loop of a hall; has the halls with a running loop
 }
 
 func newHallPoller(e *Entry) *hallPoller {
 	return &hallPoller{
 		entry: e, statuses: distribution.NewTargetStatuses(),
-		reporters: membership.NewHallReporters(domain.HallName(e.settings().Hall)), halls: map[domain.HallName]bool{}, lostHubs: map[domain.BoxID]bool{},
+		reporters: membership.NewHallReporters(domain.HallName(e.settings().Hall)), halls: map[domain.HallName]context.CancelFunc{}, lostHubs: map[domain.BoxID]bool{},
 	}
 }
 
@@ -231,24 +224,16 @@
 	return out
 }
 
-// interval returns the time between two requests about a hall. If halls have hubs, only the hubs
-// query other halls; otherwise all boxes do, though not all query the same box.
+// interval returns the time between two requests about a hall.
 func (p *hallPoller) interval() time.Duration {
 	p.mu.Lock()
 	role, halls := p.role, len(p.halls)
 	p.mu.Unlock()
-	if role != membership.Standalone {
-		return pollInterval(membership.HubsPerHall * halls)
-	}
-	boxes, _ := p.entry.peering.reachable()
-	return pollInterval(boxes)
+	return membership.HallQueryInterval(role, p.entry.peering.reachableCount(), halls)
 }
 
-// maxReportAge returns the age up to which this box relies on another box's report of a target. In a
-// hall with hubs, a report passes through two boxes after the one that received it from the target.
-func (p *hallPoller) maxReportAge() time.Duration {
-	return max(minMaxReportAge, 2*(agentPollInterval+p.interval()))
-}
+// maxReportAge returns the age up to which this box relies on another box's report of a target.
+func (p *hallPoller) maxReportAge() time.Duration { return membership.MaxReportAge(p.interval()) }
 
 // forget deletes the report times of the targets for which keep returns false.
 func (p *hallPoller) forget(keep func(domain.InstanceID) bool) {
@@ -264,13 +249,26 @@
 func (p *hallPoller) startLoop(ctx context.Context, hall domain.HallName) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.halls[hall] {
+	if _, running := p.halls[hall]; running {
 		return
 	}
-	p.halls[hall] = true
+	ctx, cancel := context.WithCancel(ctx)
+	p.halls[hall] = cancel
 	go p.run(ctx, hall)
 }
 
+// stopLoops stops the poll loops of the halls without a listed target, except that of this box's own.
+func (p *hallPoller) stopLoops(listed map[domain.HallName]bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for hall, cancel := range p.halls {
+		if !listed[hall] && hall != p.hall() {
+			cancel()
+			delete(p.halls, hall)
+		}
+	}
+}
+
 func (p *hallPoller) run(ctx context.Context, hall domain.HallName) {
 	for ctx.Err() == nil {
 		pause := p.interval()
