node: a watch that the store leaves unanswered counts as a failure of the store

What callers saw: the store was silent for seconds, the entries of running targets lapsed, and callers were refused after its return until the targets were listed again.

Cause: a watch is cancelled when its wait has become too long for the number of boxes that are left, and counts as answered then. The limit was the longest wait for that number plus 0.25 s, shorter than the time-out of the call, so that with few boxes each silent watch was cancelled and no box noticed the outage. Removals then mean that targets are leaving.

Evidence: 'store answers again' at three boxes 2.1 s into an outage of 8 s (in memory).

A watch is cancelled only if its wait is longer than the limit, and is not counted as an answer then.

--- a/node/record_follower.go
+++ b/node/record_follower.go
@@ -111,12 +111,13 @@
 	defer cancel()
 	returned := make(chan struct{})
 	defer close(returned)
-	go f.limitWait(returned, cancel, began)
+	go f.limitWait(returned, cancel, began, w.Wait)
 	c, err := f.feed.Watch(watchCtx, f.kind, w.Since, w.Wait)
 	if err != nil && watchCtx.Err() != nil && ctx.Err() == nil {
-		c, err = store.Changes{At: w.Since}, nil // limitWait cancelled the watch, the store did not fail
+		c, err = store.Changes{At: w.Since}, nil // limitWait cancelled the watch, which says nothing about the store
+	} else {
+		f.recordCall("watch", began, err)
 	}
-	f.recordCall("watch", began, err)
 	now := clock.Now()
 	if f.follower.Watched(now, c.At, err) && len(c.Events) > 0 {
 		f.follower.Changed(now)
@@ -129,8 +130,9 @@
 
 // limitWait cancels a watch whose wait has become too long for the number of boxes that still follow
 // the store. The wait is long while many boxes follow the store; with few left, no other box would
-// notify this one of changes if the store had silently dropped the watch.
-func (f *recordFollower) limitWait(returned <-chan struct{}, cancel context.CancelFunc, began time.Time) {
+// notify this one of changes if the store had silently dropped the watch. A watch with a shorter wait that the
+// store does not answer fails by itself.
+func (f *recordFollower) limitWait(returned <-chan struct{}, cancel context.CancelFunc, began time.Time, wait time.Duration) {
 	ticker := time.NewTicker(waitCheckInterval)
 	defer ticker.Stop()
 	for {
@@ -140,7 +142,7 @@
 		case <-ticker.C:
 		}
 		boxes, _ := f.peers()
-		if clock.Since(began) > f.timing.WaitFor(boxes)+waitCheckInterval {
+		if limit := f.timing.WaitFor(boxes); wait > limit && clock.Since(began) > limit+waitCheckInterval {
 			cancel()
 			return
 		}
