membership: the store counts as unavailable until it answers, also at boxes that rely on a hub

What callers saw: in fleets whose boxes rely on hubs, callers were refused for up to 1.5 s after an outage of the store, since the entries of running targets had lapsed during it.

Cause: a follower made no calls and learnt of the outage only by its own first failed call after its hub had stopped following the store; and a removal counted as a lapse for 3 s after the last failed call, while calls to a silent store fail less often than that.

Evidence: logs of a follower that refused requests 0.45 s after the return of the store (docs/incidents/silent-store-not-noticed.md).

TestEntryRemovedWhileStoreIsAvailableMeansLeaving now says that the store answered, which it took for granted; TestEntriesThatLapseWhileStoreIsUnavailableStayUsableForGrace has a minute between the failed call and the answer and failed before. The cases of 40 boxes of TestTargetsThatLapseDuringOutageStayInUse are new.

--- a/local/lapsed_test.go
+++ b/local/lapsed_test.go
@@ -25,6 +25,8 @@
 	}{
 		{"four boxes, 3 s", 4, 3 * time.Second},
 		{"four boxes, 5 s", 4, 5 * time.Second},
+		{"40 boxes in halls with hubs, 5 s", 40, 5 * time.Second},
+		{"40 boxes in halls with hubs, 8 s", 40, 8 * time.Second},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			sc := busyScenario()
--- a/membership/roster.go
+++ b/membership/roster.go
@@ -121,8 +121,10 @@
 	lastReportAt  time.Time // time of the last report of any target
 	failures      *FailureReports
 	evacuations   *Evacuations
-	// storeUnavailableAt is the last time at which the store was found unavailable; zero if never.
+	// storeUnavailableAt is the last time at which the store was unavailable as far as is known; zero if never.
 	storeUnavailableAt time.Time
+	// storeUnavailable states that the store has not answered since then.
+	storeUnavailable bool
 	// restoredAt is when the first list after the last restore of the store was applied, that is, a
 	// list of a later era than those before; zero if there was none. restorePosition is the
 	// position of that list.
@@ -156,7 +158,14 @@
 func (r *Roster) Newest() store.Position { return r.newest }
 
 // StoreUnavailable records that the store was found unavailable at the given time.
-func (r *Roster) StoreUnavailable(now time.Time) { r.storeUnavailableAt = now }
+func (r *Roster) StoreUnavailable(now time.Time) { r.storeUnavailable, r.storeUnavailableAt = true, now }
+
+// StoreAvailable records that the store answered, or that another box that follows it for this one reports so.
+func (r *Roster) StoreAvailable(now time.Time) {
+	if r.storeUnavailable {
+		r.storeUnavailable, r.storeUnavailableAt = false, now
+	}
+}
 
 // TargetUpdate is one change of the list: an entry that was added, changed or removed.
 type TargetUpdate struct {
@@ -272,7 +281,7 @@
 	if unusable || e.target.State() != domain.TargetReady {
 		return
 	}
-	recovering := !r.storeUnavailableAt.IsZero() && now.Sub(r.storeUnavailableAt) < r.policy.StoreRecovery
+	recovering := r.storeUnavailable || !r.storeUnavailableAt.IsZero() && now.Sub(r.storeUnavailableAt) < r.policy.StoreRecovery
 	switch {
 	case lostInRestore:
 		e.graceUntil = r.restoredAt.Add(r.policy.StoreRecovery)
--- a/membership/roster_test.go
+++ b/membership/roster_test.go
@@ -108,7 +108,8 @@
 	r.ApplyUpdate(start, ready("a", 1))
 	r.ApplyUpdate(start, leaving("b", 2))
 	r.StoreUnavailable(start)
-	back := start.Add(time.Second)
+	back := start.Add(time.Minute) // whatever the time since the last failed call, the store has not answered
+	r.StoreAvailable(back)
 	r.ApplyUpdate(back, gone("a", 3))
 	r.ApplyUpdate(back, gone("b", 4))
 	if s := standings(r, back)["a"]; s != membership.Lapsed {
@@ -130,6 +131,7 @@
 	r := newRoster()
 	r.ApplyUpdate(start, ready("a", 1))
 	r.StoreUnavailable(start)
+	r.StoreAvailable(start.Add(time.Second))
 	later := start.Add(time.Minute)
 	r.ApplyUpdate(later, gone("a", 2))
 	if mayBeUsed(r, later, "a") {
--- a/node/hall_poller.go
+++ b/node/hall_poller.go
@@ -183,12 +183,21 @@
 	p.applyStatuses(distribution.Hall, report.Targets)
 }
 
-// recordFollowsStore records whether a hub reports that it follows the store; mu is held.
+// recordFollowsStore records whether a hub reports that it follows the store; mu is held. If it does not, the store
+// is unavailable to it, and entries that it reports as removed may only have lapsed.
 func (p *hallPoller) recordFollowsStore(follows bool) {
+	now := clock.Now()
 	p.hubFollowsAt = time.Time{}
 	if follows {
-		p.hubFollowsAt = clock.Now()
+		p.hubFollowsAt = now
 	}
+	p.entry.fleet.with(func(r *membership.Roster, _ *routing.Balancer) {
+		if follows {
+			r.StoreAvailable(now)
+		} else {
+			r.StoreUnavailable(now)
+		}
+	})
 }
 
 func (p *hallPoller) hall() domain.HallName { return domain.HallName(p.entry.settings().Hall) }
--- a/node/record_follower.go
+++ b/node/record_follower.go
@@ -27,7 +27,7 @@
 	follower  *follow.Follower
 	onList    func(store.Listing)
 	onChanges func(store.Changes)
-	onFailure func() // called after each call that the store did not answer
+	onCall    func(answered bool) // called after each call
 
 	peers         func() (boxes, position int) // returns how many boxes follow the store and notify each other of changes, and the position of this box among them
 	delegated     func() bool                  // reports whether another box follows the store for this one
@@ -160,9 +160,7 @@
 	}
 	failing := err != nil && !isHistoryLost(err)
 	f.healthy.Store(!failing)
-	if failing {
-		f.onFailure()
-	}
+	f.onCall(!failing)
 	if failing != f.failing {
 		f.failing = failing
 		f.logAvailability(failing, err)
@@ -197,7 +195,7 @@
 			}
 		}
 	}
-	f.onFailure = func() {}
+	f.onCall = func(bool) {}
 	f.knownPosition = func() store.Position {
 		_, edition := e.view.document()
 		return edition.At
@@ -225,8 +223,14 @@
 		e.fleet.with(func(r *membership.Roster, _ *routing.Balancer) { at = r.At() })
 		return at
 	}
-	f.onFailure = func() {
-		e.fleet.with(func(r *membership.Roster, _ *routing.Balancer) { r.StoreUnavailable(clock.Now()) })
+	f.onCall = func(answered bool) {
+		e.fleet.with(func(r *membership.Roster, _ *routing.Balancer) {
+			if answered {
+				r.StoreAvailable(clock.Now())
+			} else {
+				r.StoreUnavailable(clock.Now())
+			}
+		})
 	}
 	return f
 }
@@ -252,7 +256,7 @@
 		}
 		e.view.applyEvacuationChanges(c.At, list, "store")
 	}
-	f.onFailure = func() {}
+	f.onCall = func(bool) {}
 	f.knownPosition = func() (at store.Position) {
 		e.fleet.with(func(r *membership.Roster, _ *routing.Balancer) { at = r.Evacuations().At() })
 		return at
@@ -278,7 +282,7 @@
 		}
 		e.quarantine.readRecords(list)
 	}
-	f.onFailure = func() {}
+	f.onCall = func(bool) {}
 	f.knownPosition = func() store.Position { return store.Position{} } // no box knows whether it has all records
 	f.delegated = func() bool { return !e.quarantine.holdsAny(clock.Now()) || e.hallPoller.hubFollowsStore() }
 	return f
