--- a/membership/roster.go
+++ b/membership/roster.go
@@ -158,7 +158,9 @@
 func (r *Roster) Newest() store.Position { return r.newest }
 
 // StoreUnavailable records that the store was found unavailable at the given time.
-func (r *Roster) StoreUnavailable(now time.Time) { r.storeUnavailable, r.storeUnavailableAt = true, now }
+func (r *Roster) StoreUnavailable(now time.Time) {
+	r.storeUnavailable, r.storeUnavailableAt = true, now
+}
 
 // StoreAvailable records that the store answered, or that another box that follows it for this one reports so.
 func (r *Roster) StoreAvailable(now time.Time) {
