gateway: a failure response that is buffered does not count as a begun answer

The handling of long failure responses had reported each failure as a begun answer, which counts in the time to a first byte, by which targets are chosen: targets that fail fast would have seemed fast.

The reason 'gone' of the wait queue says that no group is expected to take requests, as it covers ranks that rest and evacuated halls.

--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -66,15 +66,16 @@
 	if err != nil {
 		return a.responseBroken(ctx, err, false)
 	}
-	a.responseStarted()
 	b, failed := &bufferedResponse{resp: resp, body: body}, retry.Failed{Status: resp.StatusCode}
-	switch {
-	case whole:
+	if whole {
 		a.d.buffered = b
 		return failed, Bad
-	case a.d.headSent || a.d.replaceOverdue(clock.Now()):
+	}
+	a.firstByte.stop() // it asks for another attempt too
+	if a.d.headSent || a.d.replaceOverdue(clock.Now()) {
 		return failed, Bad
 	}
+	a.responseStarted()
 	if err := a.forwardRest(b); err != nil {
 		return a.responseBroken(ctx, err, true)
 	}
--- a/waitqueue/decision.go
+++ b/waitqueue/decision.go
@@ -44,7 +44,7 @@
 	Displaced Reason = "displaced"
 	// Stopped: the box makes a planned stop.
 	Stopped Reason = "stopped"
-	// Gone: no group of the service is expected to come back.
+	// Gone: no group of the service is expected to take requests.
 	Gone Reason = "gone"
 	// Full: the queue has no place for another request of the class.
 	Full Reason = "full"
@@ -56,7 +56,7 @@
 	Expired:    "too little time is left to begin an answer before the caller leaves",
 	Displaced:  "a more urgent request takes the place",
 	Stopped:    "this box stops",
-	Gone:       "the group of the service is gone",
+	Gone:       "no group of the service is expected to take requests",
 	Full:       "the queue is full",
 	Unexpected: "the group is not expected to open before the caller leaves",
 }
