gateway: logs name the shared prefixes of prompts and how far a lost response had got

The logs of the incident could not tell whether lost requests share a part of their prompts, how far their responses had got, or whether boxes leave observations out of messages. Lines of requests have the prefixes that other prompts may have too, attempt failed has the progress of the response, and two counters tell lost attempts by progress and observations without room in a message.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -14,6 +14,7 @@
 	"clovertrail.dev/core/clock"
 	"clovertrail.dev/core/fault"
 	"clovertrail.dev/retry"
+	"clovertrail.dev/telemetry"
 	"clovertrail.dev/transport"
 )
 
@@ -30,6 +31,7 @@
 	lastEventsAt time.Time      // arrival of the last events of the stream
 	gap          time.Duration  // between the last two arrivals of events
 	processEnded bool           // the target's process ended during the attempt
+	headReceived bool           // the head of a response to this request has arrived
 }
 
 var errTargetUnavailable = errors.New("the target asked for rest, named a limit, or is leaving, before the request was sent")
@@ -61,6 +63,7 @@
 	switch a.processEnded = a.targetProcessEnded(ctx, end); {
 	case a.processEnded:
 		verdict = ProcessEnded
+		a.d.g.deps.Common.Metrics.Count(telemetry.LostAttempts, a.progress(), 1)
 		a.d.g.deps.Quarantine.TargetEnded(clock.Now(), a.d.req.digest, a.lease.Target().ID())
 	case ctx.Err() != nil && a.exchange != nil && a.exchange.Sent():
 		a.scheduleProcessCheck()
@@ -69,6 +72,18 @@
 	return end
 }
 
+// progress returns how far the response of the attempt got, as a label of logs and counters.
+func (a *attempt) progress() string {
+	switch {
+	case a.began:
+		return "begun"
+	case a.headReceived:
+		return "head"
+	default:
+		return "none"
+	}
+}
+
 // processCheckDelay is the time between the cancellation of an attempt and the check whether its
 // target's process has ended. Most targets drop work when its connection closes. A target that
 // keeps running work that crashes it does so within a second, and is then unavailable for longer
@@ -198,6 +213,7 @@
 // handleResponse handles a response whose headers have arrived.
 func (a *attempt) handleResponse(ctx context.Context, resp *http.Response) (retry.Outcome, Verdict) {
 	now := clock.Now()
+	a.headReceived = true
 	a.response = a.d.g.deps.Headers.ParseResponse(now, resp)
 	if a.response.Outcome != call.WrongInstance && a.response.Outcome != call.Unrecognised {
 		a.lease.UpdateStatus(now, a.response) // responses with either of these outcomes did not come from the target
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"strings"
+
 	"clovertrail.dev/catalog"
 	"clovertrail.dev/core/call"
 	"clovertrail.dev/core/clock"
@@ -12,8 +14,9 @@
 // logRefused logs and counts a refused request.
 func (g *Gateway) logRefused(req *inboundRequest, err error) {
 	g.deps.Common.Metrics.CountRefusal(fault.KindOf(err))
-	g.deps.Common.Log.Warn("request refused", "request", req.ID(), "digest", req.digest, "route", req.route.Name(), "service", req.service,
-		"organisation", req.org.Name, "class", req.class, "config", req.version, "kind", fault.KindOf(err), "err", err, "after", clock.Since(req.arrived))
+	attrs := []any{"request", req.ID(), "digest", req.digest, "route", req.route.Name(), "service", req.service,
+		"organisation", req.org.Name, "class", req.class, "config", req.version, "kind", fault.KindOf(err), "err", err, "after", clock.Since(req.arrived)}
+	g.deps.Common.Log.Warn("request refused", withPrefixes(attrs, req)...)
 }
 
 // logAttempt logs an attempt that did not end its request with a response, and counts a retry.
@@ -27,8 +30,16 @@
 	}
 	attrs := []any{"request", req.ID(), "digest", req.digest, "target", a.lease.Target().ID(), "attempt", a.try.Attempt,
 		"resume", a.try.Resume, "end", describe(end), "target_ended", a.processEnded,
-		"rest", a.requestedRest(), "target_leaving", a.response.Leaving, "next", describe(cmd), "after", clock.Since(req.arrived)}
-	g.deps.Common.Log.Warn("attempt failed", withLimit(attrs, a.response.Limit)...)
+		"rest", a.requestedRest(), "target_leaving", a.response.Leaving, "progress", a.progress(), "next", describe(cmd), "after", clock.Since(req.arrived)}
+	g.deps.Common.Log.Warn("attempt failed", withPrefixes(withLimit(attrs, a.response.Limit), req)...)
+}
+
+// withPrefixes appends the prefixes that the prompt may share with other prompts, if any.
+func withPrefixes(attrs []any, req *inboundRequest) []any {
+	if list := req.Prompt().SharedPrefixes(); len(list) > 0 {
+		return append(attrs, "prefixes", strings.Join(list, ","))
+	}
+	return attrs
 }
 
 // logOverdue logs an attempt that goes on although its response has not begun by the timeout.
@@ -51,7 +62,7 @@
 	attrs := []any{"request", req.ID(), "digest", req.digest, "route", req.route.Name(), "organisation", req.org.Name, "class", req.class,
 		"target", d.tried[len(d.tried)-1], "status", d.status, "attempts", d.machine.Attempts(), "events", d.events, "pause", d.maxGap,
 		"first", d.firstByteAt.Sub(req.arrived), "after", clock.Since(req.arrived)}
-	g.deps.Common.Log.Info("request answered", withLimit(attrs, d.limit)...)
+	g.deps.Common.Log.Info("request answered", withPrefixes(withLimit(attrs, d.limit), req)...)
 }
 
 // withLimit appends the limit that the target named, if any.
--- a/node/quarantine_sync.go
+++ b/node/quarantine_sync.go
@@ -156,6 +156,9 @@
 	for _, w := range q.register.Latest(now, all) {
 		list = append(list, mesh.WorkObservation{Digest: w.Digest, Target: w.Target, Age: now.Sub(w.At)})
 	}
+	if n := q.register.LeftOut(now, all); n > 0 {
+		q.common.Metrics.Count(telemetry.Quarantines, "not reported", n)
+	}
 	return list
 }
 
--- a/quarantine/register.go
+++ b/quarantine/register.go
@@ -222,6 +222,17 @@
 // Latest returns the observations to send to other boxes: those of recently updated works and, if
 // all is set, those of all works in quarantine, for boxes that were isolated meanwhile.
 func (r *Register) Latest(now time.Time, all bool) []Observation {
+	list := r.due(now, all)
+	return list[:min(maxReported, len(list))]
+}
+
+// LeftOut returns how many observations Latest leaves out, since a message has no room for them.
+func (r *Register) LeftOut(now time.Time, all bool) int {
+	return max(len(r.due(now, all))-maxReported, 0)
+}
+
+// due returns the observations to send to other boxes, the latest first.
+func (r *Register) due(now time.Time, all bool) []Observation {
 	var list []Observation
 	for d, w := range r.works {
 		fresh := now.Sub(w.updated) < reportFor
@@ -236,7 +247,7 @@
 	slices.SortFunc(list, func(x, y Observation) int {
 		return cmp.Or(y.At.Compare(x.At), cmp.Compare(x.Digest, y.Digest), cmp.Compare(x.Target, y.Target))
 	})
-	return list[:min(maxReported, len(list))]
+	return list
 }
 
 // InQuarantine returns the works in quarantine, sorted.
