--- a/local/boxes.go
+++ b/local/boxes.go
@@ -226,15 +226,55 @@
 
 // crash ends the target's process, as a fatal request does, and starts it again after restartDelay.
 func (t *TargetBox) crash() {
+	t.system.recordCrash()
 	t.Kill()
-	t.system.processes.Go(func() {
+	t.system.afterRestart(t.Restart)
+}
+
+// rankBox is the box of the engine of a rank.
+type rankBox struct {
+	system *System
+	rank   int
+	hall   domain.HallName
+	engine string // address
+	host   *Host
+}
+
+// start serves requests at the rank, and writes its entry to the store.
+func (b *rankBox) start() error {
+	s := b.system
+	b.host = s.Network.NewHost(b.hall)
+	s.group.Target(b.rank).SetBorn(time.Now())
+	s.group.Target(b.rank).OnCrash(b.crash)
+	if err := s.serve(b.host, b.engine, s.group.Handler(b.rank)); err != nil {
+		return err
+	}
+	_, err := s.Store.Put("servers", s.group.ID(b.rank), s.group.Object(b.rank, b.engine, string(b.hall)))
+	return err
+}
+
+// crash ends the rank's process, which stops its group, and starts it again after restartDelay.
+func (b *rankBox) crash() {
+	b.system.recordCrash()
+	b.host.Kill()
+	b.system.group.Lose(b.rank)
+	b.system.afterRestart(func() error {
+		err := b.start()
+		b.system.group.Return()
+		return err
+	})
+}
+
+// afterRestart calls start after restartDelay, unless the system ends.
+func (s *System) afterRestart(start func() error) {
+	s.processes.Go(func() {
 		wait := time.NewTimer(restartDelay)
 		defer wait.Stop()
 		select {
-		case <-t.system.closing:
+		case <-s.closing:
 		case <-wait.C:
-			if err := t.Restart(); err != nil {
-				t.system.recordFailure(err)
+			if err := start(); err != nil {
+				s.recordFailure(err)
 			}
 		}
 	})
--- a/local/scenario_test.go
+++ b/local/scenario_test.go
@@ -63,9 +63,11 @@
 	linkMbps  float64                       // configured link rate of the ranks' boxes, in Mbit/s; 0 for 1000
 	log       io.Writer                     // receives the log lines of all processes
 	fatalBody string                        // the body of requests that crash targets; empty if no request does
-	coldRate  float64                       // requests a second that a cold target takes; 0 if as many as others
-	evacuates bool                          // whether the platform has evacuations of data halls
-	overload  *process.Overload             // settings of the entry boxes; nil for the defaults
+	// fatalPrefix is the part of prompts that crashes targets; empty if none does
+	fatalPrefix string
+	coldRate    float64           // requests a second that a cold target takes; 0 if as many as others
+	evacuates   bool              // whether the platform has evacuations of data halls
+	overload    *process.Overload // settings of the entry boxes; nil for the defaults
 
 	retrySlack float64 // of the bounds; 0 for that of a current platform
 }
@@ -280,7 +282,7 @@
 		if sc.eventGap > 0 {
 			h.EventGap = sc.eventGap
 		}
-		h.CrashBody, h.CrashDelay = sc.fatalBody, crashAfter
+		h.CrashBody, h.CrashDelay, h.CrashPrefix = sc.fatalBody, crashAfter, sc.fatalPrefix
 	})
 }
 
--- a/local/system.go
+++ b/local/system.go
@@ -72,6 +72,7 @@
 	entries      []*EntryBox
 	targets      []*TargetBox
 	agents       []*AgentBox
+	ranks        []*rankBox
 	group        *standin.Group
 	cancel       context.CancelFunc
 	closing      <-chan struct{} // closed when the system ends
@@ -79,6 +80,7 @@
 
 	mu       sync.Mutex
 	runs     []standin.Run
+	crashes  []time.Time
 	version  int
 	failures []error
 }
@@ -161,7 +163,8 @@
 	for r := range s.layout.Group.Ranks {
 		ip, hall := s.Network.allocateIP(), s.hallOf(r)
 		engine := fmt.Sprintf("%s:%d", ip, enginePort)
-		if err := s.serve(s.Network.NewHost(hall), engine, s.group.Handler(r)); err != nil {
+		s.ranks = append(s.ranks, &rankBox{system: s, rank: r, hall: hall, engine: engine})
+		if err := s.ranks[r].start(); err != nil {
 			return err
 		}
 		a := &AgentBox{system: s, settings: process.DefaultAgentSettings()}
@@ -175,9 +178,6 @@
 		if err := a.Start(); err != nil {
 			return err
 		}
-		if _, err := s.Store.Put("servers", s.group.ID(r), s.group.Object(r, engine, string(hall))); err != nil {
-			return err
-		}
 	}
 	s.processes.Go(func() { s.group.Run(ctx) })
 	return nil
@@ -227,6 +227,19 @@
 	return append([]standin.Run(nil), s.runs...)
 }
 
+// Crashes returns when requests crashed the targets that ran them.
+func (s *System) Crashes() []time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]time.Time(nil), s.crashes...)
+}
+
+func (s *System) recordCrash() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.crashes = append(s.crashes, time.Now())
+}
+
 // SendRequest sends a caller's request to the box and returns the reply.
 func (s *System) SendRequest(ctx context.Context, e *EntryBox, q standin.Request) standin.Reply {
 	return standin.Send(ctx, s.client, "http://"+e.settings.Callers, q)
