--- a/local/boxes.go
+++ b/local/boxes.go
@@ -178,7 +178,7 @@
 	t.address = fmt.Sprintf("%s:%d", t.system.Network.allocateIP(), enginePort)
 	t.target = standin.NewTarget(t.id, PlainService, t.system.recordRun)
 	t.target.SetBorn(time.Now())
-	t.target.OnCrash(t.crash)
+	t.target.OnCrash(sync.OnceFunc(t.crash)) // a process ends once, whatever else it runs
 	if err := t.system.serve(t.host, t.address, t.target); err != nil {
 		return err
 	}
@@ -245,7 +245,7 @@
 	s := b.system
 	b.host = s.Network.NewHost(b.hall)
 	s.group.Target(b.rank).SetBorn(time.Now())
-	s.group.Target(b.rank).OnCrash(b.crash)
+	s.group.Target(b.rank).OnCrash(sync.OnceFunc(b.crash))
 	if err := s.serve(b.host, b.engine, s.group.Handler(b.rank)); err != nil {
 		return err
 	}
