--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -36,11 +36,14 @@
 
 var errTargetUnavailable = errors.New("the target asked for rest, named a limit, or is leaving, before the request was sent")
 
+var errEndedAtBeginning = errors.New("the target ended as it began to respond, and is not known to have responded to such a prompt")
+
 var errFirstByteTimeout = errors.New("the response did not begin in time")
 
-// run makes the attempt and forwards the response to the caller.
-func (a *attempt) run(caller context.Context) retry.Outcome {
-	ctx, cancel := context.WithCancelCause(caller)
+// run makes the attempt and forwards the response to the caller. It ends with withdrawable, which is derived from
+// the context of the caller.
+func (a *attempt) run(withdrawable, caller context.Context) retry.Outcome {
+	ctx, cancel := context.WithCancelCause(withdrawable)
 	defer cancel(nil)
 	if !a.try.FirstByteDeadline.IsZero() {
 		a.firstByte.start(a.try.FirstByteDeadline, func() { a.responseMissing(ctx, cancel) })
@@ -54,6 +57,9 @@
 	if errors.Is(context.Cause(ctx), errFirstByteTimeout) {
 		end, verdict = endAfterFirstByteTimeout(end, verdict)
 	}
+	if errors.Is(context.Cause(ctx), errWithdrawn) {
+		end, verdict = a.withdrawn(end), Neutral
+	}
 	if callerGone(caller) && verdict != Good {
 		verdict = Neutral
 	}
@@ -64,7 +70,7 @@
 	case a.processEnded:
 		verdict = ProcessEnded
 		a.d.g.deps.Common.Metrics.Count(telemetry.LostAttempts, a.progress(), 1)
-		a.d.g.deps.Quarantine.TargetEnded(clock.Now(), a.d.req.digest, a.lease.Target().ID())
+		end = a.targetLost(end)
 	case ctx.Err() != nil && a.exchange != nil && a.exchange.Sent():
 		a.scheduleProcessCheck()
 	}
@@ -72,6 +78,53 @@
 	return end
 }
 
+// withdrawn returns the outcome of an attempt that was cancelled because its work was put in quarantine.
+func (a *attempt) withdrawn(end retry.Outcome) retry.Outcome {
+	switch {
+	case a.exchange == nil || !a.exchange.Sent():
+		return retry.NotSent{Err: errWithdrawn}
+	case a.began:
+		return end
+	default:
+		return retry.Suspected{Err: errWithdrawn}
+	}
+}
+
+// targetLost reports that the target ended under the request, and returns the outcome of the attempt.
+func (a *attempt) targetLost(end retry.Outcome) retry.Outcome {
+	q := a.d.g.deps.Quarantine
+	known := q.KnowsParts(a.d.req.work)
+	if !a.d.lostTarget {
+		a.d.lostTarget, a.d.knownParts = true, known
+		q.TargetEnded(clock.Now(), a.suspectedWork(), a.lease.Target().ID())
+	} else {
+		q.TargetEnded(clock.Now(), a.suspectedAgain(), a.lease.Target().ID())
+	}
+	if broken, ok := end.(retry.Broken); ok && !broken.Forwarded && a.lastEventsAt.IsZero() && !known {
+		return retry.Suspected{Err: errEndedAtBeginning}
+	}
+	return end
+}
+
+// suspectedWork returns the work that may have ended the target. A part of a prompt crashes the targets that begin
+// to write a response, so that one that has written an event was ended by something else.
+func (a *attempt) suspectedWork() call.Work {
+	if a.lastEventsAt.IsZero() {
+		return a.d.req.work
+	}
+	return a.d.req.work.WithoutParts()
+}
+
+// suspectedAgain returns the work that may have ended the target, if another one ended under the request before. Parts
+// that no target is known to have served come into quarantine after two ends, which one request must not bring about: it
+// may have met two targets that something else ended.
+func (a *attempt) suspectedAgain() call.Work {
+	if a.d.knownParts {
+		return a.suspectedWork()
+	}
+	return a.d.req.work.WithoutParts()
+}
+
 // progress returns how far the response of the attempt got, as a label of logs and counters.
 func (a *attempt) progress() string {
 	switch {
@@ -95,7 +148,7 @@
 // crash would not be recorded, and a caller that sends the work again and leaves each time would
 // crash one target after the other.
 func (a *attempt) scheduleProcessCheck() {
-	deps, work, t, witness := a.d.g.deps, a.d.req.digest, a.lease.Target(), a.lease.Witness()
+	deps, work, t, witness := a.d.g.deps, a.suspectedWork(), a.lease.Target(), a.lease.Witness()
 	clock.AfterFunc(clock.Now().Add(processCheckDelay), func() {
 		if deps.Pool.ProcessEnded(context.Background(), t.Address(), witness) {
 			deps.Quarantine.TargetEnded(clock.Now(), work, t.ID())
@@ -247,6 +300,7 @@
 // responseStarted stops the timers for the first byte of the response.
 func (a *attempt) responseStarted() {
 	a.began = true
+	a.d.setUnbegun(nil)
 	a.firstByte.stop()
 	if a.overdueTimer != nil {
 		a.overdueTimer.Stop()
--- /dev/null
+++ b/gateway/deliveries.go
@@ -0,0 +1,35 @@
+package gateway
+
+import "sync"
+
+// deliveries are the requests that are being delivered.
+//
+// Lock order: mu is the only lock.
+type deliveries struct {
+	mu  sync.Mutex
+	set map[*delivery]struct{}
+}
+
+func newDeliveries() *deliveries { return &deliveries{set: map[*delivery]struct{}{}} }
+
+func (s *deliveries) add(d *delivery) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.set[d] = struct{}{}
+}
+
+func (s *deliveries) remove(d *delivery) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.set, d)
+}
+
+func (s *deliveries) all() []*delivery {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := make([]*delivery, 0, len(s.set))
+	for d := range s.set {
+		list = append(list, d)
+	}
+	return list
+}
--- a/gateway/delivery.go
+++ b/gateway/delivery.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync"
 	"time"
 
 	"clovertrail.dev/core/call"
@@ -41,6 +42,30 @@
 	buffered     *bufferedResponse // failure response, sent if there is no other attempt
 	limit        call.Limit        // limit named by the target of the last attempt
 	hold         *holding
+	lostTarget   bool // a target ended under an attempt
+	knownParts   bool // the parts of the prompt were known then
+
+	mu      sync.Mutex
+	unbegun context.CancelCauseFunc // ends an attempt, or the wait for one, whose response has not begun; nil if there is none
+}
+
+// errWithdrawn is the cause with which an attempt ends whose work was put in quarantine.
+var errWithdrawn = errors.New("the work of the request was put in quarantine")
+
+// withdraw ends the current attempt if its response has not begun, and the wait for a target.
+func (d *delivery) withdraw() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.unbegun != nil {
+		d.unbegun(errWithdrawn)
+	}
+}
+
+// setUnbegun sets the function that ends what withdraw ends; nil for nothing.
+func (d *delivery) setUnbegun(cancel context.CancelCauseFunc) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.unbegun = cancel
 }
 
 // serve executes the commands of the request's retry state machine until the request has ended.
@@ -60,6 +85,8 @@
 		Deadline: req.deadline, FirstByteTimeout: firstByteTimeoutFactor * req.route.LatencyObjective(),
 	}
 	d.machine = retry.NewMachine(rules, g.deps.Budget(req.service))
+	g.deliveries.add(d)
+	defer g.deliveries.remove(d)
 	for cmd := d.machine.Start(req.arrived); ; {
 		if callerGone(ctx) {
 			g.logCallerGone(req, d)
@@ -89,23 +116,30 @@
 func callerGone(ctx context.Context) bool { return errors.Is(context.Cause(ctx), context.Canceled) }
 
 // try makes one attempt and returns the next command.
-func (d *delivery) try(ctx context.Context, t retry.Try) retry.Command {
+func (d *delivery) try(caller context.Context, t retry.Try) retry.Command {
 	now := clock.Now()
 	// Checked before each attempt: work that ended the target of one attempt must not reach another.
 	trial := false
 	if until, barred := d.quarantinedUntil(now); barred {
-		if trial = len(d.tried) == 0 && d.g.deps.Quarantine.BeginTrial(now, d.req.digest); !trial {
+		if trial = len(d.tried) == 0 && d.g.deps.Quarantine.BeginTrial(now, d.req.work); !trial {
 			return d.refuseQuarantined(now, until)
 		}
-		defer func() { d.g.deps.Quarantine.EndTrial(clock.Now(), d.req.digest) }()
+		defer func() { d.g.deps.Quarantine.EndTrial(clock.Now(), d.req.work, !d.machine.NotRun()) }()
 	}
-	lease, err := d.g.deps.Fleet.Acquire(ctx, now, Query{
-		Request: d.req.ID(), Service: d.req.service, Tried: d.tried, First: len(d.tried) == 0,
-		Route: d.req.route.Name(), Class: d.req.class, Organisation: d.req.org.Name,
-		LatencyObjective: d.req.route.LatencyObjective(), EventGapObjective: d.req.route.EventGapObjective(),
-		ArrivedAt: d.req.arrived, Deadline: d.req.deadline, LeavesAt: d.leavesAt(), Started: !d.machine.NotRun(),
-	})
+	ctx, cancel := context.WithCancelCause(caller)
+	defer cancel(nil)
+	if !trial {
+		d.setUnbegun(cancel)
+		defer d.setUnbegun(nil)
+	}
+	lease, err := d.g.deps.Fleet.Acquire(ctx, now, d.query())
 	now = clock.Now() // the request may have waited for a target
+	if until, barred := d.quarantinedUntil(now); barred && !trial {
+		if err == nil {
+			lease.Release(Neutral)
+		}
+		return d.refuseQuarantined(now, until)
+	}
 	if err != nil {
 		f := fault.Find(err)
 		if f == nil {
@@ -113,22 +147,28 @@
 		}
 		return d.machine.NoTarget(now, f)
 	}
-	if until, barred := d.quarantinedUntil(now); barred && !trial {
-		lease.Release(Neutral)
-		return d.refuseQuarantined(now, until)
-	}
 	d.tried = append(d.tried, lease.Target().ID())
 	a := &attempt{d: d, lease: lease, try: d.machine.Delayed(now, t)}
-	end := a.run(ctx)
+	end := a.run(ctx, caller)
 	d.limit = a.response.Limit
 	if _, served := end.(retry.Answered); served {
-		d.g.deps.Quarantine.WorkServed(clock.Now(), d.req.digest)
+		d.g.deps.Quarantine.WorkServed(clock.Now(), d.req.work)
 	}
 	cmd := d.machine.Ended(clock.Now(), end)
 	d.g.logAttempt(d.req, a, end, cmd)
 	return cmd
 }
 
+// query describes the request for the choice of a target.
+func (d *delivery) query() Query {
+	return Query{
+		Request: d.req.ID(), Service: d.req.service, Tried: d.tried, First: len(d.tried) == 0,
+		Route: d.req.route.Name(), Class: d.req.class, Organisation: d.req.org.Name,
+		LatencyObjective: d.req.route.LatencyObjective(), EventGapObjective: d.req.route.EventGapObjective(),
+		ArrivedAt: d.req.arrived, Deadline: d.req.deadline, LeavesAt: d.leavesAt(), Started: !d.machine.NotRun(),
+	}
+}
+
 // replaceOverdue reports whether the current attempt, whose response is overdue, is to be cancelled so
 // that another target is tried, and charges the retry budget for that. Work in quarantine is not sent to
 // another target.
@@ -138,7 +178,7 @@
 
 // quarantinedUntil reports whether the work of the request is in quarantine, and until when.
 func (d *delivery) quarantinedUntil(now time.Time) (until time.Time, barred bool) {
-	return d.g.deps.Quarantine.QuarantinedUntil(now, d.req.digest)
+	return d.g.deps.Quarantine.QuarantinedUntil(now, d.req.work)
 }
 
 // barred reports whether the request must not be sent to another target.
--- a/gateway/describe.go
+++ b/gateway/describe.go
@@ -24,6 +24,8 @@
 		return "silent"
 	case retry.Broken:
 		return "broken: " + x.Err.Error()
+	case retry.Suspected:
+		return "suspected: " + x.Err.Error()
 	case retry.Moved:
 		return "moved"
 	case retry.Expired:
--- a/gateway/fake_test.go
+++ b/gateway/fake_test.go
@@ -32,6 +32,9 @@
 	if left, err := time.ParseDuration(r.Header.Get("Left")); err == nil {
 		f.Deadline = now.Add(left)
 	}
+	if prefix := r.Header.Get("Prefix"); prefix != "" {
+		f.Prompt = &call.Prompt{Prefixes: []call.PromptPrefix{{ID: prefix}, {ID: "own"}}}
+	}
 	return call.NewRequest(f)
 }
 
@@ -195,11 +198,16 @@
 	statusReports []string      // statuses that targets reported about themselves
 	unavailable   []string      // targets that must not be sent a request after they were chosen
 	availableAt   time.Time     // returned by AvailableAt
+	holds         bool          // whether Acquire waits until its context ends
 	began         chan struct{} // receives a value when a response has begun, if its buffer has room
 	asked         chan struct{} // receives a value when HasTarget is called, if its buffer has room
 }
 
-func (f *fleet) Acquire(_ context.Context, _ time.Time, q gateway.Query) (gateway.Lease, error) {
+func (f *fleet) Acquire(ctx context.Context, _ time.Time, q gateway.Query) (gateway.Lease, error) {
+	if f.holds {
+		signal(f.asked)
+		<-ctx.Done()
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, x := range f.targets {
@@ -299,27 +307,50 @@
 	served   int
 	trials   int // number of trials that may still begin
 	trying   int // number of trials that have not ended
+	// partsEnded are the targets that were reported with the parts of prompts, partsServed counts calls, and
+	// unknownParts is the result of KnowsParts, negated.
+	partsEnded   []string
+	partsServed  int
+	unknownParts bool
 }
 
-func (q *quarantine) QuarantinedUntil(now time.Time, _ call.Digest) (time.Time, bool) {
+func (q *quarantine) QuarantinedUntil(now time.Time, _ call.Work) (time.Time, bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	return now.Add(2 * time.Minute), q.barAfter > 0 && len(q.ended) >= q.barAfter
 }
 
-func (q *quarantine) TargetEnded(_ time.Time, _ call.Digest, id domain.InstanceID) {
+func (q *quarantine) TargetEnded(_ time.Time, w call.Work, id domain.InstanceID) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.ended = append(q.ended, string(id))
+	if len(w.Parts()) > 0 {
+		q.partsEnded = append(q.partsEnded, string(id))
+	}
+}
+
+// bar bars all work from now on.
+func (q *quarantine) bar() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.barAfter, q.ended = 1, []string{"x"}
 }
 
-func (q *quarantine) WorkServed(time.Time, call.Digest) {
+func (q *quarantine) WorkServed(time.Time, call.Work) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.served++
 }
 
-func (q *quarantine) BeginTrial(time.Time, call.Digest) bool {
+func (q *quarantine) PartsServed(time.Time, call.Work) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.partsServed++
+}
+
+func (q *quarantine) KnowsParts(call.Work) bool { return !q.unknownParts }
+
+func (q *quarantine) BeginTrial(time.Time, call.Work) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if q.trials == 0 {
@@ -330,7 +361,7 @@
 	return true
 }
 
-func (q *quarantine) EndTrial(time.Time, call.Digest) {
+func (q *quarantine) EndTrial(time.Time, call.Work, bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.trying--
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -122,18 +122,24 @@
 	ReportFault(id domain.ListedID)
 }
 
-// Quarantine holds the work that must not be sent to targets, because targets ended under it.
+// Quarantine holds the work that must not be sent to targets, because targets ended under it, or under the parts
+// of its prompt.
 type Quarantine interface {
 	// QuarantinedUntil reports whether the work must not be sent now, and until when.
-	QuarantinedUntil(now time.Time, work call.Digest) (until time.Time, barred bool)
+	QuarantinedUntil(now time.Time, work call.Work) (until time.Time, barred bool)
 	// TargetEnded records that the target's process ended while it had the work.
-	TargetEnded(now time.Time, work call.Digest, id domain.InstanceID)
-	// WorkServed records that the work was served.
-	WorkServed(now time.Time, work call.Digest)
+	TargetEnded(now time.Time, work call.Work, id domain.InstanceID)
+	// WorkServed records that the work was served, and PartsServed that a target went on with a response to a
+	// prompt of these parts after its beginning.
+	WorkServed(now time.Time, work call.Work)
+	PartsServed(now time.Time, work call.Work)
+	// KnowsParts reports whether targets are known to have served each part of the prompt, and none to have ended
+	// under it since.
+	KnowsParts(work call.Work) bool
 	// BeginTrial reports whether one request of the work, which must not be sent otherwise, may be sent to
-	// one target. EndTrial is called as that attempt has ended.
-	BeginTrial(now time.Time, work call.Digest) bool
-	EndTrial(now time.Time, work call.Digest)
+	// one target. EndTrial is called as that attempt has ended; ran is false if the request cannot have run.
+	BeginTrial(now time.Time, work call.Work) bool
+	EndTrial(now time.Time, work call.Work, ran bool)
 }
 
 // Dependencies are the components that a Gateway uses.
@@ -155,6 +161,7 @@
 	deps          Dependencies
 	catalog       atomic.Pointer[catalog.Catalog]
 	inFlight      atomic.Int64
+	deliveries    *deliveries
 	stopAt        atomic.Pointer[time.Time] // latest end of the planned stop; nil before BeginStop
 	responseTimes *responseTimes
 	memory        *memory
@@ -164,7 +171,7 @@
 // New returns a gateway without a configuration.
 func New(d Dependencies) *Gateway {
 	return &Gateway{
-		deps: d, random: rand.Float64, responseTimes: newResponseTimes(),
+		deps: d, random: rand.Float64, responseTimes: newResponseTimes(), deliveries: newDeliveries(),
 		memory: newMemory(cmp.Or(d.MaxHeldBytes, defaultMaxHeldBytes)),
 	}
 }
@@ -178,6 +185,17 @@
 // InFlight returns the number of requests being served.
 func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
 
+// QuarantineChanged withdraws the requests whose work must not be sent any more from where they wait, and from
+// targets that have not begun to respond.
+func (g *Gateway) QuarantineChanged() {
+	now := clock.Now()
+	for _, d := range g.deliveries.all() {
+		if d.barred(now) {
+			d.withdraw()
+		}
+	}
+}
+
 // BeginStop starts the planned stop of this box, which ends at the latest at the given time. From
 // now on each response tells its caller that the connection closes, and requests that are unlikely
 // to be answered before the end are refused.
--- a/gateway/intake.go
+++ b/gateway/intake.go
@@ -28,7 +28,7 @@
 	org      catalog.Organisation
 	class    urgency.Class
 	body     []byte
-	digest   call.Digest // empty until the body has been read
+	work     call.Work // zero until the body has been read
 }
 
 // unconfiguredRetryDelay is the time after which a caller can retry at a box that has no
@@ -56,7 +56,8 @@
 		return req, err
 	}
 	conn.readUntil(time.Time{})
-	req.digest = call.DigestOf(req.org.Name, r.Method, r.URL.RequestURI(), req.body)
+	digest := call.DigestOf(req.org.Name, r.Method, r.URL.RequestURI(), req.body)
+	req.work = call.NewWork(digest, req.service, req.Prompt())
 	return req, nil
 }
 
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -14,7 +14,7 @@
 // logRefused logs and counts a refused request.
 func (g *Gateway) logRefused(req *inboundRequest, err error) {
 	g.deps.Common.Metrics.CountRefusal(fault.KindOf(err))
-	attrs := []any{"request", req.ID(), "digest", req.digest, "route", req.route.Name(), "service", req.service,
+	attrs := []any{"request", req.ID(), "digest", req.work.Request(), "route", req.route.Name(), "service", req.service,
 		"organisation", req.org.Name, "class", req.class, "config", req.version, "kind", fault.KindOf(err), "err", err, "after", clock.Since(req.arrived)}
 	g.deps.Common.Log.Warn("request refused", withPrefixes(attrs, req)...)
 }
@@ -28,7 +28,7 @@
 		reasons := a.d.machine.Reasons()
 		g.deps.Common.Metrics.CountRetry(reasons[len(reasons)-1])
 	}
-	attrs := []any{"request", req.ID(), "digest", req.digest, "target", a.lease.Target().ID(), "attempt", a.try.Attempt,
+	attrs := []any{"request", req.ID(), "digest", req.work.Request(), "target", a.lease.Target().ID(), "attempt", a.try.Attempt,
 		"resume", a.try.Resume, "end", describe(end), "target_ended", a.processEnded,
 		"rest", a.requestedRest(), "target_leaving", a.response.Leaving, "progress", a.progress(), "next", describe(cmd), "after", clock.Since(req.arrived)}
 	g.deps.Common.Log.Warn("attempt failed", withPrefixes(withLimit(attrs, a.response.Limit), req)...)
@@ -44,7 +44,7 @@
 
 // logOverdue logs an attempt that goes on although its response has not begun by the timeout.
 func (g *Gateway) logOverdue(req *inboundRequest, a *attempt) {
-	g.deps.Common.Log.Info("response overdue, waiting for it since no other target can be tried", "request", req.ID(), "digest", req.digest,
+	g.deps.Common.Log.Info("response overdue, waiting for it since no other target can be tried", "request", req.ID(), "digest", req.work.Request(),
 		"route", req.route.Name(), "service", req.service, "class", req.class, "target", a.lease.Target().ID(), "attempt", a.try.Attempt,
 		"after", clock.Since(req.arrived))
 }
@@ -59,7 +59,7 @@
 	if kind == catalog.Stream {
 		m.Observe(telemetry.StreamPause, "", d.maxGap)
 	}
-	attrs := []any{"request", req.ID(), "digest", req.digest, "route", req.route.Name(), "organisation", req.org.Name, "class", req.class,
+	attrs := []any{"request", req.ID(), "digest", req.work.Request(), "route", req.route.Name(), "organisation", req.org.Name, "class", req.class,
 		"target", d.tried[len(d.tried)-1], "status", d.status, "attempts", d.machine.Attempts(), "events", d.events, "pause", d.maxGap,
 		"first", d.firstByteAt.Sub(req.arrived), "after", clock.Since(req.arrived)}
 	g.deps.Common.Log.Info("request answered", withPrefixes(withLimit(attrs, d.limit), req)...)
@@ -76,7 +76,7 @@
 // logAborted logs and counts a response that was aborted after a part of it had been sent.
 func (g *Gateway) logAborted(req *inboundRequest, d *delivery, err *fault.Error) {
 	g.deps.Common.Metrics.Count(telemetry.Answers, "broken", 1)
-	g.deps.Common.Log.Warn("answer broken off", "request", req.ID(), "digest", req.digest, "route", req.route.Name(), "service", req.service,
+	g.deps.Common.Log.Warn("answer broken off", "request", req.ID(), "digest", req.work.Request(), "route", req.route.Name(), "service", req.service,
 		"attempts", d.machine.Attempts(), "events", d.events, "kind", err.Kind(), "err", err, "after", clock.Since(req.arrived))
 }
 
@@ -85,11 +85,11 @@
 func (g *Gateway) logCallerGone(req *inboundRequest, d *delivery) {
 	if end := g.stopAt.Load(); end != nil && !clock.Now().Before(*end) {
 		g.deps.Common.Metrics.Count(telemetry.Answers, "cut by the stop", 1)
-		g.deps.Common.Log.Error("planned stop timed out before the response was complete", "request", req.ID(), "digest", req.digest, "route", req.route.Name(),
+		g.deps.Common.Log.Error("planned stop timed out before the response was complete", "request", req.ID(), "digest", req.work.Request(), "route", req.route.Name(),
 			"attempts", d.machine.Attempts(), "events", d.events, "after", clock.Since(req.arrived))
 		return
 	}
 	g.deps.Common.Metrics.CountRefusal(fault.Cancelled)
-	g.deps.Common.Log.Info("caller left", "request", req.ID(), "digest", req.digest, "route", req.route.Name(),
+	g.deps.Common.Log.Info("caller left", "request", req.ID(), "digest", req.work.Request(), "route", req.route.Name(),
 		"attempts", d.machine.Attempts(), "events", d.events, "after", clock.Since(req.arrived))
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -83,6 +83,9 @@
 // recordGap reports the time since the last events of this attempt to the lease.
 func (a *attempt) recordGap(now time.Time) {
 	if !a.lastEventsAt.IsZero() {
+		if a.gap == 0 {
+			a.d.g.deps.Quarantine.PartsServed(now, a.d.req.work)
+		}
 		a.gap = now.Sub(a.lastEventsAt)
 		a.lease.ReportEventGap(a.gap, a.d.req.route.EventGapObjective())
 	}
--- a/local/boxes.go
+++ b/local/boxes.go
@@ -243,8 +243,10 @@
 // start serves requests at the rank, and writes its entry to the store.
 func (b *rankBox) start() error {
 	s := b.system
+	if b.host != nil {
+		s.group.Target(b.rank).SetBorn(time.Now()) // distinguishes the process from the one before
+	}
 	b.host = s.Network.NewHost(b.hall)
-	s.group.Target(b.rank).SetBorn(time.Now())
 	s.group.Target(b.rank).OnCrash(sync.OnceFunc(b.crash))
 	if err := s.serve(b.host, b.engine, s.group.Handler(b.rank)); err != nil {
 		return err
--- a/node/entry.go
+++ b/node/entry.go
@@ -69,6 +69,7 @@
 		Common: c, Headers: platform.HeaderCodec{}, Fleet: e.fleet, Pool: e.pool, Budget: e.budgets.forService,
 		Quarantine: e.quarantine, MaxHeldBytes: s.MaxHeldBytes(),
 	})
+	e.quarantine.changed = e.gateway.QuarantineChanged
 	e.peering = newPeering(e)
 	e.fleet.onFailure, e.fleet.onEjected, e.fleet.witness = e.peering.notify, e.onTargetEjected, e.witness
 	e.fleet.onLeaving = e.onTargetLeaving
--- a/node/quarantine_sync.go
+++ b/node/quarantine_sync.go
@@ -29,6 +29,7 @@
 type quarantineSync struct {
 	common   telemetry.Common
 	notify   func() // sends updates to other boxes at once
+	changed  func() // called after a work was put in quarantine
 	fleet    func(now time.Time) quarantine.Fleet
 	isolated func() bool      // reports whether this box receives nothing from other halls, except through the store
 	era      func() store.Era // the latest era of the store that this box has observed
@@ -36,8 +37,8 @@
 	mu         sync.Mutex
 	register   *quarantine.Register
 	reconciler *quarantine.Reconciler
-	pending    []quarantine.Record // records that this box is to write to the store, oldest first
-	wake       chan struct{}       // makes run write pending records at once
+	outbox     *quarantine.Outbox
+	wake       chan struct{} // makes run look at the outbox at once
 }
 
 const (
@@ -45,8 +46,6 @@
 	// read them yet or is isolated, and between a failed call and the next: a third of the time
 	// within which boxes have to receive each other's observations.
 	storeReadInterval = time.Second
-	// maxPendingRecords bounds the records that wait for the store.
-	maxPendingRecords = 64
 )
 
 // Sources of observations other than other boxes.
@@ -56,48 +55,68 @@
 )
 
 func newQuarantineSync(c telemetry.Common, notify func(), fleet func(time.Time) quarantine.Fleet, isolated func() bool, era func() store.Era) *quarantineSync {
+	r := quarantine.NewRegister()
 	return &quarantineSync{
-		common: c, notify: notify, fleet: fleet, isolated: isolated, era: era, register: quarantine.NewRegister(),
+		common: c, notify: notify, changed: func() {}, fleet: fleet, isolated: isolated, era: era, register: r, outbox: quarantine.NewOutbox(r, clock.TimeOfDay),
 		reconciler: quarantine.NewReconciler(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))), wake: make(chan struct{}, 1),
 	}
 }
 
 // QuarantinedUntil implements gateway.Quarantine.
-func (q *quarantineSync) QuarantinedUntil(now time.Time, d call.Digest) (time.Time, bool) {
+func (q *quarantineSync) QuarantinedUntil(now time.Time, w call.Work) (time.Time, bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.register.QuarantinedUntil(now, d)
+	return q.register.BarredUntil(now, w)
+}
+
+// KnowsParts implements gateway.Quarantine.
+func (q *quarantineSync) KnowsParts(w call.Work) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.register.KnowsParts(w)
 }
 
 // TargetEnded implements gateway.Quarantine.
-func (q *quarantineSync) TargetEnded(now time.Time, d call.Digest, id domain.InstanceID) {
-	q.observe(now, quarantine.Observation{Digest: d, Target: id, At: now}, sourceOwn)
+func (q *quarantineSync) TargetEnded(now time.Time, w call.Work, id domain.InstanceID) {
+	q.observe(now, sourceOwn, quarantine.EndsUnder(now, w, id))
 }
 
 // WorkServed implements gateway.Quarantine.
-func (q *quarantineSync) WorkServed(now time.Time, d call.Digest) {
-	q.observe(now, quarantine.Observation{Digest: d, At: now}, sourceOwn)
+func (q *quarantineSync) WorkServed(now time.Time, w call.Work) {
+	q.observe(now, sourceOwn, quarantine.ServedBy(now, w))
 }
 
-// observe adds an observation from the source to the register, logs the change, and notifies other
-// boxes if they need it at once.
-func (q *quarantineSync) observe(now time.Time, w quarantine.Observation, source string) {
-	q.mu.Lock()
-	change := q.register.Observe(now, w)
-	q.recordChange(now, w, change, source)
-	quarantined := change == quarantine.Quarantined
-	switch {
-	case source != sourceOwn:
-	case quarantined:
-		q.enqueue(q.record(w.Digest))
-	case change == quarantine.Released:
-		q.enqueue(quarantine.NewRecord(timesOfDay([]quarantine.Observation{w})))
+// PartsServed implements gateway.Quarantine.
+func (q *quarantineSync) PartsServed(now time.Time, w call.Work) {
+	q.observe(now, sourceOwn, quarantine.PartsServedBy(now, w))
+}
+
+// observe adds observations from the source to the register, logs the changes, and notifies other
+// boxes if they need them at once.
+func (q *quarantineSync) observe(now time.Time, source string, list []quarantine.Observation) {
+	quarantined, changed := false, false
+	for _, o := range list {
+		q.mu.Lock()
+		change := q.register.Observe(now, o)
+		q.recordChange(now, o, change, source)
+		switch {
+		case source != sourceOwn:
+		case change == quarantine.Quarantined:
+			q.enqueue(o.Digest, q.outbox.AddWork(now, o.Digest))
+		case change == quarantine.Released:
+			q.enqueue(o.Digest, q.outbox.AddRecord(now, q.outbox.ServedRecord(o)))
+		}
+		q.mu.Unlock()
+		changed = changed || change != quarantine.Unchanged
+		if change == quarantine.Quarantined {
+			quarantined = true
+			q.noteBoxes(now, o.Digest)
+		}
 	}
-	q.mu.Unlock()
 	if quarantined {
-		q.noteBoxes(now, w.Digest)
+		q.changed()
 	}
-	if quarantined || source == sourceOwn && change != quarantine.Unchanged {
+	if quarantined || source == sourceOwn && changed {
 		q.notify()
 	}
 }
@@ -142,9 +161,11 @@
 
 // receive adds the observations that another box sent.
 func (q *quarantineSync) receive(now time.Time, observations []mesh.WorkObservation, source string) {
+	list := make([]quarantine.Observation, 0, len(observations))
 	for _, w := range observations {
-		q.observe(now, quarantine.Observation{Digest: w.Digest, Target: w.Target, At: now.Add(-w.Age)}, source)
+		list = append(list, quarantine.Observation{Digest: w.Digest, Target: w.Target, At: now.Add(-w.Age)})
 	}
+	q.observe(now, source, list)
 }
 
 // observations returns the observations to send to other boxes: the recent ones and, if all is set, those
@@ -162,32 +183,18 @@
 	return list
 }
 
-// enqueue appends the record to the pending ones; mu is held.
-func (q *quarantineSync) enqueue(r quarantine.Record) {
-	if len(q.pending) >= maxPendingRecords {
-		q.common.Log.Error("quarantine record not written to the store and dropped, too many are pending", "digest", r.Digest(), "waiting", len(q.pending))
+// enqueue makes run look at the outbox, to which the record of a work was added; mu is held.
+func (q *quarantineSync) enqueue(d call.Digest, added bool) {
+	if !added {
+		q.common.Log.Error("quarantine record not written to the store and dropped, too many are pending", "digest", d)
 		return
 	}
-	q.pending = append(q.pending, r)
 	select {
 	case q.wake <- struct{}{}:
 	default: // run is woken already
 	}
 }
 
-// record returns the record of the work for the store; mu is held.
-func (q *quarantineSync) record(d call.Digest) quarantine.Record {
-	return quarantine.NewRecord(timesOfDay(q.register.Observations(d)))
-}
-
-// timesOfDay returns the observations with wall-clock times.
-func timesOfDay(observations []quarantine.Observation) []quarantine.Observation {
-	for i := range observations {
-		observations[i].At = clock.TimeOfDay(observations[i].At)
-	}
-	return observations
-}
-
 // run reads the records of other boxes from the store and writes those of this box, until ctx ends.
 // If first is set, the whole system starts for the first time, and the store has no records to read.
 func (q *quarantineSync) run(ctx context.Context, s store.RecordStore, first bool) {
@@ -198,13 +205,17 @@
 		if compare := q.comparisonDue(); compare || !loaded || q.isolated() {
 			loaded = q.load(ctx, s) || loaded
 		}
-		q.writePending(ctx, s)
+		due := time.NewTimer(q.writePending(ctx, s))
 		select {
 		case <-ctx.Done():
-			return
 		case <-q.wake:
+		case <-due.C:
 		case <-ticker.C:
 		}
+		due.Stop()
+		if ctx.Err() != nil {
+			return
+		}
 	}
 }
 
@@ -234,18 +245,9 @@
 		return
 	}
 	q.reconciler.MarkCompared()
-	var missing []quarantine.Record
-	for _, d := range q.register.ToPersist(now) {
-		if r := q.record(d); !names[r.Name()] {
-			missing = append(missing, r)
-		}
-	}
-	for _, l := range q.register.LiftsToPersist(now, stored) {
-		missing = append(missing, quarantine.NewLiftRecord(l.Digest, clock.TimeOfDay(l.At), nil))
-	}
-	for _, r := range missing {
+	for _, r := range q.outbox.Missing(now, names, stored) {
 		q.common.Log.Warn("restored store lacks quarantine record, writing it again", "digest", r.Digest(), "record", r.Name())
-		q.enqueue(r)
+		q.enqueue(r.Digest(), q.outbox.AddRecord(now, r))
 	}
 }
 
@@ -295,25 +297,18 @@
 		}
 	}
 	slices.SortFunc(observations, func(x, y quarantine.Observation) int { return cmp.Compare(x.Target, y.Target) })
-	for _, w := range observations {
-		q.observe(now, w, sourceStore)
-	}
+	q.observe(now, sourceStore, observations)
 	return decoded
 }
 
-// nextPending returns the record that has been pending longest.
-func (q *quarantineSync) nextPending() (quarantine.Record, bool) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if len(q.pending) == 0 {
-		return quarantine.Record{}, false
-	}
-	return q.pending[0], true
-}
-
-// writePending writes the pending records to the store, until a call fails.
-func (q *quarantineSync) writePending(ctx context.Context, s store.RecordStore) {
-	for next, ok := q.nextPending(); ok; next, ok = q.nextPending() {
+// writePending writes the records that are due to the store, until a call fails, and returns the time until the next
+// one is due.
+func (q *quarantineSync) writePending(ctx context.Context, s store.RecordStore) time.Duration {
+	for {
+		next, due, wait := q.nextPending()
+		if !due {
+			return wait
+		}
 		spec, err := json.Marshal(next)
 		if err == nil {
 			err = s.Create(ctx, platform.Quarantines, next.Name(), spec)
@@ -323,14 +318,29 @@
 		}
 		q.recordCall("create", err)
 		if err != nil {
-			return
+			return storeReadInterval
 		}
 		q.mu.Lock()
-		q.pending = q.pending[1:]
+		q.outbox.Written()
 		q.mu.Unlock()
 	}
 }
 
+// nextPending returns the record that is due, or else the time until the next one is.
+func (q *quarantineSync) nextPending() (r quarantine.Record, due bool, wait time.Duration) {
+	now := clock.Now()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if r, due = q.outbox.Next(now); due {
+		return r, true, 0
+	}
+	wait = storeReadInterval
+	if at, ok := q.outbox.NextDue(); ok {
+		wait = min(wait, at.Sub(now))
+	}
+	return r, false, wait
+}
+
 // recordCall counts a call to the store, and logs a failed one.
 func (q *quarantineSync) recordCall(call string, err error) {
 	name := call + " " + string(platform.Quarantines)
--- a/node/quarantine_trials.go
+++ b/node/quarantine_trials.go
@@ -12,9 +12,10 @@
 // This file has the ways out of a quarantine before its time: trials by boxes, and lifts by operators.
 
 // BeginTrial implements gateway.Quarantine.
-func (q *quarantineSync) BeginTrial(now time.Time, d call.Digest) bool {
+func (q *quarantineSync) BeginTrial(now time.Time, w call.Work) bool {
 	q.mu.Lock()
-	due := q.register.TrialDue(now, d)
+	d, ok := q.register.TrialOf(now, w)
+	due := ok && q.register.TrialDue(now, d)
 	q.mu.Unlock()
 	if !due || !q.tryWork(now, d, q.fleet(now)) {
 		return false
@@ -37,12 +38,16 @@
 }
 
 // EndTrial implements gateway.Quarantine.
-func (q *quarantineSync) EndTrial(now time.Time, d call.Digest) {
+func (q *quarantineSync) EndTrial(now time.Time, w call.Work, ran bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.register.EndTrial(now, d)
-	_, quarantined := q.register.QuarantinedUntil(now, d)
-	q.common.Log.Info("trial of work in quarantine ended", "digest", d, "ended", q.register.EndedTargets(d), "quarantined", quarantined)
+	for _, d := range w.Digests() {
+		if !q.register.EndTrial(now, d, ran) {
+			continue
+		}
+		_, quarantined := q.register.QuarantinedUntil(now, d)
+		q.common.Log.Info("trial of work in quarantine ended", "digest", d, "ended", q.register.EndedTargets(d), "quarantined", quarantined)
+	}
 }
 
 // holdsAny reports whether any work is in quarantine.
--- /dev/null
+++ b/quarantine/evidence.go
@@ -0,0 +1,96 @@
+package quarantine
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"clovertrail.dev/core/call"
+	"clovertrail.dev/core/domain"
+)
+
+// term is the quarantine of a work.
+type term struct {
+	last  time.Time // when the last target ended under the work; the quarantine begins with it
+	until time.Time // zero for none
+}
+
+// term returns the quarantine of the work, also if it is over; zero for none.
+func (r *Register) term(d call.Digest) term {
+	w, known := r.works[d]
+	if !known || len(w.ended) < minEnded {
+		return term{}
+	}
+	if w.judgedAt != r.version {
+		r.recent.mark(w)
+		w.term, w.judgedAt = w.judge(), r.version
+	}
+	return w.term
+}
+
+// judge returns the quarantine that follows from the ends of targets under the work.
+func (w *work) judge() term {
+	last, need := w.required()
+	n := w.evidence()
+	if n < need {
+		return term{}
+	}
+	return term{last: last, until: last.Add(duration(n - need))}
+}
+
+// required returns when the last target ended under the work, and how many must have ended for a quarantine.
+func (w *work) required() (last time.Time, need int) {
+	alone := 0 // targets that ended without others
+	for _, e := range w.ended {
+		if e.at.After(last) {
+			last = e.at
+		}
+		if !e.common {
+			alone++
+		}
+	}
+	if alone < minEnded || !w.served.IsZero() && last.Sub(w.served) < servedWindow {
+		return last, minEndedWeak
+	}
+	return last, minEnded
+}
+
+// evidence counts the ends that suggest that the work ends its targets. Weak ends within commonWindow of each other count
+// once: a request that is retried while a rack loses power meets several targets that end.
+func (w *work) evidence() int {
+	var weak []time.Time
+	for _, e := range w.ended {
+		if e.weak() {
+			weak = append(weak, e.at)
+		}
+	}
+	count := len(w.ended) - len(weak)
+	slices.SortFunc(weak, time.Time.Compare)
+	var first time.Time // of the ends that count once
+	for _, at := range weak {
+		if first.IsZero() || at.Sub(first) > commonWindow {
+			first = at
+			count++
+		}
+	}
+	return count
+}
+
+// duration returns the duration of a quarantine; further is the number of ended targets in excess of
+// those needed for the first quarantine.
+func duration(further int) time.Duration {
+	t := firstTerm
+	for range further {
+		if t = min(t*termFactor, maxTerm); t == maxTerm {
+			break
+		}
+	}
+	return t
+}
+
+// clear drops the ends up to the time, and reports whether there were any.
+func (w *work) clear(at time.Time) bool {
+	before := len(w.ended)
+	maps.DeleteFunc(w.ended, func(_ domain.InstanceID, e end) bool { return !e.at.After(at) })
+	return len(w.ended) < before
+}
--- /dev/null
+++ b/quarantine/evidence_test.go
@@ -0,0 +1,117 @@
+package quarantine_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"clovertrail.dev/core/call"
+	"clovertrail.dev/quarantine"
+)
+
+// endsOf returns observations that the targets, one letter each, ended a second after each other under the work.
+func endsOf(d call.Digest, targets string) []quarantine.Observation {
+	var list []quarantine.Observation
+	for i, x := range targets {
+		list = append(list, ended(d, string(x), time.Duration(i)*time.Second))
+	}
+	return list
+}
+
+// TestTrialTellsPartsApart guards against a part that nearly all requests share and that is refused for minutes because all
+// prompts that crashed targets had it too.
+func TestTrialTellsPartsApart(t *testing.T) {
+	common := call.DigestOfPart("s", "c")
+	work := func(ids ...string) call.Work {
+		p := &call.Prompt{}
+		for _, id := range append(ids, "own") {
+			p.Prefixes = append(p.Prefixes, call.PromptPrefix{ID: id})
+		}
+		return call.NewWork("request", "s", p)
+	}
+	r := observe(observe(quarantine.NewRegister(), endsOf(fatalPart, "ab")...), endsOf(common, "ab")...)
+	now := begin.Add(3 * time.Second)
+	tries := func(w call.Work) bool {
+		d, ok := r.TrialOf(now, w)
+		return ok && r.BeginTrial(now, d, alone)
+	}
+	if tries(work("c")) || tries(work("c", "fa7a1")) {
+		t.Error("a trial begins before both parts came in one request, or with both")
+	}
+	now = begin.Add(7 * time.Second)
+	if !tries(work("c")) {
+		t.Error("no trial of the common part alone")
+	}
+	for _, o := range quarantine.PartsServedBy(now, work("c")) {
+		r.Observe(now, o)
+	}
+	if _, barred := r.BarredUntil(now, work("c")); barred {
+		t.Error("the common part is barred after a target served it")
+	}
+	if _, barred := r.BarredUntil(now, work("c", "fa7a1")); !barred || tries(work("c", "fa7a1")) {
+		t.Error("the fatal part is not barred, or is tried at once")
+	}
+}
+
+// TestOutboxWritesSettledQuarantines guards against records of quarantines that further observations end at once, and against
+// records that pile up while the store does not answer.
+func TestOutboxWritesSettledQuarantines(t *testing.T) {
+	const settled = 500 * time.Millisecond
+	r := quarantine.NewRegister()
+	o := quarantine.NewOutbox(r, func(at time.Time) time.Time { return at })
+	observe(r, ended(fatal, "a", 0), ended(fatal, "b", 0), ended("served", "a", 0), ended("served", "b", 0))
+	if !o.AddWork(begin, "served") || !o.AddWork(begin, fatal) || !o.AddWork(begin, fatal) {
+		t.Fatal("no room for two works")
+	}
+	if rec, due := o.Next(begin.Add(settled - 1)); due {
+		t.Errorf("record %s is due at once", rec.Name())
+	}
+	observe(r, quarantine.Observation{Digest: "served", At: begin.Add(settled / 2)})
+	if rec, due := o.Next(begin.Add(settled)); !due || rec.Digest() != fatal {
+		t.Errorf("due = %v, record %s, want that of the work in quarantine", due, rec.Name())
+	}
+	o.Written()
+	if at, ok := o.NextDue(); ok {
+		t.Errorf("a record is due at %v, want none", at)
+	}
+	added := 0
+	for i := range 100 {
+		if o.AddWork(begin, call.Digest(fmt.Sprint(i))) {
+			added++
+		}
+	}
+	if added != 64 {
+		t.Errorf("%d records wait, want 64 at most", added)
+	}
+}
+
+// TestMessagesHaveRoomForSuspects guards against a suspect of which other boxes learn nothing, because the targets ran so many
+// requests as they ended that a message has no room for all.
+func TestMessagesHaveRoomForSuspects(t *testing.T) {
+	r := quarantine.NewRegister()
+	observe(r, ended(fatalPart, "a", 0))
+	for i := range 200 {
+		observe(r, ended(call.Digest(fmt.Sprint("hit ", i)), "a", time.Second))
+	}
+	is := func(o quarantine.Observation) bool { return o.Digest == fatalPart }
+	if !slices.ContainsFunc(r.Latest(begin.Add(time.Second), false), is) {
+		t.Error("a message has no room for the part of prompts")
+	}
+}
+
+// TestQuarantinesAreBounded guards against a register that grows without bound as more works come into quarantine than it has
+// room for.
+func TestQuarantinesAreBounded(t *testing.T) {
+	const maxWorks, works, pause = 1024, 1150, 1010 * time.Millisecond
+	r := quarantine.NewRegister()
+	for i := range works {
+		d, at := call.Digest(fmt.Sprint("work ", i)), time.Duration(i)*pause
+		for _, target := range "abc" {
+			observe(r, ended(d, fmt.Sprint(target, i), at))
+		}
+	}
+	if n := len(r.InQuarantine(begin.Add(works * pause))); n > maxWorks || n < maxWorks/2 {
+		t.Errorf("%d works in quarantine, want up to %d", n, maxWorks)
+	}
+}
--- a/quarantine/fleet_test.go
+++ b/quarantine/fleet_test.go
@@ -94,9 +94,22 @@
 			o.Target = domain.InstanceID(fmt.Sprint("t-", m.ended))
 		}
 		b.register.Observe(m.now, o)
-		b.register.EndTrial(m.now, fatal)
+		b.register.EndTrial(m.now, fatal, true)
 		b.trialEnd = time.Time{}
 	}
+	m.deliver()
+	for i, b := range m.boxes {
+		if turn := int(m.now.Sub(begin)/modelStep) + i; !b.dead && turn%2 == 0 {
+			m.send(b, turn%12 < 2)
+		}
+		if m.rand.Float64() < requestChance {
+			m.request(b)
+		}
+	}
+}
+
+// deliver has the boxes receive the messages that are due.
+func (m *model) deliver() {
 	var waiting []message
 	for _, x := range m.messages {
 		switch {
@@ -107,14 +120,6 @@
 		}
 	}
 	m.messages = waiting
-	for i, b := range m.boxes {
-		if turn := int(m.now.Sub(begin)/modelStep) + i; !b.dead && turn%2 == 0 {
-			m.send(b, turn%12 < 2)
-		}
-		if m.rand.Float64() < requestChance {
-			m.request(b)
-		}
-	}
 }
 
 // send sends messages to three other boxes.
@@ -182,7 +187,7 @@
 		{"the first box is cut off in its trial", 12, isCutOff, modelStep, 100 * time.Second},
 		{"the caller leaves the first trial", 12, func(m *model, b *modelBox) bool {
 			m.onTrial = nil
-			b.register.EndTrial(m.now, fatal)
+			b.register.EndTrial(m.now, fatal, true)
 			return false
 		}, modelStep, 100 * time.Second},
 	} {
--- a/quarantine/lift.go
+++ b/quarantine/lift.go
@@ -2,12 +2,10 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
 	"clovertrail.dev/core/call"
-	"clovertrail.dev/core/domain"
 )
 
 const (
@@ -43,21 +41,16 @@
 	}
 	after := lift{at: l.At, updated: now}
 	w, known := r.works[l.Digest]
-	quarantined := known && now.Before(w.until())
+	quarantined := known && now.Before(r.term(l.Digest).until)
 	cleared := known && w.clear(l.At)
+	r.version++
 	if !cleared && isEcho(before.at, l.At) {
 		after.updated = before.updated
 	}
 	r.lifts[l.Digest] = after
 	r.evictLifts(now)
-	if known && len(w.ended) == 0 {
-		delete(r.works, l.Digest) // as of any work that was not lost, only when it was served is kept
-		if !w.served.IsZero() {
-			r.served.add(l.Digest, w.served)
-		}
-	}
 	switch {
-	case quarantined && !now.Before(w.until()):
+	case quarantined && !now.Before(r.term(l.Digest).until):
 		return Lifted
 	case after.updated.Equal(before.updated):
 		return Unchanged
@@ -66,13 +59,6 @@
 	}
 }
 
-// clear drops the ends up to the time, and reports whether there were any.
-func (w *work) clear(at time.Time) bool {
-	before := len(w.ended)
-	maps.DeleteFunc(w.ended, func(_ domain.InstanceID, e end) bool { return !e.at.After(at) })
-	return len(w.ended) < before
-}
-
 // cleared reports whether the end is from before the work was lifted. The box that sent it does not know of
 // the lift, which is therefore reported again.
 func (r *Register) cleared(now time.Time, o Observation) bool {
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -127,7 +127,7 @@
 	if end := max(r.f.Lifted, r.f.Served); end != 0 {
 		return day.Sub(time.UnixMilli(end)) > liftRetention
 	}
-	return day.Sub(time.UnixMilli(r.lastEnded()).Add(term(len(r.f.Ended)-minEnded))) > retention
+	return day.Sub(time.UnixMilli(r.lastEnded()).Add(duration(len(r.f.Ended)-minEnded))) > retention
 }
 
 // MarshalJSON implements json.Marshaler.
--- a/quarantine/register.go
+++ b/quarantine/register.go
@@ -34,8 +34,8 @@
 	// quarantine, whichever is later, so that a caller who retries every few minutes is still
 	// recognised.
 	retention = time.Hour
-	// maxWorks is the maximum number of works that are remembered. One ended target adds as many
-	// as it had slots and queued requests.
+	// maxWorks is the maximum number of works and parts of prompts that are remembered. One ended target adds as
+	// many works as it had slots and queued requests, and the parts of their prompts.
 	maxWorks = 1024
 	// reportFor is how long an update of a work is sent to other boxes: six rounds of adverts,
 	// in each of which every box notifies eight others.
@@ -78,12 +78,16 @@
 	Lifted
 )
 
-// work holds the observations of one digest.
+// work holds the observations of one digest, of a request or of a part of prompts.
 type work struct {
-	ended   map[domain.InstanceID]end
-	served  time.Time // zero for never; targets that ended before it do not count
-	updated time.Time // time of the last new observation, or of the last end from before the work was served
-	trial   trial
+	ended    map[domain.InstanceID]end
+	served   time.Time // zero for never; targets that ended before it do not count
+	updated  time.Time // time of the last new observation, or of the last end from before the work was served
+	trial    trial
+	term     term // follows from the above at judgedAt, a version of the register
+	judgedAt int
+	// companions are works that were in quarantine too as this box received a request of both.
+	companions []call.Digest
 }
 
 // end is the end of a target under a work.
@@ -103,17 +107,18 @@
 // Register holds a box's observations of works under which targets ended. It is not safe for
 // concurrent use.
 type Register struct {
-	works  map[call.Digest]*work
-	lifts  map[call.Digest]lift
-	served recentlyServed
-	recent recentEnds
+	works   map[call.Digest]*work
+	lifts   map[call.Digest]lift
+	served  *recentlyServed
+	recent  recentEnds
+	version int // rises with each change of the observations
 }
 
 // NewRegister returns an empty register.
 func NewRegister() *Register {
 	return &Register{
-		works: map[call.Digest]*work{}, lifts: map[call.Digest]lift{},
-		served: recentlyServed{at: map[call.Digest]time.Time{}}, recent: newRecentEnds(),
+		works: map[call.Digest]*work{}, lifts: map[call.Digest]lift{}, served: newRecentlyServed(),
+		recent: recentEnds{ends: map[domain.InstanceID]recentEnd{}}, version: 1,
 	}
 }
 
@@ -127,9 +132,9 @@
 	}
 	w, known := r.works[o.Digest]
 	if !known {
-		w = &work{ended: map[domain.InstanceID]end{}, served: r.served.at[o.Digest], updated: now}
+		w = &work{ended: map[domain.InstanceID]end{}, served: r.served.at(o.Digest), updated: now}
 		r.works[o.Digest] = w
-		r.evict(now)
+		r.evict(now, o.Digest)
 	}
 	if !o.At.After(w.served) {
 		w.updated = now // the box that sent the end does not know that the work was served since
@@ -139,9 +144,9 @@
 		return Unchanged
 	}
 	w.ended[o.Target], w.updated = end{at: o.At}, now
-	r.recent.add(o.Target, o.At)
-	r.markCommon(o.At)
-	if now.Before(w.until()) {
+	r.recent.add(o.Target, o.At, o.Digest.IsPart())
+	r.version++
+	if now.Before(r.term(o.Digest).until) {
 		return Quarantined
 	}
 	return Updated
@@ -157,13 +162,14 @@
 	case !o.At.After(w.served):
 		return Unchanged
 	}
-	quarantined, echo := now.Before(w.until()), isEcho(w.served, o.At)
+	quarantined, echo := now.Before(r.term(o.Digest).until), isEcho(w.served, o.At)
 	w.served = o.At
+	r.version++
 	if !w.clear(o.At) && echo {
 		return Unchanged
 	}
 	w.updated = now
-	if quarantined && !now.Before(w.until()) {
+	if quarantined && !now.Before(r.term(o.Digest).until) {
 		return Released
 	}
 	return Updated
@@ -184,11 +190,7 @@
 
 // QuarantinedUntil reports whether the work is in quarantine, and until when.
 func (r *Register) QuarantinedUntil(now time.Time, d call.Digest) (until time.Time, quarantined bool) {
-	w, known := r.works[d]
-	if !known {
-		return time.Time{}, false
-	}
-	until = w.until()
+	until = r.term(d).until
 	return until, now.Before(until)
 }
 
@@ -210,8 +212,8 @@
 // and those whose quarantine is over but still counts for the next one.
 func (r *Register) ToPersist(now time.Time) []call.Digest {
 	var list []call.Digest
-	for d, w := range r.works {
-		if until := w.until(); !until.IsZero() && now.Sub(until) <= retention {
+	for d := range r.works {
+		if t := r.term(d); !t.until.IsZero() && now.Sub(t.until) <= retention {
 			list = append(list, d)
 		}
 	}
@@ -231,12 +233,13 @@
 	return max(len(r.due(now, all))-maxReported, 0)
 }
 
-// due returns the observations to send to other boxes, the latest first.
+// due returns the observations to send to other boxes: first those of works under which several targets ended, then
+// those of parts of prompts, which the requests of many callers may share, and the latest first.
 func (r *Register) due(now time.Time, all bool) []Observation {
 	var list []Observation
 	for d, w := range r.works {
 		fresh := now.Sub(w.updated) < reportFor
-		if quarantined := now.Before(w.until()); !fresh && (!all || !quarantined) {
+		if quarantined := now.Before(r.term(d).until); !fresh && (!all || !quarantined) {
 			continue
 		}
 		list = append(list, r.Observations(d)...)
@@ -245,16 +248,28 @@
 		}
 	}
 	slices.SortFunc(list, func(x, y Observation) int {
-		return cmp.Or(y.At.Compare(x.At), cmp.Compare(x.Digest, y.Digest), cmp.Compare(x.Target, y.Target))
+		return cmp.Or(cmp.Compare(r.rank(x.Digest), r.rank(y.Digest)), y.At.Compare(x.At), cmp.Compare(x.Digest, y.Digest), cmp.Compare(x.Target, y.Target))
 	})
 	return list
 }
 
+// rank orders the digests whose observations are due.
+func (r *Register) rank(d call.Digest) int {
+	switch {
+	case len(r.works[d].ended) >= minEnded:
+		return 0
+	case d.IsPart():
+		return 1
+	default:
+		return 2
+	}
+}
+
 // InQuarantine returns the works in quarantine, sorted.
 func (r *Register) InQuarantine(now time.Time) []call.Digest {
 	var list []call.Digest
-	for d, w := range r.works {
-		if now.Before(w.until()) {
+	for d := range r.works {
+		if now.Before(r.term(d).until) {
 			list = append(list, d)
 		}
 	}
@@ -262,89 +277,38 @@
 	return list
 }
 
-// until returns the end of the work's quarantine; zero for none.
-func (w *work) until() time.Time {
-	_, until := w.term()
-	return until
-}
-
-// term returns the beginning and the end of the work's quarantine; the end is zero for none. It begins with
-// the last target that ended.
-func (w *work) term() (last, until time.Time) {
-	alone := 0 // targets that ended without others
-	for _, e := range w.ended {
-		if e.at.After(last) {
-			last = e.at
-		}
-		if !e.common {
-			alone++
-		}
-	}
-	need := minEnded
-	if alone < minEnded || !w.served.IsZero() && last.Sub(w.served) < servedWindow {
-		need = minEndedWeak
-	}
-	evidence := w.evidence()
-	if evidence < need {
-		return last, time.Time{}
-	}
-	return last, last.Add(term(evidence - need))
-}
-
-// evidence counts the ends that suggest that the work ends its targets. Weak ends within commonWindow of each other count
-// once: a request that is retried while a rack loses power meets several targets that end.
-func (w *work) evidence() int {
-	var weak []time.Time
-	for _, e := range w.ended {
-		if e.weak() {
-			weak = append(weak, e.at)
-		}
-	}
-	count := len(w.ended) - len(weak)
-	slices.SortFunc(weak, time.Time.Compare)
-	var first time.Time // of the ends that count once
-	for _, at := range weak {
-		if first.IsZero() || at.Sub(first) > commonWindow {
-			first = at
-			count++
-		}
-	}
-	return count
-}
-
-// term returns the duration of a quarantine; further is the number of ended targets in excess of
-// those needed for the first quarantine.
-func term(further int) time.Duration {
-	t := firstTerm
-	for range further {
-		if t = min(t*termFactor, maxTerm); t == maxTerm {
-			break
-		}
-	}
-	return t
-}
-
 // evict drops works without an update during the retention period and, where there are still too
-// many, those with the oldest update; never one in quarantine.
-func (r *Register) evict(now time.Time) {
+// many, those of the fewest ended targets and the oldest update. Those in quarantine come last, and added, which is
+// new, stays.
+func (r *Register) evict(now time.Time, added call.Digest) {
 	for d, w := range r.works {
-		if end := w.until(); now.Sub(w.updated) > retention && now.Sub(end) > retention {
+		if end := r.term(d).until; d != added && now.Sub(w.updated) > retention && now.Sub(end) > retention {
 			delete(r.works, d)
 		}
 	}
 	for len(r.works) > maxWorks {
-		var oldest call.Digest
-		for d, w := range r.works {
-			if now.Before(w.until()) {
-				continue
+		var first call.Digest
+		for d := range r.works {
+			if d != added && (first == "" || r.evictsBefore(now, d, first)) {
+				first = d
 			}
-			if oldest == "" || w.updated.Before(r.works[oldest].updated) {
-				oldest = d
-			}
-		}
-		if oldest == "" {
-			return
 		}
-		delete(r.works, oldest)
+		delete(r.works, first)
+	}
+}
+
+// evictsBefore reports whether x is evicted before y.
+func (r *Register) evictsBefore(now time.Time, x, y call.Digest) bool {
+	a, b := r.works[x], r.works[y]
+	aHeld, bHeld := now.Before(r.term(x).until), now.Before(r.term(y).until)
+	switch {
+	case aHeld != bHeld:
+		return bHeld
+	case aHeld:
+		return r.term(x).until.Before(r.term(y).until)
+	case len(a.ended) != len(b.ended):
+		return len(a.ended) < len(b.ended)
+	default:
+		return a.updated.Before(b.updated)
 	}
 }
--- a/quarantine/trial.go
+++ b/quarantine/trial.go
@@ -30,6 +30,8 @@
 	// claimFor is how long after the last report of a trial no other box tries the work. A target that ends
 	// after the caller of the trial left is found after 1.5 s and reported for reportFor.
 	claimFor = 2 * trialTurn
+	// maxCompanions is the number of works that are remembered to be in quarantine together with one.
+	maxCompanions = 4
 )
 
 // Fleet describes the entry boxes as one of them sees them.
@@ -65,20 +67,40 @@
 	return t.claimedAt
 }
 
-// trialFrom returns the time from which the work may be tried.
-func (w *work) trialFrom() time.Time {
-	last, until := w.term()
-	return last.Add(until.Sub(last) / trialShare)
-}
+// trialFrom returns the time from which a work in this quarantine may be tried.
+func (t term) trialFrom() time.Time { return t.last.Add(t.until.Sub(t.last) / trialShare) }
 
 // TrialFrom returns the time from which one request of the work may be sent as a trial; false if the work
 // is not in quarantine.
 func (r *Register) TrialFrom(now time.Time, d call.Digest) (from time.Time, quarantined bool) {
-	w, known := r.works[d]
-	if !known || !now.Before(w.until()) {
+	t := r.term(d)
+	if !now.Before(t.until) {
 		return time.Time{}, false
 	}
-	return w.trialFrom(), true
+	if r.hasCompanion(now, d) {
+		return t.last, true
+	}
+	return t.trialFrom(), true
+}
+
+// hasCompanion reports whether the work may be in quarantine only because it comes together with another one that is:
+// the same targets ended under both. A request of this work alone then tells which of them is to blame, so that the
+// trial waits neither for its time nor for the turn of a box that may never be asked.
+func (r *Register) hasCompanion(now time.Time, d call.Digest) bool {
+	w, known := r.works[d]
+	return known && slices.ContainsFunc(w.companions, func(x call.Digest) bool { return now.Before(r.term(x).until) })
+}
+
+// noteCompanions records that a request came whose work has these digests, which are all in quarantine.
+func (r *Register) noteCompanions(list []call.Digest) {
+	for _, d := range list {
+		w := r.works[d]
+		for _, x := range list {
+			if x != d && len(w.companions) < maxCompanions && !slices.Contains(w.companions, x) {
+				w.companions = append(w.companions, x)
+			}
+		}
+	}
 }
 
 // TrialDue reports whether the work is in quarantine, may be tried, and no box is known to try it.
@@ -94,19 +116,30 @@
 		return false
 	}
 	w := r.works[d]
-	since := now.Sub(w.trialFrom())
-	if since%trialTurn >= trialTurn/2 || !f.isMajority(w.trial.boxes) || f.owner(d, since/trialTurn) != f.Self {
+	if !f.isMajority(w.trial.boxes) || !r.hasCompanion(now, d) && !f.hasTurn(d, now.Sub(r.term(d).trialFrom())) {
 		return false
 	}
 	w.trial.running = true
 	return true
 }
 
-// EndTrial records that the request that was tried has ended, with or without a result.
-func (r *Register) EndTrial(now time.Time, d call.Digest) {
-	if w, known := r.works[d]; known && w.trial.running {
-		w.trial.running, w.trial.claimedAt = false, now
+// hasTurn reports whether this box may begin a trial of the work, the given time after it came due.
+func (f Fleet) hasTurn(d call.Digest, since time.Duration) bool {
+	return since%trialTurn < trialTurn/2 && f.owner(d, since/trialTurn) == f.Self
+}
+
+// EndTrial records that the request that was tried has ended, with or without a result. ran is false if it cannot
+// have run, so that the work may be tried again at once. EndTrial returns false if this box did not try the work.
+func (r *Register) EndTrial(now time.Time, d call.Digest, ran bool) bool {
+	w, known := r.works[d]
+	if !known || !w.trial.running {
+		return false
 	}
+	w.trial.running = false
+	if ran {
+		w.trial.claimedAt = now
+	}
+	return true
 }
 
 // NoteBoxes records how many boxes were known as a target ended under the work. A part of the fleet that is
@@ -123,8 +156,7 @@
 	if !known {
 		return false
 	}
-	last, _ := w.term()
-	at := last.Add(c.After)
+	at := w.lastEnded().Add(c.After)
 	if at.Sub(now) > maxClockDifference || !at.After(w.trial.claimedAt) {
 		return false
 	}
@@ -138,14 +170,19 @@
 	var list []Claim
 	for d, w := range r.works {
 		if at := w.trial.claim(now); now.Sub(at) < reportFor {
-			last, _ := w.term()
-			list = append(list, Claim{Digest: d, After: at.Sub(last)})
+			list = append(list, Claim{Digest: d, After: at.Sub(w.lastEnded())})
 		}
 	}
 	slices.SortFunc(list, func(x, y Claim) int { return cmp.Or(cmp.Compare(x.After, y.After), cmp.Compare(x.Digest, y.Digest)) })
 	return list[:min(maxReported, len(list))]
 }
 
+// lastEnded returns when the last target ended under the work; zero for none.
+func (w *work) lastEnded() time.Time {
+	last, _ := w.required()
+	return last
+}
+
 // isMajority reports whether more than half of all boxes are reached, so that of the parts of a fleet that
 // are cut from each other at most one tries work. boxes is how many were known before.
 func (f Fleet) isMajority(boxes int) bool { return 2*len(f.Reached) > max(f.Known, boxes) }
--- a/quarantine/trial_test.go
+++ b/quarantine/trial_test.go
@@ -22,7 +22,7 @@
 	own := func(r *quarantine.Register) { r.BeginTrial(begin.Add(claimed), fatal, alone) }
 	ownEnded := func(r *quarantine.Register) {
 		own(r)
-		r.EndTrial(begin.Add(claimed), fatal)
+		r.EndTrial(begin.Add(claimed), fatal, true)
 	}
 	minority := quarantine.Fleet{Self: "b-0", Reached: []domain.BoxID{"b-0", "b-1"}, Known: 4}
 	for _, tc := range []struct {
--- a/retry/machine.go
+++ b/retry/machine.go
@@ -106,6 +106,9 @@
 		return m.attemptLost(now, fault.New(fault.FateUnknown, "the answer did not begin in time"))
 	case Broken:
 		return m.attemptBroken(now, o)
+	case Suspected:
+		m.mayHaveRun = true
+		return m.giveUp(now, fault.New(fault.Interrupted, "%v", o.Err))
 	case Moved:
 		return m.attemptMoved(now)
 	case Expired:
--- a/retry/outcome.go
+++ b/retry/outcome.go
@@ -38,6 +38,10 @@
 	Forwarded bool
 }
 
+// Suspected means that the request may be why the target of the attempt ended, or that its work was put in quarantine
+// meanwhile, so that it must not reach another target. The request may have run.
+type Suspected struct{ Err error }
+
 // Moved means that the attempt was cut off in the middle of its answer so that another target can
 // continue it. Machine.Move has already charged the next attempt to the budget.
 type Moved struct{}
@@ -52,6 +56,7 @@
 func (Failed) outcome()            {}
 func (FirstByteTimedOut) outcome() {}
 func (Broken) outcome()            {}
+func (Suspected) outcome()         {}
 func (Moved) outcome()             {}
 func (Expired) outcome()           {}
 
