quarantine: a report that work was served clears no ends that came after it

What callers see: work, or a part of prompts, that targets served before goes on crashing them.

Cause: messages state ages, so that each box takes the time of a service for later by the time of the message, and sends that on while further ends keep the work fresh. After some seconds it lies behind these ends and clears them. The same holds for lifts by operators, which boxes also pass on with their age.

A service or lift that another box reports counts a second earlier, so that it cannot move forward, and a box names the ends that it has cleared, which needs no times at all.

--- a/mesh/fuzz_test.go
+++ b/mesh/fuzz_test.go
@@ -17,7 +17,7 @@
 func FuzzMessages(f *testing.F) {
 	hold := orders.Step(7)
 	for _, m := range []any{
-		&mesh.Advert{Self: mesh.Contact{Box: "b"}, FailureReports: []mesh.FailureReport{{Target: "t", By: "b", Age: 5}}, WorkObservations: []mesh.WorkObservation{{Digest: "d", Target: "t", Age: 5}}, Trials: []mesh.WorkTrial{{Digest: "d", After: 5}}, Lifts: []mesh.WorkLift{{Digest: "d", Age: 5}}, Limits: []mesh.LimitReport{{Target: "t", Age: 5}}, Organisations: []mesh.RequestCounts{{Service: "s", Class: 1, Rest: 2, Organisations: []mesh.OrganisationCount{{Organisation: "o", Requests: 3}}}}},
+		&mesh.Advert{Self: mesh.Contact{Box: "b"}, FailureReports: []mesh.FailureReport{{Target: "t", By: "b", Age: 5}}, WorkObservations: []mesh.WorkObservation{{Digest: "d", Target: "t", Age: 5}}, ClearedEnds: []mesh.WorkObservation{{Digest: "d", Target: "t", Age: 5}}, Trials: []mesh.WorkTrial{{Digest: "d", After: 5}}, Lifts: []mesh.WorkLift{{Digest: "d", Age: 5}}, Limits: []mesh.LimitReport{{Target: "t", Age: 5}}, Organisations: []mesh.RequestCounts{{Service: "s", Class: 1, Rest: 2, Organisations: []mesh.OrganisationCount{{Organisation: "o", Requests: 3}}}}},
 		&mesh.PermitQuery{Service: "s", Limits: []mesh.LimitReport{{Target: "t", Age: 5}}},
 		&mesh.PermitReply{Issuer: true, Target: "t", Permits: 2, Turns: []mesh.PermitTurn{{Target: "u", Wait: 5}}},
 		&mesh.PullReply{At: pos(3), Targets: []mesh.TargetUpdate{{ID: "t", At: pos(2), Target: &domain.TargetFields{ID: "t"}}}},
--- a/mesh/messages.go
+++ b/mesh/messages.go
@@ -78,6 +78,9 @@
 	LeavingTargets []domain.InstanceID `json:"leavers,omitempty"`
 	// WorkObservations are observations of work under which targets ended.
 	WorkObservations []WorkObservation `json:"works,omitempty"`
+	// ClearedEnds are ends of targets that do not count against a work any more. Boxes of earlier versions ignore
+	// them, and go by the times at which works were served.
+	ClearedEnds []WorkObservation `json:"cleared,omitempty"`
 	// Trials are the works in quarantine that a box tries, and Lifts those whose quarantine an operator
 	// lifted. Boxes of earlier versions ignore these
 	// fields; they could not decode a longer WorkObservation.
--- a/node/adverts.go
+++ b/node/adverts.go
@@ -25,7 +25,8 @@
 		others = 0
 	}
 	progress := p.storeProgress()
-	failureReports, works := p.failureReports(now), p.entry.quarantine.observations(now, all)
+	failureReports := p.failureReports(now)
+	works, cleared := p.entry.quarantine.observations(now, all)
 	trials, lifts := p.entry.quarantine.trialsAndLifts(now)
 	limits, usesFallback := p.entry.limiting.reportsForPeers(now, others), p.entry.limiting.usesFallback(now)
 	hasLimits := p.entry.fleet.hasLimits()
@@ -36,7 +37,7 @@
 	a := &mesh.Advert{
 		Self: contactOf(p.self, 0), Hall: domain.HallName(p.entry.settings().Hall), Leaving: p.entry.gateway.Stopping(),
 		Config: progress.Config, Targets: progress.Targets, Evacuations: progress.Evacuations, UpdateOnly: changesOnly,
-		FailureReports: failureReports, LeavingTargets: leavers, WorkObservations: works, Trials: trials, Lifts: lifts,
+		FailureReports: failureReports, LeavingTargets: leavers, WorkObservations: works, ClearedEnds: cleared, Trials: trials, Lifts: lifts,
 		Limits: limits, NeedsAllLimits: !p.hasAllLimits,
 	}
 	if hasLimits {
@@ -145,6 +146,7 @@
 	}
 	p.entry.quarantine.receiveLifts(now, a.Lifts, source)
 	p.entry.quarantine.receive(now, a.WorkObservations, source)
+	p.entry.quarantine.receiveCleared(now, a.ClearedEnds, source)
 	p.entry.quarantine.receiveTrials(now, a.Trials)
 	p.entry.limiting.receiveReports(now, a.Limits, source)
 	p.receiveRequestCounts(now, a.Self.Box, a.Organisations)
--- a/node/quarantine_sync.go
+++ b/node/quarantine_sync.go
@@ -163,24 +163,42 @@
 func (q *quarantineSync) receive(now time.Time, observations []mesh.WorkObservation, source string) {
 	list := make([]quarantine.Observation, 0, len(observations))
 	for _, w := range observations {
-		list = append(list, quarantine.Observation{Digest: w.Digest, Target: w.Target, At: now.Add(-w.Age)})
+		list = append(list, quarantine.ReceivedObservation(now, w.Digest, w.Target, w.Age))
 	}
 	q.observe(now, source, list)
 }
 
-// observations returns the observations to send to other boxes: the recent ones and, if all is set, those
-// of all works in quarantine, for boxes that may have missed some.
-func (q *quarantineSync) observations(now time.Time, all bool) []mesh.WorkObservation {
+// receiveCleared adds the cleared ends that another box sent.
+func (q *quarantineSync) receiveCleared(now time.Time, list []mesh.WorkObservation, source string) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	var list []mesh.WorkObservation
-	for _, w := range q.register.Latest(now, all) {
-		list = append(list, mesh.WorkObservation{Digest: w.Digest, Target: w.Target, Age: now.Sub(w.At)})
+	for _, w := range list {
+		o := quarantine.Observation{Digest: w.Digest, Target: w.Target, At: now.Add(-w.Age)}
+		if q.register.ObserveCleared(now, o) == quarantine.Released {
+			o.Target = ""
+			q.recordChange(now, o, quarantine.Released, source)
+		}
 	}
+}
+
+// observations returns the observations to send to other boxes, the recent ones and, if all is set, those of all works in
+// quarantine, for boxes that may have missed some, and the ends that were cleared lately.
+func (q *quarantineSync) observations(now time.Time, all bool) (observations, cleared []mesh.WorkObservation) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
 	if n := q.register.LeftOut(now, all); n > 0 {
 		q.common.Metrics.Count(telemetry.Quarantines, "not reported", n)
 	}
-	return list
+	return encoded(now, q.register.Latest(now, all)), encoded(now, q.register.Cleared(now))
+}
+
+// encoded returns the observations as they are sent now.
+func encoded(now time.Time, list []quarantine.Observation) []mesh.WorkObservation {
+	var out []mesh.WorkObservation
+	for _, o := range list {
+		out = append(out, mesh.WorkObservation{Digest: o.Digest, Target: o.Target, Age: now.Sub(o.At)})
+	}
+	return out
 }
 
 // enqueue makes run look at the outbox, to which the record of a work was added; mu is held.
--- a/node/quarantine_trials.go
+++ b/node/quarantine_trials.go
@@ -86,7 +86,7 @@
 // receiveLifts adds the lifts that another box sent.
 func (q *quarantineSync) receiveLifts(now time.Time, lifts []mesh.WorkLift, source string) {
 	for _, l := range lifts {
-		q.observeLift(now, quarantine.Lift{Digest: l.Digest, At: now.Add(-max(l.Age, 0))}, source)
+		q.observeLift(now, quarantine.ReceivedLift(now, l.Digest, l.Age), source)
 	}
 }
 
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -1,12 +1,10 @@
 package quarantine
 
 import (
-	"maps"
 	"slices"
 	"time"
 
 	"clovertrail.dev/core/call"
-	"clovertrail.dev/core/domain"
 )
 
 // term is the quarantine of a work.
@@ -87,10 +85,3 @@
 	}
 	return t
 }
-
-// clear drops the ends up to the time, and reports whether there were any.
-func (w *work) clear(at time.Time) bool {
-	before := len(w.ended)
-	maps.DeleteFunc(w.ended, func(_ domain.InstanceID, e end) bool { return !e.at.After(at) })
-	return len(w.ended) < before
-}
--- a/quarantine/fleet_test.go
+++ b/quarantine/fleet_test.go
@@ -29,6 +29,7 @@
 	from         *modelBox
 	sent, due    time.Time
 	observations []quarantine.Observation
+	cleared      []quarantine.Observation
 	claims       []quarantine.Claim
 	lifts        []quarantine.Lift
 }
@@ -127,6 +128,7 @@
 	for range 3 {
 		x := message{to: m.boxes[m.rand.IntN(len(m.boxes))], from: b, sent: m.now, due: m.now.Add(time.Duration(m.rand.IntN(4)) * modelStep)}
 		x.observations, x.claims, x.lifts = b.register.Latest(m.now, all), b.register.Claims(m.now), b.register.Lifts(m.now)
+		x.cleared = b.register.Cleared(m.now)
 		m.messages = append(m.messages, x)
 	}
 }
@@ -134,13 +136,14 @@
 // receive adds the message to the receiver's register. It states ages, so that the receiver takes its
 // contents for later by the delay of the message.
 func (x message) receive(now time.Time) {
-	delay := now.Sub(x.sent)
 	for _, l := range x.lifts {
-		x.to.register.ObserveLift(now, quarantine.Lift{Digest: l.Digest, At: l.At.Add(delay)})
+		x.to.register.ObserveLift(now, quarantine.ReceivedLift(now, l.Digest, x.sent.Sub(l.At)))
 	}
 	for _, o := range x.observations {
-		o.At = o.At.Add(delay)
-		x.to.register.Observe(now, o)
+		x.to.register.Observe(now, quarantine.ReceivedObservation(now, o.Digest, o.Target, x.sent.Sub(o.At)))
+	}
+	for _, o := range x.cleared {
+		x.to.register.ObserveCleared(now, o)
 	}
 	for _, c := range x.claims {
 		x.to.register.ObserveClaim(now, c)
@@ -270,3 +273,30 @@
 		})
 	}
 }
+
+// TestReportOfServiceClearsNoLaterEnds guards against work that goes on crashing its targets because it was served before: reports of that
+// take time, and a box that took the time of their arrival for that of the service would drop ends that came after
+// it, and pass an even later time on.
+func TestReportOfServiceClearsNoLaterEnds(t *testing.T) {
+	for seed := range uint64(10) {
+		m := newModel(seed, 7)
+		for i, b := range m.boxes {
+			b.register = quarantine.NewRegister()
+			if i < 4 {
+				b.register.Observe(m.now, quarantine.Observation{Digest: fatal, At: m.now})
+			}
+		}
+		for n := range 4 {
+			for range 8 { // two seconds
+				m.step(0)
+			}
+			m.boxes[m.rand.IntN(len(m.boxes))].register.Observe(m.now, quarantine.Observation{Digest: fatal, Target: domain.InstanceID(fmt.Sprint("t-", n)), At: m.now})
+		}
+		for range 12 {
+			m.step(0)
+		}
+		if n := m.quarantined(0); n != len(m.boxes) {
+			t.Errorf("seed %d: in quarantine at %d of %d boxes after four targets had ended, want all", seed, n, len(m.boxes))
+		}
+	}
+}
--- a/quarantine/prompts_test.go
+++ b/quarantine/prompts_test.go
@@ -243,6 +243,7 @@
 	}{
 		{"other parts were served before", 10 * time.Second, false, 5},
 		{"nothing was served before", 0, false, 5},
+		{"the part was served before", 10 * time.Second, true, 8},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			for seed := range uint64(8) {
--- a/quarantine/register.go
+++ b/quarantine/register.go
@@ -81,6 +81,7 @@
 // work holds the observations of one digest, of a request or of a part of prompts.
 type work struct {
 	ended    map[domain.InstanceID]end
+	cleared  clearedEnds
 	served   time.Time // zero for never; targets that ended before it do not count
 	updated  time.Time // time of the last new observation, or of the last end from before the work was served
 	trial    trial
@@ -137,6 +138,9 @@
 		r.evict(now, o.Digest)
 	}
 	if !o.At.After(w.served) {
+		w.cleared.add(o.Target, o.At)
+	}
+	if w.cleared.has(o.Target) {
 		w.updated = now // the box that sent the end does not know that the work was served since
 		return Unchanged
 	}
