gateway: a response that ends with its connection is truncated if the target's process ended

What callers saw: a stream or a plain response with neither a length nor chunks that looks complete, though the target's process ended in the midst of it. Cause: the end of the connection was taken for the end of the response, and the connection of a process that ends closes in the same way. TestStreams failed in two new cases before (the caller got one event of three and a proper end); the other new cases, ends within an event and reset connections, passed.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -12,6 +12,7 @@
 	"clovertrail.dev/catalog"
 	"clovertrail.dev/core/call"
 	"clovertrail.dev/core/clock"
+	"clovertrail.dev/core/domain"
 	"clovertrail.dev/core/fault"
 	"clovertrail.dev/retry"
 	"clovertrail.dev/telemetry"
@@ -268,6 +269,11 @@
 	now := clock.Now()
 	a.headReceived = true
 	a.response = a.d.g.deps.Headers.ParseResponse(now, resp)
+	if endsWithConnection(resp) && !a.isTargetLeaving() {
+		resp.Body = &connectionBody{ReadCloser: resp.Body, processEnded: func() bool {
+			return a.d.g.deps.Pool.ProcessEnded(ctx, a.lease.Target().Address(), a.lease.Witness())
+		}}
+	}
 	if a.response.Outcome != call.WrongInstance && a.response.Outcome != call.Unrecognised {
 		a.lease.UpdateStatus(now, a.response) // responses with either of these outcomes did not come from the target
 	}
@@ -289,6 +295,11 @@
 	}
 }
 
+// isTargetLeaving reports whether the target ends after it has completed its responses.
+func (a *attempt) isTargetLeaving() bool {
+	return a.response.Leaving || a.lease.Target().State() == domain.TargetLeaving
+}
+
 // forward sends the response on to the caller.
 func (a *attempt) forward(ctx context.Context, resp *http.Response) (retry.Outcome, Verdict) {
 	if a.d.req.route.Kind() == catalog.Stream && resp.StatusCode == http.StatusOK {
--- a/gateway/fake_test.go
+++ b/gateway/fake_test.go
@@ -115,6 +115,8 @@
 	hangUp = "(hang up)"
 	// crash closes the connection and the listener of the target.
 	crash = "(crash)"
+	// reset closes the connection with a reset.
+	reset = "(reset)"
 	// bulk sends bulkBytes after the rest, in pieces.
 	bulk = "(bulk)"
 	// wait delays the part after it.
@@ -134,6 +136,7 @@
 		text, bulky := strings.CutSuffix(text, bulk)
 		text, hangs := strings.CutSuffix(text, hang)
 		text, ends := strings.CutSuffix(text, hangUp)
+		text, resets := strings.CutSuffix(text, reset)
 		text, crashes := strings.CutSuffix(text, crash)
 		for i, part := range strings.Split(text, wait) {
 			if i > 0 {
@@ -148,6 +151,10 @@
 			_, _ = io.Copy(io.Discard, c)
 			return
 		}
+		if resets {
+			_ = c.(*net.TCPConn).SetLinger(0) // fails only if the connection is closed already
+			return
+		}
 		if crashes {
 			_ = x.l.Close() // further connections are refused
 			return
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -24,6 +24,10 @@
 	streamHead   = "HTTP/1.1 200 OK\nSigned: one\nId: 1\nContent-Type: text/event-stream\nTransfer-Encoding: chunked\n\n"
 	secondHead   = "HTTP/1.1 200 OK\nSigned: two\nId: 1\nContent-Type: text/event-stream\nTransfer-Encoding: chunked\n\n"
 	lastChunk    = "0\n\n"
+
+	// Heads of responses that end with their connection.
+	unframed       = "HTTP/1.1 200 OK\nSigned: 1\nId: 1\n\n"
+	unframedStream = "HTTP/1.1 200 OK\nSigned: one\nId: 1\nContent-Type: text/event-stream\n\n"
 )
 
 // longBody is longer than what the gateway buffers of a response, longFailure a failure response with it.
@@ -68,6 +72,12 @@
 		{"failed with a long body, repeated", "/repeat/", []string{longFailure}, []string{ok}, 200, "hello", 2, []string{"a bad", "b good"}},
 		{"failed twice with a long body", "/repeat/", []string{longFailure}, []string{longFailure}, 500, longBody, 2, []string{"a bad", "b bad"}},
 		{"silent, repeated", "/impatient/", []string{hang}, []string{ok}, 200, "hello", 2, []string{"a bad", "b good"}},
+		{"ends with its connection", "/once/", []string{unframed + "hello"}, []string{ok}, 200, "hello", 1, []string{"a good"}},
+		{"long and ends with its connection", "/once/", []string{unframed + longBody}, []string{ok}, 200, longBody, 1, []string{"a good"}},
+		{"ends with a reset connection, repeated", "/repeat/", []string{unframed + "hel" + reset}, []string{ok}, 200, "hello", 2, []string{"a bad", "b good"}},
+		{"ends with a reset connection, not repeatable", "/once/", []string{unframed + "hel" + reset}, []string{ok}, 502, "", 1, []string{"a bad"}},
+		{"ends with its connection and the process, repeated", "/repeat/", []string{unframed + "hel" + crash}, []string{ok}, 200, "hello", 2, []string{"a gone", "b good"}},
+		{"ends with its connection and the process, not repeatable", "/once/", []string{unframed + "hel" + crash}, []string{ok}, 502, "", 1, []string{"a gone"}},
 		{"lost, then all busy", "/repeat/", []string{""}, []string{busy}, 502, "", 2, []string{"a bad", "b full"}},
 	}
 	for _, tc := range tests {
@@ -195,6 +205,11 @@
 		{"truncated, not resumable", "/stream-once/", streamHead + rawChunk(raw(one)), secondHead + rawChunk(raw(two)) + lastChunk, one, "one", true, ""},
 		{"truncated twice", "/stream/", streamHead + rawChunk(raw(one)), secondHead + rawChunk(raw(two)), one + two, "one", true, "1"},
 		{"ends within an event", "/stream-once/", streamHead + rawChunk(raw(one+"id: 2")) + lastChunk, "", one, "one", true, ""},
+		{"ends with its connection", "/stream/", unframedStream + raw(one+two+three), "", one + two + three, "one", false, ""},
+		{"ends with its connection within an event, resumed", "/stream/", unframedStream + raw(one+two+"id: 3\nda"), secondHead + rawChunk(raw(three)) + lastChunk, one + two + three, "one", false, "2"},
+		{"ends with its connection within an event", "/stream-once/", unframedStream + raw(one+"id: 2"), "", one, "one", true, ""},
+		{"ends with its connection and the process, resumed", "/stream/", unframedStream + raw(one) + crash, secondHead + rawChunk(raw(two+three)) + lastChunk, one + two + three, "one", false, "1"},
+		{"ends with its connection and the process", "/stream-once/", unframedStream + raw(one) + crash, "", one, "one", true, ""},
 	}
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
