--- a/cmd/clovertrail-soak/main.go
+++ b/cmd/clovertrail-soak/main.go
@@ -43,6 +43,8 @@
 			&cli.BoolFlag{Name: "restores", Usage: "restore the store from older backups"},
 			&cli.BoolFlag{Name: "evacuations", Usage: "evacuate data halls"},
 			&cli.BoolFlag{Name: "outages", Usage: "stop a group of targets for seconds, with callers who return once when refused"},
+			&cli.BoolFlag{Name: "prompts", Usage: "send prompts that share a part which crashes targets, and sound ones"},
+			&cli.BoolFlag{Name: "skews", Usage: "have a balancer hand most new connections of a hall, or of all, to one box at times"},
 			&cli.BoolFlag{Name: "series", Usage: "send boxes signals, stops and changes in series, with callers that keep their connections open"},
 			&cli.DurationFlag{Name: "for", Value: 30 * time.Second, Usage: "duration of a run"},
 			&cli.StringFlag{Name: "logs", Value: filepath.Join(os.TempDir(), "clovertrail-soak"), Usage: "`FOLDER` for settings files and logs"},
@@ -72,6 +74,7 @@
 					Program: cmd.String("program"), Seed: seed, Duration: cmd.Duration("for"),
 					Boxes: cmd.Int("boxes"), Targets: cmd.Int("targets"), Callers: cmd.Int("callers"), FatalRequests: cmd.Bool("fatal"), TargetRequests: cmd.Bool("asks"),
 					TargetLimits: cmd.Bool("limits"), Restores: cmd.Bool("restores"), Evacuations: cmd.Bool("evacuations"), Outages: cmd.Bool("outages"), Series: cmd.Bool("series"),
+					FatalPrompts: cmd.Bool("prompts"), Skews: cmd.Bool("skews"),
 					Dir: filepath.Join(cmd.String("logs"), fmt.Sprintf("seed-%d", seed)),
 				})
 				results <- result{r, err}
@@ -101,6 +104,11 @@
 	for _, x := range r.LimitSummaries {
 		fmt.Println("  ", x)
 	}
+	for _, x := range append(r.SkewSummaries, r.PromptSummary) {
+		if x != "" {
+			fmt.Println("  ", x)
+		}
+	}
 	if r.OutageSummary != "" {
 		fmt.Println("  ", r.OutageSummary)
 	}
--- a/soak/box.go
+++ b/soak/box.go
@@ -19,7 +19,9 @@
 	program       string
 	role          string
 	settingsFile  string
+	hall          string
 	callerAddress string
+	readyAddress  string
 	// storeProxy is the proxy through which the box connects to the store.
 	storeProxy *proxy
 	log        io.Writer
@@ -63,7 +65,7 @@
 	if err != nil {
 		return nil, err
 	}
-	b.callerAddress, b.storeProxy = addresses[0], storeProxy
+	b.hall, b.callerAddress, b.readyAddress, b.storeProxy = hall, addresses[0], addresses[1], storeProxy
 	return b, nil
 }
 
--- a/soak/environment.go
+++ b/soak/environment.go
@@ -44,6 +44,12 @@
 	// Series sends boxes signals, stops and changes in series, which overlap, and adds a caller for each box
 	// that keeps its connection open. It does not change the other random draws of the seed.
 	Series bool
+	// FatalPrompts adds callers of prompts, some of which share a part that crashes the targets that begin to
+	// respond to it. It does not change the other random draws of the seed.
+	FatalPrompts bool
+	// Skews has a balancer choose the boxes of callers, which at times hands most new connections of a hall, or of
+	// all halls, to one box.
+	Skews bool
 }
 
 // Default sizes of a run: few processes, so that many runs fit on one machine.
@@ -94,6 +100,7 @@
 	store       *standin.Store
 	storeServer *http.Server
 	boxes       []*box
+	balancer    *balancer
 	agents      []*box         // of the ranks of the group
 	group       *standin.Group // nil without outages
 	rankServers []*http.Server
@@ -140,7 +147,11 @@
 	if err := e.writeNextConfiguration(); err != nil {
 		return e, err
 	}
-	return e, e.startBoxes(l.Addr().String())
+	if err := e.startBoxes(l.Addr().String()); err != nil {
+		return e, err
+	}
+	e.balancer = newBalancer(e.boxes)
+	return e, nil
 }
 
 func startServer(l net.Listener, h http.Handler) *http.Server {
@@ -198,7 +209,7 @@
 	in := incarnation{id: fmt.Sprintf("i-%d", e.incarnations), proxy: p}
 	in.target = standin.NewTarget(in.id, service, e.recorder.addRun)
 	in.server = startServer(l, in.target)
-	if e.options.FatalRequests {
+	if e.options.FatalRequests || e.options.FatalPrompts {
 		e.crashOnFatal(h, in)
 	}
 	h.current = in
--- a/soak/fatal_requests.go
+++ b/soak/fatal_requests.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"sync"
 	"time"
 
 	"clovertrail.dev/platform/standin"
@@ -26,12 +27,17 @@
 	crashesToQuarantine, maxLateRuns = 3, 3
 )
 
-// crashOnFatal makes the target crash when it runs requests with fatalBody, and be replaced after
-// replaceAfter.
+// crashOnFatal makes the target crash when it runs requests with fatalBody, or begins to respond to prompts with
+// fatalPrefix, and be replaced after replaceAfter.
 func (e *environment) crashOnFatal(h *host, in incarnation) {
-	in.target.ChangeBehaviour(func(x *standin.Behaviour) { x.CrashBody, x.CrashDelay = fatalBody, crashAfter })
-	in.target.OnCrash(func() {
+	in.target.ChangeBehaviour(func(x *standin.Behaviour) {
+		x.CrashBody, x.CrashDelay, x.CrashPrefix = fatalBody, crashAfter, fatalPrefix
+	})
+	in.target.OnCrash(sync.OnceFunc(func() {
 		in.close()
+		if e.options.FatalPrompts {
+			e.recorder.addPromptCrash(time.Now())
+		}
 		e.recorder.addFault(action{name: "target crashed by a request", affects: scopeTarget}, "", time.Now(), time.Now().Add(replaceAfter+timingSlack))
 		time.AfterFunc(replaceAfter, func() {
 			h.lifecycle.Lock()
@@ -43,7 +49,7 @@
 				_ = e.replaceTarget(h, in) // if this fails, the run goes on with one target fewer
 			}
 		})
-	})
+	}))
 }
 
 // sendFatalRequests sends the same fatal request to boxes drawn at random, repeatedly until ctx
--- a/soak/recorder.go
+++ b/soak/recorder.go
@@ -26,7 +26,9 @@
 	// organisation is the owner of the API key in the request.
 	organisation string
 	atMostOnce   bool
-	group        bool // whether the group's route serves the request
+	group        bool   // whether the group's route serves the request
+	prompt       bool   // whether the request is a prompt of the callers of fatal or sound ones
+	hall         string // of the caller; empty if no balancer chose the box
 	// routeVersion is the version of the configuration that added the route; 0 if every version has it.
 	routeVersion int
 	box          string
@@ -76,6 +78,10 @@
 	limitPeriods      []limitPeriod
 	evacuations       []evacuation
 	hallOf            map[string]string // hall of each target
+	promptCrashes     []time.Time       // when prompts crashed targets
+	promptSummary     string
+	skews             []span // times in which most connections of a hall went to one box; the name is that of the hall
+	skewSummaries     []string
 	// limitSummaries describe the requests sent in each limit period.
 	limitSummaries []string
 }
@@ -130,6 +136,18 @@
 	rec.outages = append(rec.outages, span{name: "outage", affects: scopeNone, from: from, to: opens})
 }
 
+func (rec *recorder) addPromptCrash(at time.Time) {
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	rec.promptCrashes = append(rec.promptCrashes, at)
+}
+
+func (rec *recorder) addSkew(s span) {
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	rec.skews = append(rec.skews, s)
+}
+
 func (rec *recorder) markDraining(target string) {
 	rec.mu.Lock()
 	defer rec.mu.Unlock()
@@ -179,6 +197,8 @@
 	rec.checkProcesses(violate)
 	rec.checkConfigurations(violate)
 	rec.checkFatalRequests(violate)
+	rec.checkFatalPrompts(violate)
+	rec.checkSkews(violate)
 	rec.checkRest(violate)
 	rec.checkLeavingReported(violate)
 	rec.checkLimits(violate)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -40,6 +40,10 @@
 	LimitSummaries []string
 	// Waited is the number of requests to the group that were served although they had to wait.
 	Waited int
+	// PromptSummary describes what became of fatal and sound prompts, and SkewSummaries of the requests while most
+	// connections went to one box.
+	PromptSummary string
+	SkewSummaries []string
 	// OutageSummary describes what became of the requests to the group; empty without outages.
 	OutageSummary string
 	Violations    []Violation
@@ -70,6 +74,14 @@
 	if o.FatalRequests {
 		callers.Go(func() { e.sendFatalRequests(runCtx) })
 	}
+	if o.FatalPrompts {
+		callers.Go(func() { e.sendPrompts(runCtx, false) })
+		callers.Go(func() { e.sendPrompts(runCtx, true) })
+	}
+	if o.Skews {
+		callers.Go(func() { e.balancer.run(runCtx) })
+		actors.Go(func() { e.runSkews(end.Add(-coolDown)) })
+	}
 	if o.TargetLimits {
 		actors.Go(func() { e.runTargetLimits(runCtx, end.Add(-coolDown)) })
 	}
@@ -100,6 +112,7 @@
 	e.countAttempts()
 	rep.addGroupTotals(e.recorder)
 	rep.Violations, rep.LimitSummaries = e.recorder.violations(), e.recorder.limitSummaries
+	rep.PromptSummary, rep.SkewSummaries = e.recorder.promptSummary, e.recorder.skewSummaries
 	rep.addTotals(e, repaired, end)
 	return rep, ctx.Err()
 }
@@ -136,16 +149,28 @@
 	r := rand.New(rand.NewPCG(e.options.Seed, uint64(100+n)))
 	c := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}}
 	for i := 0; ctx.Err() == nil; i++ {
-		e.sendRequest(c, r, fmt.Sprintf("q-%d-%d", n, i))
+		e.sendRequest(c, r, n, fmt.Sprintf("q-%d-%d", n, i))
 		time.Sleep(callerPause)
 	}
 }
 
-// sendRequest sends a request of a kind drawn at random to a box drawn at random, and records the
-// exchange.
-func (e *environment) sendRequest(c *http.Client, r *rand.Rand, id string) {
-	b, org := e.boxes[r.IntN(len(e.boxes))], e.organisations[r.IntN(len(e.organisations))]
-	ex := exchange{organisation: org.name}
+// chooseBox returns the box for a request of a caller, and the caller's hall if the balancer chose it. Callers open more
+// connections then.
+func (e *environment) chooseBox(c *http.Client, r *rand.Rand, caller int) (b *box, hall string) {
+	n := r.IntN(len(e.boxes))
+	if !e.options.Skews {
+		return e.boxes[n], ""
+	}
+	c.CloseIdleConnections()
+	hall = hallName(caller)
+	return e.balancer.choose(hall, fmt.Sprint(caller), r.Float64()), hall
+}
+
+// sendRequest sends a request of a kind drawn at random, and records the exchange.
+func (e *environment) sendRequest(c *http.Client, r *rand.Rand, caller int, id string) {
+	b, hall := e.chooseBox(c, r, caller)
+	org := e.organisations[r.IntN(len(e.organisations))]
+	ex := exchange{organisation: org.name, hall: hall}
 	ex.request = standin.Request{ID: id, Key: org.key, Timeout: callerTimeout}
 	ex.request.Level = claimedLevels[len(id)%len(claimedLevels)]
 	switch r.IntN(4) {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"os/exec"
 	"path/filepath"
+	"sync"
 	"testing"
 	"time"
 
@@ -17,21 +18,35 @@
 //     gateway.Listener now prevents this.
 //   - 405 with fatal requests: the whole machine stalled for seconds, and the run with it.
 func TestGuaranteesHoldUnderFaults(t *testing.T) {
+	t.Parallel()
 	runSoak(t, []soak.Options{{Seed: 1}, {Seed: 134}, {Seed: 1, FatalRequests: true}, {Seed: 405, FatalRequests: true}, {Seed: 600, TargetRequests: true}, {Seed: 800, TargetLimits: true}, {Seed: 901, Restores: true}, {Seed: 1000, Evacuations: true}})
 }
 
 // TestGuaranteesHoldInOutages guards against callers that are held too long, are told "not run" wrongly, or are cut by a
 // planned stop while a group is stopped.
 func TestGuaranteesHoldInOutages(t *testing.T) {
+	t.Parallel()
 	runSoak(t, []soak.Options{{Seed: 1301, Outages: true}})
 }
 
 // TestGuaranteesHoldInSeries guards against stop signals that are lost, stops that cut requests on open connections, and
 // changes that are not applied when signals, stops and changes follow each other closely.
 func TestGuaranteesHoldInSeries(t *testing.T) {
+	t.Parallel()
 	runSoak(t, []soak.Options{{Seed: 1400, Series: true}})
 }
 
+// TestGuaranteesHoldBesideFatalPrompts guards against prompts that crash one target after the other because of a part that
+// they share, sound prompts that are not served beside them, and callers who are not served while a balancer hands most
+// new connections to one box.
+func TestGuaranteesHoldBesideFatalPrompts(t *testing.T) {
+	t.Parallel()
+	runSoak(t, []soak.Options{{Seed: 3011, FatalPrompts: true, Skews: true}})
+}
+
+// runsAtOnce is the number of runs of a test that go on at once.
+const runsAtOnce = 2
+
 // runSoak makes a short run with each of the options and reports what violates the guarantees.
 func runSoak(t *testing.T, list []soak.Options) {
 	t.Helper()
@@ -42,24 +57,43 @@
 	if out, err := exec.Command("go", "build", "-o", program, "clovertrail.dev/cmd/clovertrail-node").CombinedOutput(); err != nil {
 		t.Fatalf("build of clovertrail-node failed: %v: %s", err, out)
 	}
+	var runs sync.WaitGroup
+	slots := make(chan struct{}, runsAtOnce)
 	for _, o := range list {
-		seed := o.Seed
-		o.Program, o.Duration, o.Dir = program, soak.MinDuration+3*1e9, t.TempDir()
-		if o.TargetLimits || o.Restores || o.Evacuations || o.Outages || o.Series {
-			o.Duration += 6 * time.Second // a limit period, an evacuation, an outage, two stops in series, or a restore with its recovery needs more time
-		}
-		r, err := soak.Run(context.Background(), o)
-		if err != nil {
-			t.Fatal(err)
-		}
-		for _, v := range r.Violations {
-			t.Errorf("seed %d: %s: %s (%v)", seed, v.Guarantee, v.Details, r.Actions)
-		}
-		if o.Outages && r.Waited == 0 {
-			t.Errorf("seed %d: no request waited for the group: %s", seed, r.OutageSummary)
-		}
-		if r.Served == 0 {
-			t.Errorf("seed %d: no request was served", seed)
-		}
+		o.Program, o.Dir = program, t.TempDir()
+		slots <- struct{}{}
+		runs.Go(func() {
+			defer func() { <-slots }()
+			checkSoak(t, o)
+		})
+	}
+	runs.Wait()
+}
+
+// checkSoak makes a run with the options.
+func checkSoak(t *testing.T, o soak.Options) {
+	o.Duration = soak.MinDuration + 3*time.Second
+	switch {
+	case o.Skews:
+		o.Duration += 14 * time.Second // the time with most connections at one box, and as long before it
+	case o.TargetLimits || o.Restores || o.Evacuations || o.Outages || o.Series:
+		o.Duration += 6 * time.Second // a limit period, an evacuation, an outage, two stops in series, or a restore with its recovery needs more time
+	}
+	r, err := soak.Run(context.Background(), o)
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	for _, v := range r.Violations {
+		t.Errorf("seed %d: %s: %s (%v)", o.Seed, v.Guarantee, v.Details, r.Actions)
+	}
+	if o.Outages && r.Waited == 0 {
+		t.Errorf("seed %d: no request waited for the group: %s", o.Seed, r.OutageSummary)
+	}
+	if o.Skews && len(r.SkewSummaries) == 0 || o.FatalPrompts && r.PromptSummary == "" {
+		t.Errorf("seed %d: no target ended, or no balancer handed most connections to one box", o.Seed)
+	}
+	if r.Served == 0 {
+		t.Errorf("seed %d: no request was served", o.Seed)
 	}
 }
