quarantine: work that was retried while most targets ended is not refused

A request was lost at a target of one group after a third of a second, sent again 7 ms later and lost once more, with events at the first target and not a byte at the second. The others were lost twice within milliseconds, or had their first attempt cancelled just before. The box knew of no other target that had ended: ranks of a group that stops report nothing more.

An end counts for a further attempt only if the attempt lasted an eighth of the first one, unless that was short itself. And a quarter of a second after a box has put work in quarantine, which is before it writes a record, it asks up to eight other targets of the service whether they take connections; if three have ended, the ends are cleared, at all boxes.

Tests: TestSecondEndCountsIfAttemptLasted, TestSurveyReleasesWorkOfCommonEnds.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -33,6 +33,7 @@
 	gap          time.Duration  // between the last two arrivals of events
 	processEnded bool           // the target's process ended during the attempt
 	headReceived bool           // the head of a response to this request has arrived
+	sentAt       time.Time      // when the request was sent
 }
 
 var errTargetUnavailable = errors.New("the target asked for rest, named a limit, or is leaving, before the request was sent")
@@ -71,7 +72,7 @@
 	case a.processEnded:
 		verdict = ProcessEnded
 		a.d.g.deps.Common.Metrics.Count(telemetry.LostAttempts, a.progress(), 1)
-		end = a.targetLost(end)
+		end = a.targetLost(clock.Now(), end)
 	case ctx.Err() != nil && a.exchange != nil && a.exchange.Sent():
 		a.scheduleProcessCheck()
 	}
@@ -92,14 +93,15 @@
 }
 
 // targetLost reports that the target ended under the request, and returns the outcome of the attempt.
-func (a *attempt) targetLost(end retry.Outcome) retry.Outcome {
+func (a *attempt) targetLost(now time.Time, end retry.Outcome) retry.Outcome {
 	q := a.d.g.deps.Quarantine
-	known := q.KnowsParts(a.d.req.work)
-	if !a.d.lostTarget {
-		a.d.lostTarget, a.d.knownParts = true, known
-		q.TargetEnded(clock.Now(), a.suspectedWork(), a.lease.Target().ID())
-	} else {
-		q.TargetEnded(clock.Now(), a.suspectedAgain(), a.lease.Target().ID())
+	known, lasted := q.KnowsParts(a.d.req.work), now.Sub(a.sentAt)
+	switch {
+	case a.d.lostAfter == 0:
+		a.d.lostAfter, a.d.knownParts = max(lasted, 1), known
+		q.TargetEnded(now, a.suspectedWork(), a.lease.Target().ID())
+	case lasted >= a.d.lostAfter/minLastedDivisor || a.d.lostAfter < minLostAfter:
+		q.TargetEnded(now, a.suspectedAgain(), a.lease.Target().ID())
 	}
 	if broken, ok := end.(retry.Broken); ok && !broken.Forwarded && a.lastEventsAt.IsZero() && !known {
 		return retry.Suspected{Err: errEndedAtBeginning}
@@ -107,6 +109,14 @@
 	return end
 }
 
+// minLastedDivisor is the divisor of the time after which a target ended under a request, if that is at least minLostAfter. A
+// request that ends its targets takes as long at each; one that lasted for a small part of that at the next was there as
+// something else ended it, such as the loss of power of a whole rack.
+const (
+	minLastedDivisor = 8
+	minLostAfter     = 100 * time.Millisecond
+)
+
 // suspectedWork returns the work that may have ended the target. A part of a prompt crashes the targets that begin
 // to write a response, so that one that has written an event was ended by something else.
 func (a *attempt) suspectedWork() call.Work {
@@ -210,6 +220,7 @@
 	}
 	x.CloseWhenDone(ctx)
 	req := a.outboundRequest(ctx)
+	a.sentAt = clock.Now()
 	if err := x.Send(req); err != nil && !x.Sent() {
 		return retry.NotSent{Err: err}, Neutral
 	}
--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -113,3 +113,37 @@
 		})
 	}
 }
+
+// TestSecondEndCountsIfAttemptLasted guards against a quarantine of requests that were sent to a second target as a whole rack was about to
+// lose power: the second target ended long before the request can have got as far as at the first.
+func TestSecondEndCountsIfAttemptLasted(t *testing.T) {
+	const first = 800 * time.Millisecond
+	for _, tc := range []struct {
+		name   string
+		second time.Duration // from when the second target has the request until it ends
+		want   []string
+	}{{"ends at once", 0, []string{"a"}}, {"ends after as long", first, []string{"a", "b"}}} {
+		t.Run(tc.name, func(t *testing.T) {
+			a, b := newTarget(t, "a", wait+crash), newTarget(t, "b", wait+crash)
+			r := newFixture(t, a, b)
+			for x, after := range map[*target]time.Duration{a: first, b: tc.second} {
+				proceed := make(chan struct{})
+				x.proceed = proceed
+				go func() {
+					for len(x.requests()) == 0 {
+						time.Sleep(time.Millisecond)
+					}
+					time.Sleep(after)
+					close(proceed)
+				}()
+			}
+			r.request("POST", "/repeat/", "body")
+			for r.g.InFlight() > 0 { // the caller may get its response before the attempt is recorded
+				time.Sleep(time.Millisecond)
+			}
+			if !slices.Equal(r.quarantine.ended, tc.want) {
+				t.Errorf("reported ended targets %v, want %v", r.quarantine.ended, tc.want)
+			}
+		})
+	}
+}
--- a/gateway/delivery.go
+++ b/gateway/delivery.go
@@ -42,8 +42,8 @@
 	buffered     *bufferedResponse // failure response, sent if there is no other attempt
 	limit        call.Limit        // limit named by the target of the last attempt
 	hold         *holding
-	lostTarget   bool // a target ended under an attempt
-	knownParts   bool // the parts of the prompt were known then
+	lostAfter    time.Duration // from when an attempt was sent until its target ended, of the first one; 0 for none
+	knownParts   bool          // the parts of the prompt were known then
 
 	mu      sync.Mutex
 	unbegun context.CancelCauseFunc // ends an attempt, or the wait for one, whose response has not begun; nil if there is none
--- a/node/entry.go
+++ b/node/entry.go
@@ -15,6 +15,7 @@
 	"clovertrail.dev/node/rank"
 	"clovertrail.dev/platform"
 	"clovertrail.dev/quarantine"
+	"clovertrail.dev/routing"
 	"clovertrail.dev/store"
 	"clovertrail.dev/telemetry"
 	"clovertrail.dev/transport"
@@ -69,7 +70,7 @@
 		Common: c, Headers: platform.HeaderCodec{}, Fleet: e.fleet, Pool: e.pool, Budget: e.budgets.forService,
 		Quarantine: e.quarantine, MaxHeldBytes: s.MaxHeldBytes(),
 	})
-	e.quarantine.changed = e.gateway.QuarantineChanged
+	e.quarantine.changed, e.quarantine.siblings, e.quarantine.ended = e.gateway.QuarantineChanged, e.siblings, e.processEnded
 	e.peering = newPeering(e)
 	e.fleet.onFailure, e.fleet.onEjected, e.fleet.witness = e.peering.notify, e.onTargetEjected, e.witness
 	e.fleet.onLeaving = e.onTargetLeaving
@@ -83,6 +84,17 @@
 	return e
 }
 
+// siblings returns the other targets of the target's service.
+func (e *Entry) siblings(id domain.InstanceID) (list []domain.Target) {
+	e.fleet.with(func(r *membership.Roster, _ *routing.Balancer) { list = r.Siblings(id) })
+	return list
+}
+
+// processEnded reports whether connections to the target are refused.
+func (e *Entry) processEnded(t domain.Target) bool {
+	return e.pool.ProcessEnded(context.Background(), t.Address(), "")
+}
+
 // witness returns the address of another process on the network path to the target: the agent on its
 // box, or another entry box of its hall; empty if there is none.
 func (e *Entry) witness(t domain.Target) string {
--- a/node/quarantine_sync.go
+++ b/node/quarantine_sync.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"clovertrail.dev/core/call"
@@ -27,14 +28,18 @@
 //
 // Lock order: mu is the only lock, and no I/O is done under it.
 type quarantineSync struct {
-	common   telemetry.Common
-	notify   func() // sends updates to other boxes at once
-	changed  func() // called after a work was put in quarantine
+	common  telemetry.Common
+	notify  func() // sends updates to other boxes at once
+	changed func() // called after a work was put in quarantine
+	// siblings returns the other targets that run the same program, and ended reports whether the process of one has ended.
+	siblings func(domain.InstanceID) []domain.Target
+	ended    func(domain.Target) bool
 	fleet    func(now time.Time) quarantine.Fleet
 	isolated func() bool      // reports whether this box receives nothing from other halls, except through the store
 	era      func() store.Era // the latest era of the store that this box has observed
 
 	mu         sync.Mutex
+	rand       *rand.Rand
 	register   *quarantine.Register
 	reconciler *quarantine.Reconciler
 	outbox     *quarantine.Outbox
@@ -55,10 +60,10 @@
 )
 
 func newQuarantineSync(c telemetry.Common, notify func(), fleet func(time.Time) quarantine.Fleet, isolated func() bool, era func() store.Era) *quarantineSync {
-	r := quarantine.NewRegister()
+	r, rnd := quarantine.NewRegister(), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	return &quarantineSync{
-		common: c, notify: notify, changed: func() {}, fleet: fleet, isolated: isolated, era: era, register: r, outbox: quarantine.NewOutbox(r, clock.TimeOfDay),
-		reconciler: quarantine.NewReconciler(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))), wake: make(chan struct{}, 1),
+		common: c, notify: notify, changed: func() {}, siblings: func(domain.InstanceID) []domain.Target { return nil }, fleet: fleet, isolated: isolated, era: era, register: r, outbox: quarantine.NewOutbox(r, clock.TimeOfDay),
+		rand: rnd, reconciler: quarantine.NewReconciler(rnd), wake: make(chan struct{}, 1),
 	}
 }
 
@@ -103,6 +108,7 @@
 		case source != sourceOwn:
 		case change == quarantine.Quarantined:
 			q.enqueue(o.Digest, q.outbox.AddWork(now, o.Digest))
+			clock.AfterFunc(now.Add(quarantine.SurveyDelay), func() { q.survey(o) })
 		case change == quarantine.Released:
 			q.enqueue(o.Digest, q.outbox.AddRecord(now, q.outbox.ServedRecord(o)))
 		}
@@ -121,6 +127,35 @@
 	}
 }
 
+// survey asks whether other targets ended too, and releases the work if they did.
+func (q *quarantineSync) survey(o quarantine.Observation) {
+	others := q.siblings(o.Target)
+	q.mu.Lock()
+	asked := q.register.ToSurvey(clock.Now(), o.Digest, others, q.rand)
+	q.mu.Unlock()
+	var ended atomic.Int64
+	var checks sync.WaitGroup
+	for _, t := range asked {
+		checks.Go(func() {
+			if q.ended(t) {
+				ended.Add(1)
+			}
+		})
+	}
+	checks.Wait()
+	now := clock.Now()
+	q.mu.Lock()
+	change := q.register.ObserveSurvey(now, o.Digest, int(ended.Load()))
+	if change == quarantine.Released {
+		q.common.Metrics.Count(telemetry.Quarantines, "common cause", 1)
+		q.common.Log.Info("work released from quarantine because other targets ended too", "digest", o.Digest, "asked", len(asked), "ended", ended.Load())
+	}
+	q.mu.Unlock()
+	if change == quarantine.Released {
+		q.notify()
+	}
+}
+
 // recordChange logs and counts the change that an observation made; mu is held.
 func (q *quarantineSync) recordChange(now time.Time, w quarantine.Observation, change quarantine.Change, source string) {
 	attrs := []any{"digest", w.Digest, "target", w.Target, "ended", q.register.EndedTargets(w.Digest), "age", now.Sub(w.At), "source", source}
--- a/quarantine/evidence_test.go
+++ b/quarantine/evidence_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
 
 	"clovertrail.dev/core/call"
+	"clovertrail.dev/core/domain"
 	"clovertrail.dev/quarantine"
 )
 
@@ -115,3 +117,41 @@
 		t.Errorf("%d works in quarantine, want up to %d", n, maxWorks)
 	}
 }
+
+// TestSurveyReleasesWorkOfCommonEnds guards against works in quarantine that were retried while most targets ended, of which the
+// box observed only the two that had the work.
+func TestSurveyReleasesWorkOfCommonEnds(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		ended int // of those that were asked
+		want  quarantine.Change
+	}{{"no other ended", 0, quarantine.Unchanged}, {"few others ended", 2, quarantine.Unchanged}, {"many others ended", 3, quarantine.Released}} {
+		t.Run(tc.name, func(t *testing.T) {
+			r, other := observe(quarantine.NewRegister(), endsOf(fatal, "ab")...), observe(quarantine.NewRegister(), endsOf(fatal, "ab")...)
+			var others []domain.Target
+			for i, id := range []domain.InstanceID{"a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k", "l"} {
+				x, err := domain.NewTarget(domain.TargetFields{ID: id, Service: "s", Address: fmt.Sprintf("10.0.0.%d:1", i), State: domain.TargetReady})
+				if err != nil {
+					t.Fatal(err)
+				}
+				others = append(others, x)
+			}
+			now := begin.Add(time.Second)
+			asked := r.ToSurvey(now, fatal, others, rand.New(rand.NewPCG(1, 1)))
+			if len(asked) != 8 || slices.ContainsFunc(asked, func(x domain.Target) bool { return x.ID() <= "b" }) {
+				t.Errorf("%d targets are asked, want 8 of those that did not end under the work", len(asked))
+			}
+			if got := r.ObserveSurvey(now, fatal, tc.ended); got != tc.want {
+				t.Errorf("change %d, want %d", got, tc.want)
+			}
+			for _, o := range r.Cleared(now) {
+				other.ObserveCleared(now, o)
+			}
+			_, here := r.QuarantinedUntil(now, fatal)
+			_, there := other.QuarantinedUntil(now, fatal)
+			if want := tc.want == quarantine.Unchanged; here != want || there != want {
+				t.Errorf("in quarantine %v here and %v at another box, want %v", here, there, want)
+			}
+		})
+	}
+}
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -31,7 +31,7 @@
 	MeshBytes     Name = "clovertrail_mesh_bytes_total"           // reason: "sent" or "received", and the call, of the calls that this process makes
 	MapSwitches   Name = "clovertrail_map_switches_total"         // reason: the outcome of the change
 	MovedExperts  Name = "clovertrail_experts_moved_total"        // reason: the group
-	Quarantines   Name = "clovertrail_quarantines_total"          // reason: source ("own", "peer", "store"), "trial", "released", "lifted", or "not reported" (observations for which a message had no room)
+	Quarantines   Name = "clovertrail_quarantines_total"          // reason: source ("own", "peer", "store"), "trial", "released", "lifted", "common cause" (released, since other targets ended too), or "not reported" (observations for which a message had no room)
 	LostAttempts  Name = "clovertrail_lost_attempts_total"        // attempts whose target's process ended; reason: progress of the response, "none", "head" or "begun"
 	Permits       Name = "clovertrail_permits_total"              // reason: "issuer", "own part" (fallback share), "none" (request without success)
 	Suspensions   Name = "clovertrail_suspended_seconds_total"    // reason: empty; whole seconds, rounded up
