--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -113,8 +113,8 @@
 // request that ends its targets takes as long at each; one that lasted for a small part of that at the next was there as
 // something else ended it, such as the loss of power of a whole rack.
 const (
-	minLastedDivisor = 8
-	minLostAfter     = 100 * time.Millisecond
+	minLastedDivisor = 5
+	minLostAfter     = 25 * time.Millisecond
 )
 
 // suspectedWork returns the work that may have ended the target. A part of a prompt crashes the targets that begin
--- a/node/quarantine_sync.go
+++ b/node/quarantine_sync.go
@@ -148,8 +148,8 @@
 	change := q.register.ObserveSurvey(now, o.Digest, int(ended.Load()))
 	if change == quarantine.Released {
 		q.common.Metrics.Count(telemetry.Quarantines, "common cause", 1)
-		q.common.Log.Info("work released from quarantine because other targets ended too", "digest", o.Digest, "asked", len(asked), "ended", ended.Load())
 	}
+	q.common.Log.Info("other targets asked whether they ended too", "digest", o.Digest, "asked", len(asked), "ended", ended.Load(), "released", change == quarantine.Released)
 	q.mu.Unlock()
 	if change == quarantine.Released {
 		q.notify()
