--- a/core/call/request.go
+++ b/core/call/request.go
@@ -19,8 +19,8 @@
 
 // Prompt states the size of a request to a model.
 type Prompt struct {
-	Tokens     int // number of tokens in the prompt
-	MaxTokens  int // maximum number of tokens in the response
+	Tokens     int // number of tokens in the prompt; 0 if it was not stated
+	MaxTokens  int // maximum number of tokens in the response; 0 if it was not stated
 	LengthHint int // the caller's estimate of the tokens in the response; 0 if it sent none
 	Prefixes   []PromptPrefix
 }
