--- a/bench/slopes.go
+++ b/bench/slopes.go
@@ -12,11 +12,11 @@
 
 	"clovertrail.dev/catalog"
 	"clovertrail.dev/core/domain"
+	"clovertrail.dev/distribution"
 	"clovertrail.dev/experts/rebalance"
 	"clovertrail.dev/mapswitch/orders"
 	"clovertrail.dev/membership"
 	"clovertrail.dev/mesh"
-	"clovertrail.dev/node/distribution"
 	"clovertrail.dev/routing"
 	"clovertrail.dev/store"
 )
--- a/node/distribution/distribution_test.go
+++ b/distribution/distribution_test.go
@@ -13,7 +13,7 @@
 	"clovertrail.dev/experts/rebalance"
 	"clovertrail.dev/mapswitch/orders"
 	"clovertrail.dev/mesh"
-	"clovertrail.dev/node/distribution"
+	"clovertrail.dev/distribution"
 )
 
 var (
--- a/node/distribution/forwarders_test.go
+++ b/distribution/forwarders_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"clovertrail.dev/node/distribution"
+	"clovertrail.dev/distribution"
 )
 
 func TestForwardersAlternateUntilFailureOrExpiry(t *testing.T) {
--- a/node/distribution/lateness_test.go
+++ b/distribution/lateness_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"clovertrail.dev/node/distribution"
+	"clovertrail.dev/distribution"
 )
 
 // TestLateness: one engine in ten leaves an order unanswered, and the coordinator must receive the
--- a/node/distribution/relays_test.go
+++ b/distribution/relays_test.go
@@ -6,7 +6,7 @@
 
 	"clovertrail.dev/core/domain"
 	"clovertrail.dev/mesh"
-	"clovertrail.dev/node/distribution"
+	"clovertrail.dev/distribution"
 )
 
 // spreadMembers returns the members of a group whose ranks are spread over data halls in order,
--- a/node/agent_poller.go
+++ b/node/agent_poller.go
@@ -10,11 +10,11 @@
 
 	"clovertrail.dev/core/clock"
 	"clovertrail.dev/core/domain"
+	"clovertrail.dev/distribution"
 	"clovertrail.dev/experts/rebalance"
 	"clovertrail.dev/mapswitch/orders"
 	"clovertrail.dev/membership"
 	"clovertrail.dev/mesh"
-	"clovertrail.dev/node/distribution"
 	"clovertrail.dev/routing"
 )
 
--- a/node/hall_poller.go
+++ b/node/hall_poller.go
@@ -9,9 +9,9 @@
 
 	"clovertrail.dev/core/clock"
 	"clovertrail.dev/core/domain"
+	"clovertrail.dev/distribution"
 	"clovertrail.dev/membership"
 	"clovertrail.dev/mesh"
-	"clovertrail.dev/node/distribution"
 	"clovertrail.dev/routing"
 )
 
--- a/node/rank/agent.go
+++ b/node/rank/agent.go
@@ -8,10 +8,10 @@
 
 	"clovertrail.dev/core/clock"
 	"clovertrail.dev/core/fault"
+	"clovertrail.dev/distribution"
 	"clovertrail.dev/experts/rebalance"
 	"clovertrail.dev/mapswitch/orders"
 	"clovertrail.dev/mesh"
-	"clovertrail.dev/node/distribution"
 	"clovertrail.dev/node/process"
 	"clovertrail.dev/platform"
 	"clovertrail.dev/telemetry"
--- a/node/rank/dispatching.go
+++ b/node/rank/dispatching.go
@@ -6,9 +6,9 @@
 
 	"clovertrail.dev/core/clock"
 	"clovertrail.dev/core/fault"
+	"clovertrail.dev/distribution"
 	"clovertrail.dev/mapswitch/orders"
 	"clovertrail.dev/mesh"
-	"clovertrail.dev/node/distribution"
 	"clovertrail.dev/telemetry"
 )
 
--- a/node/rank/fanout.go
+++ b/node/rank/fanout.go
@@ -6,9 +6,9 @@
 	"time"
 
 	"clovertrail.dev/core/clock"
+	"clovertrail.dev/distribution"
 	"clovertrail.dev/mapswitch/orders"
 	"clovertrail.dev/mesh"
-	"clovertrail.dev/node/distribution"
 )
 
 // fanOutTimeoutShare is the share of the coordinator's timeout for a reply within which a relay or
--- a/node/rank/groupcoordinator.go
+++ b/node/rank/groupcoordinator.go
@@ -7,10 +7,10 @@
 	"time"
 
 	"clovertrail.dev/core/clock"
+	"clovertrail.dev/distribution"
 	"clovertrail.dev/experts/rebalance"
 	"clovertrail.dev/mapswitch/orders"
 	"clovertrail.dev/mesh"
-	"clovertrail.dev/node/distribution"
 	"clovertrail.dev/platform"
 )
 
--- a/node/rank/reading.go
+++ b/node/rank/reading.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"clovertrail.dev/core/clock"
+	"clovertrail.dev/distribution"
 	"clovertrail.dev/mesh"
-	"clovertrail.dev/node/distribution"
 )
 
 // This file contains the reads of a coordinator: one call per rank, or in a large group
