--- a/distribution/distribution_test.go
+++ b/distribution/distribution_test.go
@@ -10,10 +10,10 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"clovertrail.dev/core/domain"
+	"clovertrail.dev/distribution"
 	"clovertrail.dev/experts/rebalance"
 	"clovertrail.dev/mapswitch/orders"
 	"clovertrail.dev/mesh"
-	"clovertrail.dev/distribution"
 )
 
 var (
--- a/distribution/relays_test.go
+++ b/distribution/relays_test.go
@@ -5,8 +5,8 @@
 	"testing"
 
 	"clovertrail.dev/core/domain"
-	"clovertrail.dev/mesh"
 	"clovertrail.dev/distribution"
+	"clovertrail.dev/mesh"
 )
 
 // spreadMembers returns the members of a group whose ranks are spread over data halls in order,
