--- a/local/fatal_prefix_test.go
+++ b/local/fatal_prefix_test.go
@@ -48,7 +48,7 @@
 	rnd := rand.New(rand.NewPCG(7, 7))
 	send := func(path string, parts []string) {
 		q := standin.Request{ID: h.nextID(), Path: path, Key: apiKey, Timeout: 2 * time.Second}
-		q.Body, q.Prefixes = "prompt "+q.ID, append(parts, "own-"+q.ID)
+		q.Body, q.Prefixes = "prompt "+q.ID, slices.Concat(parts, []string{"own-" + q.ID})
 		e := entry(s, rnd.IntN(len(s.Entries())))
 		callers.Go(func() {
 			if e.Running() {
--- a/quarantine/evidence_test.go
+++ b/quarantine/evidence_test.go
@@ -12,13 +12,9 @@
 	"clovertrail.dev/quarantine"
 )
 
-// endsOf returns observations that the targets, one letter each, ended a second after each other under the work.
-func endsOf(d call.Digest, targets string) []quarantine.Observation {
-	var list []quarantine.Observation
-	for i, x := range targets {
-		list = append(list, ended(d, string(x), time.Duration(i)*time.Second))
-	}
-	return list
+// twoEnds returns observations that two targets ended under the work, a second after each other.
+func twoEnds(d call.Digest) []quarantine.Observation {
+	return []quarantine.Observation{ended(d, "a", 0), ended(d, "b", time.Second)}
 }
 
 // TestTrialTellsPartsApart guards against a part that nearly all requests share and that is refused for minutes because all
@@ -32,7 +28,7 @@
 		}
 		return call.NewWork("request", "s", p)
 	}
-	r := observe(observe(quarantine.NewRegister(), endsOf(fatalPart, "ab")...), endsOf(common, "ab")...)
+	r := observe(observe(quarantine.NewRegister(), twoEnds(fatalPart)...), twoEnds(common)...)
 	now := begin.Add(3 * time.Second)
 	tries := func(w call.Work) bool {
 		d, ok := r.TrialOf(now, w)
@@ -127,7 +123,7 @@
 		want  quarantine.Change
 	}{{"no other ended", 0, quarantine.Unchanged}, {"few others ended", 2, quarantine.Unchanged}, {"many others ended", 3, quarantine.Released}} {
 		t.Run(tc.name, func(t *testing.T) {
-			r, other := observe(quarantine.NewRegister(), endsOf(fatal, "ab")...), observe(quarantine.NewRegister(), endsOf(fatal, "ab")...)
+			r, other := observe(quarantine.NewRegister(), twoEnds(fatal)...), observe(quarantine.NewRegister(), twoEnds(fatal)...)
 			var others []domain.Target
 			for i, id := range []domain.InstanceID{"a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k", "l"} {
 				x, err := domain.NewTarget(domain.TargetFields{ID: id, Service: "s", Address: fmt.Sprintf("10.0.0.%d:1", i), State: domain.TargetReady})
