local: the load of a group lengthens its steps in the test of shedding

Cause: the stand-in's steps lasted 498 ms at any load, where the route allows 500 ms, so that only the jitter of the gaps decided whether a box began to shed (0 to 4 of the boxes in a run). Ruled out: the limiter, which saw gaps, loads and settings in the runs that failed too. Now the steps of this case and of the one with the limit disabled grow by 5 ms with each running request, from 200 ms to 485 ms at the load of the test; the checks are the same.

--- a/local/scenario_test.go
+++ b/local/scenario_test.go
@@ -53,6 +53,7 @@
 	timeout   time.Duration // time limit of callers; at least 4 s applies
 	events    int           // number of events of a stream; 0 for the default
 	eventGap  time.Duration
+	loadGap   time.Duration // additional time between events for each request that a target has
 	faults    []faultSpec
 	seed      uint64
 	operator  func(*local.System, *history) // runs concurrently with the callers
@@ -282,6 +283,7 @@
 		if sc.eventGap > 0 {
 			h.EventGap = sc.eventGap
 		}
+		h.LoadGap = sc.loadGap
 		h.CrashBody, h.CrashDelay, h.CrashPrefix = sc.fatalBody, crashAfter, sc.fatalPrefix
 	})
 }
--- a/local/shedding_test.go
+++ b/local/shedding_test.go
@@ -17,18 +17,19 @@
 	for _, tc := range []struct {
 		name    string
 		gap     time.Duration // the routes allow 500 ms
+		loadGap time.Duration
 		callers int
 		off     bool
 		want    bool
 	}{
-		{"long steps at a high load", 498 * time.Millisecond, 182, false, true},
-		{"the same with the limit disabled", 498 * time.Millisecond, 182, true, false},
-		{"long steps at a low load", 498 * time.Millisecond, 60, false, false},
-		{"short steps at a high load", 200 * time.Millisecond, 182, false, false},
+		{"long steps at a high load", 200 * time.Millisecond, 5 * time.Millisecond, 182, false, true},
+		{"the same with the limit disabled", 200 * time.Millisecond, 5 * time.Millisecond, 182, true, false},
+		{"long steps at a low load", 498 * time.Millisecond, 0, 60, false, false},
+		{"short steps at a high load", 200 * time.Millisecond, 0, 182, false, false},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			var log bytes.Buffer
-			sc := scenario{seed: 1, length: 12 * time.Second, callers: tc.callers, paths: []string{standin.GroupPath + "x"}, events: 7, eventGap: tc.gap, log: &log}
+			sc := scenario{seed: 1, length: 12 * time.Second, callers: tc.callers, paths: []string{standin.GroupPath + "x"}, events: 7, eventGap: tc.gap, loadGap: tc.loadGap, log: &log}
 			if tc.off {
 				sc.overload = &process.Overload{InterpretReports: true}
 			}
