quarantine: a full register evicts work without judging all others

What callers would see: a target that ends while a box's register is full holds up all requests of the box. The register is full after three or four ends since parts of prompts are in it: a target with 24 requests of 16 parts each brings some 200 new works.

--- a/quarantine/register.go
+++ b/quarantine/register.go
@@ -243,7 +243,7 @@
 	var list []Observation
 	for d, w := range r.works {
 		fresh := now.Sub(w.updated) < reportFor
-		if quarantined := now.Before(r.term(d).until); !fresh && (!all || !quarantined) {
+		if !fresh && (!all || !now.Before(r.term(d).until)) {
 			continue
 		}
 		list = append(list, r.Observations(d)...)
@@ -286,21 +286,29 @@
 // new, stays.
 func (r *Register) evict(now time.Time, added call.Digest) {
 	for d, w := range r.works {
-		if end := r.term(d).until; d != added && now.Sub(w.updated) > retention && now.Sub(end) > retention {
+		if d != added && now.Sub(w.updated) > retention && now.Sub(r.term(d).until) > retention {
 			delete(r.works, d)
 		}
 	}
 	for len(r.works) > maxWorks {
-		var first call.Digest
-		for d := range r.works {
-			if d != added && (first == "" || r.evictsBefore(now, d, first)) {
-				first = d
-			}
+		first, found := r.firstToEvict(now, added, func(w *work) bool { return len(w.ended) < minEnded })
+		if !found {
+			first, _ = r.firstToEvict(now, added, func(*work) bool { return true })
 		}
 		delete(r.works, first)
 	}
 }
 
+// firstToEvict returns the work other than added that is evicted first of those that match.
+func (r *Register) firstToEvict(now time.Time, added call.Digest, match func(*work) bool) (first call.Digest, found bool) {
+	for d, w := range r.works {
+		if d != added && match(w) && (!found || r.evictsBefore(now, d, first)) {
+			first, found = d, true
+		}
+	}
+	return first, found
+}
+
 // evictsBefore reports whether x is evicted before y.
 func (r *Register) evictsBefore(now time.Time, x, y call.Digest) bool {
 	a, b := r.works[x], r.works[y]
