quarantine: at most 64 ends are remembered of one work

A part that nearly all prompts share, and that no target serves while they end, had the ends of all targets of a fleet, in memory and in its record. The oldest goes as a further one comes, unless that may be an end that was dropped and that another box reports: ages in messages let the same end seem later. TestEndsOfWorkAreBounded failed before (200 ends remembered).

--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -5,8 +5,13 @@
 	"time"
 
 	"clovertrail.dev/core/call"
+	"clovertrail.dev/core/domain"
 )
 
+// maxEnds is the maximum number of ends of targets that are remembered of one work. A rack that loses power may end
+// that many under a part that nearly all prompts share.
+const maxEnds = 64
+
 // term is the quarantine of a work.
 type term struct {
 	last  time.Time // when the last target ended under the work; the quarantine begins with it
@@ -36,6 +41,25 @@
 	return term{last: last, until: last.Add(duration(n - need))}
 }
 
+// makeRoom drops the oldest end if the work has the maximum number of them. It returns false if the end at the given
+// time is not to be added: it may then be a dropped one that another box reports.
+func (w *work) makeRoom(at time.Time) bool {
+	if len(w.ended) < maxEnds {
+		return true
+	}
+	var oldest domain.InstanceID
+	for id, e := range w.ended {
+		if isEcho(e.at, at) {
+			return false
+		}
+		if oldest == "" || e.at.Before(w.ended[oldest].at) {
+			oldest = id
+		}
+	}
+	delete(w.ended, oldest)
+	return true
+}
+
 // required returns when the last target ended under the work, and how many must have ended for a quarantine.
 func (w *work) required() (last time.Time, need int) {
 	alone := 0 // targets that ended without others
--- a/quarantine/evidence_test.go
+++ b/quarantine/evidence_test.go
@@ -114,6 +114,26 @@
 	}
 }
 
+// TestEndsOfWorkAreBounded guards against a work whose ends take memory without bound, and against ends that boxes drop and
+// receive from each other again and again.
+func TestEndsOfWorkAreBounded(t *testing.T) {
+	const maxEnds, ends, pause = 64, 200, 20 * time.Second
+	r := quarantine.NewRegister()
+	for i := range ends {
+		observe(r, ended(fatal, fmt.Sprint(i), time.Duration(i)*pause))
+	}
+	last := begin.Add((ends - 1) * pause)
+	if n := r.EndedTargets(fatal); n != maxEnds {
+		t.Errorf("%d ends are remembered, want %d", n, maxEnds)
+	}
+	if got := r.Observe(last, ended(fatal, "0", time.Second)); got != quarantine.Unchanged {
+		t.Errorf("change %v by an end that was dropped, want none", got)
+	}
+	if until, _ := r.QuarantinedUntil(last, fatal); until != last.Add(48*time.Hour) {
+		t.Errorf("quarantined until %v, want for 48 h from the last end on", until)
+	}
+}
+
 // TestSurveyReleasesWorkOfCommonEnds guards against works in quarantine that were retried while most targets ended, of which the
 // box observed only the two that had the work.
 func TestSurveyReleasesWorkOfCommonEnds(t *testing.T) {
--- a/quarantine/register.go
+++ b/quarantine/register.go
@@ -144,7 +144,7 @@
 		w.updated = now // the box that sent the end does not know that the work was served since
 		return Unchanged
 	}
-	if _, counted := w.ended[o.Target]; counted {
+	if _, counted := w.ended[o.Target]; counted || !w.makeRoom(o.At) {
 		return Unchanged
 	}
 	w.ended[o.Target], w.updated = end{at: o.At}, now
