quarantine: what stored records amount to is decided outside the shell of the store

Which records are removed, and in which order lifts, services and ends are observed, was decided between calls to the store in package node.

--- a/node/quarantine_sync.go
+++ b/node/quarantine_sync.go
@@ -1,12 +1,10 @@
 package node
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -290,15 +288,15 @@
 }
 
 // compare enqueues the records of this box that the restored store lacks. names has the names of the
-// records in the store, and stored what they state.
-func (q *quarantineSync) compare(now time.Time, names map[string]bool, stored *quarantine.Register) {
+// records in the store, and lifts the lifts that they state.
+func (q *quarantineSync) compare(now time.Time, names map[string]bool, lifts *quarantine.Register) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if !q.reconciler.Due(now) {
 		return
 	}
 	q.reconciler.MarkCompared()
-	for _, r := range q.outbox.Missing(now, names, stored) {
+	for _, r := range q.outbox.Missing(now, names, lifts) {
 		q.common.Log.Warn("restored store lacks quarantine record, writing it again", "digest", r.Digest(), "record", r.Name())
 		q.enqueue(r.Digest(), q.outbox.AddRecord(now, r))
 	}
@@ -312,26 +310,36 @@
 	if err != nil {
 		return false
 	}
-	day, names, stored := time.Now(), map[string]bool{}, quarantine.NewRegister()
+	stored := q.readRecords(l.Records)
+	for _, name := range stored.Expired() {
+		q.recordCall("remove", s.Remove(ctx, platform.Quarantines, name))
+	}
+	names, lifts := map[string]bool{}, quarantine.NewRegister()
 	for _, r := range l.Records {
 		names[r.Name] = true
 	}
-	for name, r := range q.readRecords(l.Records) {
-		if r.Expired(day) {
-			q.recordCall("remove", s.Remove(ctx, platform.Quarantines, name))
-		} else if lift, lifted := r.Lift(clock.Now(), day); lifted {
-			stored.ObserveLift(clock.Now(), lift)
-		}
+	now := clock.Now()
+	for _, lift := range stored.Lifts() {
+		lifts.ObserveLift(now, lift)
 	}
-	q.compare(clock.Now(), names, stored)
+	q.compare(now, names, lifts)
 	return true
 }
 
-// readRecords adds what the stored records state, and returns those that can be decoded by name. Lifts come
-// first, then works that were served, which have no target, so that a work that was released is not put in
-// quarantine for a moment.
-func (q *quarantineSync) readRecords(records []store.Record) map[string]quarantine.Record {
-	now, day, decoded := clock.Now(), time.Now(), map[string]quarantine.Record{}
+// readRecords adds what the stored records state to the register.
+func (q *quarantineSync) readRecords(records []store.Record) quarantine.StoredRecords {
+	now := clock.Now()
+	stored := quarantine.NewStoredRecords(now, time.Now(), q.decode(records))
+	for _, lift := range stored.Lifts() {
+		q.observeLift(now, lift, sourceStore)
+	}
+	q.observe(now, sourceStore, stored.Observations())
+	return stored
+}
+
+// decode returns the records that can be decoded by name.
+func (q *quarantineSync) decode(records []store.Record) map[string]quarantine.Record {
+	decoded := map[string]quarantine.Record{}
 	for _, r := range records {
 		var record quarantine.Record
 		if err := json.Unmarshal(r.Spec, &record); err != nil {
@@ -339,18 +347,7 @@
 			continue
 		}
 		decoded[r.Name] = record
-		if lift, lifted := record.Lift(now, day); lifted && !record.Expired(day) {
-			q.observeLift(now, lift, sourceStore)
-		}
-	}
-	var observations []quarantine.Observation
-	for _, record := range decoded {
-		if !record.Expired(day) {
-			observations = append(observations, record.Observations(now, day)...)
-		}
 	}
-	slices.SortFunc(observations, func(x, y quarantine.Observation) int { return cmp.Compare(x.Target, y.Target) })
-	q.observe(now, sourceStore, observations)
 	return decoded
 }
 
