cli/logs: times far off, kills counted twice and ages of centuries

What operators saw: report allocated an entry for each second up to a line with a wrong time (out of memory with one line of 1970 and one of 2151); lines more than a week from the median count as damaged now. explain named a box that crashed once and started twice as killed twice, and printed an age of 292 years for targets whose standing no line reports; the age is that of the last line about one of them.

--- a/cli/logs/box_state.go
+++ b/cli/logs/box_state.go
@@ -127,7 +127,7 @@
 }
 
 // serviceFacts counts the listed targets of the service by standing. The age is that of
-// the latest change of standing among them.
+// the latest line about one of them.
 func (b *boxState) serviceFacts(now time.Time, service string) []Fact {
 	counts := map[string]int{}
 	var last Line
@@ -135,12 +135,12 @@
 		if l.msg == "target gone" || l.Get("service") != service {
 			continue
 		}
-		standing := "not judged yet"
+		latest, standing := l, "not judged yet"
 		if s, ok := b.standing[id]; ok {
-			standing = s.Get("standing")
-			if s.at.After(last.at) {
-				last = s
-			}
+			latest, standing = s, s.Get("standing")
+		}
+		if latest.at.After(last.at) {
+			last = latest
 		}
 		counts[standing]++
 	}
--- a/cli/logs/logs_test.go
+++ b/cli/logs/logs_test.go
@@ -165,6 +165,39 @@
 	}
 }
 
+// TestReportLeavesOutFarOffTimes guards against a line with a wrong time that makes a report of centuries.
+func TestReportLeavesOutFarOffTimes(t *testing.T) {
+	const line = "time=%s-05-31T06:24:00.000Z level=INFO msg=started box=front-9 hall=near\n"
+	r := logs.NewReport(read(t, entryLog+fmt.Sprintf(line, "1970")+fmt.Sprintf(line, "2151"), agentLog))
+	if n, bad := r.Lines(); n != 12 || bad != 2 || len(r.Seconds()) != 5 {
+		t.Errorf("got %d lines, %d damaged, %d seconds; want 12, 2, 5", n, bad, len(r.Seconds()))
+	}
+}
+
+// TestExplainCountsEachKillOnce guards against a box that was killed once and named for each of its starts after that.
+func TestExplainCountsEachKillOnce(t *testing.T) {
+	const started = "time=2026-05-31T06:24:0%d.000Z level=INFO msg=started box=front-1 hall=near\n"
+	set := read(t, entryLog+fmt.Sprintf(started, 8)+fmt.Sprintf(started, 9))
+	if got := set.UncleanRestarts(); len(got) != 1 || got[0].At().Second() != 8 {
+		t.Errorf("got %d kills, want that before 06:24:08", len(got))
+	}
+}
+
+// TestFactOfUnjudgedTargetsHasAge guards against an age of centuries for targets whose standing no line reports.
+func TestFactOfUnjudgedTargetsHasAge(t *testing.T) {
+	unjudged := strings.ReplaceAll(entryLog, `msg="target standing"`, `msg="other"`)
+	got, err := logs.Explain(read(t, unjudged), "r1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, f := range got.Facts() {
+		if strings.Contains(f.Text(), "2 not judged yet") && f.Age() == 2300*time.Millisecond {
+			return
+		}
+	}
+	t.Errorf("got facts %+v, want the age of the last line about a target", got.Facts())
+}
+
 func TestReportOfEmptyLogIsEmpty(t *testing.T) {
 	r := logs.NewReport(read(t, ""))
 	if n, _ := r.Lines(); n != 0 || r.TextPlots(40) != nil {
--- a/cli/logs/report.go
+++ b/cli/logs/report.go
@@ -70,14 +70,16 @@
 	if len(s.lines) == 0 {
 		return r
 	}
-	r.from, r.to = s.lines[0].at, s.lines[len(s.lines)-1].at
+	lines := near(s.lines)
+	r.lines, r.damaged = len(lines), r.damaged+len(s.lines)-len(lines)
+	r.from, r.to = lines[0].at, lines[len(lines)-1].at
 	firstBytes := map[int]*hdrhistogram.Histogram{}
 	r.seconds = make([]Second, int(r.to.Sub(r.from)/time.Second)+1)
 	for i := range r.seconds {
 		r.seconds[i].From = r.from.Add(time.Duration(i) * time.Second)
 	}
 	skew := newSkewSeries()
-	for _, l := range s.lines {
+	for _, l := range lines {
 		r.add(l, firstBytes)
 		r.queue.add(l)
 		skew.apply(r.second(l), l)
@@ -92,6 +94,23 @@
 	return r
 }
 
+// maxDistance is the time from the median line beyond which the time of a line counts as wrong: longer than logs are kept.
+const maxDistance = 7 * 24 * time.Hour
+
+// near returns the lines, which are sorted and not empty, without those far from the median. A report has an entry for
+// each second of its span.
+func near(lines []Line) []Line {
+	median := lines[len(lines)/2].at
+	far := func(l Line) bool { return l.at.Sub(median).Abs() > maxDistance }
+	for far(lines[0]) {
+		lines = lines[1:]
+	}
+	for far(lines[len(lines)-1]) {
+		lines = lines[:len(lines)-1]
+	}
+	return lines
+}
+
 // second returns the second of the span that the line belongs to.
 func (r *Report) second(l Line) int { return int(l.at.Sub(r.from) / time.Second) }
 
--- a/cli/logs/set.go
+++ b/cli/logs/set.go
@@ -71,6 +71,7 @@
 		switch {
 		case l.msg == "started" && running[l.box]:
 			list = append(list, l)
+			running[l.box] = false
 		case l.msg == "stopped":
 			running[l.box] = false
 		case l.Get("request") != "":
