--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -44,8 +44,8 @@
 	runSoak(t, []soak.Options{{Seed: 3011, FatalPrompts: true, Skews: true}, {Seed: 4032, FatalPrompts: true, FatalRequests: true}})
 }
 
-// runsAtOnce is the number of runs of a test that go on at once.
-const runsAtOnce = 2
+// slots limits the runs that go on at once, of all tests together: each has as many processes as a machine has cores.
+var slots = make(chan struct{}, 2)
 
 // runSoak makes a short run with each of the options and reports what violates the guarantees.
 func runSoak(t *testing.T, list []soak.Options) {
@@ -58,7 +58,6 @@
 		t.Fatalf("build of clovertrail-node failed: %v: %s", err, out)
 	}
 	var runs sync.WaitGroup
-	slots := make(chan struct{}, runsAtOnce)
 	for _, o := range list {
 		o.Program, o.Dir = program, t.TempDir()
 		slots <- struct{}{}
