--- a/soak/fatal_prompts.go
+++ b/soak/fatal_prompts.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"clovertrail.dev/platform/standin"
@@ -33,6 +34,8 @@
 		time.Sleep(warmUp + contactBound)
 	}
 	c := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}}
+	var exchanges sync.WaitGroup
+	defer exchanges.Wait()
 	for i := 0; ctx.Err() == nil; i++ {
 		ex := exchange{organisation: org.name, prompt: true}
 		ex.request = standin.Request{ID: fmt.Sprintf("%s-%d", name, i), Key: org.key, Path: []string{"/again/x", "/stream/x"}[i%2], Timeout: callerTimeout}
@@ -42,7 +45,7 @@
 			ex.request.Prefixes = slices.Insert(ex.request.Prefixes, 1, fatalPrefix)
 		}
 		b := e.boxes[r.IntN(len(e.boxes))]
-		go e.exchange(c, b, ex)
+		exchanges.Go(func() { e.exchange(c, b, ex) })
 		time.Sleep(promptPause/2 + time.Duration(r.Int64N(int64(promptPause))))
 	}
 }
