liveness: a target is alive only after a response to a later request

Cause: at the end of such a connection the box took a connection that opened for a sign that the process runs. A killed process closes its connections before its listening socket, and later the more it has open. The result was shared for 20 ms with connections that ended after the check, and what was not shown to have ended counted as alive, also if the witness had ended. The same check decides whether a crash is counted against its work.

Ruled out: a wait before the check (any process may take longer). Other connections that end in the same moment are no proof.

Fix: only a response to a request that was sent after the end shows that a process is alive, and only a refused connection, or another process at the address, that it has ended; a connection that closes without a response is followed by another one.

--- a/catalog/service.go
+++ b/catalog/service.go
@@ -57,6 +57,7 @@
 // Service describes a service that routes send requests to.
 type Service struct {
 	Name           domain.ServiceName
+	HealthPath     string  // path of the health check that targets respond to
 	MaxConnections int     // connections that a target accepts from all boxes together; 0 for no limit
 	ColdRate       float64 // requests a second that a cold target takes from all boxes together; 0 if cold targets take as many as others
 	Engine         *Engine // nil for a service without model engines
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -14,6 +14,7 @@
 	"clovertrail.dev/core/clock"
 	"clovertrail.dev/core/domain"
 	"clovertrail.dev/core/fault"
+	"clovertrail.dev/liveness"
 	"clovertrail.dev/retry"
 	"clovertrail.dev/telemetry"
 	"clovertrail.dev/transport"
@@ -68,8 +69,9 @@
 	if _, expired := end.(retry.Expired); expired && !a.began && a.firstByte.passed() {
 		verdict = Bad // the target is as suspect as if the attempt had been cancelled at the timeout
 	}
-	switch a.processEnded = a.targetProcessEnded(ctx, end); {
-	case a.processEnded:
+	switch status := a.targetStatus(ctx, end); {
+	case status == liveness.Ended:
+		a.processEnded = true
 		verdict = ProcessEnded
 		a.d.g.deps.Common.Metrics.Count(telemetry.LostAttempts, a.progress(), 1)
 		end = a.targetLost(clock.Now(), end)
@@ -159,24 +161,8 @@
 // crash would not be recorded, and a caller that sends the work again and leaves each time would
 // crash one target after the other.
 func (a *attempt) scheduleProcessCheck() {
-	deps, work, t, witness := a.d.g.deps, a.suspectedWork(), a.lease.Target(), a.lease.Witness()
-	clock.AfterFunc(clock.Now().Add(processCheckDelay), func() {
-		if deps.Pool.ProcessEnded(context.Background(), t.Address(), witness) {
-			deps.Quarantine.TargetEnded(clock.Now(), work, t.ID())
-		}
-	})
-}
-
-// targetProcessEnded reports whether the target's process ended during the attempt, and not only
-// its connection. When a group loses a rank, the processes of the other ranks abort their requests
-// but stay alive; these requests must not be recorded as the cause.
-func (a *attempt) targetProcessEnded(ctx context.Context, end retry.Outcome) bool {
-	switch end.(type) {
-	case retry.Lost, retry.Broken:
-		return ctx.Err() == nil && a.d.g.deps.Pool.ProcessEnded(ctx, a.lease.Target().Address(), a.lease.Witness())
-	default:
-		return false
-	}
+	work := a.suspectedWork()
+	clock.AfterFunc(clock.Now().Add(processCheckDelay), func() { a.reportLateEnd(work) })
 }
 
 // endAfterFirstByteTimeout returns the end and the verdict of an attempt that was cancelled by the
@@ -281,12 +267,13 @@
 	a.headReceived = true
 	a.response = a.d.g.deps.Headers.ParseResponse(now, resp)
 	if endsWithConnection(resp) && !a.isTargetLeaving() {
-		resp.Body = &connectionBody{ReadCloser: resp.Body, processEnded: func() bool {
-			return a.d.g.deps.Pool.ProcessEnded(ctx, a.lease.Target().Address(), a.lease.Witness())
-		}}
+		resp.Body = &connectionBody{ReadCloser: resp.Body, alive: func() bool { return a.checkTarget(ctx) == liveness.Alive }}
 	}
 	if a.response.Outcome != call.WrongInstance && a.response.Outcome != call.Unrecognised {
 		a.lease.UpdateStatus(now, a.response) // responses with either of these outcomes did not come from the target
+		if a.response.ID != "" {
+			a.d.g.deps.Pool.Responded(processOf(a.lease.Target()), a.exchange.SentAt())
+		}
 	}
 	if id := a.response.AtFault; id != "" && id != a.lease.Target().ID().ListedID() {
 		a.d.g.deps.Fleet.ReportFault(id)
--- a/gateway/connection_body.go
+++ b/gateway/connection_body.go
@@ -13,16 +13,16 @@
 }
 
 // connectionBody is the body of a response that ends with its connection. The connection of a target whose process ended closes
-// in the same way, so that the response is truncated then.
+// in the same way, so that the response is truncated unless the target is alive afterwards.
 type connectionBody struct {
 	io.ReadCloser
-	processEnded func() bool
+	alive func() bool
 }
 
 // Read implements io.Reader.
 func (b *connectionBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if errors.Is(err, io.EOF) && b.processEnded() {
+	if errors.Is(err, io.EOF) && !b.alive() {
 		return n, errTruncated
 	}
 	return n, err
--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -27,6 +27,8 @@
 		{"process ended, second target served", "/repeat/", []string{crash}, []string{ok}, 200, []string{"a"}, 1, []string{"a gone", "b good"}},
 		{"two processes ended", "/repeat/", []string{crash}, []string{crash}, 502, []string{"a", "b"}, 0, []string{"a gone", "b gone"}},
 		{"process ended during a response", "/repeat/", []string{partialHead + crash}, []string{ok}, 200, []string{"a"}, 1, []string{"a gone", "b good"}},
+		{"process ended slowly, not repeatable", "/once/", []string{slowCrash}, []string{ok}, 502, []string{"a"}, 0, []string{"a gone"}},
+		{"process ended slowly during a stream", "/stream-once/", []string{streamHead + one + slowCrash}, nil, 200, []string{"a"}, 0, []string{"a gone"}},
 		{"process ended during a stream", "/stream-once/", []string{streamHead + one + crash}, nil, 200, []string{"a"}, 0, []string{"a gone"}},
 		{"live target truncated the response", "/repeat/", []string{truncated}, []string{ok}, 200, nil, 1, []string{"a bad", "b good"}},
 		{"live target sent no response", "/once/", []string{""}, nil, 502, nil, 0, []string{"a bad"}},
--- a/gateway/fake_test.go
+++ b/gateway/fake_test.go
@@ -77,6 +77,8 @@
 	mu        sync.Mutex
 	script    []string
 	straggler bool            // reported by IsStraggler
+	ending    bool            // the process ends: its listener is open, but nothing is served any more
+	unserved  []net.Conn      // connections that arrived while the process was ending
 	proceed   <-chan struct{} // releases the part of a response after wait
 	received  []*http.Request
 	bodies    []string
@@ -96,6 +98,9 @@
 			if err != nil {
 				return
 			}
+			if x.addUnserved(c) {
+				continue
+			}
 			go x.serve(c)
 		}
 	}()
@@ -107,6 +112,9 @@
 
 var wireFormat = strings.NewReplacer("\n", "\r\n", lineFeed, "\n")
 
+// checkPath is the path of the health check, which targets respond to besides their scripts.
+const checkPath = "/health"
+
 // Markers in a scripted response.
 const (
 	// hang stops sending and keeps the connection open.
@@ -115,6 +123,8 @@
 	hangUp = "(hang up)"
 	// crash closes the connection and the listener of the target.
 	crash = "(crash)"
+	// slowCrash closes the connection, and the listener of the target some time after it.
+	slowCrash = "(slow crash)"
 	// reset closes the connection with a reset.
 	reset = "(reset)"
 	// bulk sends bulkBytes after the rest, in pieces.
@@ -132,12 +142,17 @@
 			return
 		}
 		body, _ := io.ReadAll(req.Body)
+		if req.URL.Path == checkPath {
+			_, _ = io.WriteString(c, wireFormat.Replace("HTTP/1.1 200 OK\nContent-Length: 0\n\n")) // fails only if the box has closed the connection
+			continue
+		}
 		text := x.next(req, string(body))
 		text, bulky := strings.CutSuffix(text, bulk)
 		text, hangs := strings.CutSuffix(text, hang)
 		text, ends := strings.CutSuffix(text, hangUp)
 		text, resets := strings.CutSuffix(text, reset)
 		text, crashes := strings.CutSuffix(text, crash)
+		text, crashesSlowly := strings.CutSuffix(text, slowCrash)
 		for i, part := range strings.Split(text, wait) {
 			if i > 0 {
 				<-x.proceed
@@ -159,12 +174,43 @@
 			_ = x.l.Close() // further connections are refused
 			return
 		}
+		if crashesSlowly {
+			x.endSlowly()
+			return
+		}
 		if ends || !strings.Contains(text, "Content-Length") && !strings.HasSuffix(text, "0\n\n") {
 			return
 		}
 	}
 }
 
+// endSlowly ends the process as the kernel does if it has many sockets: for a while its listener is open, and the connections
+// that arrive are reset at the end.
+func (x *target) endSlowly() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.ending = true
+	time.AfterFunc(60*time.Millisecond, func() {
+		_ = x.l.Close()
+		x.mu.Lock()
+		defer x.mu.Unlock()
+		for _, c := range x.unserved {
+			_ = c.(*net.TCPConn).SetLinger(0) // fails only if the connection is closed already
+			_ = c.Close()
+		}
+	})
+}
+
+// addUnserved reports whether the process is ending, and keeps the connection in that case.
+func (x *target) addUnserved(c net.Conn) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.ending {
+		x.unserved = append(x.unserved, c)
+	}
+	return x.ending
+}
+
 // bulkBytes is more than the buffers of two connections hold.
 const bulkBytes = 16 << 20
 
@@ -249,8 +295,8 @@
 	return t
 }
 
-func (*lease) Witness() string  { return "" }
-func (*lease) ResponseOverdue() {}
+func (*lease) Witnesses() []string { return nil }
+func (*lease) ResponseOverdue()    {}
 
 func (l *lease) MaySend(time.Time) bool {
 	l.f.mu.Lock()
@@ -427,7 +473,7 @@
 		{Name: "impatient-stream", Prefix: "/impatient-stream/", Kind: catalog.Stream, Resumable: true, Timeout: 20 * time.Second, LatencyObjective: 10 * time.Millisecond},
 		{Name: "locked", Prefix: "/locked/", Kind: catalog.Repeatable, Timeout: 20 * time.Second},
 	}
-	d := catalog.Document{Version: 3, Limits: catalog.DefaultLimits(), Organisations: []catalog.Organisation{{Name: "league", Keys: []string{"k"}}}}
+	d := catalog.Document{Version: 3, Services: []catalog.Service{{Name: "s", HealthPath: checkPath}}, Limits: catalog.DefaultLimits(), Organisations: []catalog.Organisation{{Name: "league", Keys: []string{"k"}}}}
 	d.Limits.BodyBytes = 100
 	for _, f := range fields {
 		f.Host, f.MaxAttempts, f.Public = "h", 2, f.Name != "locked"
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -61,9 +61,9 @@
 type Lease interface {
 	// Target returns the chosen target.
 	Target() domain.Target
-	// Witness returns the address of another process that is reached by the same network path as
-	// the target; empty if there is none.
-	Witness() string
+	// Witnesses returns the addresses of other processes that are reached by the same network path as
+	// the target; empty if there are none.
+	Witnesses() []string
 	// MaySend reports whether the attempt may still be sent to the target. Since it was chosen,
 	// the target may have reported that it is leaving, asked for rest or named a limit.
 	MaySend(now time.Time) bool
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -78,6 +78,8 @@
 		{"ends with a reset connection, not repeatable", "/once/", []string{unframed + "hel" + reset}, []string{ok}, 502, "", 1, []string{"a bad"}},
 		{"ends with its connection and the process, repeated", "/repeat/", []string{unframed + "hel" + crash}, []string{ok}, 200, "hello", 2, []string{"a gone", "b good"}},
 		{"ends with its connection and the process, not repeatable", "/once/", []string{unframed + "hel" + crash}, []string{ok}, 502, "", 1, []string{"a gone"}},
+		{"ends with its connection and slowly with the process, repeated", "/repeat/", []string{unframed + "hel" + slowCrash}, []string{ok}, 200, "hello", 2, []string{"a gone", "b good"}},
+		{"ends with its connection and slowly with the process, not repeatable", "/once/", []string{unframed + "hel" + slowCrash}, []string{ok}, 502, "", 1, []string{"a gone"}},
 		{"lost, then all busy", "/repeat/", []string{""}, []string{busy}, 502, "", 2, []string{"a bad", "b full"}},
 	}
 	for _, tc := range tests {
@@ -210,6 +212,8 @@
 		{"ends with its connection within an event", "/stream-once/", unframedStream + raw(one+"id: 2"), "", one, "one", true, ""},
 		{"ends with its connection and the process, resumed", "/stream/", unframedStream + raw(one) + crash, secondHead + rawChunk(raw(two+three)) + lastChunk, one + two + three, "one", false, "1"},
 		{"ends with its connection and the process", "/stream-once/", unframedStream + raw(one) + crash, "", one, "one", true, ""},
+		{"ends with its connection and slowly with the process, resumed", "/stream/", unframedStream + raw(one) + slowCrash, secondHead + rawChunk(raw(two+three)) + lastChunk, one + two + three, "one", false, "1"},
+		{"ends with its connection and slowly with the process", "/stream-once/", unframedStream + raw(one) + slowCrash, "", one, "one", true, ""},
 	}
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
--- a/node/entry.go
+++ b/node/entry.go
@@ -9,6 +9,7 @@
 	"clovertrail.dev/core/clock"
 	"clovertrail.dev/core/domain"
 	"clovertrail.dev/gateway"
+	"clovertrail.dev/liveness"
 	"clovertrail.dev/membership"
 	"clovertrail.dev/mesh"
 	"clovertrail.dev/node/process"
@@ -57,7 +58,7 @@
 	e := &Entry{common: c, network: n, settings: settings, budgets: newBudgets(s.Bounds), ready: &readiness{}}
 	e.fleet = newFleet(c, s)
 	e.fleet.applyOverload(s.Overload)
-	e.pool = transport.NewPool(n.Dial, transport.DefaultSettings())
+	e.pool = newPool(n, c)
 	e.mesh = mesh.NewClient(n.Dial, func(m mesh.Method, sent, received int) { c.Metrics.CountCall(string(m), sent, received) })
 	e.engines = process.HTTPClient(n)
 	e.timeline = &timeline{common: c}
@@ -72,7 +73,7 @@
 	})
 	e.quarantine.changed, e.quarantine.siblings, e.quarantine.ended = e.gateway.QuarantineChanged, e.siblings, e.processEnded
 	e.peering = newPeering(e)
-	e.fleet.onFailure, e.fleet.onEjected, e.fleet.witness = e.peering.notify, e.onTargetEjected, e.witness
+	e.fleet.onFailure, e.fleet.onEjected, e.fleet.witnesses = e.peering.notify, e.onTargetEjected, e.witnesses
 	e.fleet.onLeaving = e.onTargetLeaving
 	e.fleet.shedding.enabled, e.fleet.shedding.onRefused = e.shedsLoad, e.onShed
 	e.limiting = newLimiting(e)
@@ -90,21 +91,38 @@
 	return list
 }
 
+// newPool returns the connections to the targets.
+func newPool(n process.Network, c telemetry.Common) *transport.Pool {
+	s := transport.DefaultSettings()
+	s.ParseHealth = func(r *http.Response) transport.HealthResponse {
+		request, instance := platform.HeaderCodec{}.ParseHealth(r)
+		return transport.HealthResponse{Own: request == "", Instance: instance}
+	}
+	s.OnHealthCheck = func() { c.Metrics.Count(telemetry.ProcessChecks, "health check", 1) }
+	return transport.NewPool(n.Dial, s)
+}
+
+// siblingCheckTimeout bounds the check whether another target ended too: that of a process that is ending takes as long as
+// closing its sockets.
+const siblingCheckTimeout = time.Second
+
 // processEnded reports whether connections to the target are refused.
 func (e *Entry) processEnded(t domain.Target) bool {
-	return e.pool.ProcessEnded(context.Background(), t.Address(), "")
+	ctx, cancel := clock.WithDeadline(context.Background(), clock.Now().Add(siblingCheckTimeout))
+	defer cancel()
+	return e.gateway.CheckTarget(ctx, t, nil) == liveness.Ended
 }
 
-// witness returns the address of another process on the network path to the target: the agent on its
-// box, or another entry box of its hall; empty if there is none.
-func (e *Entry) witness(t domain.Target) string {
+// witnesses returns the address of another process on the network path to the target: the agent on its
+// box, or another entry box of its hall.
+func (e *Entry) witnesses(t domain.Target) []string {
 	if _, ranked := t.Rank(); ranked && e.settings().AgentPort > 0 {
-		return agentAddress(t, e.settings().AgentPort)
+		return []string{agentAddress(t, e.settings().AgentPort)}
 	}
 	for _, c := range e.peering.inHall(t.Hall()) {
-		return c.Address
+		return []string{c.Address}
 	}
-	return ""
+	return nil
 }
 
 // formTime returns the time that a group of the service takes to form; 0 if the configuration does not state
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -37,7 +37,7 @@
 	onFailure      func()                                    // called after a failure of a target that other boxes are to be notified of
 	onEjected      func(domain.InstanceID)                   // called when a target is ejected because several boxes report failures of it
 	onLeaving      func(id domain.InstanceID, source string) // called on the first report that a target is leaving
-	witness        func(domain.Target) string                // returns the address of another process on the network path to the target
+	witnesses      func(domain.Target) []string              // returns the addresses of other processes on the network path to the target
 	onLimitChanged func(r ratelimit.Report, source string)   // called when the limit of a target changed
 	requestPermit  permitFunc
 	waiting        *waiting
@@ -55,7 +55,7 @@
 		onFailure:      func() {},
 		onEjected:      func(domain.InstanceID) {},
 		onLeaving:      func(domain.InstanceID, string) {},
-		witness:        func(domain.Target) string { return "" },
+		witnesses:      func(domain.Target) []string { return nil },
 		balancer:       routing.NewBalancer(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		gate:           admission.NewGate(),
 		limits:         ratelimit.NewRegister(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
--- a/node/lease.go
+++ b/node/lease.go
@@ -25,8 +25,8 @@
 // Target implements gateway.Lease.
 func (l *lease) Target() domain.Target { return l.target }
 
-// Witness implements gateway.Lease.
-func (l *lease) Witness() string { return l.fleet.witness(l.target) }
+// Witnesses implements gateway.Lease.
+func (l *lease) Witnesses() []string { return l.fleet.witnesses(l.target) }
 
 // MaySend implements gateway.Lease.
 func (l *lease) MaySend(now time.Time) bool {
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -33,6 +33,7 @@
 	MovedExperts  Name = "clovertrail_experts_moved_total"        // reason: the group
 	Quarantines   Name = "clovertrail_quarantines_total"          // reason: source ("own", "peer", "store"), "trial", "released", "lifted", "common cause" (released, since other targets ended too), or "not reported" (observations for which a message had no room)
 	LostAttempts  Name = "clovertrail_lost_attempts_total"        // attempts whose target's process ended; reason: progress of the response, "none", "head" or "begun"
+	ProcessChecks Name = "clovertrail_process_checks_total"       // of checks whether a target is alive; reason: "alive", "ended", "unproven", or "health check" (requests sent for them)
 	Permits       Name = "clovertrail_permits_total"              // reason: "issuer", "own part" (fallback share), "none" (request without success)
 	Suspensions   Name = "clovertrail_suspended_seconds_total"    // reason: empty; whole seconds, rounded up
 	Shed          Name = "clovertrail_shed_total"                 // reason: the class of the refused caller, such as "1/3" for the second of three
@@ -52,12 +53,13 @@
 
 // The histograms, in seconds.
 const (
-	FirstByte     Name = "clovertrail_first_byte_seconds"     // reason: the kind of route
-	RequestTime   Name = "clovertrail_request_seconds"        // reason: the kind of route
-	StreamPause   Name = "clovertrail_stream_pause_seconds"   // longest pause of a stream; reason: empty
-	StoreCalls    Name = "clovertrail_store_call_seconds"     // reason: the call
-	ShiftResponse Name = "clovertrail_shift_response_seconds" // from the first long step after a shift until the map for it is in use; reason: the group
-	OrderTime     Name = "clovertrail_engine_order_seconds"   // reason: the order
+	FirstByte        Name = "clovertrail_first_byte_seconds"     // reason: the kind of route
+	RequestTime      Name = "clovertrail_request_seconds"        // reason: the kind of route
+	StreamPause      Name = "clovertrail_stream_pause_seconds"   // longest pause of a stream; reason: empty
+	StoreCalls       Name = "clovertrail_store_call_seconds"     // reason: the call
+	ProcessCheckTime Name = "clovertrail_process_check_seconds"  // reason: the result
+	ShiftResponse    Name = "clovertrail_shift_response_seconds" // from the first long step after a shift until the map for it is in use; reason: the group
+	OrderTime        Name = "clovertrail_engine_order_seconds"   // reason: the order
 )
 
 // Metrics holds the counters, gauges and histograms of a process.
--- a/transport/exchange.go
+++ b/transport/exchange.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"clovertrail.dev/core/clock"
+	"clovertrail.dev/liveness"
 )
 
 // Exchange is one request and its response over one connection. It is not safe for concurrent use,
@@ -18,7 +19,8 @@
 	conn        *conn
 	reused      bool
 	response    *http.Response
-	complete    bool        // the response body was read to its end
+	complete    bool // the response body was read to its end
+	sentAt      liveness.Moment
 	stopClosing func() bool // set by CloseWhenDone
 }
 
@@ -38,8 +40,12 @@
 	x.stopClosing = context.AfterFunc(ctx, x.conn.close)
 }
 
+// SentAt returns when Send was called.
+func (x *Exchange) SentAt() liveness.Moment { return x.sentAt }
+
 // Send writes the request with its body.
 func (x *Exchange) Send(r *http.Request) error {
+	x.sentAt = x.pool.Now()
 	w := &sentTracker{conn: x.conn}
 	return r.Write(w)
 }
@@ -96,6 +102,12 @@
 	}
 }
 
+// drainBody reads a short body so that the connection can be used again.
+func drainBody(r *http.Response) {
+	const maxBytes = 16 << 10
+	_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, maxBytes)) // an error shows when the connection is used again
+}
+
 // trackedBody records that the body was read to its end.
 type trackedBody struct {
 	io.ReadCloser
--- a/transport/pool.go
+++ b/transport/pool.go
@@ -34,6 +34,10 @@
 	KeepAliveMargin time.Duration
 	// MaxIdlePerTarget limits the idle connections to one target.
 	MaxIdlePerTarget int
+	// ParseHealth reads the response to a health check. If it is nil, each response counts.
+	ParseHealth func(*http.Response) HealthResponse
+	// OnHealthCheck is called for each health check that is sent; nil for nothing.
+	OnHealthCheck func()
 }
 
 // DefaultSettings returns the default settings. Targets commonly keep idle connections open for five
@@ -47,9 +51,10 @@
 	dial     Dialer
 	settings Settings
 
-	mu            sync.Mutex
-	idle          map[string][]*conn       // by address; most recently used last
-	processChecks map[string]*processCheck // by address
+	checks *processChecks
+
+	mu   sync.Mutex
+	idle map[string][]*conn // by address; most recently used last
 }
 
 // conn is a connection to a target.
@@ -63,7 +68,12 @@
 
 // NewPool returns an empty pool.
 func NewPool(d Dialer, s Settings) *Pool {
-	return &Pool{dial: d, settings: s, idle: map[string][]*conn{}, processChecks: map[string]*processCheck{}}
+	if s.ParseHealth == nil {
+		s.ParseHealth = func(*http.Response) HealthResponse { return HealthResponse{Own: true} }
+	}
+	p := &Pool{dial: d, settings: s, idle: map[string][]*conn{}}
+	p.checks = newProcessChecks(p)
+	return p
 }
 
 // readBufferBytes fits the header of a response and some events of a stream.
