gateway: responses without a length of leaving targets are checked as well

Cause: such targets were left out of the check, since they end after they have completed their responses. That they have completed them is what has to be shown.

Evidence: TestStreams, 'ends with its connection and the process that is leaving', failed before (one event and a proper end).

Fix: no exception. A leaving target responds to a health check, with 503, until it ends.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -12,7 +12,6 @@
 	"clovertrail.dev/catalog"
 	"clovertrail.dev/core/call"
 	"clovertrail.dev/core/clock"
-	"clovertrail.dev/core/domain"
 	"clovertrail.dev/core/fault"
 	"clovertrail.dev/liveness"
 	"clovertrail.dev/retry"
@@ -266,7 +265,7 @@
 	now := clock.Now()
 	a.headReceived = true
 	a.response = a.d.g.deps.Headers.ParseResponse(now, resp)
-	if endsWithConnection(resp) && !a.isTargetLeaving() {
+	if endsWithConnection(resp) {
 		resp.Body = &connectionBody{ReadCloser: resp.Body, alive: func() bool { return a.checkTarget(ctx) == liveness.Alive }}
 	}
 	if a.response.Outcome != call.WrongInstance && a.response.Outcome != call.Unrecognised {
@@ -293,11 +292,6 @@
 	}
 }
 
-// isTargetLeaving reports whether the target ends after it has completed its responses.
-func (a *attempt) isTargetLeaving() bool {
-	return a.response.Leaving || a.lease.Target().State() == domain.TargetLeaving
-}
-
 // forward sends the response on to the caller.
 func (a *attempt) forward(ctx context.Context, resp *http.Response) (retry.Outcome, Verdict) {
 	if a.d.req.route.Kind() == catalog.Stream && resp.StatusCode == http.StatusOK {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -28,6 +28,8 @@
 	// Heads of responses that end with their connection.
 	unframed       = "HTTP/1.1 200 OK\nSigned: 1\nId: 1\n\n"
 	unframedStream = "HTTP/1.1 200 OK\nSigned: one\nId: 1\nContent-Type: text/event-stream\n\n"
+
+	leavingUnframedStream = "HTTP/1.1 200 OK\nSigned: one\nId: 1\nLeaving: 1\nContent-Type: text/event-stream\n\n"
 )
 
 // longBody is longer than what the gateway buffers of a response, longFailure a failure response with it.
@@ -214,6 +216,7 @@
 		{"ends with its connection and the process", "/stream-once/", unframedStream + raw(one) + crash, "", one, "one", true, ""},
 		{"ends with its connection and slowly with the process, resumed", "/stream/", unframedStream + raw(one) + slowCrash, secondHead + rawChunk(raw(two+three)) + lastChunk, one + two + three, "one", false, "1"},
 		{"ends with its connection and slowly with the process", "/stream-once/", unframedStream + raw(one) + slowCrash, "", one, "one", true, ""},
+		{"ends with its connection and the process that is leaving", "/stream-once/", leavingUnframedStream + raw(one) + crash, "", one, "one", true, ""},
 	}
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
