node: up to three witnesses for the end of a target

Cause: a refused connection counts only if a witness accepts one, and the one that was asked may have been lost in the same event.

Fix: the agent and further entry boxes of the hall are asked one after the other.

--- a/liveness/check_test.go
+++ b/liveness/check_test.go
@@ -8,8 +8,11 @@
 	"pgregory.net/rapid"
 
 	"clovertrail.dev/liveness"
+	"clovertrail.dev/testkit"
 )
 
+func TestMain(m *testing.M) { testkit.Main(m, 4000, 0) }
+
 // step is an event of a check and the command that follows.
 type step struct {
 	event func(*liveness.Check)
--- a/node/entry.go
+++ b/node/entry.go
@@ -113,16 +113,23 @@
 	return e.gateway.CheckTarget(ctx, t, nil) == liveness.Ended
 }
 
-// witnesses returns the address of another process on the network path to the target: the agent on its
-// box, or another entry box of its hall.
-func (e *Entry) witnesses(t domain.Target) []string {
+// maxWitnesses is the number of witnesses of a target: enough that one of them runs when some boxes of the hall fail
+// with the target.
+const maxWitnesses = 3
+
+// witnesses returns the addresses of other processes on the network path to the target: the agent on its box, and other
+// entry boxes of its hall.
+func (e *Entry) witnesses(t domain.Target) (list []string) {
 	if _, ranked := t.Rank(); ranked && e.settings().AgentPort > 0 {
-		return []string{agentAddress(t, e.settings().AgentPort)}
+		list = append(list, agentAddress(t, e.settings().AgentPort))
 	}
 	for _, c := range e.peering.inHall(t.Hall()) {
-		return []string{c.Address}
+		if len(list) == maxWitnesses {
+			break
+		}
+		list = append(list, c.Address)
 	}
-	return nil
+	return list
 }
 
 // formTime returns the time that a group of the service takes to form; 0 if the configuration does not state
