shutdown: a stopping box accepts late requests by their deadlines

Cause: a request was accepted if it would end in time like the longest recent response of its route. These were streams of 26 events, the cut ones had 66. The box knew that their deadlines were beyond the end of the stop.

Ruled out: later ends of stops (the platform's bound), and closing the connections without an answer (a request that crosses the close is lost).

Fix: once the platform has noticed the stop, only requests whose deadlines come before the end are accepted. The others are refused as not run, to be retried elsewhere after 20 ms. Before that, with 4.5 s and more left, the box goes by the past, in which requests in flight count now. The decision is a package of its own; the seconds in which the platform notices moved there.

--- a/gateway/deliveries.go
+++ b/gateway/deliveries.go
@@ -1,6 +1,9 @@
 package gateway
 
-import "sync"
+import (
+	"sync"
+	"time"
+)
 
 // deliveries are the requests that are being delivered.
 //
@@ -33,3 +36,13 @@
 	}
 	return list
 }
+
+// longestOf returns the time that the oldest request of the route has taken until now.
+func (d *deliveries) longestOf(now time.Time, route string) (longest time.Duration) {
+	for _, x := range d.all() {
+		if x.req.route.Name() == route {
+			longest = max(longest, now.Sub(x.req.arrived))
+		}
+	}
+	return longest
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"clovertrail.dev/core/fault"
 	"clovertrail.dev/core/urgency"
 	"clovertrail.dev/retry"
+	"clovertrail.dev/shutdown"
 	"clovertrail.dev/telemetry"
 	"clovertrail.dev/transport"
 )
@@ -162,7 +163,7 @@
 	catalog       atomic.Pointer[catalog.Catalog]
 	inFlight      atomic.Int64
 	deliveries    *deliveries
-	stopAt        atomic.Pointer[time.Time] // latest end of the planned stop; nil before BeginStop
+	stop          atomic.Pointer[shutdown.Plan] // the planned stop; nil before BeginStop
 	responseTimes *responseTimes
 	memory        *memory
 	random        func() float64 // uniform in [0, 1), chooses among the backends of a route
@@ -196,26 +197,29 @@
 	}
 }
 
-// BeginStop starts the planned stop of this box, which ends at the latest at the given time. From
-// now on each response tells its caller that the connection closes, and requests that are unlikely
-// to be answered before the end are refused.
-func (g *Gateway) BeginStop(end time.Time) { g.stopAt.Store(&end) }
+// BeginStop starts the planned stop of this box. From now on each response tells its caller that the connection
+// closes, and requests that the plan does not accept are refused.
+func (g *Gateway) BeginStop(p shutdown.Plan) { g.stop.Store(&p) }
 
 // Stopping reports whether BeginStop was called.
-func (g *Gateway) Stopping() bool { return g.stopAt.Load() != nil }
+func (g *Gateway) Stopping() bool { return g.stop.Load() != nil }
 
 // OtherBoxRetryDelay is the time after which a refused caller can retry at another box: the
 // time of a new connection.
 const OtherBoxRetryDelay = 20 * time.Millisecond
 
-// checkTimeLeft refuses a request that a stopping box is unlikely to answer before its end.
+// checkTimeLeft refuses a request that a stopping box may not have answered by its end.
 func (g *Gateway) checkTimeLeft(now time.Time, req *inboundRequest) error {
-	end := g.stopAt.Load()
-	if end == nil || g.responseTimes.fits(now, req.route.Name(), *end) {
+	plan := g.stop.Load()
+	if plan == nil {
 		return nil
 	}
-	return fault.New(fault.Stopping, "this box stops at %s, and recent responses of the route took longer than the time left", end.Format(time.TimeOnly)).
-		RetryAt(now.Add(OtherBoxRetryDelay))
+	longest := max(g.responseTimes.longestOf(req.route.Name()), g.deliveries.longestOf(now, req.route.Name()))
+	if plan.Accepts(now, shutdown.Request{Deadline: req.deadline, Longest: longest}) {
+		return nil
+	}
+	return fault.New(fault.Stopping, "this box stops within %v, the request may last %v, recent responses of its route lasted up to %v",
+		plan.End().Sub(now), req.deadline.Sub(now), longest).RetryAt(now.Add(OtherBoxRetryDelay))
 }
 
 // ServeHTTP implements http.Handler.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -4,11 +4,13 @@
 	"context"
 	"fmt"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
 
 	"clovertrail.dev/core/clock"
+	"clovertrail.dev/shutdown"
 )
 
 // Responses of targets.
@@ -293,9 +295,15 @@
 	}
 }
 
+// stopWithin returns the plan of a stop that begins now.
+func stopWithin(d time.Duration) shutdown.Plan {
+	now := clock.Now()
+	return shutdown.NewPlan(now, now.Add(d))
+}
+
 func TestStoppingBoxClosesConnections(t *testing.T) {
 	r := newFixture(t, newTarget(t, "a", ok, ok))
-	r.g.BeginStop(clock.Now().Add(time.Hour))
+	r.g.BeginStop(stopWithin(time.Hour))
 	got := r.request("GET", "/once/", "")
 	if got.status != 200 || !got.closes {
 		t.Errorf("status %d, closes %v", got.status, got.closes)
@@ -316,11 +324,11 @@
 	if got := r.request("POST", "/once/", "body"); got.status != 200 {
 		t.Fatalf("status %d before the stop", got.status)
 	}
-	r.g.BeginStop(clock.Now().Add(time.Hour))
+	r.g.BeginStop(stopWithin(time.Hour))
 	if got := r.request("POST", "/once/", "body"); got.status != 200 {
 		t.Errorf("status %d with an hour left", got.status)
 	}
-	r.g.BeginStop(clock.Now().Add(responseTime / 2))
+	r.g.BeginStop(stopWithin(responseTime / 2))
 	got := r.request("POST", "/once/", "body")
 	if got.status != 503 || got.header.Get("Retry-After") == "" || !got.closes {
 		t.Errorf("status %d, header %v, with too little time left", got.status, got.header)
@@ -329,3 +337,53 @@
 		t.Errorf("%d requests reached the target, want 2", n)
 	}
 }
+
+// TestStoppingBoxPromisesOnlyByDeadline guards against streams that a stopping box accepts late on open connections, since those before
+// them were short, and cuts off in the middle. They are refused as not run, with a quick retry at another box; requests
+// that end before the stop in any case are served.
+func TestStoppingBoxPromisesOnlyByDeadline(t *testing.T) {
+	stream := streamHead + rawChunk(marked("id: 1\ndata: x\n\n")) + lastChunk
+	a := newTarget(t, "a", stream, stream)
+	r := newFixture(t, a)
+	if got := r.request("POST", "/stream-once/", "body"); got.status != 200 {
+		t.Fatalf("status %d before the stop", got.status)
+	}
+	begin := clock.Now().Add(-4500 * time.Millisecond)
+	r.g.BeginStop(shutdown.NewPlan(begin, begin.Add(7500*time.Millisecond)))
+	got := r.request("POST", "/stream-once/", "body", "Left: 8s")
+	if retry, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64); got.status != 503 || err != nil || retry > 0.1 || !got.closes {
+		t.Errorf("status %d, header %v, of a request that may last longer than the stop", got.status, got.header)
+	}
+	if got := r.request("POST", "/stream-once/", "body", "Left: 2s"); got.status != 200 || got.broken {
+		t.Errorf("status %d, broken %v, of a request that ends before the stop", got.status, got.broken)
+	}
+	if n := len(a.requests()); n != 2 {
+		t.Errorf("%d requests reached the target, want 2", n)
+	}
+}
+
+// TestStoppingBoxCountsRequestsInFlight guards against a stop that knows only responses that have ended, which were short before the targets
+// turned slow.
+func TestStoppingBoxCountsRequestsInFlight(t *testing.T) {
+	a := newTarget(t, "a", ok, wait+ok, ok)
+	proceed := make(chan struct{})
+	a.proceed = proceed
+	r := newFixture(t, a)
+	if got := r.request("POST", "/repeat/", "body"); got.status != 200 {
+		t.Fatalf("status %d before the stop", got.status)
+	}
+	slow := make(chan int)
+	go func() { slow <- r.request("POST", "/repeat/", "body").status }()
+	for len(a.requests()) < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(300 * time.Millisecond)
+	r.g.BeginStop(stopWithin(250 * time.Millisecond))
+	if got := r.request("POST", "/repeat/", "body"); got.status != 503 {
+		t.Errorf("status %d while a request of the route has taken longer than the time left", got.status)
+	}
+	close(proceed)
+	if status := <-slow; status != 200 {
+		t.Errorf("status %d of the request in flight", status)
+	}
+}
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -83,7 +83,7 @@
 // logCallerGone logs and counts a request whose connection ended before its response: the caller
 // did not wait, or the planned stop of this box ran out of time and closed the connection.
 func (g *Gateway) logCallerGone(req *inboundRequest, d *delivery) {
-	if end := g.stopAt.Load(); end != nil && !clock.Now().Before(*end) {
+	if plan := g.stop.Load(); plan != nil && !clock.Now().Before(plan.End()) {
 		g.deps.Common.Metrics.Count(telemetry.Answers, "cut by the stop", 1)
 		g.deps.Common.Log.Error("planned stop timed out before the response was complete", "request", req.ID(), "digest", req.work.Request(), "route", req.route.Name(),
 			"attempts", d.machine.Attempts(), "events", d.events, "after", clock.Since(req.arrived))
--- a/gateway/response_times.go
+++ b/gateway/response_times.go
@@ -10,8 +10,8 @@
 // that a slow period is forgotten once it is over.
 const responseTimeRetention = 10 * time.Second
 
-// responseTimes records the longest recent response time of each route. A stopping box accepts
-// only requests that fit into the time left before its stop. The longest recent response is used
+// responseTimes records the longest recent response time of each route, by which a stopping box estimates how long a
+// request may take. The longest recent response is used
 // because streams take longer than usual while a slow target lengthens the steps of its group.
 //
 // Lock order: mu is the only lock.
@@ -39,9 +39,9 @@
 	}
 }
 
-// fits reports whether a request to the route that starts now is likely to be answered by end.
-func (r *responseTimes) fits(now time.Time, route string, end time.Time) bool {
+// longestOf returns the time of the longest recent response of the route; 0 if there was none.
+func (r *responseTimes) longestOf(route string) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return !now.Add(r.longest[route].duration).After(end)
+	return r.longest[route].duration
 }
