--- a/gateway/deliveries.go
+++ b/gateway/deliveries.go
@@ -38,10 +38,10 @@
 }
 
 // longestOf returns the time that the oldest request of the route has taken until now.
-func (d *deliveries) longestOf(now time.Time, route string) (longest time.Duration) {
-	for _, x := range d.all() {
-		if x.req.route.Name() == route {
-			longest = max(longest, now.Sub(x.req.arrived))
+func (s *deliveries) longestOf(now time.Time, route string) (longest time.Duration) {
+	for _, d := range s.all() {
+		if d.req.route.Name() == route {
+			longest = max(longest, now.Sub(d.req.arrived))
 		}
 	}
 	return longest
