gateway: a failure counts against its target if the caller leaves with it

Callers saw: a target that fails with bodies of 64 KiB and more kept its good standing if callers closed their connections as they had the response.

Cause: whether the caller had left was asked after the response had been forwarded, and made the verdict on the target neutral.

Fix: a complete response, a failure or a rejection of the target counts whether or not the caller has left since. An attempt that broke off does not.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -62,7 +62,7 @@
 	if errors.Is(context.Cause(ctx), errWithdrawn) {
 		end, verdict = a.withdrawn(end), Neutral
 	}
-	if callerGone(caller) && verdict != Good {
+	if callerGone(caller) && !isTargetResult(end) {
 		verdict = Neutral
 	}
 	if _, expired := end.(retry.Expired); expired && !a.began && a.firstByte.passed() {
@@ -81,6 +81,16 @@
 	return end
 }
 
+// isTargetResult reports whether the outcome is what the target responded, whether or not the caller has left since.
+func isTargetResult(end retry.Outcome) bool {
+	switch end.(type) {
+	case retry.Answered, retry.Failed, retry.Declined:
+		return true
+	default:
+		return false
+	}
+}
+
 // withdrawn returns the outcome of an attempt that was cancelled because its work was put in quarantine.
 func (a *attempt) withdrawn(end retry.Outcome) retry.Outcome {
 	switch {
