gateway: a planned stop lets no connection open that it does not serve

Cause: the kernel resets the connections of the backlog as the listening socket is closed. One that opens after the last Accept and before the close, as the process has lost the processor, is reset without being read; and a deadline that has passed ends Accept whatever waits.

Ruled out: an idle connection that is closed as its caller writes. The caller's client would have repeated the request on another connection, and the first write on a connection that was closed in order does not fail.

Fix: a socket filter drops the packets of new connections before the last look at the backlog, and the socket is closed only if that is empty. Sockets of Multipath TCP, the default of package net, have no filters, so listening sockets do not use it.

--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -19,8 +19,7 @@
 	// process was not scheduled for a while, requests may have arrived before it handles the stop;
 	// the last read returns these without waiting.
 	finalReadTimeout = 50 * time.Millisecond
-	// finalAcceptTimeout limits the last wait for a connection. Connections that were opened while the process was
-	// not scheduled wait in the backlog of the listening socket, which resets them when it is closed.
+	// finalAcceptTimeout limits the last wait for a connection.
 	finalAcceptTimeout = 20 * time.Millisecond
 )
 
@@ -68,7 +67,7 @@
 		case <-l.serveDone: // the inner listener failed
 		}
 	}()
-	err := l.server.Serve(trackingListener{inner, l})
+	err := l.server.Serve(&trackingListener{Listener: inner, owner: l})
 	select {
 	case <-l.stop:
 		return nil
@@ -169,14 +168,15 @@
 	}
 }
 
-// trackingListener wraps the connections that it accepts in a trackedConn.
+// trackingListener wraps the connections that it accepts in a trackedConn. Accept is called by one goroutine.
 type trackingListener struct {
 	net.Listener
-	owner *Listener
+	owner   *Listener
+	backlog *backlog // nil before the stop, or if the listener has no socket
 }
 
 // Accept implements net.Listener.
-func (t trackingListener) Accept() (net.Conn, error) {
+func (t *trackingListener) Accept() (net.Conn, error) {
 	for {
 		c, err := t.Listener.Accept()
 		if err == nil {
@@ -186,14 +186,28 @@
 		if until == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return nil, err
 		}
-		if time.Since(*until) < finalAcceptTimeout {
+		if t.drained(*until) {
 			_ = t.Close() // the listener is not used again
 			return nil, net.ErrClosed
 		}
-		t.owner.endAccepting(t.Listener) // the process was not scheduled since the deadline
+		t.owner.endAccepting(t.Listener) // connections have arrived since the deadline
 	}
 }
 
+// drained reports whether all connections are accepted that will ever open. Without a socket, that is assumed if the process was
+// scheduled at the deadline.
+func (t *trackingListener) drained(until time.Time) bool {
+	if t.backlog == nil {
+		b, ok := backlogOf(t.Listener)
+		if !ok {
+			return time.Since(until) < finalAcceptTimeout
+		}
+		t.backlog = b
+	}
+	_ = t.backlog.close() // where that is not possible, a connection may still open before the listener is closed
+	return t.backlog.isEmpty()
+}
+
 // trackedConn is a connection that, when its Listener stops, is read once more before the wait
 // for a request ends.
 type trackedConn struct {
--- a/gateway/listener_test.go
+++ b/gateway/listener_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"clovertrail.dev/gateway"
+	"clovertrail.dev/node/process"
 )
 
 // pipes is a net.Listener with in-memory connections.
@@ -194,6 +195,46 @@
 	}
 }
 
+// lateListener is closed some time after the process has decided to close it, as on a busy machine.
+type lateListener struct {
+	*net.TCPListener
+	beforeClose func()
+}
+
+func (l lateListener) Close() error {
+	l.beforeClose()
+	return l.TCPListener.Close()
+}
+
+// TestStopResetsNoNewConnection guards against connections that open between the last one that the planned stop accepts and the close of
+// the listening socket, which resets them.
+func TestStopResetsNoNewConnection(t *testing.T) {
+	inner, err := process.MachineNetwork().Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	opened := make(chan net.Conn, 1)
+	p := lateListener{inner.(*net.TCPListener), func() {
+		c, err := net.DialTimeout("tcp", inner.Addr().String(), 200*time.Millisecond)
+		if err == nil {
+			opened <- c
+		}
+	}}
+	l := gateway.NewListener(&http.Server{Handler: http.NotFoundHandler(), ReadHeaderTimeout: time.Minute})
+	served := make(chan error, 1)
+	go func() { served <- l.Serve(p) }()
+	if err := errors.Join(l.Stop(context.Background()), <-served); err != nil {
+		t.Error(err)
+	}
+	select {
+	case c := <-opened:
+		_, err := requestOn(c)
+		t.Errorf("a connection opened that nothing serves: %v", err)
+		_ = c.Close()
+	default:
+	}
+}
+
 func TestStopClosesSilentConnections(t *testing.T) {
 	runListener(t, func(p *pipes, l *gateway.Listener) {
 		silent, idle := p.dial(), p.dial()
--- a/node/process/network.go
+++ b/node/process/network.go
@@ -34,8 +34,13 @@
 	return machineNetwork{dial: transport.Dial(transport.Timeouts{Connect: connectTimeout, DeadPeer: deadPeerTimeout})}
 }
 
-// Listen implements Network.
-func (machineNetwork) Listen(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+// Listen implements Network. A planned stop attaches a filter to the socket, which sockets of Multipath TCP, the default of package
+// net, do not have.
+func (machineNetwork) Listen(address string) (net.Listener, error) {
+	var c net.ListenConfig
+	c.SetMultipathTCP(false)
+	return c.Listen(context.Background(), "tcp", address)
+}
 
 // Dial implements Network.
 func (n machineNetwork) Dial(ctx context.Context, address string) (net.Conn, error) {
