--- a/cmd/clovertrail-soak/main.go
+++ b/cmd/clovertrail-soak/main.go
@@ -46,10 +46,19 @@
 			&cli.BoolFlag{Name: "prompts", Usage: "send prompts that share a part which crashes targets, and sound ones"},
 			&cli.BoolFlag{Name: "skews", Usage: "have a balancer hand most new connections of a hall, or of all, to one box at times"},
 			&cli.BoolFlag{Name: "series", Usage: "send boxes signals, stops and changes in series, with callers that keep their connections open"},
+			&cli.BoolFlag{Name: "crashes", Usage: "kill targets in processes of their own while they send responses that end with their connections"},
+			&cli.IntFlag{Name: "connections", Usage: "number of further connections to each of these targets; 0 draws it"},
+			&cli.BoolFlag{Name: "late", Usage: "send streams to stopping boxes on connections that are kept"},
 			&cli.DurationFlag{Name: "for", Value: 30 * time.Second, Usage: "duration of a run"},
 			&cli.StringFlag{Name: "logs", Value: filepath.Join(os.TempDir(), "clovertrail-soak"), Usage: "`FOLDER` for settings files and logs"},
 		},
 		Action: run,
+		Commands: []*cli.Command{{
+			Name: "target", Usage: "serve as the target ID of a run until the standard input ends", ArgsUsage: "ID", Hidden: true,
+			Action: func(_ context.Context, cmd *cli.Command) error {
+				return soak.ServeTarget(cmd.Args().First(), os.Stdin, os.Stdout)
+			},
+		}},
 	}
 	return cmd.Run(ctx, os.Args)
 }
@@ -61,6 +70,10 @@
 }
 
 func run(ctx context.Context, cmd *cli.Command) error {
+	program, err := os.Executable() // serves as targets too
+	if err != nil {
+		return err
+	}
 	seeds, first := cmd.Int("seeds"), cmd.Uint64("first")
 	results := make(chan result, seeds)
 	slots := make(chan struct{}, max(1, cmd.Int("at-once")))
@@ -74,7 +87,8 @@
 					Program: cmd.String("program"), Seed: seed, Duration: cmd.Duration("for"),
 					Boxes: cmd.Int("boxes"), Targets: cmd.Int("targets"), Callers: cmd.Int("callers"), FatalRequests: cmd.Bool("fatal"), TargetRequests: cmd.Bool("asks"),
 					TargetLimits: cmd.Bool("limits"), Restores: cmd.Bool("restores"), Evacuations: cmd.Bool("evacuations"), Outages: cmd.Bool("outages"), Series: cmd.Bool("series"),
-					FatalPrompts: cmd.Bool("prompts"), Skews: cmd.Bool("skews"),
+					FatalPrompts: cmd.Bool("prompts"), Skews: cmd.Bool("skews"), LateRequests: cmd.Bool("late"),
+					TargetCrashes: cmd.Bool("crashes"), TargetProgram: program, Connections: cmd.Int("connections"),
 					Dir: filepath.Join(cmd.String("logs"), fmt.Sprintf("seed-%d", seed)),
 				})
 				results <- result{r, err}
@@ -104,7 +118,7 @@
 	for _, x := range r.LimitSummaries {
 		fmt.Println("  ", x)
 	}
-	for _, x := range append(r.SkewSummaries, r.PromptSummary) {
+	for _, x := range append(r.SkewSummaries, r.PromptSummary, r.CrashSummary, r.LateSummary) {
 		if x != "" {
 			fmt.Println("  ", x)
 		}
--- a/soak/environment.go
+++ b/soak/environment.go
@@ -47,6 +47,15 @@
 	// FatalPrompts adds callers of prompts, some of which share a part that crashes the targets that begin to
 	// respond to it. It does not change the other random draws of the seed.
 	FatalPrompts bool
+	// TargetCrashes adds targets that are processes of their own, and kills them while they send responses that end with their
+	// connections. TargetProgram is the path of the built clovertrail-soak, and Connections the number of connections
+	// besides to each of them; 0 draws it.
+	TargetCrashes bool
+	TargetProgram string
+	Connections   int
+	// LateRequests makes planned stops, which overlap, and adds callers who send streams on connections that they keep
+	// until the box closes them.
+	LateRequests bool
 	// Skews has a balancer choose the boxes of callers, which at times hands most new connections of a hall, or of
 	// all halls, to one box.
 	Skews bool
@@ -104,6 +113,7 @@
 	agents      []*box         // of the ranks of the group
 	group       *standin.Group // nil without outages
 	rankServers []*http.Server
+	lateServers []*http.Server
 
 	// configMu serialises writes of the configuration. Lock order: configMu, then mu.
 	configMu sync.Mutex
@@ -144,6 +154,11 @@
 			return e, err
 		}
 	}
+	if o.LateRequests {
+		if err := e.startLateTargets(); err != nil {
+			return e, err
+		}
+	}
 	if err := e.writeNextConfiguration(); err != nil {
 		return e, err
 	}
@@ -274,6 +289,12 @@
 		standin.AddGroup(document, groupService, groupShape)
 		standin.SetTimeout(document, groupService, groupTimeout)
 	}
+	if e.options.TargetCrashes {
+		standin.AddService(document, crashService, 2*callerTimeout)
+	}
+	if e.options.LateRequests {
+		standin.AddService(document, lateService, lateTimeout)
+	}
 	p := e.recorder.priorities
 	standin.SetPriorities(document, p.routes, p.organisations)
 	return document
@@ -305,7 +326,7 @@
 	for _, a := range e.agents {
 		a.kill()
 	}
-	for _, s := range e.rankServers {
+	for _, s := range append(e.rankServers, e.lateServers...) {
 		_ = s.Close() // the server is discarded even if this fails
 	}
 	for _, h := range e.hosts {
--- a/soak/priorities.go
+++ b/soak/priorities.go
@@ -49,6 +49,9 @@
 // checkLevels reports requests that reached a target with another level than that of their class. In a run with
 // one class that is any level; one that the caller claimed always is.
 func (rec *recorder) checkLevels(ex exchange, violate violationFunc) {
+	if ex.late {
+		return // its service has other classes than the levels are stated for
+	}
 	want := rec.priorities.level(ex)
 	for _, r := range rec.runs[ex.request.ID] {
 		if r.Level != want {
--- a/soak/recorder.go
+++ b/soak/recorder.go
@@ -31,6 +31,8 @@
 	hall         string // of the caller; empty if no balancer chose the box
 	// routeVersion is the version of the configuration that added the route; 0 if every version has it.
 	routeVersion int
+	crashing     bool // whether targets that are killed serve the request
+	late         bool // whether the request is one on a kept connection of lateCallers
 	box          string
 	// boxStart is the start count of the box when the request was sent; unknownStart if the box was
 	// restarted before the response ended.
@@ -82,6 +84,9 @@
 	promptSummary     string
 	skews             []span // times in which most connections of a hall went to one box; the name is that of the hall
 	skewSummaries     []string
+	targetCrashes     []time.Time // when targets of crashService were killed
+	crashSummary      string
+	lateSummary       string
 	// limitSummaries describe the requests sent in each limit period.
 	limitSummaries []string
 }
@@ -202,6 +207,8 @@
 	rec.checkRest(violate)
 	rec.checkLeavingReported(violate)
 	rec.checkLimits(violate)
+	rec.checkLateRequests(violate)
+	rec.summarizeCrashes()
 	return list
 }
 
@@ -228,9 +235,9 @@
 }
 
 // checkPlannedStop reports requests that a planned stop of their box cut. checkOutages has the check of requests
-// to the group.
+// to the group, checkLateRequests that of streams on kept connections. Requests to targets that are killed may end with them.
 func (rec *recorder) checkPlannedStop(ex exchange, violate violationFunc) {
-	if ex.group || ex.reply.Err == nil || ex.reply.ConnectionRefused() || ex.reply.TimedOut() {
+	if ex.group || ex.late || ex.crashing || ex.reply.Err == nil || ex.reply.ConnectionRefused() || ex.reply.TimedOut() {
 		return
 	}
 	for _, s := range rec.stops[ex.box] {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -44,6 +45,9 @@
 	// connections went to one box.
 	PromptSummary string
 	SkewSummaries []string
+	// CrashSummary describes the responses of targets that were killed, LateSummary the streams that were sent to stopping boxes on
+	// kept connections.
+	CrashSummary, LateSummary string
 	// OutageSummary describes what became of the requests to the group; empty without outages.
 	OutageSummary string
 	Violations    []Violation
@@ -71,13 +75,7 @@
 	for n := range o.Callers {
 		callers.Go(func() { e.runCaller(runCtx, n) })
 	}
-	if o.FatalRequests {
-		callers.Go(func() { e.sendFatalRequests(runCtx) })
-	}
-	if o.FatalPrompts {
-		callers.Go(func() { e.sendPrompts(runCtx, false) })
-		callers.Go(func() { e.sendPrompts(runCtx, true) })
-	}
+	e.startFatal(runCtx, &callers)
 	if o.Skews {
 		callers.Go(func() { e.balancer.run(runCtx) })
 		actors.Go(func() { e.runSkews(end.Add(-coolDown)) })
@@ -101,11 +99,18 @@
 		}
 		actors.Go(func() { e.runSeries(runCtx, end.Add(-coolDown-seriesEndTime)) })
 	}
+	if o.LateRequests {
+		e.startLateRequests(runCtx, end, &callers, &actors)
+	}
+	var crashErr error
+	if o.TargetCrashes {
+		actors.Go(func() { crashErr = e.runTargetCrashes(runCtx, end.Add(-coolDown)) })
+	}
 	if o.TargetRequests {
 		actors.Go(func() { e.runTargetRequests(runCtx, end.Add(-coolDown)) })
 	}
 	rep := Report{Seed: o.Seed}
-	e.runActions(&rep, began, end.Add(-coolDown), &actors)
+	e.runActions(&rep, began, end.Add(-o.endOfActions()), &actors)
 	actors.Wait()
 	repaired := time.Now()
 	callers.Wait()
@@ -113,8 +118,28 @@
 	rep.addGroupTotals(e.recorder)
 	rep.Violations, rep.LimitSummaries = e.recorder.violations(), e.recorder.limitSummaries
 	rep.PromptSummary, rep.SkewSummaries = e.recorder.promptSummary, e.recorder.skewSummaries
+	rep.CrashSummary, rep.LateSummary = e.recorder.crashSummary, e.recorder.lateSummary
 	rep.addTotals(e, repaired, end)
-	return rep, ctx.Err()
+	return rep, errors.Join(crashErr, ctx.Err())
+}
+
+// startFatal starts the callers of requests and prompts that crash targets.
+func (e *environment) startFatal(ctx context.Context, callers *sync.WaitGroup) {
+	if e.options.FatalRequests {
+		callers.Go(func() { e.sendFatalRequests(ctx) })
+	}
+	if e.options.FatalPrompts {
+		callers.Go(func() { e.sendPrompts(ctx, false) })
+		callers.Go(func() { e.sendPrompts(ctx, true) })
+	}
+}
+
+// endOfActions returns the time from the last action to the end of the run.
+func (o Options) endOfActions() time.Duration {
+	if o.LateRequests {
+		return lateStopsEnd // an action may be a stop
+	}
+	return coolDown
 }
 
 // runActions starts actions, one after another and overlapping, until the given time.
@@ -208,6 +233,7 @@
 func (rep *Report) addTotals(e *environment, repaired, end time.Time) {
 	var last, lastServed int
 	from := end.Add(-recoveryWindow)
+	outcomes := map[string]int{}
 	for _, ex := range e.recorder.exchanges {
 		rep.Requests++
 		if ex.reply.Correct {
@@ -217,10 +243,12 @@
 			last++
 			if ex.reply.Correct {
 				lastServed++
+			} else {
+				outcomes[fmt.Sprintf("%s: status %d", ex.box, ex.reply.Status)]++
 			}
 		}
 	}
 	if last == 0 || lastServed*10 < last*9 {
-		rep.Violations = append(rep.Violations, Violation{"recovery", fmt.Sprintf("%d of %d requests were served from %v after the last action ended", lastServed, last, from.Sub(repaired))})
+		rep.Violations = append(rep.Violations, Violation{"recovery", fmt.Sprintf("%d of %d requests were served from %v after the last action ended; others: %v", lastServed, last, from.Sub(repaired), outcomes)})
 	}
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -44,6 +44,19 @@
 	runSoak(t, []soak.Options{{Seed: 3011, FatalPrompts: true, Skews: true}, {Seed: 4032, FatalPrompts: true, FatalRequests: true}})
 }
 
+// TestGuaranteesHoldWhileTargetsAreKilled guards against truncated responses of targets that are killed, plain ones and streams, which
+// end like whole ones.
+func TestGuaranteesHoldWhileTargetsAreKilled(t *testing.T) {
+	t.Parallel()
+	runSoak(t, []soak.Options{{Seed: 5001, TargetCrashes: true}, {Seed: 5004, TargetCrashes: true}})
+}
+
+// TestGuaranteesHoldOnKeptConnections guards against streams that a stopping box accepts on a connection of its caller and cuts.
+func TestGuaranteesHoldOnKeptConnections(t *testing.T) {
+	t.Parallel()
+	runSoak(t, []soak.Options{{Seed: 5103, LateRequests: true}, {Seed: 5105, LateRequests: true}})
+}
+
 // slots limits the runs that go on at once, of all tests together: each has as many processes as a machine has cores.
 var slots = make(chan struct{}, 2)
 
@@ -53,13 +66,14 @@
 	if testing.Short() {
 		t.Skip("runs for many seconds")
 	}
-	program := filepath.Join(t.TempDir(), "clovertrail-node")
-	if out, err := exec.Command("go", "build", "-o", program, "clovertrail.dev/cmd/clovertrail-node").CombinedOutput(); err != nil {
-		t.Fatalf("build of clovertrail-node failed: %v: %s", err, out)
+	dir := t.TempDir()
+	if out, err := exec.Command("go", "build", "-o", dir, "clovertrail.dev/cmd/clovertrail-node", "clovertrail.dev/cmd/clovertrail-soak").CombinedOutput(); err != nil {
+		t.Fatalf("build of clovertrail-node and clovertrail-soak failed: %v: %s", err, out)
 	}
+	program, targets := filepath.Join(dir, "clovertrail-node"), filepath.Join(dir, "clovertrail-soak")
 	var runs sync.WaitGroup
 	for _, o := range list {
-		o.Program, o.Dir = program, t.TempDir()
+		o.Program, o.TargetProgram, o.Dir = program, targets, t.TempDir()
 		slots <- struct{}{}
 		runs.Go(func() {
 			defer func() { <-slots }()
@@ -73,9 +87,11 @@
 func checkSoak(t *testing.T, o soak.Options) {
 	o.Duration = soak.MinDuration + 3*time.Second
 	switch {
+	case o.LateRequests:
+		o.Duration += 12 * time.Second // stops that overlap, the last of which ends before the end of the run
 	case o.Skews:
 		o.Duration += 14 * time.Second // the time with most connections at one box, and as long before it
-	case o.FatalPrompts, o.TargetLimits, o.Restores, o.Evacuations, o.Outages, o.Series:
+	case o.FatalPrompts, o.TargetLimits, o.Restores, o.Evacuations, o.Outages, o.Series, o.TargetCrashes:
 		o.Duration += 6 * time.Second // prompts begin late; a limit period, an evacuation, an outage, two stops in series, or a restore with its recovery needs more time
 	}
 	r, err := soak.Run(context.Background(), o)
@@ -86,13 +102,21 @@
 	for _, v := range r.Violations {
 		t.Errorf("seed %d: %s: %s (%v)", o.Seed, v.Guarantee, v.Details, r.Actions)
 	}
+	checkSamples(t, o, r)
+	if r.Served == 0 {
+		t.Errorf("seed %d: no request was served", o.Seed)
+	}
+}
+
+// checkSamples reports checks that had nothing to judge.
+func checkSamples(t *testing.T, o soak.Options, r soak.Report) {
 	if o.Outages && r.Waited == 0 {
 		t.Errorf("seed %d: no request waited for the group: %s", o.Seed, r.OutageSummary)
 	}
 	if o.Skews && len(r.SkewSummaries) == 0 || o.FatalPrompts && r.PromptSummary == "" {
 		t.Errorf("seed %d: no target ended, or no balancer handed most connections to one box", o.Seed)
 	}
-	if r.Served == 0 {
-		t.Errorf("seed %d: no request was served", o.Seed)
+	if o.TargetCrashes && r.CrashSummary == "" || o.LateRequests && r.LateSummary == "" {
+		t.Errorf("seed %d: no target was killed, or no stream was sent to a stopping box", o.Seed)
 	}
 }
