--- a/soak/late_requests.go
+++ b/soak/late_requests.go
@@ -92,12 +92,12 @@
 		}
 	}
 	for i := 0; ctx.Err() == nil; i++ {
-		stream(fmt.Sprintf("k-%d-%d", n, i), standin.LongPath, usualEvents+r.IntN(longestEvents-usualEvents))
+		stream(fmt.Sprintf("k-%d-%d", n, i), standin.LongPath(lateService), usualEvents+r.IntN(longestEvents-usualEvents))
 		events := usualEvents
 		if b.isEnding() {
 			events = mostEvents
 		}
-		stream(fmt.Sprintf("s-%d-%d", n, i), standin.ShortPath, events)
+		stream(fmt.Sprintf("s-%d-%d", n, i), standin.ShortPath(lateService), events)
 	}
 }
 
--- a/soak/target_crashes.go
+++ b/soak/target_crashes.go
@@ -153,9 +153,9 @@
 	r := rand.New(rand.NewPCG(e.options.Seed, uint64(200+n)))
 	c := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}}
 	org := e.organisations[n%len(e.organisations)]
-	path := standin.PlainPath + "x"
+	path := standin.PlainPath(crashService) + "x"
 	if n%2 == 0 {
-		path = fmt.Sprintf("%sx/%d", standin.LongPath, crashEvents)
+		path = fmt.Sprintf("%sx/%d", standin.LongPath(crashService), crashEvents)
 	}
 	for i := 0; ctx.Err() == nil; i++ {
 		q := standin.Request{ID: fmt.Sprintf("c-%d-%d", n, i), Key: org.key, Path: path, Timeout: callerTimeout}
