--- a/gateway/target_status.go
+++ b/gateway/target_status.go
@@ -32,7 +32,7 @@
 // CheckTarget finds out whether the process of the target is alive from now on, until ctx ends.
 func (g *Gateway) CheckTarget(ctx context.Context, t domain.Target, witnesses []string) liveness.Status {
 	end, start := g.deps.Pool.Now(), clock.Now()
-	q := transport.ProcessQuery{Process: processOf(t), HealthPath: g.healthPath(t.Service()), Witnesses: witnesses, End: end}
+	q := transport.ProcessQuery{Process: processOf(t), HealthPath: g.healthCheckPath(t.Service()), Witnesses: witnesses, End: end}
 	status := g.deps.Pool.CheckProcess(ctx, q)
 	g.deps.Common.Metrics.Count(telemetry.ProcessChecks, status.String(), 1)
 	g.deps.Common.Metrics.Observe(telemetry.ProcessCheckTime, status.String(), clock.Since(start))
@@ -43,7 +43,7 @@
 	return status
 }
 
-func (g *Gateway) healthPath(name domain.ServiceName) string {
+func (g *Gateway) healthCheckPath(name domain.ServiceName) string {
 	if c := g.Catalog(); c != nil {
 		if s, ok := c.Service(name); ok {
 			return cmp.Or(s.HealthPath, defaultHealthPath)
--- a/soak/environment.go
+++ b/soak/environment.go
@@ -113,7 +113,7 @@
 	agents      []*box         // of the ranks of the group
 	group       *standin.Group // nil without outages
 	rankServers []*http.Server
-	lateServers []*http.Server
+	lateServers []*http.Server // of the targets of lateService
 
 	// configMu serialises writes of the configuration. Lock order: configMu, then mu.
 	configMu sync.Mutex
@@ -125,6 +125,7 @@
 	stopped       bool
 	evacuated     string // the hall that the operator has evacuated; empty for none
 	organisations []organisation
+	entries       map[string]map[string]any // of targets that no host runs, but for the ranks of the group
 }
 
 // service is the name of the only service in the configuration.
@@ -132,7 +133,7 @@
 
 // newEnvironment starts the store, the targets and the boxes.
 func newEnvironment(o Options) (*environment, error) {
-	e := &environment{options: o, recorder: newRecorder(prioritiesOf(o.Seed)), store: standin.NewStore()}
+	e := &environment{options: o, recorder: newRecorder(prioritiesOf(o.Seed)), store: standin.NewStore(), entries: map[string]map[string]any{}}
 	for n := range 3 {
 		e.organisations = append(e.organisations, organisation{name: fmt.Sprintf("org-%d", n), key: fmt.Sprintf("key-%d", n)})
 	}
--- a/soak/late_requests.go
+++ b/soak/late_requests.go
@@ -44,7 +44,7 @@
 		t := standin.NewTarget(fmt.Sprintf("l-%d", n), lateService, e.recorder.addRun)
 		t.ChangeBehaviour(func(b *standin.Behaviour) { b.EventGap = lateEventGap })
 		e.lateServers = append(e.lateServers, startServer(l, t))
-		if _, err := e.store.Put("servers", t.ID(), t.Object(l.Addr().String(), hallName(n), "ready")); err != nil {
+		if err := e.addEntry(t.ID(), t.Object(l.Addr().String(), hallName(n), "ready")); err != nil {
 			return err
 		}
 	}
--- a/soak/store_restores.go
+++ b/soak/store_restores.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"time"
 
@@ -84,7 +85,7 @@
 		e.mu.Unlock()
 		_ = e.store.PutIfChanged("servers", in.id, in.entry(h, state))
 	}
-	for id, entry := range e.rankEntries() {
+	for id, entry := range e.otherEntries() {
 		_ = e.store.PutIfChanged("servers", id, entry)
 	}
 }
@@ -97,7 +98,7 @@
 		current[h.current.id] = true
 		e.mu.Unlock()
 	}
-	for id := range e.rankEntries() {
+	for id := range e.otherEntries() {
 		current[id] = true
 	}
 	for _, id := range e.store.Names("servers") {
@@ -107,6 +108,33 @@
 	}
 }
 
+// otherEntries returns the entries of the targets that no host runs, by id.
+func (e *environment) otherEntries() map[string]map[string]any {
+	entries := map[string]map[string]any{}
+	maps.Copy(entries, e.rankEntries())
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	maps.Copy(entries, e.entries)
+	return entries
+}
+
+// addEntry writes the entry of a target that no host runs to the store.
+func (e *environment) addEntry(id string, entry map[string]any) error {
+	e.mu.Lock()
+	e.entries[id] = entry
+	e.mu.Unlock()
+	_, err := e.store.Put("servers", id, entry)
+	return err
+}
+
+// removeEntry removes such an entry from the store.
+func (e *environment) removeEntry(id string) {
+	e.mu.Lock()
+	delete(e.entries, id)
+	e.mu.Unlock()
+	e.store.Remove("servers", id)
+}
+
 // currentHosts returns a copy of the list of hosts.
 func (e *environment) currentHosts() []*host {
 	e.mu.Lock()
--- a/soak/target_crashes.go
+++ b/soak/target_crashes.go
@@ -88,8 +88,7 @@
 		}
 		p.connections = append(p.connections, c)
 	}
-	_, err = e.store.Put("servers", id, standin.NewTarget(id, crashService, nil).Object(address, hall, "ready"))
-	return p, err
+	return p, e.addEntry(id, standin.NewTarget(id, crashService, nil).Object(address, hall, "ready"))
 }
 
 // kill ends the process as a crash does.
@@ -140,7 +139,7 @@
 		e.recorder.addTargetCrash()
 		targets[n].kill()
 		time.Sleep(crashReplaceAfter)
-		e.store.Remove("servers", targets[n].id)
+		e.removeEntry(targets[n].id)
 		if err := start(n, generation); err != nil {
 			return err
 		}
