--- a/gateway/leaving_caller_test.go
+++ b/gateway/leaving_caller_test.go
@@ -34,7 +34,7 @@
 	}{
 		{"long failure", longFailure, len(longBody), "a bad"},
 		{"long response", strings.Replace(longFailure, "500 Oops", "200 OK", 1), len(longBody), "a good"},
-		{"the caller leaves midway", longFailure, len(longBody) / 2, "a neutral"},
+		{"the caller leaves midway", longFailure[:len(longFailure)-len(longBody)/4] + hang, len(longBody) / 2, "a neutral"},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			r := newFixture(t, newTarget(t, "a", tc.script))
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -97,7 +97,7 @@
 		for n, b := range e.boxes {
 			callers.Go(func() { e.runHeldConnection(runCtx, n, b) })
 		}
-		actors.Go(func() { e.runSeries(runCtx, end.Add(-coolDown-seriesEndTime)) })
+		actors.Go(func() { e.runSeries(runCtx, end.Add(-o.endOfSeries())) })
 	}
 	if o.LateRequests {
 		e.startLateRequests(runCtx, end, &callers, &actors)
@@ -142,6 +142,14 @@
 	return coolDown
 }
 
+// endOfSeries returns the time from the last series to the end of the run.
+func (o Options) endOfSeries() time.Duration {
+	if o.LateRequests {
+		return lateStopsEnd + stopBound // a series may be two stops, one after the other
+	}
+	return coolDown + seriesEndTime
+}
+
 // runActions starts actions, one after another and overlapping, until the given time.
 func (e *environment) runActions(rep *Report, began, until time.Time, actors *sync.WaitGroup) {
 	r := rand.New(rand.NewPCG(e.options.Seed, 1))
