soak, standin: responses that end with their connections in groups that stop

The soak could not show what callers of such responses get as a group loses a rank: the stand-in neither stalled nor broke off with its group, and ignored the id to resume from.

--- a/soak/environment.go
+++ b/soak/environment.go
@@ -41,6 +41,10 @@
 	// Outages adds a group that loses a rank for seconds, again and again, with callers who return once
 	// when they are refused. It does not change the other random draws of the seed.
 	Outages bool
+	// UnframedPercent is the percentage of responses of the group that have neither a length nor chunks and end with their
+	// connections. With it the group is also cut off, and not only loses a rank. It does not change the other random
+	// draws of the seed.
+	UnframedPercent int
 	// Series sends boxes signals, stops and changes in series, which overlap, and adds a caller for each box
 	// that keeps its connection open. It does not change the other random draws of the seed.
 	Series bool
--- a/soak/outages.go
+++ b/soak/outages.go
@@ -61,7 +61,7 @@
 	e.group = standin.NewGroup(groupShape, groupService, e.recorder.addRun)
 	for r := range groupShape.Ranks {
 		e.group.Target(r).ChangeBehaviour(func(b *standin.Behaviour) {
-			b.ResponseTime, b.Events, b.EventGap = firstEventTime, 15, eventGap
+			b.ResponseTime, b.Events, b.EventGap, b.Unframed = firstEventTime, 15, eventGap, e.options.UnframedPercent
 		})
 		engine := e.rankAddress(r, enginePort)
 		l, err := net.Listen("tcp", engine)
@@ -106,6 +106,7 @@
 // of the outages. It ends with ctx, or when too little time is left before until.
 func (e *environment) runOutages(ctx context.Context, until time.Time) {
 	r := rand.New(rand.NewPCG(e.options.Seed, 8))
+	cuts := rand.New(rand.NewPCG(e.options.Seed, 12))
 	go e.group.Run(ctx)
 	var stops sync.WaitGroup
 	defer stops.Wait()
@@ -119,7 +120,7 @@
 			return
 		}
 		lostAt := time.Now()
-		e.group.Lose(r.IntN(groupShape.Ranks))
+		e.stopGroup(r.IntN(groupShape.Ranks), cuts)
 		stopAfter, b := time.Duration(r.Int64N(int64(lasts))), e.boxes[r.IntN(len(e.boxes))]
 		time.Sleep(stopAfter)
 		if r.IntN(2) == 0 {
@@ -132,6 +133,15 @@
 	}
 }
 
+// stopGroup makes the group lose the rank or, in half of the cases if responses end with their connections, cuts the rank off.
+func (e *environment) stopGroup(rank int, cuts *rand.Rand) {
+	if e.options.UnframedPercent > 0 && cuts.IntN(2) == 0 {
+		e.group.CutOff(rank)
+		return
+	}
+	e.group.Lose(rank)
+}
+
 // sendGroupRequests starts callers of the group until ctx ends.
 func (e *environment) sendGroupRequests(ctx context.Context) {
 	r := rand.New(rand.NewPCG(e.options.Seed, 9))
