gateway: what a response that ends with its connection was judged by

Neither logs nor metrics could tell the hypotheses apart: that the target's process was asked, but not how long the stream had been silent, whether the target's group had stopped, how near the deadline was, and which event was the last. Each end of such a response is a line and a count now, and the lines of attempts, answers and aborted answers name the last event. Nothing is decided by it yet.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -31,6 +31,7 @@
 	began        bool           // the response has begun
 	lastEventsAt time.Time      // arrival of the last events of the stream
 	gap          time.Duration  // between the last two arrivals of events
+	longestGap   time.Duration  // between two arrivals of events
 	processEnded bool           // the target's process ended during the attempt
 	headReceived bool           // the head of a response to this request has arrived
 	sentAt       time.Time      // when the request was sent
@@ -276,7 +277,7 @@
 	a.headReceived = true
 	a.response = a.d.g.deps.Headers.ParseResponse(now, resp)
 	if endsWithConnection(resp) {
-		resp.Body = &connectionBody{ReadCloser: resp.Body, alive: func() bool { return a.checkTarget(ctx) == liveness.Alive }}
+		resp.Body = &connectionBody{ReadCloser: resp.Body, ended: func() error { return a.connectionEnded(ctx) }}
 	}
 	if a.response.Outcome != call.WrongInstance && a.response.Outcome != call.Unrecognised {
 		a.lease.UpdateStatus(now, a.response) // responses with either of these outcomes did not come from the target
--- a/gateway/fake_test.go
+++ b/gateway/fake_test.go
@@ -251,6 +251,7 @@
 	statusReports []string      // statuses that targets reported about themselves
 	unavailable   []string      // targets that must not be sent a request after they were chosen
 	availableAt   time.Time     // returned by AvailableAt
+	interrupted   bool          // whether the group of the targets stops during attempts
 	holds         bool          // whether Acquire waits until its context ends
 	began         chan struct{} // receives a value when a response has begun, if its buffer has room
 	asked         chan struct{} // receives a value when HasTarget is called, if its buffer has room
@@ -327,6 +328,12 @@
 
 func (l *lease) IsStraggler(time.Time, []domain.InstanceID) bool { return l.x.straggler }
 
+func (l *lease) GroupInterrupted(time.Time) bool {
+	l.f.mu.Lock()
+	defer l.f.mu.Unlock()
+	return l.f.interrupted
+}
+
 func (*lease) ReportEventGap(time.Duration, time.Duration) {}
 
 func (l *lease) Release(v gateway.Verdict) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -82,6 +82,9 @@
 	// IsStraggler reports whether streams are to be moved from this target to others, because it
 	// lengthens the steps of its whole group too much.
 	IsStraggler(now time.Time, tried []domain.InstanceID) bool
+	// GroupInterrupted reports whether the target's group has stopped, or formed anew, since the target was chosen; false
+	// without a group.
+	GroupInterrupted(now time.Time) bool
 	// Release ends the use of the target, and records the attempt's verdict on the target.
 	Release(v Verdict)
 }
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -29,7 +29,7 @@
 		g.deps.Common.Metrics.CountRetry(reasons[len(reasons)-1])
 	}
 	attrs := []any{"request", req.ID(), "digest", req.work.Request(), "target", a.lease.Target().ID(), "attempt", a.try.Attempt,
-		"resume", a.try.Resume, "end", describe(end), "target_ended", a.processEnded,
+		"resume", a.try.Resume, "last_event", a.d.after, "end", describe(end), "target_ended", a.processEnded,
 		"rest", a.requestedRest(), "target_leaving", a.response.Leaving, "progress", a.progress(), "next", describe(cmd), "after", clock.Since(req.arrived)}
 	g.deps.Common.Log.Warn("attempt failed", withPrefixes(withLimit(attrs, a.response.Limit), req)...)
 }
@@ -60,7 +60,7 @@
 		m.Observe(telemetry.StreamPause, "", d.maxGap)
 	}
 	attrs := []any{"request", req.ID(), "digest", req.work.Request(), "route", req.route.Name(), "organisation", req.org.Name, "class", req.class,
-		"target", d.tried[len(d.tried)-1], "status", d.status, "attempts", d.machine.Attempts(), "events", d.events, "pause", d.maxGap,
+		"target", d.tried[len(d.tried)-1], "status", d.status, "attempts", d.machine.Attempts(), "events", d.events, "last_event", d.after, "pause", d.maxGap,
 		"first", d.firstByteAt.Sub(req.arrived), "after", clock.Since(req.arrived)}
 	g.deps.Common.Log.Info("request answered", withPrefixes(withLimit(attrs, d.limit), req)...)
 }
@@ -77,7 +77,7 @@
 func (g *Gateway) logAborted(req *inboundRequest, d *delivery, err *fault.Error) {
 	g.deps.Common.Metrics.Count(telemetry.Answers, "broken", 1)
 	g.deps.Common.Log.Warn("answer broken off", "request", req.ID(), "digest", req.work.Request(), "route", req.route.Name(), "service", req.service,
-		"attempts", d.machine.Attempts(), "events", d.events, "kind", err.Kind(), "err", err, "after", clock.Since(req.arrived))
+		"attempts", d.machine.Attempts(), "events", d.events, "last_event", d.after, "kind", err.Kind(), "err", err, "after", clock.Since(req.arrived))
 }
 
 // logCallerGone logs and counts a request whose connection ended before its response: the caller
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -87,6 +87,7 @@
 			a.d.g.deps.Quarantine.PartsServed(now, a.d.req.work)
 		}
 		a.gap = now.Sub(a.lastEventsAt)
+		a.longestGap = max(a.longestGap, a.gap)
 		a.lease.ReportEventGap(a.gap, a.d.req.route.EventGapObjective())
 	}
 	a.lastEventsAt = now
--- a/node/lease.go
+++ b/node/lease.go
@@ -18,6 +18,7 @@
 	option     routing.Option
 	ticket     *routing.Ticket
 	acquiredAt time.Time
+	epoch      uint64 // of the target's group when the target was chosen; 0 without a group
 	// permitted reports whether the target has a limit, and a permit is used for the attempt.
 	permitted bool
 }
@@ -93,6 +94,13 @@
 	return l.fleet.balancer.IsStraggler(now, l.option, l.fleet.untriedOptions(now, l.target.Service(), tried, false))
 }
 
+// GroupInterrupted implements gateway.Lease.
+func (l *lease) GroupInterrupted(now time.Time) bool {
+	l.fleet.mu.Lock()
+	defer l.fleet.mu.Unlock()
+	return l.fleet.roster.Formation(now, l.target.ID()).Interrupted(l.epoch)
+}
+
 // ReportEventGap implements gateway.Lease.
 func (l *lease) ReportEventGap(gap, objective time.Duration) {
 	l.fleet.with(func(_ *membership.Roster, b *routing.Balancer) {
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -33,6 +33,7 @@
 	MovedExperts  Name = "clovertrail_experts_moved_total"        // reason: the group
 	Quarantines   Name = "clovertrail_quarantines_total"          // reason: source ("own", "peer", "store"), "trial", "released", "lifted", "common cause" (released, since other targets ended too), or "not reported" (observations for which a message had no room)
 	LostAttempts  Name = "clovertrail_lost_attempts_total"        // attempts whose target's process ended; reason: progress of the response, "none", "head" or "begun"
+	UnframedEnds  Name = "clovertrail_unframed_ends_total"        // responses that ended with their connection; reason: "complete", or why the response counts as truncated
 	ProcessChecks Name = "clovertrail_process_checks_total"       // of checks whether a target is alive; reason: "alive", "ended", "unproven", or "health check" (requests sent for them)
 	Permits       Name = "clovertrail_permits_total"              // reason: "issuer", "own part" (fallback share), "none" (request without success)
 	Suspensions   Name = "clovertrail_suspended_seconds_total"    // reason: empty; whole seconds, rounded up
