Failing tests: streams that lack pieces reach their callers as complete

Callers get a 200 with a proper end although pieces are missing, or pieces twice. With scripted targets: one that begins again where it should resume, one whose ids go back, a resumed one that sends nothing, and an empty one that ends with its connection. Events that end with CRLF or CR, which the format of event streams allows, are no events for the box: a 502.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -47,6 +47,10 @@
 // marked replaces the line feeds of events by lineFeed.
 func marked(text string) string { return strings.ReplaceAll(text, "\n", lineFeed) }
 
+// crlf and cr replace the line ends of events.
+func crlf(text string) string { return strings.ReplaceAll(text, "\n", "\r\n") }
+func cr(text string) string   { return strings.ReplaceAll(text, "\n", "\r") }
+
 func TestPlainRequests(t *testing.T) {
 	tests := []struct {
 		name     string
@@ -218,6 +222,14 @@
 		{"ends with its connection and the process", "/stream-once/", unframedStream + raw(one) + crash, "", one, "one", true, ""},
 		{"ends with its connection and slowly with the process, resumed", "/stream/", unframedStream + raw(one) + slowCrash, secondHead + rawChunk(raw(two+three)) + lastChunk, one + two + three, "one", false, "1"},
 		{"ends with its connection and slowly with the process", "/stream-once/", unframedStream + raw(one) + slowCrash, "", one, "one", true, ""},
+		{"ends with its connection before any event", "/stream/", unframedStream, secondHead + rawChunk(raw(one)) + lastChunk, one, "two", false, ""},
+		{"resumed at a target that begins again", "/stream/", streamHead + rawChunk(raw(one+two)), secondHead + rawChunk(raw(one+two+three)) + lastChunk, one + two, "one", true, "2"},
+		{"resumed at a target that sends nothing", "/stream/", streamHead + rawChunk(raw(one)), secondHead + lastChunk, one, "one", true, "1"},
+		{"event ids go back", "/stream-once/", streamHead + rawChunk(raw(one+two)) + rawChunk(raw(one)) + lastChunk, "", one + two, "one", true, ""},
+		{"an event id comes twice", "/stream-once/", streamHead + rawChunk(raw(one)) + rawChunk(raw(one)) + lastChunk, "", one, "one", true, ""},
+		{"event ids go back, resumed", "/stream/", streamHead + rawChunk(raw(one+two)) + rawChunk(raw(one)) + lastChunk, secondHead + rawChunk(raw(three)) + lastChunk, one + two + three, "one", false, "2"},
+		{"events end with CRLF", "/stream/", streamHead + rawChunk(raw(crlf(one+two))) + rawChunk(raw(crlf(three))) + lastChunk, "", crlf(one + two + three), "one", false, ""},
+		{"events end with CR, resumed", "/stream/", streamHead + rawChunk(cr(one+two)), secondHead + rawChunk(cr(three)) + lastChunk, cr(one + two + three), "one", false, "2"},
 		{"ends with its connection and the process that is leaving", "/stream-once/", leavingUnframedStream + raw(one) + crash, "", one, "one", true, ""},
 	}
 	for _, tc := range tests {
