A stream that was cut as its group stopped does not count as complete

Callers got a 200 with a proper end after a part of the events of a stream that has neither a length nor chunks. Cause: the box took the end of the connection for the end of the stream if the target's process was alive. A group that loses a rank stands still, and then its other ranks cut their streams; their processes live on. The class is that of streams-that-end-with-their-connection: the absence of an error is taken for success, where the response announces nothing. Fix: package ending decides from what the box saw of the stream itself: a complete stream ends with its last event, at most some of its own pauses later. An end at the deadline that the target was given (targets stop there) and one without any event are doubted too, the first from reading alone. A resumable stream in doubt is resumed, another one is broken off.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -29,6 +29,7 @@
 	firstByte    firstByteTimer // cancels the attempt if the response does not begin and another target can be tried
 	overdueTimer *clock.Timer   // reports the target if the response does not begin
 	began        bool           // the response has begun
+	events       int            // events that the target sent
 	lastEventsAt time.Time      // arrival of the last events of the stream
 	gap          time.Duration  // between the last two arrivals of events
 	longestGap   time.Duration  // between two arrivals of events
@@ -276,9 +277,6 @@
 	now := clock.Now()
 	a.headReceived = true
 	a.response = a.d.g.deps.Headers.ParseResponse(now, resp)
-	if endsWithConnection(resp) {
-		resp.Body = &connectionBody{ReadCloser: resp.Body, ended: func() error { return a.connectionEnded(ctx) }}
-	}
 	if a.response.Outcome != call.WrongInstance && a.response.Outcome != call.Unrecognised {
 		a.lease.UpdateStatus(now, a.response) // responses with either of these outcomes did not come from the target
 		if a.response.ID != "" {
@@ -297,6 +295,7 @@
 	case call.Unrecognised:
 		return retry.Lost{Err: errors.New("the response did not come from the target")}, Bad
 	case call.Failed:
+		a.checkEnd(ctx, resp)
 		return a.bufferFailure(ctx, resp)
 	default:
 		return a.forward(ctx, resp)
@@ -308,9 +307,17 @@
 	if a.d.req.route.Kind() == catalog.Stream && resp.StatusCode == http.StatusOK {
 		return a.forwardStream(ctx, resp)
 	}
+	a.checkEnd(ctx, resp)
 	return a.forwardPlain(ctx, resp)
 }
 
+// checkEnd makes the body of a response that ends with its connection fail unless it is complete.
+func (a *attempt) checkEnd(ctx context.Context, resp *http.Response) {
+	if endsWithConnection(resp) {
+		resp.Body = &connectionBody{ReadCloser: resp.Body, ended: func() error { return a.plainEnded(ctx) }}
+	}
+}
+
 // responseStarted stops the timers for the first byte of the response.
 func (a *attempt) responseStarted() {
 	a.began = true
--- a/gateway/connection_body.go
+++ b/gateway/connection_body.go
@@ -8,21 +8,24 @@
 	"time"
 
 	"clovertrail.dev/core/clock"
+	"clovertrail.dev/ending"
 	"clovertrail.dev/liveness"
 	"clovertrail.dev/telemetry"
 )
 
+// errMayBeTruncated reports that a response ended with its connection and that nothing shows that it is complete.
+var errMayBeTruncated = errors.New("the response ended with its connection and may be truncated")
+
 // endsWithConnection reports whether the body of the response has neither a length nor chunks, so that only the end of the
 // connection shows its end.
 func endsWithConnection(r *http.Response) bool {
 	return r.ContentLength < 0 && len(r.TransferEncoding) == 0
 }
 
-// connectionBody is the body of a response that ends with its connection. The connection of a target whose process ended closes
-// in the same way, so that the response is truncated unless the target is alive afterwards.
+// connectionBody is the body of a response that ends with its connection.
 type connectionBody struct {
 	io.ReadCloser
-	ended func() error // called at the end of the connection; returns why the response is truncated
+	ended func() error // called at the end of the connection; returns an error if the response may be truncated
 }
 
 // Read implements io.Reader.
@@ -36,27 +39,38 @@
 	return n, err
 }
 
-// connectionEnded decides whether a response that ended with its connection is complete, and logs what that is based on.
-func (a *attempt) connectionEnded(ctx context.Context) error {
+// plainEnded decides whether a response that ended with its connection is complete.
+func (a *attempt) plainEnded(ctx context.Context) error {
+	return a.connectionEnded(ctx, ending.Plain{Left: a.d.req.deadline.Sub(clock.Now())}.Doubt())
+}
+
+// streamEnded decides whether a stream that ended with its connection, between two events, is complete. waitedSince is when
+// the box began to wait for more of it.
+func (a *attempt) streamEnded(ctx context.Context, waitedSince time.Time) error {
 	now := clock.Now()
-	interrupted := a.lease.GroupInterrupted(now)
-	status := a.checkTarget(ctx)
-	var err error
-	reason := "complete"
-	if status != liveness.Alive {
-		err, reason = errTruncated, status.String()
+	s := ending.Stream{
+		Events: a.events, Silence: now.Sub(a.lastEventsAt), Waited: now.Sub(waitedSince),
+		LongestPause: a.longestGap, PauseObjective: a.d.req.route.EventGapObjective(),
+		GroupInterrupted: a.lease.GroupInterrupted(now), Left: a.d.req.deadline.Sub(now),
 	}
-	a.d.g.deps.Common.Metrics.Count(telemetry.UnframedEnds, reason, 1)
-	a.d.g.deps.Common.Log.Info("response ended with its connection", "request", a.d.req.ID(), "target", a.lease.Target().ID(), "attempt", a.try.Attempt,
-		"counted_as", reason, "process", status, "group_interrupted", interrupted, "events", a.d.events, "last_event", a.d.after,
-		"silence", a.silence(now), "longest_pause", a.longestGap, "left", a.d.req.deadline.Sub(now), "after", now.Sub(a.d.req.arrived))
-	return err
+	doubt := s.Doubt()
+	a.d.g.deps.Common.Log.Info("stream ended with its connection", "request", a.d.req.ID(), "target", a.lease.Target().ID(), "attempt", a.try.Attempt,
+		"doubt", doubt, "events", s.Events, "last_event", a.d.after, "silence", s.Silence, "waited", s.Waited, "longest_pause", s.LongestPause,
+		"group_interrupted", s.GroupInterrupted, "left", s.Left, "after", now.Sub(a.d.req.arrived))
+	return a.connectionEnded(ctx, doubt)
 }
 
-// silence returns the time since the last events of the stream, or since the request was sent.
-func (a *attempt) silence(now time.Time) time.Duration {
-	if a.lastEventsAt.IsZero() {
-		return now.Sub(a.sentAt)
+// connectionEnded returns an error unless there is no doubt and the target's process is alive, and counts the end.
+func (a *attempt) connectionEnded(ctx context.Context, doubt ending.Doubt) error {
+	reason := string(doubt)
+	if doubt == ending.None {
+		status := a.checkTarget(ctx)
+		if status == liveness.Alive {
+			a.d.g.deps.Common.Metrics.Count(telemetry.UnframedEnds, "complete", 1)
+			return nil
+		}
+		reason = status.String()
 	}
-	return now.Sub(a.lastEventsAt)
+	a.d.g.deps.Common.Metrics.Count(telemetry.UnframedEnds, reason, 1)
+	return errMayBeTruncated
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -36,6 +36,7 @@
 			}
 			buf = append(buf, 0)[:len(buf)]
 		}
+		waitedSince := clock.Now()
 		n, err := resp.Body.Read(buf[len(buf):cap(buf)])
 		buf = buf[:len(buf)+n]
 		if end := bytes.LastIndex(buf, eventEnd); end >= 0 {
@@ -55,6 +56,9 @@
 		}
 		switch {
 		case errors.Is(err, io.EOF) && len(buf) == 0:
+			if err := a.checkStreamEnd(ctx, resp, waitedSince); err != nil {
+				return a.responseBroken(ctx, err, d.headSent)
+			}
 			a.startCallerResponse(resp)
 			return retry.Answered{}, Good
 		case errors.Is(err, io.EOF):
@@ -67,13 +71,25 @@
 	}
 }
 
+// checkStreamEnd returns an error unless the stream, which ended between two events, is complete.
+func (a *attempt) checkStreamEnd(ctx context.Context, resp *http.Response, waitedSince time.Time) error {
+	if endsWithConnection(resp) {
+		if err := a.streamEnded(ctx, waitedSince); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // forwardEvents writes complete events. The first events of a request are preceded by the response
 // head; an attempt that resumes a stream keeps the head of the earlier attempt.
 func (a *attempt) forwardEvents(resp *http.Response, whole []byte) {
 	a.startCallerResponse(resp)
 	d := a.d
 	a.recordGap(clock.Now())
-	d.recordEvents(clock.Now(), bytes.Count(whole, eventEnd))
+	n := bytes.Count(whole, eventEnd)
+	a.events += n
+	d.recordEvents(clock.Now(), n)
 	if id := lastID(whole); id != nil {
 		d.after = string(id)
 	}
