A continuation without an event completes a stream only if nothing may be missing

A stream broke off after event 1, the target that was to resume it answered 200 without an event, and the caller got event 1 and a proper end. Cause: the end of the second response was judged alone. A connection that broke, or a response that lacks its last chunk, shows that events were missing. Where the first part may have been complete (it ended with its connection, or the stream was moved), such an answer confirms that it was. TestStreams, 'resumed at a target that sends nothing', failed before.

--- a/gateway/delivery.go
+++ b/gateway/delivery.go
@@ -39,6 +39,7 @@
 	firstByteAt  time.Time         // when the response head was sent to the caller
 	lastEventsAt time.Time         // when the last events were sent to the caller
 	maxGap       time.Duration     // longest time between events
+	endInDoubt   bool              // the last attempt that sent events may have sent all of them
 	buffered     *bufferedResponse // failure response, sent if there is no other attempt
 	limit        call.Limit        // limit named by the target of the last attempt
 	hold         *holding
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -23,6 +23,8 @@
 
 var errEventTooLarge = fmt.Errorf("an event of the stream exceeds the limit of %d bytes", maxEventBytes)
 
+var errNotContinued = errors.New("the target sent no event of a stream that was cut short")
+
 // forwardStream sends each event to the caller once it is complete, so that a partial event never
 // reaches the caller, and records the ID of the last event sent.
 func (a *attempt) forwardStream(ctx context.Context, resp *http.Response) (retry.Outcome, Verdict) {
@@ -51,6 +53,7 @@
 			}
 			buf = buf[:copy(buf, buf[len(whole):])]
 			if a.shouldMove(clock.Now()) {
+				d.endInDoubt = true
 				return retry.Moved{}, Neutral
 			}
 		}
@@ -71,13 +74,18 @@
 	}
 }
 
-// checkStreamEnd returns an error unless the stream, which ended between two events, is complete.
+// checkStreamEnd returns an error unless the stream, which ended between two events, is complete. A continuation without an event
+// completes only a stream of which all events may have been sent before.
 func (a *attempt) checkStreamEnd(ctx context.Context, resp *http.Response, waitedSince time.Time) error {
 	if endsWithConnection(resp) {
 		if err := a.streamEnded(ctx, waitedSince); err != nil {
+			a.d.endInDoubt = a.d.endInDoubt || a.events > 0
 			return err
 		}
 	}
+	if a.try.Resume && a.events == 0 && !a.d.endInDoubt {
+		return errNotContinued
+	}
 	return nil
 }
 
@@ -87,6 +95,7 @@
 	a.startCallerResponse(resp)
 	d := a.d
 	a.recordGap(clock.Now())
+	d.endInDoubt = false
 	n := bytes.Count(whole, eventEnd)
 	a.events += n
 	d.recordEvents(clock.Now(), n)
