A resumed stream has no length

A caller got two of three events as a complete response. Cause: the head of a stream's first target is kept for the whole stream, with its Content-Length; where another target resumed it and sent more than the rest of that length, net/http dropped what exceeded it (the error of the write is not read, the flush succeeds), and the caller's client took the response for complete. With less it closed the connection of a complete stream. Evidence: TestLengthOfFirstTargetDoesNotEndResumedStream failed with events 1 and 2 and a proper end, the two cases of TestStreams with a resumed run of another length with a broken response. Streams are sent in chunks now, so that only their last chunk ends them.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -24,6 +24,7 @@
 	partialHead  = "HTTP/1.1 200 OK\nSigned: 1\nId: 1\nContent-Length: 9\n\nhel"
 	lateResponse = "HTTP/1.1 200 OK\nSigned: 1\nId: 0\nContent-Length: 5\n\nwrong"
 	streamHead   = "HTTP/1.1 200 OK\nSigned: one\nId: 1\nContent-Type: text/event-stream\nTransfer-Encoding: chunked\n\n"
+	lengthHead   = "HTTP/1.1 200 OK\nSigned: one\nId: 1\nContent-Type: text/event-stream\nContent-Length: %d\n\n"
 	secondHead   = "HTTP/1.1 200 OK\nSigned: two\nId: 1\nContent-Type: text/event-stream\nTransfer-Encoding: chunked\n\n"
 	lastChunk    = "0\n\n"
 
@@ -215,6 +216,9 @@
 		{"truncated, not resumable", "/stream-once/", streamHead + rawChunk(raw(one)), secondHead + rawChunk(raw(two)) + lastChunk, one, "one", true, ""},
 		{"truncated twice", "/stream/", streamHead + rawChunk(raw(one)), secondHead + rawChunk(raw(two)), one + two, "one", true, "1"},
 		{"ends within an event", "/stream-once/", streamHead + rawChunk(raw(one+"id: 2")) + lastChunk, "", one, "one", true, ""},
+		{"complete with a length", "/stream/", fmt.Sprintf(lengthHead, len(one+two)) + raw(one+two), "", one + two, "one", false, ""},
+		{"cut off with a length, resumed by a longer run", "/stream/", fmt.Sprintf(lengthHead, len(one+two)) + raw(one) + hangUp, secondHead + rawChunk(raw(two+three)) + lastChunk, one + two + three, "one", false, "1"},
+		{"cut off with a length, resumed by a shorter run", "/stream/", fmt.Sprintf(lengthHead, len(one+two+three)) + raw(one) + hangUp, secondHead + rawChunk(raw(two)) + lastChunk, one + two, "one", false, "1"},
 		{"ends with its connection", "/stream/", unframedStream + raw(one+two+three), "", one + two + three, "one", false, ""},
 		{"ends with its connection within an event, resumed", "/stream/", unframedStream + raw(one+two+"id: 3\nda"), secondHead + rawChunk(raw(three)) + lastChunk, one + two + three, "one", false, "2"},
 		{"ends with its connection within an event", "/stream-once/", unframedStream + raw(one+"id: 2"), "", one, "one", true, ""},
@@ -247,6 +251,26 @@
 	}
 }
 
+// TestLengthOfFirstTargetDoesNotEndResumedStream guards against a stream that ends as complete at the length that its first target
+// stated, although the target that resumed it sent more.
+func TestLengthOfFirstTargetDoesNotEndResumedStream(t *testing.T) {
+	one, two, three := "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n", "id: 3\ndata: c\n\n"
+	a := newTarget(t, "a", fmt.Sprintf(lengthHead, len(one+two))+marked(one)+hangUp)
+	b := newTarget(t, "b", secondHead+rawChunk(marked(two))+wait+rawChunk(marked(three))+lastChunk)
+	r := newFixture(t, a, b)
+	proceed := make(chan struct{})
+	b.proceed = proceed
+	go func() {
+		<-r.fleet.began // an event of the first target
+		<-r.fleet.began // an event of the second one
+		close(proceed)
+	}()
+	got := r.request("POST", "/stream/", "p")
+	if got.status != 200 || got.body != one+two+three || got.broken {
+		t.Errorf("status %d, broken %v, body %q", got.status, got.broken, got.body)
+	}
+}
+
 // TestStreamIsMovedFromStraggler checks that a stream is resumed at another target with all events
 // in order, and that a stream that is not resumable, or is a trial of its work, stays at its target.
 func TestStreamIsMovedFromStraggler(t *testing.T) {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -143,6 +143,7 @@
 		return
 	}
 	copyResponseHeaders(a.d.w.Header(), resp.Header)
+	a.d.w.Header().Del("Content-Length") // a target that resumes the stream may send more or less
 	a.d.writeHead(resp.StatusCode)
 }
 
