Events of a stream reach callers only in the order of their IDs

Callers got a 200 with a proper end and events twice or out of order: a target that was to resume after event 2 began again at event 1, or the IDs of one target went back. Cause: the box looked for ends of events, and noted the last ID in order to resume, but compared no ID with the one before it. Fix: package eventstream finds the events and requires that IDs rise within a run, and from the last event that the caller has on, also the one that the caller itself named if the route may be resumed. Events before the one out of order are forwarded; the attempt then ends as broken, so that the stream is resumed after them or broken off.

--- /dev/null
+++ b/eventstream/batch.go
@@ -0,0 +1,20 @@
+package eventstream
+
+// Batch describes the whole events at the beginning of a buffer.
+type Batch struct {
+	// Length is the number of their bytes.
+	Length int
+	// Events is their number.
+	Events int
+	// LastID is the ID of the last of them that has one; empty if none has.
+	LastID string
+}
+
+// add appends an event that ends at the given length.
+func (b *Batch) add(e event, length int) {
+	b.Length = length
+	b.Events++
+	if e.id != "" {
+		b.LastID = e.id
+	}
+}
--- /dev/null
+++ b/eventstream/event.go
@@ -0,0 +1,16 @@
+package eventstream
+
+import "bytes"
+
+// event is what is known of an event from its lines so far.
+type event struct {
+	id string
+}
+
+// add reads one line. Lines that begin with a colon are comments: the name of their field is empty.
+func (e *event) add(line []byte) {
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	if string(name) == "id" && bytes.IndexByte(value, 0) < 0 { // the format ignores IDs with a null character
+		e.id = string(bytes.TrimSpace(value))
+	}
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -10,14 +9,10 @@
 	"time"
 
 	"clovertrail.dev/core/clock"
+	"clovertrail.dev/eventstream"
 	"clovertrail.dev/retry"
 )
 
-var (
-	eventEnd = []byte("\n\n")
-	idField  = []byte("id:")
-)
-
 // maxEventBytes limits the size of one event of a stream; the largest are some hundred bytes.
 const maxEventBytes = 1 << 20
 
@@ -25,11 +20,10 @@
 
 var errNotContinued = errors.New("the target sent no event of a stream that was cut short")
 
-// forwardStream sends each event to the caller once it is complete, so that a partial event never
-// reaches the caller, and records the ID of the last event sent.
+// forwardStream sends each event to the caller once it is complete and in order, so that neither a partial event nor one out
+// of order ever reaches the caller.
 func (a *attempt) forwardStream(ctx context.Context, resp *http.Response) (retry.Outcome, Verdict) {
-	d := a.d
-	flush := http.NewResponseController(d.w)
+	d, run := a.d, eventstream.NewRun(a.continuesAfter())
 	buf := make([]byte, 0, 1<<10)
 	for {
 		if len(buf) == cap(buf) {
@@ -41,23 +35,17 @@
 		waitedSince := clock.Now()
 		n, err := resp.Body.Read(buf[len(buf):cap(buf)])
 		buf = buf[:len(buf)+n]
-		if end := bytes.LastIndex(buf, eventEnd); end >= 0 {
-			whole := buf[:end+len(eventEnd)]
-			var flushErr error
-			d.hold.transfer(func() {
-				a.forwardEvents(resp, whole)
-				flushErr = flush.Flush()
-			})
-			if flushErr != nil {
-				return a.responseBroken(ctx, flushErr, true)
-			}
-			buf = buf[:copy(buf, buf[len(whole):])]
-			if a.shouldMove(clock.Now()) {
-				d.endInDoubt = true
-				return retry.Moved{}, Neutral
-			}
+		batch, orderErr := run.Scan(buf)
+		if flushErr := a.forwardEvents(resp, batch, buf[:batch.Length]); flushErr != nil {
+			return a.responseBroken(ctx, flushErr, true)
 		}
+		buf = buf[:copy(buf, buf[batch.Length:])]
 		switch {
+		case orderErr != nil:
+			return a.responseBroken(ctx, orderErr, d.headSent)
+		case batch.Length > 0 && a.shouldMove(clock.Now()):
+			d.endInDoubt = true
+			return retry.Moved{}, Neutral
 		case errors.Is(err, io.EOF) && len(buf) == 0:
 			if err := a.checkStreamEnd(ctx, resp, waitedSince); err != nil {
 				return a.responseBroken(ctx, err, d.headSent)
@@ -74,6 +62,15 @@
 	}
 }
 
+// continuesAfter returns the ID of the last event that the caller has, whether from this request or an earlier one; empty if there
+// is none, or if the route does not promise that a run continues after it.
+func (a *attempt) continuesAfter() string {
+	if !a.d.req.route.MayResume() {
+		return ""
+	}
+	return a.d.after
+}
+
 // checkStreamEnd returns an error unless the stream, which ended between two events, is complete. A continuation without an event
 // completes only a stream of which all events may have been sent before.
 func (a *attempt) checkStreamEnd(ctx context.Context, resp *http.Response, waitedSince time.Time) error {
@@ -89,20 +86,30 @@
 	return nil
 }
 
-// forwardEvents writes complete events. The first events of a request are preceded by the response
+// forwardEvents writes complete events, if there are any. The first events of a request are preceded by the response
 // head; an attempt that resumes a stream keeps the head of the earlier attempt.
-func (a *attempt) forwardEvents(resp *http.Response, whole []byte) {
-	a.startCallerResponse(resp)
-	d := a.d
-	a.recordGap(clock.Now())
-	d.endInDoubt = false
-	n := bytes.Count(whole, eventEnd)
-	a.events += n
-	d.recordEvents(clock.Now(), n)
-	if id := lastID(whole); id != nil {
-		d.after = string(id)
+func (a *attempt) forwardEvents(resp *http.Response, batch eventstream.Batch, whole []byte) (err error) {
+	if len(whole) == 0 {
+		return nil
+	}
+	a.d.hold.transfer(func() {
+		a.startCallerResponse(resp)
+		a.recordEvents(clock.Now(), batch)
+		_, _ = a.d.w.Write(whole) // a caller that has left shows in the flush
+		err = http.NewResponseController(a.d.w).Flush()
+	})
+	return err
+}
+
+// recordEvents records events that are sent to the caller now.
+func (a *attempt) recordEvents(now time.Time, batch eventstream.Batch) {
+	a.recordGap(now)
+	a.events += batch.Events
+	a.d.endInDoubt = false
+	a.d.recordEvents(now, batch.Events)
+	if batch.LastID != "" {
+		a.d.after = batch.LastID
 	}
-	_, _ = d.w.Write(whole) // a caller that has left shows in the flush
 }
 
 // recordGap reports the time since the last events of this attempt to the lease.
@@ -152,16 +159,3 @@
 	d.firstByteAt = clock.Now()
 	d.w.WriteHeader(status)
 }
-
-// lastID returns the ID of the last of the events that have one; nil if none has.
-func lastID(events []byte) []byte {
-	at := bytes.LastIndex(events, append([]byte("\n"), idField...))
-	switch {
-	case at >= 0:
-		events = events[at+1:]
-	case !bytes.HasPrefix(events, idField):
-		return nil
-	}
-	line, _, _ := bytes.Cut(events[len(idField):], []byte("\n"))
-	return bytes.TrimSpace(line)
-}
