--- /dev/null
+++ b/membership/review_67_test.go
@@ -0,0 +1,45 @@
+package membership_test
+
+import (
+	"testing"
+
+	"clovertrail.dev/core/domain"
+	"clovertrail.dev/membership"
+)
+
+// TestFormationShowsThatGroupStopped checks what a box knows of a group since a request was sent to one of its ranks.
+func TestFormationShowsThatGroupStopped(t *testing.T) {
+	const ranks = 3
+	position := func(rank int, epoch uint64, open bool) domain.Rank {
+		return domain.Rank{Group: "g", Epoch: epoch, Number: rank, Size: ranks, Open: open}
+	}
+	remove := func(r *membership.Roster, i int) {
+		r.ApplyUpdate(start, membership.TargetUpdate{ID: rankID(i), At: pos(20)}) // as the store does after silent heartbeats
+	}
+	for _, tc := range []struct {
+		name   string
+		events func(r *membership.Roster)
+		want   bool
+	}{
+		{"nothing", func(*membership.Roster) {}, false},
+		{"another rank reports the group as not open", func(r *membership.Roster) { r.Reported(start, rankID(1), position(1, 1, false), 0, false) }, true},
+		{"the rank reports a later formation", func(r *membership.Roster) { r.Reported(start, rankID(0), position(0, 2, true), 0, false) }, true},
+		{"another rank reports a later formation", func(r *membership.Roster) { r.Reported(start, rankID(1), position(1, 2, true), 0, false) }, true},
+		{"another rank is unreachable", func(r *membership.Roster) { r.Unreachable(start, rankID(1)) }, true},
+		{"another rank was unreachable and is no longer listed", func(r *membership.Roster) { r.Unreachable(start, rankID(1)); remove(r, 1) }, true},
+		{"a rank declined a request since another is lost", func(r *membership.Roster) { r.GroupStopped(start, rankID(0)) }, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newRoster()
+			for i := range ranks {
+				g := position(i, 1, true)
+				r.ApplyUpdate(start, membership.TargetUpdate{ID: rankID(i), At: pos(1), Target: target(string(rankID(i)), domain.TargetReady, &g)})
+			}
+			epoch := r.Epoch(rankID(0))
+			tc.events(r)
+			if got := r.Formation(start, rankID(0)).Interrupted(epoch); got != tc.want {
+				t.Errorf("interrupted %v, want %v", got, tc.want)
+			}
+		})
+	}
+}
