ending: a stream is judged by all of its pauses, and by the waits of the box alone

The last events and the end were read at once after 2.1 s, so that no silence was seen before the end, and twice that pause was the silence that casts doubt from then on. One pause of 0.8 s, as of a preempted request, had the same effect. The box now follows the times at which events arrive (ending.Arrivals): how long it waited for the target, without the time for which its caller did not read, and whether the end came right after a wait that a group which steps does not make. The silence that casts doubt is bounded on both sides; 300 ms at least, since the packet with the end is sent again after 200 ms if it was lost (230 ms after the last event a complete stream was broken off). What is known of the group is asked only for streams that paused for long. A plain response is doubted after a long wait as well; three of a stopped group passed in part. The case of a chunked stream that loses its connection between its last event and its last chunk is left out: the box cannot tell it from one that lost events, for which 'resumed at a target that sends nothing' wants the opposite.

--- a/ending/doc.go
+++ b/ending/doc.go
@@ -3,16 +3,21 @@
 //
 // Such an end announces nothing. The connection of a target closes in the same way after a complete response, as its
 // process ends, as its group stops and cuts the requests of all ranks, and at the deadline that the target was given. So a
-// response is complete only if nothing casts doubt on it. A complete stream ends with its last event, at most one of its own
-// pauses later, whereas a group stands still for a second and more before it cuts its streams. What the box knows of the
-// group is older than that, and also true of streams that were complete before it stopped; it counts only where the box did
-// not wait for the target itself, because the caller did not read.
+// response is complete only if nothing casts doubt on it. A complete stream ends with its last event or soon after it, whereas a
+// group stands still for a second and more before it cuts its streams. A box that was not scheduled for that time
+// reads the last events and the end at once, so that an end soon after a long wait is doubted too. What the box knows of the group
+// is older than the stream and also true of streams that were complete before the group stopped; it counts only for streams that
+// paused for long.
 //
 // The package makes no calls. Whether the process of the target is alive is left to package liveness; a caller asks for that
 // only if there is no other doubt.
 //
 // # Usage
 //
-//	doubt := ending.Stream{Events: 12, Silence: 1500 * time.Millisecond, Waited: 1500 * time.Millisecond, ...}.Doubt()
-//	if doubt != ending.None { ... } // the stream counts as truncated, and may be resumed
+//	arrivals := ending.NewArrivals(sentAt)
+//	arrivals.Waited(d)             // for each read
+//	arrivals.Arrived(now, events)  // for each read that completes events
+//	s := arrivals.Ended(now)       // at the end of the connection
+//	s.Left = deadline.Sub(now)
+//	if doubt := s.Doubt(); doubt != ending.None { ... } // the stream counts as truncated, and may be resumed
 package ending
--- a/ending/ending.go
+++ b/ending/ending.go
@@ -11,19 +11,23 @@
 	None Doubt = ""
 	// NoEvent: the stream ended without an event.
 	NoEvent Doubt = "no event"
-	// Silence: the stream ended long after its last event.
+	// Silence: the target sent nothing for long before the end, or may have, since the end arrived with the first bytes after a
+	// long pause.
 	Silence Doubt = "silence"
-	// GroupStopped: the group of the target stopped while the box was writing to the caller.
+	// GroupStopped: the stream paused for long, and the group of the target has stopped since the request was sent.
 	GroupStopped Doubt = "group stopped"
 	// Deadline: the response ended at the deadline that the target was given.
 	Deadline Doubt = "deadline"
 )
 
 const (
-	// minSilence is the shortest silence that casts doubt on a stream. It is longer than the steps of an engine, and much
-	// shorter than the time for which a group stands still before it cuts its streams.
-	minSilence = 100 * time.Millisecond
-	// silenceFactor is the least silence that casts doubt on a stream, as a multiple of its longest pause.
+	// minSilence is the shortest silence that casts doubt on a stream. The packet with the end of a connection is sent again
+	// after 200 ms if it was lost.
+	minSilence = 300 * time.Millisecond
+	// maxSilence is the longest silence that casts no doubt: half of the time for which a group stands still before it cuts
+	// its requests.
+	maxSilence = 750 * time.Millisecond
+	// silenceFactor is the least silence that casts doubt on a stream, as a multiple of its longest wait.
 	silenceFactor = 2
 	// deadlineSlack covers the rounding of the deadline that the target was given, and late timers of both sides.
 	deadlineSlack = 50 * time.Millisecond
@@ -31,45 +35,64 @@
 
 // Plain is what is known of a response other than a stream.
 type Plain struct {
+	// Waited is how long the box waited for the target before the end.
+	Waited time.Duration
 	// Left is the time until the deadline that the target was given.
 	Left time.Duration
 }
 
 // Doubt returns a reason why the response may be incomplete.
 func (p Plain) Doubt() Doubt {
-	if p.Left < deadlineSlack {
+	switch {
+	case p.Left < deadlineSlack:
 		return Deadline
+	case p.Waited > maxSilence:
+		return Silence
+	default:
+		return None
 	}
-	return None
 }
 
 // Stream is what is known of a stream that ended between two events.
 type Stream struct {
 	// Events is the number of events that the target sent.
 	Events int
-	// Silence is the time from the last event to the end, and Waited the part of it during which the box waited for the target,
-	// and not for the caller.
-	Silence, Waited time.Duration
-	// LongestPause is the longest time between two events, and PauseObjective the one that the route allows; 0 if it has no
-	// such limit.
-	LongestPause, PauseObjective time.Duration
-	// GroupInterrupted reports whether the group of the target has stopped, or formed anew, since the request was sent.
+	// Waited is how long the box waited for the target between the last event and the end.
+	Waited time.Duration
+	// LongestWait is the longest time for which the box waited for the target between two events.
+	LongestWait time.Duration
+	// LongestPause is the longest time without an event, whether the box waited for the target or for its caller.
+	LongestPause time.Duration
+	// Stalled reports whether the box waited between two events for longer than a group that steps lets it, and SinceStall is
+	// the time since the last such wait.
+	Stalled    bool
+	SinceStall time.Duration
+	// PauseObjective is the longest time between two events that the route allows; 0 if it has no such limit.
+	PauseObjective time.Duration
+	// Continues reports whether the stream continues one of which all events may have been sent before.
+	Continues bool
+	// GroupInterrupted reports whether the group of the target has stopped, or formed anew, since the target was chosen.
 	GroupInterrupted bool
 	// Left is the time until the deadline that the target was given.
 	Left time.Duration
 }
 
+// Paused reports whether the stream paused for so long that it matters whether its group was interrupted.
+func (s Stream) Paused() bool { return s.LongestPause > maxSilence }
+
 // Doubt returns a reason why the stream may be incomplete.
 func (s Stream) Doubt() Doubt {
-	usual := max(minSilence, s.PauseObjective, silenceFactor*s.LongestPause)
+	usual := min(max(minSilence, s.PauseObjective, silenceFactor*s.LongestWait), maxSilence)
 	switch {
-	case s.Events == 0:
-		return NoEvent
 	case s.Left < deadlineSlack:
 		return Deadline
-	case s.Waited > usual:
+	case s.Events == 0 && !s.Continues:
+		return NoEvent
+	case s.Events > 0 && s.Waited > usual:
+		return Silence
+	case s.Stalled && s.SinceStall < minSilence:
 		return Silence
-	case s.Silence > usual && s.GroupInterrupted:
+	case s.Paused() && s.GroupInterrupted:
 		return GroupStopped
 	default:
 		return None
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -13,6 +13,7 @@
 	"clovertrail.dev/core/call"
 	"clovertrail.dev/core/clock"
 	"clovertrail.dev/core/fault"
+	"clovertrail.dev/ending"
 	"clovertrail.dev/liveness"
 	"clovertrail.dev/retry"
 	"clovertrail.dev/telemetry"
@@ -29,13 +30,12 @@
 	firstByte    firstByteTimer // cancels the attempt if the response does not begin and another target can be tried
 	overdueTimer *clock.Timer   // reports the target if the response does not begin
 	began        bool           // the response has begun
-	events       int            // events that the target sent
-	lastEventsAt time.Time      // arrival of the last events of the stream
-	gap          time.Duration  // between the last two arrivals of events
-	longestGap   time.Duration  // between two arrivals of events
-	processEnded bool           // the target's process ended during the attempt
-	headReceived bool           // the head of a response to this request has arrived
-	sentAt       time.Time      // when the request was sent
+	arrivals     *ending.Arrivals
+	lastEventsAt time.Time     // arrival of the last events of the stream
+	gap          time.Duration // between the last two arrivals of events
+	processEnded bool          // the target's process ended during the attempt
+	headReceived bool          // the head of a response to this request has arrived
+	sentAt       time.Time     // when the request was sent
 }
 
 var errTargetUnavailable = errors.New("the target asked for rest, named a limit, or is leaving, before the request was sent")
@@ -314,7 +314,7 @@
 // checkEnd makes the body of a response that ends with its connection fail unless it is complete.
 func (a *attempt) checkEnd(ctx context.Context, resp *http.Response) {
 	if endsWithConnection(resp) {
-		resp.Body = &connectionBody{ReadCloser: resp.Body, ended: func() error { return a.plainEnded(ctx) }}
+		resp.Body = &connectionBody{ReadCloser: resp.Body, ended: func(waited time.Duration) error { return a.plainEnded(ctx, waited) }}
 	}
 }
 
--- a/gateway/connection_body.go
+++ b/gateway/connection_body.go
@@ -25,52 +25,54 @@
 // connectionBody is the body of a response that ends with its connection.
 type connectionBody struct {
 	io.ReadCloser
-	ended func() error // called at the end of the connection; returns an error if the response may be truncated
+	ended func(waited time.Duration) error // called at the end of the connection; returns an error if the response may be truncated
 }
 
 // Read implements io.Reader.
 func (b *connectionBody) Read(p []byte) (int, error) {
+	start := clock.Now()
 	n, err := b.ReadCloser.Read(p)
 	if errors.Is(err, io.EOF) {
-		if truncated := b.ended(); truncated != nil {
+		if truncated := b.ended(clock.Since(start)); truncated != nil {
 			return n, truncated
 		}
 	}
 	return n, err
 }
 
-// plainEnded decides whether a response that ended with its connection is complete.
-func (a *attempt) plainEnded(ctx context.Context) error {
-	return a.connectionEnded(ctx, ending.Plain{Left: a.d.req.deadline.Sub(clock.Now())}.Doubt())
+// plainEnded decides whether a response other than a stream is complete that ended with its connection, after the box waited for
+// the end.
+func (a *attempt) plainEnded(ctx context.Context, waited time.Duration) error {
+	p := ending.Plain{Waited: waited, Left: clock.Until(a.d.req.deadline)}
+	return a.connectionEnded(ctx, p.Doubt(), "waited", p.Waited, "left", p.Left)
 }
 
-// streamEnded decides whether a stream that ended with its connection, between two events, is complete. waitedSince is when
-// the box began to wait for more of it.
-func (a *attempt) streamEnded(ctx context.Context, waitedSince time.Time) error {
+// streamEnded decides whether a stream that ended with its connection, between two events, is complete.
+func (a *attempt) streamEnded(ctx context.Context) error {
 	now := clock.Now()
-	s := ending.Stream{
-		Events: a.events, Silence: now.Sub(a.lastEventsAt), Waited: now.Sub(waitedSince),
-		LongestPause: a.longestGap, PauseObjective: a.d.req.route.EventGapObjective(),
-		GroupInterrupted: a.lease.GroupInterrupted(now), Left: a.d.req.deadline.Sub(now),
-	}
-	doubt := s.Doubt()
-	a.d.g.deps.Common.Log.Info("stream ended with its connection", "request", a.d.req.ID(), "target", a.lease.Target().ID(), "attempt", a.try.Attempt,
-		"doubt", doubt, "events", s.Events, "last_event", a.d.after, "silence", s.Silence, "waited", s.Waited, "longest_pause", s.LongestPause,
-		"group_interrupted", s.GroupInterrupted, "left", s.Left, "after", now.Sub(a.d.req.arrived))
-	return a.connectionEnded(ctx, doubt)
+	s := a.arrivals.Ended(now)
+	s.PauseObjective, s.Left = a.d.req.route.EventGapObjective(), a.d.req.deadline.Sub(now)
+	s.Continues = a.try.Resume && a.d.endInDoubt
+	s.GroupInterrupted = s.Paused() && a.lease.GroupInterrupted(now)
+	return a.connectionEnded(ctx, s.Doubt(), "events", s.Events, "last_event", a.d.after, "waited", s.Waited, "longest_wait", s.LongestWait,
+		"longest_pause", s.LongestPause, "stalled", s.Stalled, "continues", s.Continues, "group_interrupted", s.GroupInterrupted, "left", s.Left)
 }
 
-// connectionEnded returns an error unless there is no doubt and the target's process is alive, and counts the end.
-func (a *attempt) connectionEnded(ctx context.Context, doubt ending.Doubt) error {
+// connectionEnded returns an error unless there is no doubt and the target's process is alive. It logs and counts what the response
+// is taken for; evidence is for the log.
+func (a *attempt) connectionEnded(ctx context.Context, doubt ending.Doubt, evidence ...any) error {
 	reason := string(doubt)
 	if doubt == ending.None {
-		status := a.checkTarget(ctx)
-		if status == liveness.Alive {
-			a.d.g.deps.Common.Metrics.Count(telemetry.UnframedEnds, "complete", 1)
-			return nil
+		reason = "complete"
+		if status := a.checkTarget(ctx); status != liveness.Alive {
+			reason = status.String()
 		}
-		reason = status.String()
 	}
 	a.d.g.deps.Common.Metrics.Count(telemetry.UnframedEnds, reason, 1)
+	a.d.g.deps.Common.Log.Info("response ended with its connection", append([]any{"request", a.d.req.ID(), "target", a.lease.Target().ID(),
+		"attempt", a.try.Attempt, "taken_for", reason, "after", clock.Since(a.d.req.arrived)}, evidence...)...)
+	if reason == "complete" {
+		return nil
+	}
 	return errMayBeTruncated
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"clovertrail.dev/core/clock"
+	"clovertrail.dev/ending"
 	"clovertrail.dev/eventstream"
 	"clovertrail.dev/retry"
 )
@@ -24,6 +25,7 @@
 // of order ever reaches the caller.
 func (a *attempt) forwardStream(ctx context.Context, resp *http.Response) (retry.Outcome, Verdict) {
 	d, run := a.d, eventstream.NewRun(a.continuesAfter())
+	a.arrivals = ending.NewArrivals(a.sentAt)
 	buf := make([]byte, 0, 1<<10)
 	for {
 		if len(buf) == cap(buf) {
@@ -34,6 +36,7 @@
 		}
 		waitedSince := clock.Now()
 		n, err := resp.Body.Read(buf[len(buf):cap(buf)])
+		a.arrivals.Waited(clock.Since(waitedSince))
 		buf = buf[:len(buf)+n]
 		batch, orderErr := run.Scan(buf)
 		if flushErr := a.forwardEvents(resp, batch, buf[:batch.Length]); flushErr != nil {
@@ -47,7 +50,7 @@
 			d.endInDoubt = true
 			return retry.Moved{}, Neutral
 		case errors.Is(err, io.EOF) && len(buf) == 0:
-			if err := a.checkStreamEnd(ctx, resp, waitedSince); err != nil {
+			if err := a.checkStreamEnd(ctx, resp); err != nil {
 				return a.responseBroken(ctx, err, d.headSent)
 			}
 			a.startCallerResponse(resp)
@@ -73,14 +76,14 @@
 
 // checkStreamEnd returns an error unless the stream, which ended between two events, is complete. A continuation without an event
 // completes only a stream of which all events may have been sent before.
-func (a *attempt) checkStreamEnd(ctx context.Context, resp *http.Response, waitedSince time.Time) error {
+func (a *attempt) checkStreamEnd(ctx context.Context, resp *http.Response) error {
 	if endsWithConnection(resp) {
-		if err := a.streamEnded(ctx, waitedSince); err != nil {
-			a.d.endInDoubt = a.d.endInDoubt || a.events > 0
+		if err := a.streamEnded(ctx); err != nil {
+			a.d.endInDoubt = a.d.endInDoubt || a.arrivals.Events() > 0
 			return err
 		}
 	}
-	if a.try.Resume && a.events == 0 && !a.d.endInDoubt {
+	if a.try.Resume && a.arrivals.Events() == 0 && !a.d.endInDoubt {
 		return errNotContinued
 	}
 	return nil
@@ -104,7 +107,7 @@
 // recordEvents records events that are sent to the caller now.
 func (a *attempt) recordEvents(now time.Time, batch eventstream.Batch) {
 	a.recordGap(now)
-	a.events += batch.Events
+	a.arrivals.Arrived(now, batch.Events)
 	a.d.endInDoubt = false
 	a.d.recordEvents(now, batch.Events)
 	if batch.LastID != "" {
@@ -119,7 +122,6 @@
 			a.d.g.deps.Quarantine.PartsServed(now, a.d.req.work)
 		}
 		a.gap = now.Sub(a.lastEventsAt)
-		a.longestGap = max(a.longestGap, a.gap)
 		a.lease.ReportEventGap(a.gap, a.d.req.route.EventGapObjective())
 	}
 	a.lastEventsAt = now
