gateway: a stream that was read to its end is not moved, and a length shows that events are missing

A complete stream with a length was broken off: its last events and its end came in one read, and the box looked whether to move the stream before it looked at the end (TestCompleteStreamIsNotMoved: the second target failed). A stream that was moved in its middle passed as complete after 2 of 3 events as the next target sent none: that nothing may be missing was assumed of each moved stream, also of one whose length showed the opposite (TestContinuationWithoutEventsAfterMove).

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -46,8 +46,8 @@
 		switch {
 		case orderErr != nil:
 			return a.responseBroken(ctx, orderErr, d.headSent)
-		case batch.Length > 0 && a.shouldMove(clock.Now()):
-			d.endInDoubt = true
+		case batch.Length > 0 && !errors.Is(err, io.EOF) && a.shouldMove(clock.Now()):
+			d.endInDoubt = resp.ContentLength < 0 // a length shows that events are missing
 			return retry.Moved{}, Neutral
 		case errors.Is(err, io.EOF) && len(buf) == 0:
 			if err := a.checkStreamEnd(ctx, resp); err != nil {
