gateway: a response to HEAD has no end to be proved

A 200 to a HEAD request without a length was a 502 for the caller if the target's process ended after it: its empty body counted as one that ends with the connection. TestResponsesWithoutBodyNeedNoProof failed before.

--- a/gateway/connection_body.go
+++ b/gateway/connection_body.go
@@ -19,7 +19,7 @@
 // endsWithConnection reports whether the body of the response has neither a length nor chunks, so that only the end of the
 // connection shows its end.
 func endsWithConnection(r *http.Response) bool {
-	return r.ContentLength < 0 && len(r.TransferEncoding) == 0
+	return r.ContentLength < 0 && len(r.TransferEncoding) == 0 && r.Request.Method != http.MethodHead
 }
 
 // connectionBody is the body of a response that ends with its connection.
