--- a/soak/actions.go
+++ b/soak/actions.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"clovertrail.dev/platform/standin"
+	"clovertrail.dev/soak/faultproxy"
 )
 
 // faultScope is the component that a fault affects. It decides which violations of guarantees the
@@ -45,16 +46,16 @@
 	{"store silent", scopeStore, storeFailure(standin.Unresponsive, 0)},
 	{"store slow", scopeStore, storeFailure(standin.Healthy, 200*time.Millisecond)},
 	{"store forgets", scopeStore, func(e *environment, _ *rand.Rand, _ *box, wait func()) { e.store.Compact(); wait() }},
-	{"store link silent", scopeBoxStore, withStoreProxy(blackhole)},
-	{"store link one way", scopeBoxStore, withStoreProxy(dropResponses)},
-	{"store link resets", scopeBoxStore, withStoreProxy(resetOnData)},
-	{"target slow link", scopeTarget, withTargetProxy(slowLink)},
-	{"target silent", scopeTarget, withTargetProxy(blackhole)},
-	{"target one way", scopeTarget, withTargetProxy(dropResponses)},
-	{"target resets", scopeTarget, withTargetProxy(resetOnData)},
-	{"target's answers are reset", scopeTarget, withTargetProxy(resetOnResponse)},
-	{"target's answers are reset", scopeTarget, withTargetProxy(resetOnResponse)},
-	{"target refuses", scopeTarget, withTargetProxy(refuseConnections)},
+	{"store link silent", scopeBoxStore, withStoreProxy(faultproxy.Blackhole)},
+	{"store link one way", scopeBoxStore, withStoreProxy(faultproxy.DropResponses)},
+	{"store link resets", scopeBoxStore, withStoreProxy(faultproxy.ResetOnData)},
+	{"target slow link", scopeTarget, withTargetProxy(faultproxy.SlowLink)},
+	{"target silent", scopeTarget, withTargetProxy(faultproxy.Blackhole)},
+	{"target one way", scopeTarget, withTargetProxy(faultproxy.DropResponses)},
+	{"target resets", scopeTarget, withTargetProxy(faultproxy.ResetOnData)},
+	{"target's answers are reset", scopeTarget, withTargetProxy(faultproxy.ResetOnResponse)},
+	{"target's answers are reset", scopeTarget, withTargetProxy(faultproxy.ResetOnResponse)},
+	{"target refuses", scopeTarget, withTargetProxy(faultproxy.RefuseConnections)},
 	{"target fails", scopeTarget, withBehaviour(func(h *standin.Behaviour) { h.Fail = true }, func(h *standin.Behaviour) { h.Fail = false })},
 	{"target full", scopeTarget, withBehaviour(func(h *standin.Behaviour) { h.RejectAll = true }, func(h *standin.Behaviour) { h.RejectAll = false })},
 	{"target breaks off", scopeTarget, withBehaviour(func(h *standin.Behaviour) { h.BreakAtEvent = 4 }, func(h *standin.Behaviour) { h.BreakAtEvent = 0 })},
@@ -106,22 +107,22 @@
 	}
 }
 
-func withStoreProxy(mode proxyMode) func(*environment, *rand.Rand, *box, func()) {
+func withStoreProxy(mode faultproxy.Mode) func(*environment, *rand.Rand, *box, func()) {
 	return func(_ *environment, _ *rand.Rand, b *box, wait func()) {
 		p := b.storeProxy
-		p.setMode(mode)
+		p.SetMode(mode)
 		wait()
-		p.setMode(passThrough)
+		p.SetMode(faultproxy.PassThrough)
 	}
 }
 
-func withTargetProxy(mode proxyMode) func(*environment, *rand.Rand, *box, func()) {
+func withTargetProxy(mode faultproxy.Mode) func(*environment, *rand.Rand, *box, func()) {
 	return func(e *environment, r *rand.Rand, _ *box, wait func()) {
 		_, in := e.pickHost(r)
 		p := in.proxy
-		p.setMode(mode)
+		p.SetMode(mode)
 		wait()
-		p.setMode(passThrough)
+		p.SetMode(faultproxy.PassThrough)
 	}
 }
 
@@ -181,8 +182,8 @@
 		return
 	}
 	defer h.lifecycle.Unlock()
-	in.proxy.setMode(refuseConnections)
-	in.proxy.resetAll()
+	in.proxy.SetMode(faultproxy.RefuseConnections)
+	in.proxy.ResetAll()
 	wait()
 	_ = e.replaceTarget(h, in) // if this fails, the run goes on with one target fewer
 }
--- a/soak/box.go
+++ b/soak/box.go
@@ -11,6 +11,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"clovertrail.dev/soak/faultproxy"
 )
 
 // box is an entry process, or an agent, that is restarted whenever it exits.
@@ -23,7 +25,7 @@
 	callerAddress string
 	readyAddress  string
 	// storeProxy is the proxy through which the box connects to the store.
-	storeProxy *proxy
+	storeProxy *faultproxy.Proxy
 	log        io.Writer
 
 	mu        sync.Mutex
@@ -52,11 +54,11 @@
 
 // newBox writes the settings file of an entry box and creates its log. The seeds are the addresses on which
 // other boxes accept the adverts of new ones.
-func newBox(e *environment, name, hall string, addresses []string, seeds []string, storeProxy *proxy) (*box, error) {
+func newBox(e *environment, name, hall string, addresses []string, seeds []string, storeProxy *faultproxy.Proxy) (*box, error) {
 	o := e.options
 	settings := map[string]any{
 		"box": name, "hall": hall, "callers": addresses[0], "ready": addresses[1], "peers": addresses[2], "meeting": addresses[3],
-		"seeds": seeds, "store": storeProxy.address(), "bounds": o.bounds(),
+		"seeds": seeds, "store": storeProxy.Address(), "bounds": o.bounds(),
 	}
 	if o.Outages {
 		settings["agent_port"] = agentPort
--- a/soak/environment.go
+++ b/soak/environment.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"clovertrail.dev/platform/standin"
+	"clovertrail.dev/soak/faultproxy"
 )
 
 // Options configures a run.
@@ -100,7 +101,7 @@
 	id     string
 	target *standin.Target
 	server *http.Server
-	proxy  *proxy
+	proxy  *faultproxy.Proxy
 }
 
 // organisation is a tenant with its API key.
@@ -188,7 +189,7 @@
 		return err
 	}
 	for n := range e.options.Boxes {
-		p, err := newProxy(store)
+		p, err := faultproxy.New(store)
 		if err != nil {
 			return err
 		}
@@ -220,7 +221,7 @@
 	if err != nil {
 		return err
 	}
-	p, err := newProxy(l.Addr().String())
+	p, err := faultproxy.New(l.Addr().String())
 	if err != nil {
 		return err
 	}
@@ -250,12 +251,12 @@
 }
 
 func (in incarnation) entry(h *host, state string) map[string]any {
-	return in.target.Object(in.proxy.address(), h.hall, state)
+	return in.target.Object(in.proxy.Address(), h.hall, state)
 }
 
 // close closes the listeners of the incarnation.
 func (in incarnation) close() {
-	in.proxy.close()
+	in.proxy.Close()
 	_ = in.server.Close() // the server is discarded even if this fails
 }
 
@@ -326,7 +327,7 @@
 	e.mu.Unlock()
 	for _, b := range e.boxes {
 		b.kill()
-		b.storeProxy.close()
+		b.storeProxy.Close()
 	}
 	for _, a := range e.agents {
 		a.kill()
