soak: recovery is judged after the last action has ended, in every run

So the last two seconds, 14.4 to 16.4, began 0.76 s before the stop ended, and box-3 refused connections in them because its planned stop went on. The box did as told; 229 requests had no response from it, 10 others were refused. The window of the check was wrong.

Now the callers go on until the window of two seconds lies a second after the end of the last action. The check is as before and is never skipped; runs whose actions end in time are as long as before. Ruled out: to make such stops earlier, which would take stops from the runs, and holds only for the actions that are known to last.

--- a/soak/environment.go
+++ b/soak/environment.go
@@ -18,7 +18,7 @@
 	Program string
 	// Seed is the seed of all random draws of the run.
 	Seed uint64
-	// Duration is the length of the run, including the fault-free part at its end.
+	// Duration is the length of the run, including the fault-free part at its end. A run whose last action ends late is longer.
 	Duration time.Duration
 	// Boxes, Targets and Callers are the numbers of each; 0 selects the default.
 	Boxes, Targets, Callers int
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -18,8 +18,9 @@
 	// coolDown is the fault-free time at the end of a run: long enough for the process that was killed
 	// last to be back, and for the last bounds to pass.
 	coolDown = 6 * time.Second
-	// recoveryWindow is the last part of coolDown, in which requests must be served.
-	recoveryWindow = 2 * time.Second
+	// recoveryWindow is the last part of a run, in which requests must be served. It begins settleTime after the last action
+	// has ended at the earliest, when the box that was stopped last is ready again.
+	recoveryWindow, settleTime = 2 * time.Second, time.Second
 	// callerTimeout is the time-out of callers.
 	callerTimeout = 3 * time.Second
 	// callerPause is the pause of a caller between two requests.
@@ -69,7 +70,7 @@
 	}
 	began := time.Now()
 	end := began.Add(o.Duration)
-	runCtx, cancel := context.WithDeadline(ctx, end)
+	runCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var callers, actors sync.WaitGroup
 	for n := range o.Callers {
@@ -113,6 +114,8 @@
 	e.runActions(&rep, began, end.Add(-o.endOfActions()), &actors)
 	actors.Wait()
 	repaired := time.Now()
+	end = later(end, repaired.Add(settleTime+recoveryWindow))
+	time.AfterFunc(time.Until(end), cancel)
 	callers.Wait()
 	e.countAttempts()
 	rep.addGroupTotals(e.recorder)
@@ -123,6 +126,13 @@
 	return rep, errors.Join(crashErr, ctx.Err())
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // startFatal starts the callers of requests and prompts that crash targets.
 func (e *environment) startFatal(ctx context.Context, callers *sync.WaitGroup) {
 	if e.options.FatalRequests {
