soak: callers that resume streams, while targets and boxes are killed at once

- callers that send the rest of a stream that broke off to another box, and check the whole sequence over all responses;
- six targets as processes of their own for streams that boxes may resume, 0, 40 and 80 in 100 of their responses unframed, of which up to five are killed at once, at times beside a box, and paths to others cut one way;
- streams that outlast their deadline, at which their target cuts them;
- a group with one slow rank after the other, whose streams boxes move.

Draws of other seeds are as before.

--- a/soak/box.go
+++ b/soak/box.go
@@ -60,7 +60,7 @@
 		"box": name, "hall": hall, "callers": addresses[0], "ready": addresses[1], "peers": addresses[2], "meeting": addresses[3],
 		"seeds": seeds, "store": storeProxy.Address(), "bounds": o.bounds(),
 	}
-	if o.Outages {
+	if o.hasGroup() {
 		settings["agent_port"] = agentPort
 	}
 	b, err := e.newProcess("entry", name, settings)
@@ -74,7 +74,7 @@
 // bounds returns the bounds in the settings of processes.
 func (o Options) bounds() map[string]any {
 	retrySlack := 40
-	if o.Outages {
+	if o.hasGroup() {
 		retrySlack = ampleRetrySlack
 	}
 	return map[string]any{
--- a/soak/environment.go
+++ b/soak/environment.go
@@ -58,6 +58,9 @@
 	TargetCrashes bool
 	TargetProgram string
 	Connections   int
+	// Resumes adds callers that resume streams at another box, targets for them that are processes of their own, of which several are
+	// killed at once, beside boxes, and a group with slow ranks. It does not change the other random draws of the seed.
+	Resumes bool
 	// LateRequests makes planned stops, which overlap, and adds callers who send streams on connections that they keep
 	// until the box closes them.
 	LateRequests bool
@@ -73,6 +76,9 @@
 	defaultCallers = 12
 )
 
+// hasGroup reports whether the run has a group.
+func (o Options) hasGroup() bool { return o.Outages || o.Resumes }
+
 func (o Options) withDefaults() Options {
 	if o.Boxes == 0 {
 		o.Boxes = defaultBoxes
@@ -116,9 +122,11 @@
 	boxes       []*box
 	balancer    *balancer
 	agents      []*box         // of the ranks of the group
-	group       *standin.Group // nil without outages
+	group       *standin.Group // nil if the run has none
 	rankServers []*http.Server
 	lateServers []*http.Server // of the targets of lateService
+	// resumeTargets are the targets of resumeService; only their actor changes them.
+	resumeTargets []*targetProcess
 
 	// configMu serialises writes of the configuration. Lock order: configMu, then mu.
 	configMu sync.Mutex
@@ -155,7 +163,7 @@
 	if err := os.MkdirAll(o.Dir, 0o700); err != nil {
 		return nil, err
 	}
-	if o.Outages {
+	if o.hasGroup() {
 		if err := e.startGroup(); err != nil {
 			return e, err
 		}
@@ -291,13 +299,16 @@
 
 func (e *environment) configuration(version int) map[string]any {
 	document := standin.Configuration(version, service, e.keysByOrganisation())
-	if e.options.Outages {
+	if e.options.hasGroup() {
 		standin.AddGroup(document, groupService, groupShape)
 		standin.SetTimeout(document, groupService, groupTimeout)
 	}
 	if e.options.TargetCrashes {
 		standin.AddService(document, crashService, 2*callerTimeout)
 	}
+	if e.options.Resumes {
+		standin.AddResumableService(document, resumeService, 2*callerTimeout, resumeAttempts)
+	}
 	if e.options.LateRequests {
 		standin.AddService(document, lateService, lateTimeout)
 	}
@@ -335,6 +346,12 @@
 	for _, s := range append(e.rankServers, e.lateServers...) {
 		_ = s.Close() // the server is discarded even if this fails
 	}
+	for _, p := range e.resumeTargets {
+		if p != nil {
+			p.kill()
+			p.closeProxy()
+		}
+	}
 	for _, h := range e.hosts {
 		h.current.close()
 	}
--- a/soak/fatal_prompts.go
+++ b/soak/fatal_prompts.go
@@ -87,8 +87,8 @@
 	}
 }
 
-func count(served bool) int {
-	if served {
+func count(applies bool) int {
+	if applies {
 		return 1
 	}
 	return 0
--- a/soak/outages.go
+++ b/soak/outages.go
@@ -107,7 +107,6 @@
 func (e *environment) runOutages(ctx context.Context, until time.Time) {
 	r := rand.New(rand.NewPCG(e.options.Seed, 8))
 	cuts := rand.New(rand.NewPCG(e.options.Seed, 12))
-	go e.group.Run(ctx)
 	var stops sync.WaitGroup
 	defer stops.Wait()
 	time.Sleep(warmUp)
--- a/soak/recorder.go
+++ b/soak/recorder.go
@@ -32,6 +32,8 @@
 	// routeVersion is the version of the configuration that added the route; 0 if every version has it.
 	routeVersion int
 	crashing     bool // whether targets that are killed serve the request
+	resuming     bool // whether its caller resumes streams
+	outlasts     bool // whether the stream lasts longer than the deadline of its request
 	late         bool // whether the request is one on a kept connection of lateCallers
 	box          string
 	// boxStart is the start count of the box when the request was sent; unknownStart if the box was
@@ -87,6 +89,9 @@
 	targetCrashes     []time.Time // when targets of crashService were killed
 	crashSummary      string
 	lateSummary       string
+	resumedAfter      map[string]int // the last event after which targets of resumeService were told to go on, by request
+	slowRanks         []span         // times in which the group has a slow rank
+	resumes           resumeCounts
 	// limitSummaries describe the requests sent in each limit period.
 	limitSummaries []string
 }
@@ -95,7 +100,7 @@
 	return &recorder{
 		priorities: p,
 		runs:       map[string][]standin.Run{}, attempts: map[string][]time.Time{}, stops: map[string][]span{}, drainingSince: map[string]time.Time{}, configStoredAt: map[int]time.Time{},
-		leavingReportedAt: map[string]time.Time{}, hallOf: map[string]string{},
+		leavingReportedAt: map[string]time.Time{}, hallOf: map[string]string{}, resumedAfter: map[string]int{},
 	}
 }
 
@@ -209,6 +214,7 @@
 	rec.checkLimits(violate)
 	rec.checkLateRequests(violate)
 	rec.summarizeCrashes()
+	rec.countResumes()
 	return list
 }
 
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -49,6 +49,10 @@
 	// CrashSummary describes the responses of targets that were killed, LateSummary the streams that were sent to stopping boxes on
 	// kept connections.
 	CrashSummary, LateSummary string
+	// ResumeSummary describes the streams of callers that resume; Continued, Resumed, Moved and Outlasting count those that continued an
+	// earlier response, were resumed or moved by boxes, or outlasted their deadlines.
+	ResumeSummary                         string
+	Continued, Resumed, Moved, Outlasting int
 	// OutageSummary describes what became of the requests to the group; empty without outages.
 	OutageSummary string
 	Violations    []Violation
@@ -90,6 +94,9 @@
 	if o.Evacuations {
 		actors.Go(func() { e.runEvacuations(runCtx, end.Add(-coolDown)) })
 	}
+	if o.hasGroup() {
+		go e.group.Run(runCtx)
+	}
 	if o.Outages {
 		callers.Go(func() { e.sendGroupRequests(runCtx) })
 		actors.Go(func() { e.runOutages(runCtx, end.Add(-coolDown)) })
@@ -107,6 +114,9 @@
 	if o.TargetCrashes {
 		actors.Go(func() { crashErr = e.runTargetCrashes(runCtx, end.Add(-coolDown)) })
 	}
+	if o.Resumes {
+		e.startResumes(runCtx, end.Add(-coolDown), &callers, &actors)
+	}
 	if o.TargetRequests {
 		actors.Go(func() { e.runTargetRequests(runCtx, end.Add(-coolDown)) })
 	}
@@ -122,6 +132,7 @@
 	rep.Violations, rep.LimitSummaries = e.recorder.violations(), e.recorder.limitSummaries
 	rep.PromptSummary, rep.SkewSummaries = e.recorder.promptSummary, e.recorder.skewSummaries
 	rep.CrashSummary, rep.LateSummary = e.recorder.crashSummary, e.recorder.lateSummary
+	rep.addResumes(e.recorder.resumes)
 	rep.addTotals(e, repaired, end)
 	return rep, errors.Join(crashErr, ctx.Err())
 }
@@ -247,7 +258,7 @@
 const unknownStart = -1
 
 // addTotals counts the requests and those served, and adds a violation if fewer than nine in ten
-// were served in recoveryWindow.
+// of those that their deadlines allow were served in recoveryWindow.
 func (rep *Report) addTotals(e *environment, repaired, end time.Time) {
 	var last, lastServed int
 	from := end.Add(-recoveryWindow)
@@ -257,7 +268,7 @@
 		if ex.reply.Correct {
 			rep.Served++
 		}
-		if ex.sentAt.After(from) {
+		if ex.sentAt.After(from) && !ex.outlasts {
 			last++
 			if ex.reply.Correct {
 				lastServed++
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -57,6 +57,14 @@
 	runSoak(t, []soak.Options{{Seed: 5103, LateRequests: true}, {Seed: 5105, LateRequests: true}})
 }
 
+// TestStreamsHoldWhileCallersResume guards against streams that lack pieces or have some twice, over all responses of which their callers
+// put them together, while several targets and boxes are killed at once, paths are cut, streams are moved from slow ranks, and targets stop
+// at their deadlines.
+func TestStreamsHoldWhileCallersResume(t *testing.T) {
+	t.Parallel()
+	runSoak(t, []soak.Options{{Seed: 7001, Resumes: true}})
+}
+
 // slots limits the runs that go on at once, of all tests together: each has as many processes as a machine has cores.
 var slots = make(chan struct{}, 2)
 
@@ -91,7 +99,7 @@
 		o.Duration += 12 * time.Second // stops that overlap, the last of which ends before the end of the run
 	case o.Skews:
 		o.Duration += 14 * time.Second // the time with most connections at one box, and as long before it
-	case o.FatalPrompts, o.TargetLimits, o.Restores, o.Evacuations, o.Outages, o.Series, o.TargetCrashes:
+	case o.FatalPrompts, o.TargetLimits, o.Restores, o.Evacuations, o.Outages, o.Series, o.TargetCrashes, o.Resumes:
 		o.Duration += 6 * time.Second // prompts begin late; a limit period, an evacuation, an outage, two stops in series, or a restore with its recovery needs more time
 	}
 	r, err := soak.Run(context.Background(), o)
@@ -116,6 +124,9 @@
 	if o.Skews && len(r.SkewSummaries) == 0 || o.FatalPrompts && r.PromptSummary == "" {
 		t.Errorf("seed %d: no target ended, or no balancer handed most connections to one box", o.Seed)
 	}
+	if o.Resumes && min(r.Continued, r.Resumed, r.Moved, r.Outlasting) == 0 {
+		t.Errorf("seed %d: no stream continued an earlier response, was resumed or moved, or outlasted its deadline: %s", o.Seed, r.ResumeSummary)
+	}
 	if o.TargetCrashes && r.CrashSummary == "" || o.LateRequests && r.LateSummary == "" {
 		t.Errorf("seed %d: no target was killed, or no stream was sent to a stopping box", o.Seed)
 	}
--- a/soak/target_crashes.go
+++ b/soak/target_crashes.go
@@ -107,7 +107,7 @@
 	var whole, cut, other int
 	for _, ex := range rec.exchanges {
 		switch {
-		case !ex.crashing:
+		case !ex.crashing || ex.resuming:
 		case ex.reply.Correct:
 			whole++
 		case ex.reply.Status == http.StatusOK:
--- a/soak/target_process.go
+++ b/soak/target_process.go
@@ -12,6 +12,7 @@
 	"strings"
 	"sync"
 	"syscall"
+	"time"
 
 	"clovertrail.dev/platform/standin"
 	"clovertrail.dev/soak/faultproxy"
@@ -133,3 +134,17 @@
 		_ = c.Close()
 	}
 }
+
+// cutPath lets nothing pass from the target for a time, if it is behind a proxy.
+func (p *targetProcess) cutPath(length time.Duration) {
+	if p.proxy != nil {
+		p.proxy.SetMode(faultproxy.DropResponses)
+		time.AfterFunc(length, func() { p.proxy.SetMode(faultproxy.PassThrough) })
+	}
+}
+
+func (p *targetProcess) closeProxy() {
+	if p.proxy != nil {
+		p.proxy.Close()
+	}
+}
