soak: streams that slow ranks make as long as a stop may be cut as it ends

A stop may cut what was sent within three seconds of the signal in the last sixth of its time, as checkLateRequests has it, and a deadline is no cut. This holds for requests of callers that resume only; the checks of all others stay as they were.

--- a/soak/outages.go
+++ b/soak/outages.go
@@ -199,7 +199,7 @@
 	if took := ex.endedAt.Sub(ex.sentAt); took > ex.request.Timeout+timingSlack {
 		violate("held", "request %s to %s ended after %v, its deadline was after %v", id, ex.box, took, ex.request.Timeout)
 	}
-	cut := !ex.reply.Correct && !ex.reply.NotRun() && !ex.reply.ConnectionRefused() && len(rec.attempts[id]) < groupMaxAttempts && !rec.leavesBeforeAnswer(ex)
+	cut := rec.isCut(ex)
 	for _, s := range rec.stops[ex.box] {
 		if cut && ex.sentAt.Before(s.to) && ex.endedAt.After(s.from) {
 			violate("planned stop", "request %s to %s failed %v after the stop signal: status %d, %v; %s", id, ex.box, ex.endedAt.Sub(s.from), ex.reply.Status, ex.reply.Err, rec.timeline(ex))
@@ -207,6 +207,12 @@
 	}
 }
 
+// isCut reports whether a request to the group broke off although another attempt was allowed and an answer could have begun.
+func (rec *recorder) isCut(ex exchange) bool {
+	failed := !ex.reply.Correct && !ex.reply.NotRun() && !ex.reply.ConnectionRefused()
+	return failed && len(rec.attempts[ex.request.ID]) < groupMaxAttempts && !rec.leavesBeforeAnswer(ex) && !rec.mayCut(ex)
+}
+
 // leavesBeforeAnswer reports whether the caller leaves before an answer can begin: the group was stopped while the
 // request waited, and opens, if at all, too late for boxes to notice it and for a rank to send an event.
 func (rec *recorder) leavesBeforeAnswer(ex exchange) bool {
--- a/soak/recorder.go
+++ b/soak/recorder.go
@@ -247,7 +247,7 @@
 		return
 	}
 	for _, s := range rec.stops[ex.box] {
-		if ex.sentAt.Before(s.to) && ex.endedAt.After(s.from) && rec.faultFree(ex.box, ex.sentAt, ex.endedAt, scopeBox, scopeTarget) {
+		if ex.sentAt.Before(s.to) && ex.endedAt.After(s.from) && !rec.mayCut(ex) && rec.faultFree(ex.box, ex.sentAt, ex.endedAt, scopeBox, scopeTarget) {
 			violate("planned stop", "request %s to %s failed %v after the stop signal: %v", ex.request.ID, ex.box, ex.endedAt.Sub(s.from), ex.reply.Err)
 		}
 	}
--- a/soak/resumes.go
+++ b/soak/resumes.go
@@ -168,6 +168,14 @@
 	rec.slowRanks = append(rec.slowRanks, span{name: "slow rank", from: from, to: to})
 }
 
+// mayCut reports whether the box may have cut the stream of a caller that resumes, which slow ranks can make as long as a stop: at its
+// deadline or, if it was sent at most noticeTime after the signal of a stop, in the last sixth of the stop's time.
+func (rec *recorder) mayCut(ex exchange) bool {
+	return ex.resuming && (ex.endedAt.Sub(ex.sentAt) >= ex.request.Timeout || slices.ContainsFunc(rec.stops[ex.box], func(s span) bool {
+		return ex.sentAt.Before(s.to) && ex.sentAt.Sub(s.from) <= noticeTime && ex.endedAt.Sub(s.from) >= stopBound*5/6
+	}))
+}
+
 // isResumed reports whether the box resumed the stream of the request at another target.
 func (rec *recorder) isResumed(ex exchange) bool {
 	return rec.resumedAfter[ex.request.ID] > ex.request.After ||
