--- a/cmd/clovertrail-soak/main.go
+++ b/cmd/clovertrail-soak/main.go
@@ -44,6 +44,7 @@
 			&cli.BoolFlag{Name: "evacuations", Usage: "evacuate data halls"},
 			&cli.BoolFlag{Name: "outages", Usage: "stop a group of targets for seconds, with callers who return once when refused"},
 			&cli.IntFlag{Name: "unframed", Usage: "`PERCENT` of the group's responses that end with their connections; the group is also cut off"},
+			&cli.BoolFlag{Name: "pauses", Usage: "pause boxes while the group of --outages stands still"},
 			&cli.BoolFlag{Name: "prompts", Usage: "send prompts that share a part which crashes targets, and sound ones"},
 			&cli.BoolFlag{Name: "skews", Usage: "have a balancer hand most new connections of a hall, or of all, to one box at times"},
 			&cli.BoolFlag{Name: "series", Usage: "send boxes signals, stops and changes in series, with callers that keep their connections open"},
@@ -89,8 +90,8 @@
 					Program: cmd.String("program"), Seed: seed, Duration: cmd.Duration("for"),
 					Boxes: cmd.Int("boxes"), Targets: cmd.Int("targets"), Callers: cmd.Int("callers"), FatalRequests: cmd.Bool("fatal"), TargetRequests: cmd.Bool("asks"),
 					TargetLimits: cmd.Bool("limits"), Restores: cmd.Bool("restores"), Evacuations: cmd.Bool("evacuations"), Outages: cmd.Bool("outages"), Series: cmd.Bool("series"),
-					UnframedPercent: cmd.Int("unframed"),
-					FatalPrompts:    cmd.Bool("prompts"), Skews: cmd.Bool("skews"), LateRequests: cmd.Bool("late"), Resumes: cmd.Bool("resumes"),
+					UnframedPercent: cmd.Int("unframed"), Pauses: cmd.Bool("pauses"),
+					FatalPrompts: cmd.Bool("prompts"), Skews: cmd.Bool("skews"), LateRequests: cmd.Bool("late"), Resumes: cmd.Bool("resumes"),
 					TargetCrashes: cmd.Bool("crashes"), TargetProgram: program, Connections: cmd.Int("connections"),
 					Dir: filepath.Join(cmd.String("logs"), fmt.Sprintf("seed-%d", seed)),
 				})
--- a/soak/environment.go
+++ b/soak/environment.go
@@ -46,6 +46,8 @@
 	// connections. With it the group is also cut off, and not only loses a rank. It does not change the other random
 	// draws of the seed.
 	UnframedPercent int
+	// Pauses pauses boxes while the group of Outages stands still. It does not change the other random draws of the seed.
+	Pauses bool
 	// Series sends boxes signals, stops and changes in series, which overlap, and adds a caller for each box
 	// that keeps its connection open. It does not change the other random draws of the seed.
 	Series bool
--- a/soak/outages.go
+++ b/soak/outages.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"clovertrail.dev/platform/standin"
@@ -47,6 +48,8 @@
 	// reopeningNoticeBound is the age up to which boxes rely on reports, so the time within which they notice that the
 	// group has opened.
 	reopeningNoticeBound = time.Second
+	// pauseName is the name of a pause of a box while the group stands still, pauseBeyondStall how long it lasts after that.
+	pauseName, pauseBeyondStall = "pause while a group stops", 200 * time.Millisecond
 	// groupTries is the number of tries of a caller of the group.
 	groupTries = 2
 )
@@ -106,7 +109,7 @@
 // of the outages. It ends with ctx, or when too little time is left before until.
 func (e *environment) runOutages(ctx context.Context, until time.Time) {
 	r := rand.New(rand.NewPCG(e.options.Seed, 8))
-	cuts := rand.New(rand.NewPCG(e.options.Seed, 12))
+	cuts, pauses := rand.New(rand.NewPCG(e.options.Seed, 12)), rand.New(rand.NewPCG(e.options.Seed, 15))
 	var stops sync.WaitGroup
 	defer stops.Wait()
 	time.Sleep(warmUp)
@@ -120,6 +123,9 @@
 		}
 		lostAt := time.Now()
 		e.stopGroup(r.IntN(groupShape.Ranks), cuts)
+		if e.options.Pauses {
+			e.pauseDuringStop(e.drawBox(pauses))
+		}
 		stopAfter, b := time.Duration(r.Int64N(int64(lasts))), e.boxes[r.IntN(len(e.boxes))]
 		time.Sleep(stopAfter)
 		if r.IntN(2) == 0 {
@@ -141,6 +147,21 @@
 	e.group.Lose(rank)
 }
 
+// pauseDuringStop pauses a box until after the ranks have cut their streams, so that it reads the last events and the end at once.
+func (e *environment) pauseDuringStop(b *box) {
+	const length = stallTime + pauseBeyondStall
+	e.recorder.addFault(action{name: pauseName, affects: scopeBox}, b.name, time.Now(), time.Now().Add(length+timingSlack))
+	b.signal(syscall.SIGSTOP)
+	time.AfterFunc(length, func() { b.signal(syscall.SIGCONT) })
+}
+
+// wasPaused reports whether the box of a request was paused by pauseDuringStop while it was under way.
+func (rec *recorder) wasPaused(ex exchange) bool {
+	return slices.ContainsFunc(rec.faults, func(s span) bool {
+		return s.name == pauseName && s.box == ex.box && ex.sentAt.Before(s.from) && ex.endedAt.After(s.from.Add(stallTime))
+	})
+}
+
 // sendGroupRequests starts callers of the group until ctx ends.
 func (e *environment) sendGroupRequests(ctx context.Context) {
 	r := rand.New(rand.NewPCG(e.options.Seed, 9))
@@ -261,6 +282,7 @@
 			continue
 		}
 		tries++
+		rep.Paused += count(rec.wasPaused(ex))
 		if ex.reply.NotRun() {
 			refused++
 		}
@@ -277,7 +299,7 @@
 		}
 	}
 	if tries > 0 {
-		rep.OutageSummary = fmt.Sprintf("group: %d tries, %d served (%d after a wait, %d of them through a planned stop), %d refused as not run, %d failed otherwise",
-			tries, served, rep.Waited, stopped, refused, tries-served-refused)
+		rep.OutageSummary = fmt.Sprintf("group: %d tries, %d served (%d after a wait, %d of them through a planned stop), %d refused as not run, %d failed otherwise; %d under way at a box that was paused meanwhile",
+			tries, served, rep.Waited, stopped, refused, tries-served-refused, rep.Paused)
 	}
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -42,6 +42,8 @@
 	LimitSummaries []string
 	// Waited is the number of requests to the group that were served although they had to wait.
 	Waited int
+	// Paused is the number of requests to the group that were under way at a box which was paused while the group stopped.
+	Paused int
 	// PromptSummary describes what became of fatal and sound prompts, and SkewSummaries of the requests while most
 	// connections went to one box.
 	PromptSummary string
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -121,6 +121,9 @@
 	if o.Outages && r.Waited == 0 {
 		t.Errorf("seed %d: no request waited for the group: %s", o.Seed, r.OutageSummary)
 	}
+	if o.Pauses && r.Paused == 0 {
+		t.Errorf("seed %d: no request was under way at a box that was paused: %s", o.Seed, r.OutageSummary)
+	}
 	if o.Skews && len(r.SkewSummaries) == 0 || o.FatalPrompts && r.PromptSummary == "" {
 		t.Errorf("seed %d: no target ended, or no balancer handed most connections to one box", o.Seed)
 	}
