--- a/cmd/clovertrail-soak/main.go
+++ b/cmd/clovertrail-soak/main.go
@@ -44,12 +44,14 @@
 			&cli.BoolFlag{Name: "evacuations", Usage: "evacuate data halls"},
 			&cli.BoolFlag{Name: "outages", Usage: "stop a group of targets for seconds, with callers who return once when refused"},
 			&cli.IntFlag{Name: "unframed", Usage: "`PERCENT` of the group's responses that end with their connections; the group is also cut off"},
+			&cli.BoolFlag{Name: "pauses", Usage: "pause boxes while the group of --outages stands still"},
 			&cli.BoolFlag{Name: "prompts", Usage: "send prompts that share a part which crashes targets, and sound ones"},
 			&cli.BoolFlag{Name: "skews", Usage: "have a balancer hand most new connections of a hall, or of all, to one box at times"},
 			&cli.BoolFlag{Name: "series", Usage: "send boxes signals, stops and changes in series, with callers that keep their connections open"},
 			&cli.BoolFlag{Name: "crashes", Usage: "kill targets in processes of their own while they send responses that end with their connections"},
 			&cli.IntFlag{Name: "connections", Usage: "number of further connections to each of these targets; 0 draws it"},
 			&cli.BoolFlag{Name: "late", Usage: "send streams to stopping boxes on connections that are kept"},
+			&cli.BoolFlag{Name: "resumes", Usage: "resume streams at other boxes and targets while several of these are killed at once"},
 			&cli.DurationFlag{Name: "for", Value: 30 * time.Second, Usage: "duration of a run"},
 			&cli.StringFlag{Name: "logs", Value: filepath.Join(os.TempDir(), "clovertrail-soak"), Usage: "`FOLDER` for settings files and logs"},
 		},
@@ -88,8 +90,8 @@
 					Program: cmd.String("program"), Seed: seed, Duration: cmd.Duration("for"),
 					Boxes: cmd.Int("boxes"), Targets: cmd.Int("targets"), Callers: cmd.Int("callers"), FatalRequests: cmd.Bool("fatal"), TargetRequests: cmd.Bool("asks"),
 					TargetLimits: cmd.Bool("limits"), Restores: cmd.Bool("restores"), Evacuations: cmd.Bool("evacuations"), Outages: cmd.Bool("outages"), Series: cmd.Bool("series"),
-					UnframedPercent: cmd.Int("unframed"),
-					FatalPrompts:    cmd.Bool("prompts"), Skews: cmd.Bool("skews"), LateRequests: cmd.Bool("late"),
+					UnframedPercent: cmd.Int("unframed"), Pauses: cmd.Bool("pauses"),
+					FatalPrompts: cmd.Bool("prompts"), Skews: cmd.Bool("skews"), LateRequests: cmd.Bool("late"), Resumes: cmd.Bool("resumes"),
 					TargetCrashes: cmd.Bool("crashes"), TargetProgram: program, Connections: cmd.Int("connections"),
 					Dir: filepath.Join(cmd.String("logs"), fmt.Sprintf("seed-%d", seed)),
 				})
@@ -120,7 +122,7 @@
 	for _, x := range r.LimitSummaries {
 		fmt.Println("  ", x)
 	}
-	for _, x := range append(r.SkewSummaries, r.PromptSummary, r.CrashSummary, r.LateSummary) {
+	for _, x := range append(r.SkewSummaries, r.PromptSummary, r.CrashSummary, r.LateSummary, r.ResumeSummary) {
 		if x != "" {
 			fmt.Println("  ", x)
 		}
--- a/soak/environment.go
+++ b/soak/environment.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"clovertrail.dev/platform/standin"
+	"clovertrail.dev/soak/faultproxy"
 )
 
 // Options configures a run.
@@ -17,7 +18,7 @@
 	Program string
 	// Seed is the seed of all random draws of the run.
 	Seed uint64
-	// Duration is the length of the run, including the fault-free part at its end.
+	// Duration is the length of the run, including the fault-free part at its end. A run whose last action ends late is longer.
 	Duration time.Duration
 	// Boxes, Targets and Callers are the numbers of each; 0 selects the default.
 	Boxes, Targets, Callers int
@@ -45,6 +46,8 @@
 	// connections. With it the group is also cut off, and not only loses a rank. It does not change the other random
 	// draws of the seed.
 	UnframedPercent int
+	// Pauses pauses boxes while the group of Outages stands still. It does not change the other random draws of the seed.
+	Pauses bool
 	// Series sends boxes signals, stops and changes in series, which overlap, and adds a caller for each box
 	// that keeps its connection open. It does not change the other random draws of the seed.
 	Series bool
@@ -57,6 +60,9 @@
 	TargetCrashes bool
 	TargetProgram string
 	Connections   int
+	// Resumes adds callers that resume streams at another box, targets for them that are processes of their own, of which several are
+	// killed at once, beside boxes, and a group with slow ranks. It does not change the other random draws of the seed.
+	Resumes bool
 	// LateRequests makes planned stops, which overlap, and adds callers who send streams on connections that they keep
 	// until the box closes them.
 	LateRequests bool
@@ -72,6 +78,9 @@
 	defaultCallers = 12
 )
 
+// hasGroup reports whether the run has a group.
+func (o Options) hasGroup() bool { return o.Outages || o.Resumes }
+
 func (o Options) withDefaults() Options {
 	if o.Boxes == 0 {
 		o.Boxes = defaultBoxes
@@ -100,7 +109,7 @@
 	id     string
 	target *standin.Target
 	server *http.Server
-	proxy  *proxy
+	proxy  *faultproxy.Proxy
 }
 
 // organisation is a tenant with its API key.
@@ -115,9 +124,11 @@
 	boxes       []*box
 	balancer    *balancer
 	agents      []*box         // of the ranks of the group
-	group       *standin.Group // nil without outages
+	group       *standin.Group // nil if the run has none
 	rankServers []*http.Server
 	lateServers []*http.Server // of the targets of lateService
+	// resumeTargets are the targets of resumeService; only their actor changes them.
+	resumeTargets []*targetProcess
 
 	// configMu serialises writes of the configuration. Lock order: configMu, then mu.
 	configMu sync.Mutex
@@ -154,7 +165,7 @@
 	if err := os.MkdirAll(o.Dir, 0o700); err != nil {
 		return nil, err
 	}
-	if o.Outages {
+	if o.hasGroup() {
 		if err := e.startGroup(); err != nil {
 			return e, err
 		}
@@ -188,7 +199,7 @@
 		return err
 	}
 	for n := range e.options.Boxes {
-		p, err := newProxy(store)
+		p, err := faultproxy.New(store)
 		if err != nil {
 			return err
 		}
@@ -220,7 +231,7 @@
 	if err != nil {
 		return err
 	}
-	p, err := newProxy(l.Addr().String())
+	p, err := faultproxy.New(l.Addr().String())
 	if err != nil {
 		return err
 	}
@@ -250,12 +261,12 @@
 }
 
 func (in incarnation) entry(h *host, state string) map[string]any {
-	return in.target.Object(in.proxy.address(), h.hall, state)
+	return in.target.Object(in.proxy.Address(), h.hall, state)
 }
 
 // close closes the listeners of the incarnation.
 func (in incarnation) close() {
-	in.proxy.close()
+	in.proxy.Close()
 	_ = in.server.Close() // the server is discarded even if this fails
 }
 
@@ -290,13 +301,16 @@
 
 func (e *environment) configuration(version int) map[string]any {
 	document := standin.Configuration(version, service, e.keysByOrganisation())
-	if e.options.Outages {
+	if e.options.hasGroup() {
 		standin.AddGroup(document, groupService, groupShape)
 		standin.SetTimeout(document, groupService, groupTimeout)
 	}
 	if e.options.TargetCrashes {
 		standin.AddService(document, crashService, 2*callerTimeout)
 	}
+	if e.options.Resumes {
+		standin.AddResumableService(document, resumeService, 2*callerTimeout, resumeAttempts)
+	}
 	if e.options.LateRequests {
 		standin.AddService(document, lateService, lateTimeout)
 	}
@@ -326,7 +340,7 @@
 	e.mu.Unlock()
 	for _, b := range e.boxes {
 		b.kill()
-		b.storeProxy.close()
+		b.storeProxy.Close()
 	}
 	for _, a := range e.agents {
 		a.kill()
@@ -334,6 +348,12 @@
 	for _, s := range append(e.rankServers, e.lateServers...) {
 		_ = s.Close() // the server is discarded even if this fails
 	}
+	for _, p := range e.resumeTargets {
+		if p != nil {
+			p.kill()
+			p.closeProxy()
+		}
+	}
 	for _, h := range e.hosts {
 		h.current.close()
 	}
