--- a/cmd/clovertrail-soak/main.go
+++ b/cmd/clovertrail-soak/main.go
@@ -49,6 +49,7 @@
 			&cli.BoolFlag{Name: "series", Usage: "send boxes signals, stops and changes in series, with callers that keep their connections open"},
 			&cli.BoolFlag{Name: "crashes", Usage: "kill targets in processes of their own while they send responses that end with their connections"},
 			&cli.IntFlag{Name: "connections", Usage: "number of further connections to each of these targets; 0 draws it"},
+			&cli.BoolFlag{Name: "endless", Usage: "have targets send heads, bodies and events without end"},
 			&cli.BoolFlag{Name: "late", Usage: "send streams to stopping boxes on connections that are kept"},
 			&cli.DurationFlag{Name: "for", Value: 30 * time.Second, Usage: "duration of a run"},
 			&cli.StringFlag{Name: "logs", Value: filepath.Join(os.TempDir(), "clovertrail-soak"), Usage: "`FOLDER` for settings files and logs"},
@@ -89,7 +90,7 @@
 					Boxes: cmd.Int("boxes"), Targets: cmd.Int("targets"), Callers: cmd.Int("callers"), FatalRequests: cmd.Bool("fatal"), TargetRequests: cmd.Bool("asks"),
 					TargetLimits: cmd.Bool("limits"), Restores: cmd.Bool("restores"), Evacuations: cmd.Bool("evacuations"), Outages: cmd.Bool("outages"), Series: cmd.Bool("series"),
 					UnframedPercent: cmd.Int("unframed"),
-					FatalPrompts:    cmd.Bool("prompts"), Skews: cmd.Bool("skews"), LateRequests: cmd.Bool("late"),
+					FatalPrompts:    cmd.Bool("prompts"), Skews: cmd.Bool("skews"), LateRequests: cmd.Bool("late"), EndlessResponses: cmd.Bool("endless"),
 					TargetCrashes: cmd.Bool("crashes"), TargetProgram: program, Connections: cmd.Int("connections"),
 					Dir: filepath.Join(cmd.String("logs"), fmt.Sprintf("seed-%d", seed)),
 				})
@@ -120,7 +121,7 @@
 	for _, x := range r.LimitSummaries {
 		fmt.Println("  ", x)
 	}
-	for _, x := range append(r.SkewSummaries, r.PromptSummary, r.CrashSummary, r.LateSummary) {
+	for _, x := range append(r.SkewSummaries, r.PromptSummary, r.CrashSummary, r.LateSummary, r.EndlessSummary) {
 		if x != "" {
 			fmt.Println("  ", x)
 		}
--- a/soak/environment.go
+++ b/soak/environment.go
@@ -63,6 +63,9 @@
 	// Skews has a balancer choose the boxes of callers, which at times hands most new connections of a hall, or of
 	// all halls, to one box.
 	Skews bool
+	// EndlessResponses makes targets send heads, bodies and events without end. It does not change the other random draws of
+	// the seed.
+	EndlessResponses bool
 }
 
 // Default sizes of a run: few processes, so that many runs fit on one machine.
--- a/soak/recorder.go
+++ b/soak/recorder.go
@@ -87,6 +87,9 @@
 	targetCrashes     []time.Time // when targets of crashService were killed
 	crashSummary      string
 	lateSummary       string
+	endless           map[string]*standin.Target // targets that sent responses without end
+	endlessSummary    string
+	peakMemory        []string // largest resident memory of boxes so far, after each time of such responses
 	// limitSummaries describe the requests sent in each limit period.
 	limitSummaries []string
 }
@@ -95,7 +98,7 @@
 	return &recorder{
 		priorities: p,
 		runs:       map[string][]standin.Run{}, attempts: map[string][]time.Time{}, stops: map[string][]span{}, drainingSince: map[string]time.Time{}, configStoredAt: map[int]time.Time{},
-		leavingReportedAt: map[string]time.Time{}, hallOf: map[string]string{},
+		leavingReportedAt: map[string]time.Time{}, hallOf: map[string]string{}, endless: map[string]*standin.Target{},
 	}
 }
 
@@ -205,6 +208,7 @@
 	rec.checkFatalPrompts(violate)
 	rec.checkSkews(violate)
 	rec.checkRest(violate)
+	rec.checkEndless(violate)
 	rec.checkLeavingReported(violate)
 	rec.checkLimits(violate)
 	rec.checkLateRequests(violate)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -46,8 +46,8 @@
 	PromptSummary string
 	SkewSummaries []string
 	// CrashSummary describes the responses of targets that were killed, LateSummary the streams that were sent to stopping boxes on
-	// kept connections.
-	CrashSummary, LateSummary string
+	// kept connections, EndlessSummary the responses without end.
+	CrashSummary, LateSummary, EndlessSummary string
 	// OutageSummary describes what became of the requests to the group; empty without outages.
 	OutageSummary string
 	Violations    []Violation
@@ -109,6 +109,9 @@
 	if o.TargetRequests {
 		actors.Go(func() { e.runTargetRequests(runCtx, end.Add(-coolDown)) })
 	}
+	if o.EndlessResponses {
+		actors.Go(func() { e.runEndlessResponses(runCtx, end.Add(-coolDown)) })
+	}
 	rep := Report{Seed: o.Seed}
 	e.runActions(&rep, began, end.Add(-o.endOfActions()), &actors)
 	actors.Wait()
@@ -118,7 +121,7 @@
 	rep.addGroupTotals(e.recorder)
 	rep.Violations, rep.LimitSummaries = e.recorder.violations(), e.recorder.limitSummaries
 	rep.PromptSummary, rep.SkewSummaries = e.recorder.promptSummary, e.recorder.skewSummaries
-	rep.CrashSummary, rep.LateSummary = e.recorder.crashSummary, e.recorder.lateSummary
+	rep.CrashSummary, rep.LateSummary, rep.EndlessSummary = e.recorder.crashSummary, e.recorder.lateSummary, e.recorder.endlessSummary
 	rep.addTotals(e, repaired, end)
 	return rep, errors.Join(crashErr, ctx.Err())
 }
