transport: the head of a response is limited to 64 KB

Cause: http.ReadResponse has no limit of its own; that of net/http's client, 10 MB by default, is in its transport, which we do not use. Interim responses were skipped without end in the same way. TestReceiveBoundsHeads failed before: 16 MB of 16 were read in each of ten cases.

A reader below the connection's buffer counts what is read for a head, with the interim responses before it, and fails after 64 KB. The body that is buffered behind a head counts, but can only use what the head left, so that a head of exactly the limit passes wherever it is split (TestLongHeadsAndBodiesPass). The parser reports a line that is cut off as malformed, so the reader states the cause itself. Such a request ends as lost with the verdict Bad, as any without a response. A connection needs 40 bytes more.

--- /dev/null
+++ b/transport/endless_test.go
@@ -0,0 +1,118 @@
+package transport_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"clovertrail.dev/core/limit"
+	"clovertrail.dev/transport"
+)
+
+const (
+	// maxSentBytes is how much a server of these tests sends at most.
+	maxSentBytes = 16 << 20
+	// maxReadHeadBytes is what may be read of a head without end: its limit, and what is buffered.
+	maxReadHeadBytes = 64<<10 + 4<<10
+)
+
+// splitConn is a connection whose bytes arrive in pieces.
+type splitConn struct {
+	net.Conn
+	pieces io.Reader
+}
+
+func (c splitConn) Read(p []byte) (int, error) { return c.pieces.Read(p) }
+
+// splitFunc returns a reader that reads in pieces.
+type splitFunc func(io.Reader) io.Reader
+
+func whole(r io.Reader) io.Reader { return r }
+
+// newPipePool returns a pool whose connections have no buffers, so that what is written is what was read, and a channel that
+// receives how many bytes were read of the response: begin, and repeated until the client closes or maxSentBytes are sent.
+func newPipePool(begin, repeated string, split splitFunc) (*transport.Pool, <-chan int) {
+	sent := make(chan int, 1)
+	dial := func(context.Context, string) (net.Conn, error) {
+		client, server := net.Pipe()
+		go func() {
+			defer func() { _ = server.Close() }()
+			if _, err := http.ReadRequest(bufio.NewReader(server)); err != nil {
+				return
+			}
+			sent <- writeRepeatedly(server, begin, repeated)
+		}()
+		return splitConn{client, split(client)}, nil
+	}
+	return transport.NewPool(dial, transport.DefaultSettings()), sent
+}
+
+func crlf(text string) string { return strings.ReplaceAll(text, "\n", "\r\n") }
+
+// writeRepeatedly returns how many bytes were written.
+func writeRepeatedly(w io.Writer, begin, repeated string) int {
+	total, err := io.WriteString(w, begin)
+	piece := strings.Repeat(repeated, max(1024/max(len(repeated), 1), 1))
+	for err == nil && repeated != "" && total < maxSentBytes {
+		var n int
+		n, err = io.WriteString(w, piece)
+		total += n
+	}
+	return total
+}
+
+func TestReceiveBoundsHeads(t *testing.T) {
+	const own = "HTTP/1.1 200 OK\nId: 1\n"
+	tests := []struct{ name, begin, repeated string }{
+		{"lines without end", own, "Data: x\n"},
+		{"short lines without end", own, "a:\n"},
+		{"continued line without end", own + "Data: x\n", " x\n"},
+		{"line without end", own + "Data: ", "x"},
+		{"status line without end", "", "x"},
+		{"line feeds without end", own + "Data: x", "\r"},
+		{"interim responses without end", "", "HTTP/1.1 100 Continue\n\n"},
+		{"interim responses with lines", "", "HTTP/1.1 103 Early Hints\nData: x\n\n"},
+		{"head without end after an interim response", "HTTP/1.1 100 Continue\n\n" + own, "Data: x\n"},
+		{"head without end after another response", "HTTP/1.1 200 OK\nId: late\nContent-Length: 2\n\nok" + own, "Data: x\n"},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			pool, sent := newPipePool(crlf(tc.begin), crlf(tc.repeated), whole)
+			body, err := get(t, pool, "server", transport.DialNew)
+			if !limit.IsExceeded(err) {
+				t.Errorf("got body %q, error %.100v; want the error of a limit", body, err)
+			}
+			if n := <-sent; n > maxReadHeadBytes {
+				t.Errorf("%d bytes were read before the connection was closed, want %d at most", n, maxReadHeadBytes)
+			}
+		})
+	}
+}
+
+// TestLongHeadsAndBodiesPass checks that the limit is that of a head alone, wherever the response is split.
+func TestLongHeadsAndBodiesPass(t *testing.T) {
+	const maxHead = 64 << 10
+	head := func(bytes int) string {
+		const begin, end = "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 200000\r\nData: ", "\r\n\r\n"
+		return begin + strings.Repeat("x", bytes-len(begin)-len(end)) + end
+	}
+	body := strings.Repeat("b", 200000)
+	for name, split := range map[string]splitFunc{"whole": whole, "single bytes": iotest.OneByteReader, "halves": iotest.HalfReader} {
+		for _, bytes := range []int{100, 2 << 10, 4 << 10, maxHead - 1, maxHead, maxHead + 1} {
+			t.Run(fmt.Sprint(name, " ", bytes), func(t *testing.T) {
+				pool, sent := newPipePool(head(bytes)+body, "", split)
+				got, err := get(t, pool, "server", transport.DialNew)
+				if exceeded := bytes > maxHead; limit.IsExceeded(err) != exceeded || !exceeded && (got != body || err != nil) {
+					t.Errorf("got %d bytes, error %v", len(got), err)
+				}
+				<-sent
+			})
+		}
+	}
+}
--- a/transport/exchange.go
+++ b/transport/exchange.go
@@ -89,15 +89,17 @@
 	return nil, errForeignResponses
 }
 
-// readResponse reads one final response and skips the interim responses before it.
+// readResponse reads one final response and skips the interim responses before it. It returns a *limit.Error if their heads are
+// longer than maxHeadBytes.
 func (x *Exchange) readResponse(r *http.Request) (*http.Response, error) {
+	x.conn.head.begin()
 	for {
 		resp, err := http.ReadResponse(x.conn.read, r)
 		if err != nil {
-			return nil, err
+			return nil, x.conn.head.end(err)
 		}
 		if resp.StatusCode >= http.StatusOK {
-			return resp, nil
+			return resp, x.conn.head.end(nil)
 		}
 	}
 }
--- a/transport/pool.go
+++ b/transport/pool.go
@@ -61,9 +61,10 @@
 type conn struct {
 	net       net.Conn
 	address   string
-	read      *bufio.Reader
-	idleUntil time.Time // while idle: until when the connection may be used again
-	sent      bool      // a byte of the current request may have left
+	head      headReader    // of net
+	read      *bufio.Reader // of head
+	idleUntil time.Time     // while idle: until when the connection may be used again
+	sent      bool          // a byte of the current request may have left
 }
 
 // NewPool returns an empty pool.
@@ -99,7 +100,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{net: n, address: address, read: bufio.NewReaderSize(n, readBufferBytes)}, nil
+	c := &conn{net: n, address: address, head: headReader{from: n}}
+	c.read = bufio.NewReaderSize(&c.head, readBufferBytes)
+	return c, nil
 }
 
 // takeIdle returns the most recently used idle connection that is still usable; nil if there is none.
