transport: a response to another request is skipped up to 4 MB

Seen: a request whose connection first gets a late response to another one, with a body without end, waits until its next timeout, while the box reads at the speed of the link. Cause: the body was skipped without a limit. TestReceiveBoundsResponsesToOtherRequests failed before: 16 MB of 16 were read of a body of 1 TB, and of chunks without end. Now the connection is closed after 4 MB, the limit that request bodies have by default; the request ends as lost with the verdict Bad. A late response of 4 MB is still skipped (TestReceiveSkipsLongResponses).

--- a/transport/endless_test.go
+++ b/transport/endless_test.go
@@ -116,3 +116,35 @@
 		}
 	}
 }
+
+func TestReceiveBoundsResponsesToOtherRequests(t *testing.T) {
+	const maxSkipped = 4 << 20
+	chunk := "4000\r\n" + strings.Repeat("x", 16<<10) + "\r\n"
+	tests := []struct{ name, begin, repeated string }{
+		{"long body", "HTTP/1.1 200 OK\nId: late\nContent-Length: 1099511627776\n\n", "x"},
+		{"chunks without end", "HTTP/1.1 200 OK\nId: late\nTransfer-Encoding: chunked\n\n", chunk},
+		{"body until the connection ends", "HTTP/1.1 200 OK\nId: late\n\n", "x"},
+		{"responses without end", "", "HTTP/1.1 200 OK\r\nId: late\r\nContent-Length: 4\r\n\r\nbody"},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			pool, sent := newPipePool(crlf(tc.begin), tc.repeated, whole)
+			if body, err := get(t, pool, "server", transport.DialNew); err == nil {
+				t.Errorf("got body %q, want an error", body)
+			}
+			if n := <-sent; n > maxSkipped+8<<10 {
+				t.Errorf("%d bytes were read before the connection was closed, want %d at most", n, maxSkipped)
+			}
+		})
+	}
+}
+
+// TestReceiveSkipsLongResponses checks that a long late response does not cost the response behind it.
+func TestReceiveSkipsLongResponses(t *testing.T) {
+	const bytes = 4 << 20
+	late := fmt.Sprintf("HTTP/1.1 200 OK\nId: late\nContent-Length: %d\n\n", bytes)
+	pool, _ := newPipePool(crlf(late)+strings.Repeat("x", bytes)+crlf("HTTP/1.1 200 OK\nId: 1\nContent-Length: 2\n\nok"), "", whole)
+	if body, err := get(t, pool, "server", transport.DialNew); body != "ok" || err != nil {
+		t.Errorf("got body %q, error %v", body, err)
+	}
+}
--- a/transport/exchange.go
+++ b/transport/exchange.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"clovertrail.dev/core/clock"
+	"clovertrail.dev/core/limit"
 	"clovertrail.dev/liveness"
 )
 
@@ -29,6 +30,10 @@
 // maxResponses limits the responses that are read on a connection until the awaited one.
 const maxResponses = 4
 
+// maxSkippedBytes limits the body of a response that is skipped, which is read within some 35 ms at 1,000 Mbit/s. Longer ones are too
+// rare to be worth a wait.
+const maxSkippedBytes = 4 << 20
+
 // Reused reports whether the connection had served an earlier request.
 func (x *Exchange) Reused() bool { return x.reused }
 
@@ -82,7 +87,7 @@
 		if resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 			return nil, errForeignResponses // no other response can follow
 		}
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		if _, err := io.Copy(io.Discard, limit.NewReader(resp.Body, "the body of a response to another request", maxSkippedBytes)); err != nil {
 			return nil, err
 		}
 	}
