transport: reading the rest of a response for its connection's sake takes 50 ms at most

Seen: a target that declines a request, whose body then does not come, holds the request until its deadline although another target could serve it: 503 after 20 s. Likewise a target whose health check is answered with such a body counted as unproven, although it responded. Cause: the rest of these bodies is read only so that the connection can be used again, with a limit of 16 KB but none in time. A health check with a head without end stays unproven, since it is no response.

Exchange.Drain, which replaces a function in each of two packages, sets a deadline for reading; a body that is not read to its end then closes the connection, as before.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -290,7 +290,7 @@
 	case call.WrongInstance:
 		return retry.Declined{Err: fault.New(fault.StaleIncarnation, "another instance listens at %s", a.lease.Target().Address())}, Replaced
 	case call.Declined:
-		drain(resp)
+		a.exchange.Drain(resp)
 		return retry.Declined{Err: fault.New(fault.Overloaded, "the target responded with status %d and did not run the request", resp.StatusCode).RetryAt(a.callerRetryAt(now))}, Full
 	case call.Unrecognised:
 		return retry.Lost{Err: errors.New("the response did not come from the target")}, Bad
@@ -329,12 +329,6 @@
 	a.lease.ResponseStarted()
 }
 
-// drain reads a short body so that the connection can be reused.
-func drain(resp *http.Response) {
-	const maxBytes = 16 << 10
-	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxBytes)) // an error shows when the connection is reused
-}
-
 // callerRetryAt returns when the caller of a declined request should retry; zero if the target does
 // not state it. If the target's group has stopped and the service has no other target, that is close to
 // the longest time that callers honour. If the target asked for rest, its retry time does not apply to the other targets of
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -65,6 +65,7 @@
 		{"served", "/once/", []string{ok}, nil, 200, "hello", 1, []string{"a good"}},
 		{"late response to another request comes first", "/once/", []string{lateResponse + ok}, nil, 200, "hello", 1, []string{"a good"}},
 		{"busy, then served", "/once/", []string{busy}, []string{ok}, 200, "hello", 2, []string{"a full", "b good"}},
+		{"busy with a body that does not come, then served", "/once/", []string{"HTTP/1.1 503 Busy\nNot-Run: 1\nContent-Length: 9\n\nhel" + hang}, []string{ok}, 200, "hello", 2, []string{"a full", "b good"}},
 		{"another instance, then served", "/once/", []string{misdirected}, []string{ok}, 200, "hello", 2, []string{"a replaced", "b good"}},
 		{"all busy", "/once/", []string{busy}, []string{busy}, 503, "", 2, []string{"a full", "b full"}},
 		{"lost, not repeatable", "/once/", []string{""}, []string{ok}, 502, "", 1, []string{"a bad"}},
--- a/transport/exchange.go
+++ b/transport/exchange.go
@@ -109,10 +109,18 @@
 	}
 }
 
-// drainBody reads a short body so that the connection can be used again.
-func drainBody(r *http.Response) {
-	const maxBytes = 16 << 10
-	_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, maxBytes)) // an error shows when the connection is used again
+const (
+	// maxDrainBytes and maxDrainTime limit the rest of a response that is read only so that its connection can be used again:
+	// what follows its head at once, since a new connection costs little more.
+	maxDrainBytes = 16 << 10
+	maxDrainTime  = 50 * time.Millisecond
+)
+
+// Drain reads the rest of the response if it is short and arrives soon, so that the connection can be used again.
+func (x *Exchange) Drain(r *http.Response) {
+	_ = x.conn.net.SetReadDeadline(time.Now().Add(maxDrainTime))      // fails only on a closed connection
+	_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, maxDrainBytes)) // a rest that was not read shows in complete
+	_ = x.conn.net.SetReadDeadline(time.Time{})
 }
 
 // trackedBody records that the body was read to its end.
--- a/transport/process_check.go
+++ b/transport/process_check.go
@@ -303,7 +303,7 @@
 		return HealthResponse{}, false
 	}
 	defer func() { _ = resp.Body.Close() }() // the exchange closes the connection
-	drainBody(resp)
+	x.Drain(resp)
 	return health, true
 }
 
--- a/transport/process_check_test.go
+++ b/transport/process_check_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -79,6 +80,15 @@
 		}, liveness.Unproven},
 		"opened, closed": {func(context.Context, string) (net.Conn, error) { return closing(), nil }, liveness.Unproven},
 		"responds":       {func(context.Context, string) (net.Conn, error) { return respond(healthResponse), nil }, liveness.Alive},
+		"responds with a body that does not come": {func(context.Context, string) (net.Conn, error) {
+			return respond("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhel"), nil
+		}, liveness.Alive},
+		"responds with a body without end": {func(context.Context, string) (net.Conn, error) {
+			return respond("HTTP/1.1 200 OK\r\n\r\n" + strings.Repeat("x", maxSentBytes)), nil
+		}, liveness.Alive},
+		"responds with a head without end": {func(context.Context, string) (net.Conn, error) {
+			return respond("HTTP/1.1 200 OK\r\n" + strings.Repeat("Data: x\r\n", 100<<10)), nil
+		}, liveness.Unproven},
 		"rejects": {func(context.Context, string) (net.Conn, error) {
 			return respond("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"), nil
 		}, liveness.Alive},
