gateway: a response that exceeds a limit shows no end of its target

Seen: a request whose response exceeded a limit first waited for a health check of its target, as if the target had ended its connection: up to the timeout for the first byte if the target sends its health responses without end too. Cause: every lost or broken response was taken for the end of a connection. The box itself closes it at a limit, while the target sends. Such attempts now end at once, and none is recorded as one whose target may have ended. An event that is too long is an error of a limit too (limit.Error in place of a text of its own).

--- a/gateway/fake_test.go
+++ b/gateway/fake_test.go
@@ -82,6 +82,8 @@
 	proceed   <-chan struct{} // releases the part of a response after wait
 	received  []*http.Request
 	bodies    []string
+	checks    int   // health checks
+	endless   []int // bytes of each response without end that were accepted until its connection was closed
 }
 
 func newTarget(t *testing.T, name string, script ...string) *target {
@@ -131,6 +133,8 @@
 	bulk = "(bulk)"
 	// wait delays the part after it.
 	wait = "(wait)"
+	// endless repeats the part after it until the box closes the connection, and sends no more after maxEndlessBytes.
+	endless = "(endless)"
 )
 
 func (x *target) serve(c net.Conn) {
@@ -143,10 +147,15 @@
 		}
 		body, _ := io.ReadAll(req.Body)
 		if req.URL.Path == checkPath {
+			x.countCheck()
 			_, _ = io.WriteString(c, wireFormat.Replace("HTTP/1.1 200 OK\nContent-Length: 0\n\n")) // fails only if the box has closed the connection
 			continue
 		}
 		text := x.next(req, string(body))
+		if begin, repeated, ok := strings.Cut(text, endless); ok {
+			x.sendEndlessly(c, wireFormat.Replace(begin), wireFormat.Replace(repeated))
+			return
+		}
 		text, bulky := strings.CutSuffix(text, bulk)
 		text, hangs := strings.CutSuffix(text, hang)
 		text, ends := strings.CutSuffix(text, hangUp)
@@ -224,6 +233,52 @@
 	}
 }
 
+// maxEndlessBytes is more than the buffers of two connections hold, and than the box may read.
+const maxEndlessBytes = 64 << 20
+
+// sendEndlessly returns once the box has closed the connection.
+func (x *target) sendEndlessly(c net.Conn, begin, repeated string) {
+	piece := strings.Repeat(repeated, max((32<<10)/len(repeated), 1))
+	sent, err := io.WriteString(c, begin)
+	for err == nil && sent < maxEndlessBytes {
+		var n int
+		n, err = io.WriteString(c, piece)
+		sent += n
+	}
+	_, _ = io.Copy(io.Discard, c) // an error shows that it is closed, too
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.endless = append(x.endless, sent)
+}
+
+// endlessBytes waits until n connections with responses without end have been closed, and returns the bytes accepted on each.
+func (x *target) endlessBytes(t *testing.T, n int) []int {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); ; time.Sleep(time.Millisecond) {
+		x.mu.Lock()
+		list := slices.Clone(x.endless)
+		x.mu.Unlock()
+		switch {
+		case len(list) >= n:
+			return list
+		case time.Now().After(end):
+			t.Fatalf("%d connections of %s were closed within 20 s, want %d", len(list), x.name, n)
+		}
+	}
+}
+
+func (x *target) healthChecks() int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.checks
+}
+
+func (x *target) countCheck() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.checks++
+}
+
 func (x *target) next(r *http.Request, body string) string {
 	x.mu.Lock()
 	defer x.mu.Unlock()
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -4,12 +4,12 @@
 	"bytes"
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net/http"
 	"time"
 
 	"clovertrail.dev/core/clock"
+	"clovertrail.dev/core/limit"
 	"clovertrail.dev/retry"
 )
 
@@ -21,7 +21,7 @@
 // maxEventBytes limits the size of one event of a stream; the largest are some hundred bytes.
 const maxEventBytes = 1 << 20
 
-var errEventTooLarge = fmt.Errorf("an event of the stream exceeds the limit of %d bytes", maxEventBytes)
+var errEventTooLarge = limit.New("an event of the stream", maxEventBytes)
 
 var errNotContinued = errors.New("the target sent no event of a stream that was cut short")
 
--- a/gateway/target_status.go
+++ b/gateway/target_status.go
@@ -8,6 +8,7 @@
 	"clovertrail.dev/core/call"
 	"clovertrail.dev/core/clock"
 	"clovertrail.dev/core/domain"
+	"clovertrail.dev/core/limit"
 	"clovertrail.dev/liveness"
 	"clovertrail.dev/retry"
 	"clovertrail.dev/telemetry"
@@ -62,12 +63,7 @@
 // recorded as the cause. If that is not known by the time at which another target would be tried in any case, the request goes
 // on, and an end that shows later is recorded then.
 func (a *attempt) targetStatus(ctx context.Context, end retry.Outcome) liveness.Status {
-	switch end.(type) {
-	case retry.Lost, retry.Broken:
-	default:
-		return liveness.Unproven
-	}
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || !endedByTarget(end) {
 		return liveness.Unproven
 	}
 	now := clock.Now()
@@ -84,6 +80,19 @@
 	return status
 }
 
+// endedByTarget reports whether the outcome is that of a response or a connection that the target ended. A target that sent
+// more than a limit allows was still sending.
+func endedByTarget(end retry.Outcome) bool {
+	switch end := end.(type) {
+	case retry.Lost:
+		return !limit.IsExceeded(end.Err)
+	case retry.Broken:
+		return !limit.IsExceeded(end.Err)
+	default:
+		return false
+	}
+}
+
 // workOfLateEnd returns the work that may be ending the target, and notes the attempt as one whose target may have ended.
 func (a *attempt) workOfLateEnd(now time.Time) call.Work {
 	if a.d.lostAfter != 0 {
