--- a/soak/recorder.go
+++ b/soak/recorder.go
@@ -92,6 +92,9 @@
 	resumedAfter      map[string]int // the last event after which targets of resumeService were told to go on, by request
 	slowRanks         []span         // times in which the group has a slow rank
 	resumes           resumeCounts
+	endless           map[string]*standin.Target // targets that sent responses without end
+	endlessSummary    string
+	peakMemory        []string // largest resident memory of boxes so far, after each time of such responses
 	// limitSummaries describe the requests sent in each limit period.
 	limitSummaries []string
 }
@@ -100,7 +103,7 @@
 	return &recorder{
 		priorities: p,
 		runs:       map[string][]standin.Run{}, attempts: map[string][]time.Time{}, stops: map[string][]span{}, drainingSince: map[string]time.Time{}, configStoredAt: map[int]time.Time{},
-		leavingReportedAt: map[string]time.Time{}, hallOf: map[string]string{}, resumedAfter: map[string]int{},
+		leavingReportedAt: map[string]time.Time{}, hallOf: map[string]string{}, resumedAfter: map[string]int{}, endless: map[string]*standin.Target{},
 	}
 }
 
@@ -210,6 +213,7 @@
 	rec.checkFatalPrompts(violate)
 	rec.checkSkews(violate)
 	rec.checkRest(violate)
+	rec.checkEndless(violate)
 	rec.checkLeavingReported(violate)
 	rec.checkLimits(violate)
 	rec.checkLateRequests(violate)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -49,8 +49,8 @@
 	PromptSummary string
 	SkewSummaries []string
 	// CrashSummary describes the responses of targets that were killed, LateSummary the streams that were sent to stopping boxes on
-	// kept connections.
-	CrashSummary, LateSummary string
+	// kept connections, EndlessSummary the responses without end.
+	CrashSummary, LateSummary, EndlessSummary string
 	// ResumeSummary describes the streams of callers that resume; Continued, Resumed, Moved and Outlasting count those that continued an
 	// earlier response, were resumed or moved by boxes, or outlasted their deadlines.
 	ResumeSummary                         string
@@ -122,6 +122,9 @@
 	if o.TargetRequests {
 		actors.Go(func() { e.runTargetRequests(runCtx, end.Add(-coolDown)) })
 	}
+	if o.EndlessResponses {
+		actors.Go(func() { e.runEndlessResponses(runCtx, end.Add(-coolDown)) })
+	}
 	rep := Report{Seed: o.Seed}
 	e.runActions(&rep, began, end.Add(-o.endOfActions()), &actors)
 	actors.Wait()
@@ -133,7 +136,7 @@
 	rep.addGroupTotals(e.recorder)
 	rep.Violations, rep.LimitSummaries = e.recorder.violations(), e.recorder.limitSummaries
 	rep.PromptSummary, rep.SkewSummaries = e.recorder.promptSummary, e.recorder.skewSummaries
-	rep.CrashSummary, rep.LateSummary = e.recorder.crashSummary, e.recorder.lateSummary
+	rep.CrashSummary, rep.LateSummary, rep.EndlessSummary = e.recorder.crashSummary, e.recorder.lateSummary, e.recorder.endlessSummary
 	rep.addResumes(e.recorder.resumes)
 	rep.addTotals(e, repaired, end)
 	return rep, errors.Join(crashErr, ctx.Err())
