Events whose lines end with CRLF or CR are events

Callers got a 502 for a stream whose lines end with CRLF or CR, which the format of event streams allows. Cause: the box took two LF in a row for the end of an event and found none, so that nothing was forwarded and the end of the stream counted as truncated. Evidence: TestStreams, 'events end with CRLF' and 'events end with CR, resumed', failed before with a 502 each. Fix: eventstream.Run reads lines that end with LF, CRLF or CR. A CR that ends the bytes so far may be half of a CRLF. In a run that has used CRLF the event waits for the LF, since a run that breaks off there would leave half a line end before the events of another; otherwise the event is forwarded at once, because a run that uses CR alone may send the next byte much later, and the LF, if there is one, follows by itself.

--- a/eventstream/doc.go
+++ b/eventstream/doc.go
@@ -6,6 +6,11 @@
 // have no order: they are passed on, except one that equals the ID before it, because an event that comes twice does more harm
 // than a stream that is broken off. Events without an ID are passed on.
 //
+// Lines end with LF, CRLF or CR, and an event with an empty line. A CR at the end of the bytes so far may be the first half of
+// a CRLF. If a line of the run ended with CRLF, the event waits for the second half, so that no caller gets half a line end from
+// one run and the rest of the stream from another. Otherwise it is passed on at once, since the run may use CR alone, and the next
+// bytes may come much later.
+//
 // The package does no I/O. The caller of Scan keeps the bytes that do not form a whole event yet, and bounds them.
 //
 // # Usage
@@ -13,7 +18,7 @@
 //	run := eventstream.NewRun(lastEventID)
 //	for {
 //		// read, and append to buf
-//		batch, err := run.Scan(buf)
+//		batch, err := run.Scan(buf, ended)
 //		// forward buf[:batch.Length], and remove it from buf
 //		if err != nil { ... } // an *OrderError: what follows must not reach the caller
 //	}
--- a/eventstream/run.go
+++ b/eventstream/run.go
@@ -8,6 +8,8 @@
 	event   event // the event that has not ended
 	line    int   // where the line begins that has not ended, in the buffer
 	scanned int   // bytes of the buffer that were scanned
+	cr      bool  // the last line ended with a CR at the end of the buffer, which may be half of a CRLF
+	crlf    bool  // a line ended with CRLF
 	err     error // set once an event was out of order
 }
 
@@ -15,12 +17,16 @@
 func NewRun(after string) *Run { return &Run{order: startAfter(after)} }
 
 // Scan returns the whole events at the beginning of buf, which holds the bytes that the run has sent, less those of earlier
-// batches. Bytes that an earlier call has scanned are not scanned again. The error is an *OrderError if another event follows
-// the batch that must not follow it; the run has then failed, and each further call returns that error.
-func (r *Run) Scan(buf []byte) (Batch, error) {
+// batches; ended states that it sends no more. Bytes that an earlier call has scanned are not scanned again. The error is an
+// *OrderError if another event follows the batch that must not follow it; the run has then failed, and each further call returns
+// that error.
+func (r *Run) Scan(buf []byte, ended bool) (Batch, error) {
 	var b Batch
+	if r.err == nil {
+		b.Length = r.endCRLF(buf)
+	}
 	for r.err == nil {
-		line, whole := r.nextLine(buf)
+		line, whole := r.nextLine(buf, ended)
 		if !whole {
 			break
 		}
@@ -39,14 +45,39 @@
 }
 
 // nextLine returns the next line of the buffer without its end; false if it has not ended.
-func (r *Run) nextLine(buf []byte) (line []byte, whole bool) {
-	n := bytes.IndexByte(buf[r.scanned:], '\n')
+func (r *Run) nextLine(buf []byte, ended bool) (line []byte, whole bool) {
+	n := bytes.IndexAny(buf[r.scanned:], "\r\n")
 	if n < 0 {
 		r.scanned = len(buf)
 		return nil, false
 	}
-	line = buf[r.line : r.scanned+n]
-	r.scanned += n + 1
-	r.line = r.scanned
+	end := r.scanned + n
+	cr := buf[end] == '\r'
+	if cr && r.crlf && end+1 == len(buf) && !ended {
+		r.scanned = end
+		return nil, false
+	}
+	line = buf[r.line:end]
+	r.line, r.scanned, r.cr = end+1, end+1, cr
+	r.endCRLF(buf)
 	return line, true
 }
+
+// endCRLF skips an LF that follows the CR at the end of the last line. It returns the number of bytes by which that lengthens
+// the event that was the last of an earlier batch.
+func (r *Run) endCRLF(buf []byte) int {
+	if !r.cr || r.scanned == len(buf) {
+		return 0
+	}
+	r.cr = false
+	if buf[r.scanned] != '\n' {
+		return 0
+	}
+	r.crlf = true
+	r.line++
+	r.scanned++
+	if r.scanned == 1 {
+		return 1
+	}
+	return 0
+}
