A comment is no event of a stream

Callers got a 200 with a proper end for a stream without an event that had ended with its connection, and for one that broke off and whose continuation sent nothing but a comment. So the stream seemed to have sent an event, and the continuation to have gone on. Fix: an event has data or an ID. Anything else is forwarded as it comes, and counts neither as an event of the attempt nor of the response, nor for the pauses between events.

--- a/eventstream/batch.go
+++ b/eventstream/batch.go
@@ -4,7 +4,7 @@
 type Batch struct {
 	// Length is the number of their bytes.
 	Length int
-	// Events is their number.
+	// Events is their number. Comments and other fields before an empty line that have neither data nor an ID do not count.
 	Events int
 	// LastID is the ID of the last of them that has one; empty if none has.
 	LastID string
@@ -13,7 +13,9 @@
 // add appends an event that ends at the given length.
 func (b *Batch) add(e event, length int) {
 	b.Length = length
-	b.Events++
+	if e.counts() {
+		b.Events++
+	}
 	if e.id != "" {
 		b.LastID = e.id
 	}
--- a/eventstream/run_test.go
+++ b/eventstream/run_test.go
@@ -95,6 +95,10 @@
 		{"CR, back", "", []string{"id: 2\r\r", "id: 1\r\r"}, true, "id: 2\r\r", 1, "2", "event 1 follows event 2"},
 		{"CR, then half of an event's end", "", []string{"id: 1\r\r", "\nid: 2\n"}, true, "id: 1\r\r\n", 1, "1", ""},
 		{"all line ends", "", []string{"id: 1\ndata: a\r\r\nid: 2\r\n\nid: 3\n\r"}, false, "id: 1\ndata: a\r\r\nid: 2\r\n\nid: 3\n\r", 3, "3", ""},
+		{"empty lines", "", []string{"\n\r\r\n", "id: 1\n\n\n"}, true, "\n\r\r\nid: 1\n\n\n", 1, "1", ""},
+		{"comments", "", []string{": ping\n\n", ":\n\nid: 1\n: x\n\n: ping\n\n"}, true, ": ping\n\n:\n\nid: 1\n: x\n\n: ping\n\n", 1, "1", ""},
+		{"fields without data and ID", "", []string{"retry: 9\n\nevent: x\n\nweights: 2\n\n"}, true, "retry: 9\n\nevent: x\n\nweights: 2\n\n", 0, "", ""},
+		{"data without a colon", "", []string{"data\n\n"}, true, "data\n\n", 1, "", ""},
 		{"another field whose name begins alike", "", []string{"id: 2\n\ndata: x\nidx: 1\n\nid: 3\n\n"}, false, "id: 2\n\ndata: x\nidx: 1\n\nid: 3\n\n", 3, "3", ""},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
--- a/gateway/stream_order_test.go
+++ b/gateway/stream_order_test.go
@@ -77,3 +77,30 @@
 		})
 	}
 }
+
+// TestCommentsAreNoEvents guards against comments, which targets send to keep connections alive, that pass for the events of a
+// stream: without an event it is not known to be complete.
+func TestCommentsAreNoEvents(t *testing.T) {
+	const ping = ": ping\n\n"
+	for _, tc := range []struct {
+		name   string
+		path   string
+		first  string
+		second string
+		body   string
+		broken bool
+	}{
+		{"resumed at a target that sends comments only", "/stream/", streamHead + eventChunk(eventOne), secondHead + eventChunk(ping) + lastChunk, eventOne + ping, true},
+		{"resumed at a target that sends a comment first", "/stream/", streamHead + eventChunk(eventOne), secondHead + eventChunk(ping+eventTwo) + lastChunk, eventOne + ping + eventTwo, false},
+		{"ends with its connection after a comment", "/stream-once/", unframedStream + marked(ping), "", ping, true},
+		{"breaks off after a comment", "/stream/", streamHead + eventChunk(ping), secondHead + eventChunk(eventOne) + lastChunk, ping + eventOne, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newFixture(t, newTarget(t, "a", tc.first), newTarget(t, "b", tc.second))
+			got := r.request("POST", tc.path, "p")
+			if got.status != 200 || got.body != tc.body || got.broken != tc.broken {
+				t.Errorf("status %d, broken %v, body %q", got.status, got.broken, got.body)
+			}
+		})
+	}
+}
