A stream is not continued after an event without an ID

Callers of a resumable route got a 200 with events twice: a stream whose events have no IDs broke off, and the next target began it again. The same happened after a single event without an ID that followed others with one, and as a stream was moved from a straggler. Cause: the retry machine asks to resume wherever the route allows it, and the last ID that the box knows, or none, went to the next target. Only an ID names the place after which to go on. Evidence: TestStreamIsNotContinuedWithoutPosition (three cases) and TestStreamWithoutPositionIsNotMoved failed before. Fix: eventstream.Batch states whether its last event has an ID. If it has none, a stream that breaks off ends as Broken and Unresumable, which the machine breaks off, and it is not moved. A later event with an ID makes it resumable again.

--- a/eventstream/batch.go
+++ b/eventstream/batch.go
@@ -8,6 +8,8 @@
 	Events int
 	// LastID is the ID of the last of them that has one; empty if none has.
 	LastID string
+	// Unplaced reports that the last of them has no ID, so that no run can continue after it.
+	Unplaced bool
 }
 
 // add appends an event that ends at the given length.
@@ -15,6 +17,7 @@
 	b.Length = length
 	if e.counts() {
 		b.Events++
+		b.Unplaced = e.id == ""
 	}
 	if e.id != "" {
 		b.LastID = e.id
--- a/eventstream/run_test.go
+++ b/eventstream/run_test.go
@@ -21,6 +21,7 @@
 	forwarded string
 	events    int
 	lastID    string
+	unplaced  bool
 	err       error
 }
 
@@ -48,6 +49,9 @@
 	if b.LastID != "" {
 		r.lastID = b.LastID
 	}
+	if b.Events > 0 {
+		r.unplaced = b.Unplaced
+	}
 }
 
 // TestRunForwards guards against events out of order that reach a caller, and against events in order that do not.
@@ -135,6 +139,19 @@
 	}
 }
 
+// TestBatchAfterWhichNoRunCanContinue guards against continuing a stream after an event that no ID names.
+func TestBatchAfterWhichNoRunCanContinue(t *testing.T) {
+	for text, want := range map[string]bool{
+		"": false, "id: 1\n\n": false, "data\n\n": true, "id: 1\n\ndata\n\n": true, "data\n\nid: 1\n\n": false,
+		"id: 1\n\n: ping\n\n": false, "data\n\n: ping\n\n": true, "id: 1\n\ndata\nid\n\n": true,
+	} {
+		r := newReceiver("")
+		if r.read(text); r.unplaced != want {
+			t.Errorf("%q: unplaced %v, want %v", text, r.unplaced, want)
+		}
+	}
+}
+
 // TestFailedRunForwardsNothing guards against a run that goes on after an event out of order.
 func TestFailedRunForwardsNothing(t *testing.T) {
 	run := eventstream.NewRun("7")
--- /dev/null
+++ b/gateway/continuation_test.go
@@ -0,0 +1,41 @@
+package gateway_test
+
+import "testing"
+
+// TestStreamIsNotContinuedWithoutPosition guards against a stream that begins again in the middle of a response: after an event
+// without an ID no target can tell where to go on.
+func TestStreamIsNotContinuedWithoutPosition(t *testing.T) {
+	const plain = "data: a\n\n"
+	again := secondHead + eventChunk(plain+plain) + lastChunk
+	for _, tc := range []struct {
+		name    string
+		first   string
+		body    string
+		headers []string
+	}{
+		{"no event has an ID", plain, plain, nil},
+		{"the last event has no ID", eventOne + plain, eventOne + plain, nil},
+		{"no event has an ID, continued for the caller", plain, plain, []string{"After: 7"}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			a, b := newTarget(t, "a", streamHead+eventChunk(tc.first)), newTarget(t, "b", again)
+			r := newFixture(t, a, b)
+			got := r.request("POST", "/stream/", "p", tc.headers...)
+			if got.status != 200 || got.body != tc.body || !got.broken || len(b.requests()) != 0 {
+				t.Errorf("status %d, broken %v, body %q, %d requests to the second target", got.status, got.broken, got.body, len(b.requests()))
+			}
+		})
+	}
+}
+
+// TestStreamWithoutPositionIsNotMoved guards the same when a stream is moved from a straggler.
+func TestStreamWithoutPositionIsNotMoved(t *testing.T) {
+	const plain = "data: a\n\n"
+	a := newTarget(t, "a", streamHead+eventChunk(eventOne)+wait+eventChunk(plain)+lastChunk)
+	b := newTarget(t, "b", secondHead+eventChunk(eventTwo)+lastChunk)
+	r := newFixture(t, a, b)
+	a.proceed, a.straggler = r.fleet.began, true
+	if got := r.request("POST", "/paced/", "p"); got.body != eventOne+plain || got.broken || len(b.requests()) != 0 {
+		t.Errorf("broken %v, body %q, %d requests to the second target", got.broken, got.body, len(b.requests()))
+	}
+}
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -148,5 +148,5 @@
 	if ctx.Err() != nil {
 		v = Neutral
 	}
-	return retry.Broken{Err: err, Forwarded: sent}, v
+	return retry.Broken{Err: err, Forwarded: sent, Unresumable: a.d.unplaced}, v
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -109,6 +109,7 @@
 	a.events += batch.Events
 	a.d.endInDoubt = false
 	a.d.recordEvents(now, batch.Events)
+	a.d.unplaced = batch.Unplaced
 	if batch.LastID != "" {
 		a.d.after = batch.LastID
 	}
@@ -132,7 +133,7 @@
 // it is.
 func (a *attempt) shouldMove(now time.Time) bool {
 	objective := a.d.req.route.EventGapObjective()
-	return a.try.Movable && objective > 0 && a.gap > objective && a.lease.IsStraggler(now, a.d.tried) &&
+	return a.try.Movable && !a.d.unplaced && objective > 0 && a.gap > objective && a.lease.IsStraggler(now, a.d.tried) &&
 		!a.d.barred(now) && a.d.machine.Move(now)
 }
 
--- a/retry/machine.go
+++ b/retry/machine.go
@@ -198,7 +198,7 @@
 	m.mayHaveRun = true
 	m.forwarded = m.forwarded || o.Forwarded
 	err := fault.New(fault.Interrupted, "%v", o.Err)
-	if m.forwarded && !m.rules.Resume || !m.rules.Repeat {
+	if m.forwarded && (!m.rules.Resume || o.Unresumable) || !m.rules.Repeat {
 		return m.giveUp(now, err)
 	}
 	return m.retry(now, err, m.forwarded)
--- a/retry/machine_test.go
+++ b/retry/machine_test.go
@@ -117,6 +117,8 @@
 		{"broken before forwarding", resume, 1, []retry.Outcome{notForwarded, retry.Answered{}}, []string{"try", "deliver"}},
 		{"broken and resumed", resume, 1, []retry.Outcome{forwarded, retry.Answered{}}, []string{"resume", "deliver"}},
 		{"broken, not resumable", repeat, 9, []retry.Outcome{forwarded}, []string{"abort interrupted"}},
+		{"broken where no target can continue", resume, 9, []retry.Outcome{retry.Broken{Err: errLost, Forwarded: true, Unresumable: true}}, []string{"abort interrupted"}},
+		{"broken as it is cancelled, where no target can continue", resume, 1, []retry.Outcome{overdue{}, retry.ResolveTimeout(retry.Broken{Err: errLost, Forwarded: true, Unresumable: true})}, []string{"true", "abort interrupted"}},
 		{"broken twice", resume, 9, []retry.Outcome{forwarded, forwarded}, []string{"resume", "abort interrupted"}},
 		{"resumed at a target that declines", resume, 9, []retry.Outcome{forwarded, declined}, []string{"resume", "abort overloaded"}},
 		{"resumed at a target that fails", resume, 9, []retry.Outcome{forwarded, retry.Failed{Status: 500}}, []string{"resume", "abort target_failed"}},
--- a/retry/outcome.go
+++ b/retry/outcome.go
@@ -36,6 +36,8 @@
 	Err error
 	// Forwarded reports that the caller has a part of the answer.
 	Forwarded bool
+	// Unresumable reports that no target can tell where that part ends, so that none may continue the answer.
+	Unresumable bool
 }
 
 // Suspected means that the request may be why the target of the attempt ended, or that its work was put in quarantine
