Tests: an attempt that ends as it begins does not count as not begun

Hypothesis: an attempt whose response begins just as its timeout for the first byte fires counts as not begun, so that the next one starts from the beginning after events went to the caller. Not confirmed. TestStreamThatBeginsAsItIsCancelled lets 40 streams begin from 5 ms before the timeout to 5 ms after it.

--- a/gateway/overdue_test.go
+++ b/gateway/overdue_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -72,3 +73,29 @@
 		t.Errorf("verdicts %v", r.fleet.verdicts)
 	}
 }
+
+// TestStreamThatBeginsAsItIsCancelled guards against a stream that begins at the moment at which its target is given up, and begins
+// again at the next target although the caller has its first event.
+func TestStreamThatBeginsAsItIsCancelled(t *testing.T) {
+	const timeout = 30 * time.Millisecond // for the first byte on the route
+	for i := range 40 {
+		t.Run(strconv.Itoa(i), func(t *testing.T) {
+			t.Parallel()
+			a := newTarget(t, "a", wait+streamHead+eventChunk(eventOne)+hangUp)
+			b := newTarget(t, "b", secondHead+eventChunk(eventTwo+eventThree)+lastChunk)
+			proceed := make(chan struct{})
+			a.proceed = proceed
+			r := newFixture(t, a, b)
+			time.AfterFunc(timeout+time.Duration(i-20)*time.Millisecond/4, func() { close(proceed) })
+			got := r.request("POST", "/impatient-stream/", "p")
+			want, after := eventTwo+eventThree, ""
+			if got.header.Get("Signed") == "one" {
+				want, after = eventOne+eventTwo+eventThree, "1"
+			}
+			if got.status != 200 || got.broken || got.body != want || b.requests()[0].Header.Get("After") != after {
+				t.Errorf("status %d, signed %q, broken %v, body %q, after %q", got.status, got.header.Get("Signed"), got.broken, got.body, b.requests()[0].Header.Get("After"))
+			}
+			t.Logf("signed %q", got.header.Get("Signed"))
+		})
+	}
+}
