Only a stream continues a stream

Callers got a 200 with a proper end and, after the first events, the body of another response: a stream broke off, and the target that was to resume it answered 404, 400 or 204. Cause: what is no 200 was forwarded as a plain response, which is complete at its end, although the head and a part of a stream had been sent. Evidence: TestStreamIsContinuedByStreamOnly failed before in its three cases, with net/http's "superfluous response.WriteHeader call". Fix: once the head was sent, any other response ends the attempt as broken, so that another target is tried or the stream is broken off. A 204 is read as a stream without events: it completes a stream only if that may have been complete, as after a move at its last event.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -304,11 +305,21 @@
 
 // forward sends the response on to the caller.
 func (a *attempt) forward(ctx context.Context, resp *http.Response) (retry.Outcome, Verdict) {
-	if a.d.req.route.Kind() == catalog.Stream && resp.StatusCode == http.StatusOK {
+	switch {
+	case a.isStream(resp):
 		return a.forwardStream(ctx, resp)
+	case a.d.headSent:
+		err := fmt.Errorf("the target responded with status %d to a request to continue a stream", resp.StatusCode)
+		return retry.Broken{Err: err, Forwarded: true}, Neutral
+	default:
+		a.checkEnd(ctx, resp)
+		return a.forwardPlain(ctx, resp)
 	}
-	a.checkEnd(ctx, resp)
-	return a.forwardPlain(ctx, resp)
+}
+
+// isStream reports whether the response is a stream. No content continues a stream without a further event.
+func (a *attempt) isStream(resp *http.Response) bool {
+	return a.d.req.route.Kind() == catalog.Stream && (resp.StatusCode == http.StatusOK || a.d.headSent && resp.StatusCode == http.StatusNoContent)
 }
 
 // checkEnd makes the body of a response that ends with its connection fail unless it is complete.
--- a/gateway/continuation_test.go
+++ b/gateway/continuation_test.go
@@ -39,3 +39,31 @@
 		t.Errorf("broken %v, body %q, %d requests to the second target", got.broken, got.body, len(b.requests()))
 	}
 }
+
+// TestStreamIsContinuedByStreamOnly guards against other responses that end a stream as if they were its rest.
+func TestStreamIsContinuedByStreamOnly(t *testing.T) {
+	for name, second := range map[string]string{
+		"not found":  "HTTP/1.1 404 Gone\nSigned: two\nId: 1\nContent-Length: 4\n\nnope",
+		"no content": "HTTP/1.1 204 None\nSigned: two\nId: 1\nContent-Length: 0\n\n",
+		"long":       "HTTP/1.1 400 Bad\nSigned: two\nId: 1\n\n" + longBody,
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newFixture(t, newTarget(t, "a", streamHead+eventChunk(eventOne)), newTarget(t, "b", second))
+			got := r.request("POST", "/stream/", "p")
+			if got.status != 200 || got.body != eventOne || !got.broken || got.header.Get("Signed") != "one" {
+				t.Errorf("status %d, signed %q, broken %v, body %.80q", got.status, got.header.Get("Signed"), got.broken, got.body)
+			}
+		})
+	}
+}
+
+// TestNoContentCompletesStreamThatMayBeComplete guards against breaking off a stream that was moved after its last event.
+func TestNoContentCompletesStreamThatMayBeComplete(t *testing.T) {
+	a := newTarget(t, "a", streamHead+eventChunk(eventOne)+wait+eventChunk(eventTwo)+hang)
+	b := newTarget(t, "b", "HTTP/1.1 204 None\nSigned: two\nId: 1\nContent-Length: 0\n\n")
+	r := newFixture(t, a, b)
+	a.proceed, a.straggler = r.fleet.began, true
+	if got := r.request("POST", "/paced/", "p"); got.body != eventOne+eventTwo || got.broken || len(b.requests()) != 1 {
+		t.Errorf("broken %v, body %q, %d requests to the second target", got.broken, got.body, len(b.requests()))
+	}
+}
