The length that the first target states does not end a stream

Callers got a 200 with a proper end after a part of the events: the first target stated the length of its stream and broke off, and the rest from another target was longer. Cause: the head of the first run was forwarded with its Content-Length, and net/http refuses to write more. Fix: streams go to callers without a length, that is, in chunks. The length still bounds what is read from its target.

--- a/gateway/continuation_test.go
+++ b/gateway/continuation_test.go
@@ -1,6 +1,10 @@
 package gateway_test
 
-import "testing"
+import (
+	"fmt"
+	"testing"
+	"time"
+)
 
 // TestStreamIsNotContinuedWithoutPosition guards against a stream that begins again in the middle of a response: after an event
 // without an ID no target can tell where to go on.
@@ -67,3 +71,18 @@
 		t.Errorf("broken %v, body %q, %d requests to the second target", got.broken, got.body, len(b.requests()))
 	}
 }
+
+// TestLengthOfFirstRunDoesNotEndStream guards against a stream that ends as complete at the length that its first target stated,
+// although the rest from another target is longer.
+func TestLengthOfFirstRunDoesNotEndStream(t *testing.T) {
+	head := fmt.Sprintf("HTTP/1.1 200 OK\nSigned: one\nId: 1\nContent-Length: %d\n\n", len(eventOne+eventTwo))
+	a := newTarget(t, "a", head+marked(eventOne)+hangUp)
+	b := newTarget(t, "b", secondHead+eventChunk(eventTwo)+wait+eventChunk(eventThree)+lastChunk)
+	proceed := make(chan struct{})
+	b.proceed = proceed
+	r := newFixture(t, a, b)
+	time.AfterFunc(50*time.Millisecond, func() { close(proceed) })
+	if got := r.request("POST", "/stream/", "p"); got.body != eventOne+eventTwo+eventThree || got.broken {
+		t.Errorf("broken %v, body %q", got.broken, got.body)
+	}
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -153,6 +153,7 @@
 		return
 	}
 	copyResponseHeaders(a.d.w.Header(), resp.Header)
+	a.d.w.Header().Del("Content-Length") // the rest of the stream may come from another target
 	a.d.writeHead(resp.StatusCode)
 }
 
