--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -38,7 +38,7 @@
 		n, err := resp.Body.Read(buf[len(buf):cap(buf)])
 		a.arrivals.Waited(clock.Since(waitedSince))
 		buf = buf[:len(buf)+n]
-		batch, orderErr := run.Scan(buf)
+		batch, orderErr := run.Scan(buf, errors.Is(err, io.EOF))
 		if flushErr := a.forwardEvents(resp, batch, buf[:batch.Length]); flushErr != nil {
 			return a.responseBroken(ctx, flushErr, true)
 		}
@@ -46,7 +46,7 @@
 		switch {
 		case orderErr != nil:
 			return a.responseBroken(ctx, orderErr, d.headSent)
-		case batch.Length > 0 && !errors.Is(err, io.EOF) && a.shouldMove(clock.Now()):
+		case batch.Events > 0 && !errors.Is(err, io.EOF) && a.shouldMove(clock.Now()):
 			d.endInDoubt = resp.ContentLength < 0 // a length shows that events are missing
 			return retry.Moved{}, Neutral
 		case errors.Is(err, io.EOF) && len(buf) == 0:
@@ -97,7 +97,9 @@
 	}
 	a.d.hold.transfer(func() {
 		a.startCallerResponse(resp)
-		a.recordEvents(clock.Now(), batch)
+		if batch.Events > 0 {
+			a.recordEvents(clock.Now(), batch)
+		}
 		_, _ = a.d.w.Write(whole) // a caller that has left shows in the flush
 		err = http.NewResponseController(a.d.w).Flush()
 	})
@@ -110,6 +112,7 @@
 	a.arrivals.Arrived(now, batch.Events)
 	a.d.endInDoubt = false
 	a.d.recordEvents(now, batch.Events)
+	a.d.unplaced = batch.Unplaced
 	if batch.LastID != "" {
 		a.d.after = batch.LastID
 	}
@@ -132,7 +135,7 @@
 // it is.
 func (a *attempt) shouldMove(now time.Time) bool {
 	objective := a.d.req.route.EventGapObjective()
-	return a.try.Movable && objective > 0 && a.gap > objective && a.lease.IsStraggler(now, a.d.tried) &&
+	return a.try.Movable && !a.d.unplaced && objective > 0 && a.gap > objective && a.lease.IsStraggler(now, a.d.tried) &&
 		!a.d.barred(now) && a.d.machine.Move(now)
 }
 
