gateway: only events are continued by those of another target

A 500 or 201 of more than 64 KB that broke off on a route of streams was followed by the events of another target, and ended as complete: on a route that may be resumed each response of which the caller had a part was. TestBrokenFailureIsNotContinuedByEvents failed before.

--- a/gateway/delivery.go
+++ b/gateway/delivery.go
@@ -35,7 +35,7 @@
 	headSent     bool   // the response head was sent to the caller
 	status       int    // status sent to the caller
 	after        string // ID of the last event sent to the caller; at first the one that the request names
-	unplaced     bool   // the last event sent to the caller has no ID, so that no target can continue after it
+	unplaced     bool   // no target can continue after what was sent to the caller: the last event has no ID, or it is no stream
 	events       int
 	firstByteAt  time.Time         // when the response head was sent to the caller
 	lastEventsAt time.Time         // when the last events were sent to the caller
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -85,6 +85,7 @@
 
 // forwardRest sends the buffered part of the response to the caller, and then the rest as it arrives.
 func (a *attempt) forwardRest(b *bufferedResponse) (err error) {
+	a.d.unplaced = true
 	b.sendBuffered(a.d)
 	a.d.hold.transfer(func() { _, err = io.Copy(progressWriter{a.d.w, a.d.hold}, b.resp.Body) })
 	return err
