gateway: a response that was cut at its deadline is not sent again

With less than 50 ms left, a response that ended at its deadline without a length was sent to a second target, at the cost of the retry budget, and the verdict on the first target was bad although it had stopped as it was told (TestResponsesInDoubtAtTheirDeadlineAreNotSentAgain failed before).

--- a/gateway/connection_body.go
+++ b/gateway/connection_body.go
@@ -16,6 +16,9 @@
 // errMayBeTruncated reports that a response ended with its connection and that nothing shows that it is complete.
 var errMayBeTruncated = errors.New("the response ended with its connection and may be truncated")
 
+// errCutAtDeadline reports the same of a response that ended at the deadline of its request.
+var errCutAtDeadline = errors.New("the response ended with its connection at the deadline and may be truncated")
+
 // endsWithConnection reports whether the body of the response has neither a length nor chunks, so that only the end of the
 // connection shows its end.
 func endsWithConnection(r *http.Response) bool {
@@ -71,8 +74,12 @@
 	a.d.g.deps.Common.Metrics.Count(telemetry.UnframedEnds, reason, 1)
 	a.d.g.deps.Common.Log.Info("response ended with its connection", append([]any{"request", a.d.req.ID(), "target", a.lease.Target().ID(),
 		"attempt", a.try.Attempt, "taken_for", reason, "after", clock.Since(a.d.req.arrived)}, evidence...)...)
-	if reason == "complete" {
+	switch {
+	case reason == "complete":
 		return nil
+	case doubt == ending.Deadline:
+		return errCutAtDeadline
+	default:
+		return errMayBeTruncated
 	}
-	return errMayBeTruncated
 }
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -142,12 +142,13 @@
 // responseBroken returns the end and the verdict of an attempt whose response broke off. The
 // argument sent states whether the caller has received any part of the response.
 func (a *attempt) responseBroken(ctx context.Context, err error, sent bool) (retry.Outcome, Verdict) {
-	if ctx.Err() != nil && !sent {
+	atDeadline := errors.Is(err, errCutAtDeadline)
+	if (atDeadline || ctx.Err() != nil) && !sent {
 		return retry.Expired{}, Neutral
 	}
 	v := Bad
-	if ctx.Err() != nil {
+	if atDeadline || ctx.Err() != nil {
 		v = Neutral
 	}
-	return retry.Broken{Err: err, Forwarded: sent, Unresumable: a.d.unplaced}, v
+	return retry.Broken{Err: err, Forwarded: sent, Unresumable: atDeadline || a.d.unplaced}, v
 }
