node: heads of responses to calls of our own are limited to 64 KB

Seen in tests only: 10 MB were read of a head without end of the store or an engine, the default limit of net/http's client. That is bounded, but much beside the 284 MB of a box if several peers do it at once. TestHTTPClientBoundsHeads failed before in its three cases with 10,485,760 bytes read; now 64 KB, as for heads of targets.

--- a/node/process/network.go
+++ b/node/process/network.go
@@ -17,6 +17,9 @@
 	// deadPeerTimeout is how long a peer may leave bytes unacknowledged: less than the two seconds
 	// after which callers give up a stream without data.
 	deadPeerTimeout = 1500 * time.Millisecond
+	// maxHeadBytes limits the head of a response, as package transport does for those of targets. The default of net/http is 10 MB,
+	// and a box makes a call to each of many engines at once.
+	maxHeadBytes = 64 << 10
 )
 
 // Network listens for connections and opens them. Tests replace it with a simulated network.
@@ -52,6 +55,6 @@
 func HTTPClient(n Network) *http.Client {
 	return &http.Client{Transport: &http.Transport{
 		DialContext:        func(ctx context.Context, _, address string) (net.Conn, error) { return n.Dial(ctx, address) },
-		DisableCompression: true,
+		DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes,
 	}}
 }
