transport: errors of malformed heads are short

Seen in a test: a line of 60 KB that is no line of a head gives an error of 246 KB, since the parser quotes it whole, four bytes for one; the box writes it into its log for each attempt. Cause: the text of the error goes into the line of the attempt as it is. TestErrorsOfHeadsAreShort failed before in its four cases (245,786 to 245,806 bytes); now 200 bytes and three dots.

--- a/transport/endless_test.go
+++ b/transport/endless_test.go
@@ -148,3 +148,38 @@
 		t.Errorf("got body %q, error %v", body, err)
 	}
 }
+
+// TestErrorsOfHeadsAreShort guards against log lines with whole heads: the parser quotes a malformed line.
+func TestErrorsOfHeadsAreShort(t *testing.T) {
+	const maxErrorBytes = 250
+	garbage := strings.Repeat("\x01", 60<<10)
+	for _, head := range []string{garbage + "\n\n", "HTTP/1.1 200 OK\n" + garbage + "\n\n", "HTTP/1.1 " + garbage + "\n\n", "HTTP/1.1 200 OK\nContent-Length: " + garbage + "\n\n"} {
+		pool, _ := newPipePool(crlf(head), "", whole)
+		if body, err := get(t, pool, "server", transport.DialNew); err == nil || len(err.Error()) > maxErrorBytes {
+			t.Errorf("%.40q: got body %q, error of %d bytes: %.60v", head, body, len(err.Error()), err)
+		}
+	}
+}
+
+// TestTrailersAndExtensionsAreBounded checks what net/http reads between and behind the chunks of a body.
+func TestTrailersAndExtensionsAreBounded(t *testing.T) {
+	const head, maxReadBytes = "HTTP/1.1 200 OK\nId: 1\nTransfer-Encoding: chunked\n\n", 64 << 10
+	tests := []struct{ name, begin, repeated string }{
+		{"trailer without end", head + "0\n", "T: 1\n"},
+		{"trailer without a line break", head + "0\nT: ", "x"},
+		{"extension without end", head + "2;", "x"},
+		{"extensions of short chunks", head, "1;" + strings.Repeat("x", 200) + "\nx\n"},
+		{"chunk length without end", head, "0"},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			pool, sent := newPipePool(crlf(tc.begin), crlf(tc.repeated), whole)
+			if body, err := get(t, pool, "server", transport.DialNew); err == nil {
+				t.Errorf("got body %q as complete", body)
+			}
+			if n := <-sent; n > maxReadBytes {
+				t.Errorf("%d bytes were read, want %d at most", n, maxReadBytes)
+			}
+		})
+	}
+}
--- a/transport/head_reader.go
+++ b/transport/head_reader.go
@@ -1,7 +1,9 @@
 package transport
 
 import (
+	"errors"
 	"io"
+	"strings"
 
 	"clovertrail.dev/core/limit"
 )
@@ -10,6 +12,9 @@
 // this is four times what boxes accept of callers by default. A head of many short lines takes 15 times its size while it is parsed.
 const maxHeadBytes = 64 << 10
 
+// maxErrorBytes limits the text of the error of a malformed head, which may quote a whole line and gets into logs.
+const maxErrorBytes = 200
+
 var errLongHead = limit.New("the head of a response", maxHeadBytes)
 
 // headReader reads from a connection. While a head is read, it fails once maxHeadBytes have been read, which include what is
@@ -28,10 +33,16 @@
 // place of err if that is the cause: the parser of heads reports a line that is cut off as malformed.
 func (r *headReader) end(err error) error {
 	r.limited = false
-	if err != nil && r.exceeded {
+	switch {
+	case err == nil:
+		return nil
+	case r.exceeded:
 		return errLongHead
+	case len(err.Error()) > maxErrorBytes:
+		return errors.New(strings.ToValidUTF8(err.Error()[:maxErrorBytes], "") + "...")
+	default:
+		return err
 	}
-	return err
 }
 
 // Read implements io.Reader.
