membership: what a box does for its hall is decided outside the shell of package node

node/hall_poller.go decided, beside its calls and loops: the role of the box and what follows from it (share of the targets, subset, which hubs are queried), whether a hub follows the store for it, whether it tells others that it follows the store, how many boxes do, which halls are watched, how often a hall is queried and by which box, and that the list of a hub without the store may only have lapsed. The shell calls other boxes, runs and ends the loops, and logs. The ranks are read once a round in place of twice.

Behaviour stays the same.

--- a/membership/roster.go
+++ b/membership/roster.go
@@ -169,6 +169,16 @@
 	}
 }
 
+// HubReported records whether a hub that may follow the store for this box reports that it does. If it does
+// not, the store is unavailable to it, and entries that it reports as removed may only have lapsed.
+func (r *Roster) HubReported(now time.Time, followsStore bool) {
+	if followsStore {
+		r.StoreAvailable(now)
+	} else {
+		r.StoreUnavailable(now)
+	}
+}
+
 // TargetUpdate is one change of the list: an entry that was added, changed or removed.
 type TargetUpdate struct {
 	// ID is the instance to which the entry belongs. If Target is nil, it may be a listed id
--- a/node/agent_poller.go
+++ b/node/agent_poller.go
@@ -55,9 +55,9 @@
 // receives from others, so that a hundred boxes do not each wake twice a second for each of 200
 // targets.
 func (p *agentPoller) updateLoops(ctx context.Context) {
-	p.halls.updateRole(ctx)
 	var ranks []domain.Target
 	p.entry.fleet.with(func(r *membership.Roster, _ *routing.Balancer) { ranks = r.Ranks() })
+	p.halls.updateRole(ctx, ranks)
 	listed, halls := map[domain.InstanceID]bool{}, map[domain.HallName]bool{}
 	polled := p.halls.targetsToPoll(ranks)
 	for _, t := range ranks {
