membership: that no failures are reported of a group that stands still is decided in membership

lease.reportFailure in node/lease.go decided it, without a test. Now Roster.ReportFault does; the lease passes on whether the balancer sees the group step.

Behaviour stays the same.

--- a/membership/peer_ejection.go
+++ b/membership/peer_ejection.go
@@ -6,6 +6,22 @@
 	"clovertrail.dev/core/domain"
 )
 
+// Fault is a failure of a target that accepted a request of this box.
+type Fault struct {
+	Target domain.InstanceID
+	// GroupSteps states that the target's group takes steps; it is true for a target without a group.
+	GroupSteps bool
+}
+
+// ReportFault records the fault, as ReportFailure does, unless the target's whole group stands still, which
+// is not the fault of one rank.
+func (r *Roster) ReportFault(now time.Time, f Fault) (notify, ejected bool) {
+	if !f.GroupSteps {
+		return false, false
+	}
+	return r.ReportFailure(now, f.Target)
+}
+
 // ReportFailure records that the target accepted a request of this box and failed it by a fault
 // of its own. It returns whether other boxes should be notified at once, and whether the target
 // is ejected now.
--- a/node/lease.go
+++ b/node/lease.go
@@ -64,16 +64,12 @@
 
 // ResponseOverdue implements gateway.Lease.
 func (l *lease) ResponseOverdue() {
-	l.fleet.with(func(r *membership.Roster, b *routing.Balancer) { l.reportFailure(clock.Now(), r, b) })
+	l.fleet.with(func(r *membership.Roster, b *routing.Balancer) { l.reportFault(clock.Now(), r, b) })
 }
 
-// reportFailure records a failure of the target, unless its whole group has stopped stepping, which is
-// not the fault of one rank. The fleet's lock is held.
-func (l *lease) reportFailure(now time.Time, r *membership.Roster, b *routing.Balancer) {
-	if !b.IsStepping(now, l.option) {
-		return
-	}
-	notify, ejected := r.ReportFailure(now, l.target.ID())
+// reportFault records a fault of the target. The fleet's lock is held.
+func (l *lease) reportFault(now time.Time, r *membership.Roster, b *routing.Balancer) {
+	notify, ejected := r.ReportFault(now, membership.Fault{Target: l.target.ID(), GroupSteps: b.IsStepping(now, l.option)})
 	if notify {
 		l.fleet.onFailure()
 	}
@@ -125,7 +121,7 @@
 			r.Succeeded(now, l.target.ID())
 		case gateway.Bad:
 			r.Failed(now, l.target.ID())
-			l.reportFailure(now, r, b)
+			l.reportFault(now, r, b)
 		case gateway.Full:
 			r.Failed(now, l.target.ID())
 		case gateway.Unreachable, gateway.ProcessEnded:
