membership: what a box sends and applies of the list of targets is decided outside node

node/peering.go decided whether another box is sent the changes or the whole list (pull) and how that is applied (pullFrom), and node/view.go applied changes one by one before it raised the position. Now Roster.ListSince, ApplyFromPeer and ApplyChanges, and Evacuations.ApplyChanges, do; the shells encode, send and log. What a peer sent is applied under one hold of the lock in place of two.

Behaviour stays the same.

--- a/membership/evacuations.go
+++ b/membership/evacuations.go
@@ -96,6 +96,17 @@
 	return ok && known.at.Era() < u.At.Era()
 }
 
+// ApplyChanges applies changes, with which all changes up to the position are applied, and returns those that
+// changed whether a hall is being evacuated.
+func (e *Evacuations) ApplyChanges(at store.Position, changes []EvacuationUpdate) []EvacuationUpdate {
+	var changed []EvacuationUpdate
+	for _, u := range changes {
+		changed = append(changed, e.ApplyUpdate(u)...)
+	}
+	e.CaughtUp(at)
+	return changed
+}
+
 // ApplyUpdate applies one change. It returns the update if it changed whether the hall is being
 // evacuated, and nil otherwise.
 func (e *Evacuations) ApplyUpdate(u EvacuationUpdate) []EvacuationUpdate {
--- a/membership/list_changes.go
+++ b/membership/list_changes.go
@@ -17,6 +17,37 @@
 	r.CaughtUp(now, newest)
 }
 
+// ListForPeer is what a box that is behind receives of the list of targets.
+type ListForPeer struct {
+	At          store.Position
+	Updates     []TargetUpdate
+	ChangesOnly bool // the updates are the changes since the position of the other box, not the complete list
+}
+
+// ListSince returns what a box lacks that has all changes up to the position; false if it lacks nothing.
+// acceptsChanges states that the box can be sent changes only.
+func (r *Roster) ListSince(at store.Position, acceptsChanges bool) (ListForPeer, bool) {
+	if !r.Newest().After(at) {
+		return ListForPeer{}, false
+	}
+	if changes, known := r.ChangesSince(at); known && acceptsChanges {
+		return ListForPeer{At: r.Newest(), Updates: changes, ChangesOnly: true}, true
+	}
+	return ListForPeer{At: r.Newest(), Updates: r.All()}, true
+}
+
+// ApplyFromPeer applies what another box sent, and returns the updates that were not outdated.
+func (r *Roster) ApplyFromPeer(now time.Time, l ListForPeer) []TargetUpdate {
+	var applied []TargetUpdate
+	if l.ChangesOnly {
+		applied = r.ApplyChanges(now, l.At, l.Updates)
+	} else {
+		applied = r.ApplyList(now, l.At, l.Updates)
+	}
+	r.CaughtUpFromPeer(now, l.At)
+	return applied
+}
+
 // ChangesSince returns the changes of the list after the position, ordered by position, for a box that
 // has all changes up to it. It returns false if these changes are not known, because the position is of
 // another era or from before a removal that is not remembered any more; the box then needs the complete
--- a/membership/roster.go
+++ b/membership/roster.go
@@ -215,6 +215,17 @@
 	return applied
 }
 
+// ApplyChanges applies changes of the list, with which all changes up to the position are applied, and returns
+// those that were not outdated.
+func (r *Roster) ApplyChanges(now time.Time, at store.Position, changes []TargetUpdate) []TargetUpdate {
+	var applied []TargetUpdate
+	for _, u := range changes {
+		applied = append(applied, r.ApplyUpdate(now, u)...)
+	}
+	r.CaughtUp(now, at)
+	return applied
+}
+
 // ApplyUpdate applies one change of the list. It returns the update if it was applied, and nil if
 // it was outdated.
 func (r *Roster) ApplyUpdate(now time.Time, u TargetUpdate) []TargetUpdate {
--- a/node/peering.go
+++ b/node/peering.go
@@ -330,12 +330,7 @@
 		p.entry.common.Log.Error("list of targets from peer rejected, keeping the present one", "peer", c.Box, "err", err)
 		return
 	}
-	if got.ChangesOnly {
-		p.entry.view.applyChanges(got.At, updates, source)
-	} else {
-		p.entry.view.applyTargets(got.At, updates, source)
-	}
-	p.entry.fleet.with(func(r *membership.Roster, _ *routing.Balancer) { r.CaughtUpFromPeer(clock.Now(), got.At) })
+	p.entry.view.applyFromPeer(membership.ListForPeer{At: got.At, Updates: updates, ChangesOnly: got.ChangesOnly}, source)
 }
 
 // pull implements mesh.Pull.
@@ -345,13 +340,8 @@
 		out.Config = &mesh.Document{At: edition.At, Raw: raw}
 	}
 	p.entry.fleet.with(func(r *membership.Roster, _ *routing.Balancer) {
-		if r.Newest().After(q.Targets) {
-			updates, known := r.ChangesSince(q.Targets)
-			out.ChangesOnly = known && q.AcceptsChanges
-			if !out.ChangesOnly {
-				updates = r.All()
-			}
-			out.At, out.Targets = r.Newest(), mesh.NewTargetUpdates(clock.Now(), updates)
+		if l, lacks := r.ListSince(q.Targets, q.AcceptsChanges); lacks {
+			out.At, out.Targets, out.ChangesOnly = l.At, mesh.NewTargetUpdates(clock.Now(), l.Updates), l.ChangesOnly
 		}
 		if e := r.Evacuations(); e.Newest().After(q.Evacuations) {
 			out.Evacuations = mesh.NewEvacuationList(e.Newest(), e.All())
--- a/node/view.go
+++ b/node/view.go
@@ -66,23 +66,39 @@
 		known = r.At()
 		applied = r.ApplyList(now, at, list)
 	})
+	v.logIgnored(at, known, source)
+	v.fleet.forget(now)
+	v.reportUpdates(applied, source)
+}
+
+// logIgnored logs that a list was ignored, if it is older than what is known.
+func (v *view) logIgnored(at, known store.Position, source string) {
 	if known.After(at) {
 		v.common.Log.Warn("list of targets ignored, a later one is known", "at", at, "source", source, "known", known)
 	}
-	v.fleet.forget(now)
-	v.reportUpdates(applied, source)
 }
 
 // applyChanges applies changes of the list of targets from the source.
 func (v *view) applyChanges(at store.Position, updates []membership.TargetUpdate, source string) {
 	now := clock.Now()
 	var applied []membership.TargetUpdate
+	v.fleet.with(func(r *membership.Roster, _ *routing.Balancer) { applied = r.ApplyChanges(now, at, updates) })
+	v.fleet.forget(now)
+	v.reportUpdates(applied, source)
+}
+
+// applyFromPeer applies what another box sent of the list of targets.
+func (v *view) applyFromPeer(l membership.ListForPeer, source string) {
+	now := clock.Now()
+	var applied []membership.TargetUpdate
+	var known store.Position
 	v.fleet.with(func(r *membership.Roster, _ *routing.Balancer) {
-		for _, u := range updates {
-			applied = append(applied, r.ApplyUpdate(now, u)...)
-		}
-		r.CaughtUp(now, at)
+		known = r.At()
+		applied = r.ApplyFromPeer(now, l)
 	})
+	if !l.ChangesOnly {
+		v.logIgnored(l.At, known, source)
+	}
 	v.fleet.forget(now)
 	v.reportUpdates(applied, source)
 }
@@ -101,10 +117,7 @@
 func (v *view) applyEvacuationChanges(at store.Position, updates []membership.EvacuationUpdate, source string) {
 	var changed []membership.EvacuationUpdate
 	v.fleet.with(func(r *membership.Roster, _ *routing.Balancer) {
-		for _, u := range updates {
-			changed = append(changed, r.Evacuations().ApplyUpdate(u)...)
-		}
-		r.Evacuations().CaughtUp(at)
+		changed = r.Evacuations().ApplyChanges(at, updates)
 	})
 	v.reportEvacuations(changed, source)
 }
