--- a/membership/roster.go
+++ b/membership/roster.go
@@ -170,6 +170,16 @@
 	}
 }
 
+// HubReported records whether a hub that may follow the store for this box reports that it does. If it does
+// not, the store is unavailable to it, and entries that it reports as removed may only have lapsed.
+func (r *Roster) HubReported(now time.Time, followsStore bool) {
+	if followsStore {
+		r.StoreAvailable(now)
+	} else {
+		r.StoreUnavailable(now)
+	}
+}
+
 // TargetUpdate is one change of the list: an entry that was added, changed or removed.
 type TargetUpdate struct {
 	// ID is the instance to which the entry belongs. If Target is nil, it may be a listed id
@@ -206,6 +216,17 @@
 	return applied
 }
 
+// ApplyChanges applies changes of the list, with which all changes up to the position are applied, and returns
+// those that were not outdated.
+func (r *Roster) ApplyChanges(now time.Time, at store.Position, changes []TargetUpdate) []TargetUpdate {
+	var applied []TargetUpdate
+	for _, u := range changes {
+		applied = append(applied, r.ApplyUpdate(now, u)...)
+	}
+	r.CaughtUp(now, at)
+	return applied
+}
+
 // ApplyUpdate applies one change of the list. It returns the update if it was applied, and nil if
 // it was outdated.
 func (r *Roster) ApplyUpdate(now time.Time, u TargetUpdate) []TargetUpdate {
