gateway: a response that is broken off does not look complete to a caller that speaks HTTP/1.0

Such a response has no chunks, and a stream no length since resumed streams have none: its end was that of the connection, which the box closed properly when it broke the response off. The connection is reset now.

--- a/gateway/delivery.go
+++ b/gateway/delivery.go
@@ -96,7 +96,7 @@
 		}
 		if errors.Is(context.Cause(ctx), errSlowPeer) {
 			g.logAborted(req, d, fault.New(fault.SlowPeer, "%v", errSlowPeer))
-			panic(http.ErrAbortHandler) // closes the connection without the end of the response
+			abort(w, req.http)
 		}
 		switch c := cmd.(type) {
 		case retry.Try:
@@ -109,7 +109,7 @@
 			return
 		case retry.Abort:
 			g.logAborted(req, d, c.Err)
-			panic(http.ErrAbortHandler) // closes the connection without the end of the response
+			abort(w, req.http)
 		}
 	}
 }
--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -217,6 +217,14 @@
 	receivedSinceIdle atomic.Bool // bytes arrived since the connection became idle
 }
 
+// SetLinger sets what Close does with data that was not sent, as that of a net.TCPConn.
+func (c *trackedConn) SetLinger(seconds int) error {
+	if l, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		return l.SetLinger(seconds)
+	}
+	return errors.ErrUnsupported
+}
+
 // Read implements net.Conn.
 func (c *trackedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
