--- a/soak/soak.go
+++ b/soak/soak.go
@@ -87,15 +87,7 @@
 		callers.Go(func() { e.balancer.run(runCtx) })
 		actors.Go(func() { e.runSkews(end.Add(-coolDown)) })
 	}
-	if o.TargetLimits {
-		actors.Go(func() { e.runTargetLimits(runCtx, end.Add(-coolDown)) })
-	}
-	if o.Restores {
-		actors.Go(func() { e.runRestores(runCtx, end.Add(-coolDown)) })
-	}
-	if o.Evacuations {
-		actors.Go(func() { e.runEvacuations(runCtx, end.Add(-coolDown)) })
-	}
+	e.startActors(runCtx, end.Add(-coolDown), &actors)
 	if o.hasGroup() {
 		go e.group.Run(runCtx)
 	}
@@ -119,12 +111,6 @@
 	if o.Resumes {
 		e.startResumes(runCtx, end.Add(-coolDown), &callers, &actors)
 	}
-	if o.TargetRequests {
-		actors.Go(func() { e.runTargetRequests(runCtx, end.Add(-coolDown)) })
-	}
-	if o.EndlessResponses {
-		actors.Go(func() { e.runEndlessResponses(runCtx, end.Add(-coolDown)) })
-	}
 	rep := Report{Seed: o.Seed}
 	e.runActions(&rep, began, end.Add(-o.endOfActions()), &actors)
 	actors.Wait()
@@ -149,6 +135,22 @@
 	return b
 }
 
+// startActors starts what acts on targets and the store until the given time.
+func (e *environment) startActors(ctx context.Context, until time.Time, actors *sync.WaitGroup) {
+	o := e.options
+	for _, actor := range []struct {
+		enabled bool
+		run     func(ctx context.Context, until time.Time)
+	}{
+		{o.TargetLimits, e.runTargetLimits}, {o.Restores, e.runRestores}, {o.Evacuations, e.runEvacuations},
+		{o.TargetRequests, e.runTargetRequests}, {o.EndlessResponses, e.runEndlessResponses},
+	} {
+		if actor.enabled {
+			actors.Go(func() { actor.run(ctx, until) })
+		}
+	}
+}
+
 // startFatal starts the callers of requests and prompts that crash targets.
 func (e *environment) startFatal(ctx context.Context, callers *sync.WaitGroup) {
 	if e.options.FatalRequests {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -124,19 +124,21 @@
 
 // checkSamples reports checks that had nothing to judge.
 func checkSamples(t *testing.T, o soak.Options, r soak.Report) {
-	if o.Outages && r.Waited == 0 {
-		t.Errorf("seed %d: no request waited for the group: %s", o.Seed, r.OutageSummary)
-	}
-	if o.Pauses && r.Paused == 0 {
-		t.Errorf("seed %d: no request was under way at a box that was paused: %s", o.Seed, r.OutageSummary)
-	}
-	if o.Skews && len(r.SkewSummaries) == 0 || o.FatalPrompts && r.PromptSummary == "" {
-		t.Errorf("seed %d: no target ended, or no balancer handed most connections to one box", o.Seed)
-	}
-	if o.Resumes && min(r.Continued, r.Resumed, r.Moved, r.Outlasting) == 0 {
-		t.Errorf("seed %d: no stream continued an earlier response, was resumed or moved, or outlasted its deadline: %s", o.Seed, r.ResumeSummary)
-	}
-	if o.TargetCrashes && r.CrashSummary == "" || o.LateRequests && r.LateSummary == "" || o.EndlessResponses && r.EndlessSummary == "" {
-		t.Errorf("seed %d: no target was killed, no stream was sent to a stopping box, or no response without end was sent", o.Seed)
+	for _, check := range []struct {
+		missing bool
+		what    string
+	}{
+		{o.Outages && r.Waited == 0, "no request waited for the group: " + r.OutageSummary},
+		{o.Pauses && r.Paused == 0, "no request was under way at a box that was paused: " + r.OutageSummary},
+		{o.Skews && len(r.SkewSummaries) == 0, "no balancer handed most connections to one box"},
+		{o.FatalPrompts && r.PromptSummary == "", "no target ended under a prompt"},
+		{o.Resumes && min(r.Continued, r.Resumed, r.Moved, r.Outlasting) == 0, "no stream continued an earlier response, was resumed or moved, or outlasted its deadline: " + r.ResumeSummary},
+		{o.TargetCrashes && r.CrashSummary == "", "no target was killed"},
+		{o.LateRequests && r.LateSummary == "", "no stream was sent to a stopping box"},
+		{o.EndlessResponses && r.EndlessSummary == "", "no response without end was sent"},
+	} {
+		if check.missing {
+			t.Errorf("seed %d: %s", o.Seed, check.what)
+		}
 	}
 }
