membership: a listing in pages raises the position of a box to that of its first page only

Callers would see requests sent to targets that left, targets that are not used, and evacuations that have no effect or do not end, until the record changes again or the kind is listed anew; at boxes that are sent the list by another one too.

Cause: a listing is as of its first page, but a record on a later page may have a later revision. ApplyUpdate of the roster and of the evacuations raised the position to the revision of each record, in listings too. recordFollower.run passes that position to the follower, so that the next watch started after changes which had been made between the pages. The newest position that is told to other boxes was raised alike, so that they took themselves for complete, and watched from there.

The configuration is one record, and for quarantines the box states no position, so that both were right.

Fix: listings, and changes that another box sends, raise the position to that of the list and no further; Newest is not beyond it. The watch after a listing starts at its first page, and returns changes that were made since, those already listed without effect. No call is added where nothing changed between the pages; otherwise a watch returns at once with what was missed. ApplyUpdate alone still raises the position: it stands for a change that was received in order.

--- a/membership/evacuations.go
+++ b/membership/evacuations.go
@@ -27,7 +27,7 @@
 type Evacuations struct {
 	halls      map[domain.HallName]evacuation
 	position   store.Position // position up to which all changes are applied
-	newest     store.Position // position of the last change
+	newest     store.Position // position of the last change; may be after position
 	restoredAt time.Time      // when the first list of the present era was applied, if it is not the first era; else zero
 }
 
@@ -43,9 +43,9 @@
 // At returns the position up to which all changes are applied.
 func (e *Evacuations) At() store.Position { return e.position }
 
-// Newest returns the position of the last change. It may be before At, as other records of the store
-// change too.
-func (e *Evacuations) Newest() store.Position { return e.newest }
+// Newest returns the position of the last change, of those up to At. It may be before At, as other records of
+// the store change too.
+func (e *Evacuations) Newest() store.Position { return store.Earlier(e.newest, e.position) }
 
 // Active reports whether the hall is being evacuated.
 func (e *Evacuations) Active(hall domain.HallName) bool { return e.halls[hall].active }
@@ -63,7 +63,8 @@
 }
 
 // ApplyList applies the complete list of active evacuations as of the position, and returns the changes
-// that it makes. A list from before the position of At is ignored.
+// that it makes. A list from before the position of At is ignored. A list that was read in pages is as of its first
+// page, and may have updates of changes between the pages (Roster.ApplyList).
 func (e *Evacuations) ApplyList(now time.Time, at store.Position, list []EvacuationUpdate) []EvacuationUpdate {
 	if e.position.After(at) {
 		return nil
@@ -77,13 +78,13 @@
 	for _, u := range list {
 		listed[u.Hall] = true
 		if settled || !e.fromEarlierEra(u) {
-			changed = append(changed, e.ApplyUpdate(u)...)
+			changed = append(changed, e.apply(u)...)
 		}
 	}
 	for _, active := range e.All() {
 		end := EvacuationUpdate{Hall: active.Hall, At: at}
 		if !listed[active.Hall] && (settled || !e.fromEarlierEra(end)) {
-			changed = append(changed, e.ApplyUpdate(end)...)
+			changed = append(changed, e.apply(end)...)
 		}
 	}
 	e.CaughtUp(at)
@@ -101,22 +102,29 @@
 func (e *Evacuations) ApplyChanges(at store.Position, changes []EvacuationUpdate) []EvacuationUpdate {
 	var changed []EvacuationUpdate
 	for _, u := range changes {
-		changed = append(changed, e.ApplyUpdate(u)...)
+		changed = append(changed, e.apply(u)...)
 	}
 	e.CaughtUp(at)
 	return changed
 }
 
-// ApplyUpdate applies one change. It returns the update if it changed whether the hall is being
-// evacuated, and nil otherwise.
+// ApplyUpdate applies one change, with which all changes up to its position are applied. It returns the update if
+// it changed whether the hall is being evacuated, and nil otherwise.
 func (e *Evacuations) ApplyUpdate(u EvacuationUpdate) []EvacuationUpdate {
+	if u.At.After(e.halls[u.Hall].at) {
+		e.CaughtUp(u.At)
+	}
+	return e.apply(u)
+}
+
+// apply applies one change, regardless of which others are applied.
+func (e *Evacuations) apply(u EvacuationUpdate) []EvacuationUpdate {
 	known := e.halls[u.Hall]
 	if !u.At.After(known.at) {
 		return nil
 	}
 	e.halls[u.Hall] = evacuation{at: u.At, active: u.Active}
 	e.newest = store.Later(e.newest, u.At)
-	e.CaughtUp(u.At)
 	if u.Active == known.active {
 		return nil
 	}
--- a/membership/list_changes.go
+++ b/membership/list_changes.go
@@ -53,7 +53,7 @@
 // another era or from before a removal that is not remembered any more; the box then needs the complete
 // list.
 func (r *Roster) ChangesSince(at store.Position) ([]TargetUpdate, bool) {
-	if at.IsZero() || at.Era() != r.newest.Era() || r.purgedTo.After(at) {
+	if at.IsZero() || at.Era() != r.Newest().Era() || r.purgedTo.After(at) {
 		return nil, false
 	}
 	var list []TargetUpdate
--- a/membership/roster.go
+++ b/membership/roster.go
@@ -113,7 +113,7 @@
 type Roster struct {
 	policy        RosterPolicy
 	listPosition  store.Position // position up to which all changes of the list are applied
-	newest        store.Position // position of the last change of a target in the list
+	newest        store.Position // position of the last change of a target in the list; may be after listPosition
 	purgedTo      store.Position // position of the last removal that is not remembered any more
 	entries       map[domain.ListedID]*entry
 	byService     map[domain.ServiceName][]*entry // ordered by the ids of targets; emptied when a target comes or goes
@@ -153,9 +153,9 @@
 // At returns the position up to which all changes of the list are applied.
 func (r *Roster) At() store.Position { return r.listPosition }
 
-// Newest returns the position of the last change of a target in the list. It may be before At, as
-// other records of the store change too.
-func (r *Roster) Newest() store.Position { return r.newest }
+// Newest returns the position of the last change of a target in the list, of those up to At. It may be before
+// At, as other records of the store change too.
+func (r *Roster) Newest() store.Position { return store.Earlier(r.newest, r.listPosition) }
 
 // StoreUnavailable records that the store was found unavailable at the given time.
 func (r *Roster) StoreUnavailable(now time.Time) {
@@ -194,6 +194,9 @@
 
 // ApplyList applies the complete list as of the position, and returns the updates that were
 // applied. A list from before the position of the roster (At) is ignored.
+//
+// A list that was read in pages is as of its first page. It may have later updates, of changes between the
+// pages, while it lacks others from before them.
 func (r *Roster) ApplyList(now time.Time, at store.Position, list []TargetUpdate) []TargetUpdate {
 	if r.listPosition.After(at) {
 		return nil
@@ -203,11 +206,11 @@
 	var applied []TargetUpdate
 	for _, u := range list {
 		present[u.ID.ListedID()] = true
-		applied = append(applied, r.ApplyUpdate(now, u)...)
+		applied = append(applied, r.apply(now, u)...)
 	}
 	for id, e := range r.entries {
 		if !present[id] && e.removedAt.IsZero() && !e.lastChange.After(at) {
-			applied = append(applied, r.ApplyUpdate(now, TargetUpdate{ID: domain.InstanceID(id), At: at})...)
+			applied = append(applied, r.apply(now, TargetUpdate{ID: domain.InstanceID(id), At: at})...)
 		}
 	}
 	r.listPosition = store.Later(r.listPosition, at)
@@ -220,16 +223,22 @@
 func (r *Roster) ApplyChanges(now time.Time, at store.Position, changes []TargetUpdate) []TargetUpdate {
 	var applied []TargetUpdate
 	for _, u := range changes {
-		applied = append(applied, r.ApplyUpdate(now, u)...)
+		applied = append(applied, r.apply(now, u)...)
 	}
 	r.CaughtUp(now, at)
 	return applied
 }
 
-// ApplyUpdate applies one change of the list. It returns the update if it was applied, and nil if
-// it was outdated.
+// ApplyUpdate applies one change of the list, with which all changes up to its position are applied. It returns
+// the update if it was applied, and nil if it was outdated.
 func (r *Roster) ApplyUpdate(now time.Time, u TargetUpdate) []TargetUpdate {
-	r.listPosition, r.newest = store.Later(r.listPosition, u.At), store.Later(r.newest, u.At)
+	r.listPosition = store.Later(r.listPosition, u.At)
+	return r.apply(now, u)
+}
+
+// apply applies one change of the list, regardless of which others are applied.
+func (r *Roster) apply(now time.Time, u TargetUpdate) []TargetUpdate {
+	r.newest = store.Later(r.newest, u.At)
 	e, known := r.entries[u.ID.ListedID()]
 	if !known {
 		e = &entry{}
--- a/store/position.go
+++ b/store/position.go
@@ -47,6 +47,14 @@
 	return p
 }
 
+// Earlier returns the earlier of two positions.
+func Earlier(p, q Position) Position {
+	if q.After(p) {
+		return p
+	}
+	return q
+}
+
 // MarshalCBOR implements cbor.Marshaler.
 func (p Position) MarshalCBOR() ([]byte, error) {
 	return cbor.Marshal([2]uint64{uint64(p.era), uint64(p.revision)})
--- a/store/position_test.go
+++ b/store/position_test.go
@@ -120,3 +120,13 @@
 		t.Errorf("latest position %v, want 4/0", line.Latest())
 	}
 }
+
+func TestEarlierAndLaterOfTwoPositions(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		p, q := drawPosition(rt), drawPosition(rt)
+		earlier, later := store.Earlier(p, q), store.Later(p, q)
+		if earlier.After(later) || earlier != p && earlier != q || (earlier == p) != (later == q) && p != q || earlier != store.Earlier(q, p) {
+			rt.Errorf("of %v and %v the earlier is %v, the later %v", p, q, earlier, later)
+		}
+	})
+}
