membership: when adverts are sent, to whom, and from whom updates are pulled is decided outside node

node/peering.go decided which rounds are full, when the seeds and all works in quarantine are included, which adverts have the counts of requests, when the number of boxes that share bounds counts as changed, since when the box is behind and whom it pulls from, whether it needs all limits, whether it is isolated, and which boxes may try a work in quarantine. Now membership.AdvertRounds decides that, with deadlines in place of the times of the last rounds, and Evacuations.ListSince whether a box lacks evacuations. The shell calls, serves and encodes. The number of boxes is passed to budgets and balancer after the lock is released; one goroutine runs the rounds.

Behaviour stays the same.

--- a/membership/evacuations.go
+++ b/membership/evacuations.go
@@ -62,6 +62,15 @@
 	return list
 }
 
+// ListSince returns the complete list and its position for a box that has all changes up to the position at; false
+// if it lacks nothing.
+func (e *Evacuations) ListSince(at store.Position) (newest store.Position, list []EvacuationUpdate, lacks bool) {
+	if newest = e.Newest(); !newest.After(at) {
+		return store.Position{}, nil, false
+	}
+	return newest, e.All(), true
+}
+
 // ApplyList applies the complete list of active evacuations as of the position, and returns the changes
 // that it makes. A list from before the position of At is ignored. A list that was read in pages is as of its first
 // page, and may have updates of changes between the pages (Roster.ApplyList).
--- a/node/adverts.go
+++ b/node/adverts.go
@@ -38,7 +38,7 @@
 		Self: contactOf(p.self, 0), Hall: domain.HallName(p.entry.settings().Hall), Leaving: p.entry.gateway.Stopping(),
 		Config: progress.Config, Targets: progress.Targets, Evacuations: progress.Evacuations, UpdateOnly: changesOnly,
 		FailureReports: failureReports, LeavingTargets: leavers, WorkObservations: works, ClearedEnds: cleared, Trials: trials, Lifts: lifts,
-		Limits: limits, NeedsAllLimits: !p.hasAllLimits,
+		Limits: limits, NeedsAllLimits: p.rounds.NeedsAllLimits(),
 	}
 	if hasLimits {
 		a.Share = p.shareReport(now, usesFallback)
--- a/node/peering.go
+++ b/node/peering.go
@@ -17,9 +17,6 @@
 
 // Times and sizes of the exchange of adverts.
 const (
-	// advertInterval is the time between two rounds of adverts. Updates are sent at once; the
-	// rounds are for boxes that missed them.
-	advertInterval = 500 * time.Millisecond
 	// updateBatchDelay collects updates that follow each other quickly into one round.
 	updateBatchDelay = 30 * time.Millisecond
 	// peerCallTimeout bounds a call to another box.
@@ -29,17 +26,11 @@
 	// hundreds of boxes, these adverts list each box at least once within the time for which a box
 	// counts as alive.
 	maxAdvertised, maxAdvertisedOld = 16, 2
-	// seedInterval is the time between two adverts to the seeds by a box that has other peers:
-	// the seeds reconnect parts of the system that have lost contact with each other.
-	seedInterval = 5 * time.Second
-	// allWorksInterval is the time between two rounds in which a box reports all works in
-	// quarantine. A box that was cut off has to catch up within this time, and on average receives
-	// the works from several others in it.
-	allWorksInterval = 3 * time.Second
 )
 
 // peering sends other entry boxes the updates that this box has, and pulls from them the updates that
-// this box lacks, so that a box whose calls the store rejects still receives all updates.
+// this box lacks, so that a box whose calls the store rejects still receives all updates. When it does so, and
+// with which boxes, is decided by membership.AdvertRounds.
 //
 // Lock order: mu, then the locks of view and fleet.
 type peering struct {
@@ -49,28 +40,24 @@
 
 	mu           sync.Mutex
 	boxes        *membership.Boxes
+	rounds       *membership.AdvertRounds
 	calling      map[string]bool // calls in progress, by address; the key of a pull begins with "pull "
 	incarnations *membership.IncarnationTracker
-	behindSince  time.Time // when this box was first behind another; zero if it is not
-	seededAt     time.Time // time of the last advert to the seeds
-	allWorksAt   time.Time // time of the last round that reported all works in quarantine
-	boundSharers int       // the number of boxes that share bounds, as last logged
-	sharersKnown bool      // whether that number is known; false in the first rounds
-	hasAllLimits bool      // a box that has run for a while has sent this one all limits
 }
 
 func newPeering(e *Entry) *peering {
 	s := e.settings()
 	incarnations := membership.NewIncarnationTracker()
+	boxes := membership.NewBoxes(domain.BoxID(s.Box), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	return &peering{
 		entry: e, incarnations: incarnations,
 		self: membership.Contact{
 			Box: domain.BoxID(s.Box), Address: s.Peers, Incarnation: incarnations.Incarnation(),
 		},
-		wake:         make(chan struct{}, 1),
-		boxes:        membership.NewBoxes(domain.BoxID(s.Box), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
-		calling:      map[string]bool{},
-		boundSharers: 1,
+		wake:    make(chan struct{}, 1),
+		boxes:   boxes,
+		rounds:  membership.NewAdvertRounds(domain.HallName(s.Hall), boxes),
+		calling: map[string]bool{},
 	}
 }
 
@@ -92,11 +79,7 @@
 func (p *peering) fleet(now time.Time) quarantine.Fleet {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	f := quarantine.Fleet{Self: p.self.Box, Known: p.boxes.LimitSharers(now)}
-	if p.boxes.Settled(now) && !p.entry.gateway.Stopping() {
-		f.Reached = p.boxes.ReachableBoxes(now)
-	}
-	return f
+	return quarantine.Fleet{Self: p.self.Box, Known: p.boxes.LimitSharers(now), Reached: p.rounds.TrialBoxes(now, p.entry.gateway.Stopping())}
 }
 
 // issuer returns the box that issues the permits of the service; its name is empty if no issuer is
@@ -119,7 +102,7 @@
 func (p *peering) boundSharerCount() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.boundSharers
+	return p.rounds.BoundSharers()
 }
 
 // countInHall returns how many boxes of the hall are reachable, including this one.
@@ -137,8 +120,7 @@
 func (p *peering) isolated(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	known, last := p.boxes.OtherHalls(now, domain.HallName(p.entry.settings().Hall))
-	return known && now.Sub(last) > membership.ReachableFor
+	return p.rounds.Isolated(now)
 }
 
 // notify starts the next round at once.
@@ -173,61 +155,49 @@
 
 // run runs rounds of adverts until ctx ends.
 func (p *peering) run(ctx context.Context) {
-	var fullAt time.Time // time of the last full round, which lists other boxes besides sending updates
 	for ctx.Err() == nil {
-		full := clock.Since(fullAt) >= advertInterval
-		if full {
-			fullAt = clock.Now()
-		}
-		p.round(ctx, !full)
+		next := p.round(ctx)
 		select {
 		case <-ctx.Done():
 		case <-p.wake:
 			clock.SleepUntil(ctx, clock.Now().Add(updateBatchDelay))
-		case <-time.After(clock.Until(fullAt.Add(advertInterval))):
+		case <-time.After(clock.Until(next)):
 		}
 	}
 }
 
-// round sends adverts to some boxes, and pulls updates from one if this box is behind. If the round
-// is only for updates, the adverts list no other boxes.
-func (p *peering) round(ctx context.Context, updatesOnly bool) {
+// round sends adverts to some boxes, and pulls updates from one if this box is behind. It returns when the next
+// full round is due.
+func (p *peering) round(ctx context.Context) (nextFull time.Time) {
 	now := clock.Now()
-	var counts []mesh.RequestCounts
-	if !updatesOnly {
-		counts = p.entry.fleet.ownRequestCounts(now)
-	}
 	p.mu.Lock()
-	var addresses []string
-	for _, c := range p.boxes.PeersForAdvert(now, domain.HallName(p.entry.settings().Hall), !updatesOnly) {
-		addresses = append(addresses, c.Address)
-	}
-	peers := len(addresses)
-	if seeds := p.entry.settings().Seeds; len(seeds) > 0 && (len(addresses) == 0 || now.Sub(p.seededAt) > seedInterval) {
-		p.seededAt = now
-		addresses = append(addresses, seeds...)
-	}
-	if n := p.boxes.BoundSharers(now); n != p.boundSharers || !p.sharersKnown && p.boxes.Settled(now) {
-		p.sharersKnown = true
-		p.entry.common.Log.Info("number of boxes that share bounds changed", "boxes", n, "before", p.boundSharers)
-		p.boundSharers = n
-		p.entry.budgets.setBoxes(n)
-		p.entry.fleet.with(func(_ *membership.Roster, b *routing.Balancer) { b.SetBoxes(n) })
+	r := p.rounds.Begin(now, p.entry.settings().Seeds)
+	nextFull = p.rounds.NextFullAt()
+	p.mu.Unlock()
+	if r.SharersChanged {
+		p.applySharers(r)
 	}
-	allWorks := now.Sub(p.allWorksAt) >= allWorksInterval
-	if allWorks {
-		p.allWorksAt = now
+	var counts []mesh.RequestCounts
+	if r.Full {
+		counts = p.entry.fleet.ownRequestCounts(now)
 	}
-	p.mu.Unlock()
-	for i, a := range addresses {
+	for _, a := range r.Adverts {
 		sent := counts
-		if i >= peers {
-			sent = nil // a seed may be a box that is sent them already
+		if !a.Counts {
+			sent = nil
 		}
-		p.startCall(a, func() { p.exchange(ctx, a, updatesOnly, allWorks, sent) })
+		p.startCall(a.Address, func() { p.exchange(ctx, a.Address, r, sent) })
 	}
 	p.entry.limiting.dropFormerTurns(now) // the issuer also changes as time passes
 	p.catchUp(ctx)
+	return nextFull
+}
+
+// applySharers passes on how many boxes share bounds.
+func (p *peering) applySharers(r membership.Round) {
+	p.entry.common.Log.Info("number of boxes that share bounds changed", "boxes", r.Sharers, "before", r.SharersBefore)
+	p.entry.budgets.setBoxes(r.Sharers)
+	p.entry.fleet.with(func(_ *membership.Roster, b *routing.Balancer) { b.SetBoxes(r.Sharers) })
 }
 
 // startCall runs the call in the background unless a call with the same key in calling is in progress.
@@ -248,25 +218,23 @@
 
 // exchange exchanges adverts with the box at the address, and sends it the counts. A box that does not
 // respond is called again in a later round, without these counts.
-func (p *peering) exchange(ctx context.Context, address string, updatesOnly, allWorks bool, counts []mesh.RequestCounts) {
+func (p *peering) exchange(ctx context.Context, address string, r membership.Round, counts []mesh.RequestCounts) {
 	ctx, cancel := context.WithTimeout(ctx, peerCallTimeout)
 	defer cancel()
-	a := p.advert(updatesOnly, allWorks)
+	a := p.advert(!r.Full, r.AllWorks)
 	a.Organisations = counts
 	reply, err := mesh.Call[mesh.Advert, mesh.Advert](ctx, p.entry.mesh, address, mesh.ExchangeAdverts, a)
 	if err == nil {
 		p.supersede(reply.LatestIncarnation)
 		p.receive(reply)
-		p.noteAllLimits(reply)
+		p.recordReply(reply)
 	}
 }
 
-// noteAllLimits records whether the reply contains all limits, as the reply of a box that has run for
-// a while does.
-func (p *peering) noteAllLimits(reply *mesh.Advert) {
+func (p *peering) recordReply(reply *mesh.Advert) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.hasAllLimits = p.hasAllLimits || reply.Share != nil && reply.Share.Settled
+	p.rounds.Replied(shareReportFrom(reply.Share))
 }
 
 // supersede gives this process a higher incarnation than the one that another box has on record for
@@ -280,13 +248,10 @@
 	}
 }
 
-// trackBehind updates since when this box is behind another; mu is held.
+// trackBehind records whether this box is behind another, and starts a round if it still is after a while; mu is
+// held.
 func (p *peering) trackBehind(now time.Time, own membership.StoreProgress) {
-	switch behind := p.boxes.Behind(own); {
-	case !behind:
-		p.behindSince = time.Time{}
-	case p.behindSince.IsZero():
-		p.behindSince = now
+	if p.rounds.TrackBehind(now, own) {
 		time.AfterFunc(membership.PullDelay, p.notify)
 	}
 }
@@ -297,7 +262,7 @@
 	own := p.storeProgress()
 	p.mu.Lock()
 	p.trackBehind(now, own)
-	c, ok := p.boxes.ChoosePullPeer(now, own, p.behindSince)
+	c, ok := p.rounds.PullPeer(now, own)
 	p.mu.Unlock()
 	if ok {
 		p.startCall("pull "+c.Address, func() { p.pullFrom(ctx, c, own) })
@@ -343,8 +308,8 @@
 		if l, lacks := r.ListSince(q.Targets, q.AcceptsChanges); lacks {
 			out.At, out.Targets, out.ChangesOnly = l.At, mesh.NewTargetUpdates(clock.Now(), l.Updates), l.ChangesOnly
 		}
-		if e := r.Evacuations(); e.Newest().After(q.Evacuations) {
-			out.Evacuations = mesh.NewEvacuationList(e.Newest(), e.All())
+		if at, halls, lacks := r.Evacuations().ListSince(q.Evacuations); lacks {
+			out.Evacuations = mesh.NewEvacuationList(at, halls)
 		}
 	})
 	return out, nil
