quarantine: what follows from observations is decided outside the shell of package node

node/quarantine_sync.go decided which observations are written to the store, after which other targets are asked, which are notified at once, when the stored records are read (first start, isolation, restore) and which are written again, and when the next write is due. Now quarantine.Exchange decides that over the register, the reconciler and the outbox; the shell calls the store, the targets and the other boxes, and logs. Observations that arrive together are added under one hold of the lock, and logged after it.

Behaviour stays the same.

--- a/node/entry.go
+++ b/node/entry.go
@@ -62,7 +62,7 @@
 	e.mesh = mesh.NewClient(n.Dial, func(m mesh.Method, sent, received int) { c.Metrics.CountCall(string(m), sent, received) })
 	e.engines = process.HTTPClient(n)
 	e.timeline = &timeline{common: c}
-	e.quarantine = newQuarantineSync(c,
+	e.quarantine = newQuarantineSync(c, s.FirstStart,
 		func() { e.peering.notify() },
 		func(now time.Time) quarantine.Fleet { return e.peering.fleet(now) },
 		func() bool { return e.peering.isolated(clock.Now()) },
@@ -181,7 +181,7 @@
 		timeline:    e.timeline,
 	}
 	e.followStore(ctx, records)
-	go e.quarantine.run(ctx, records, e.settings().FirstStart)
+	go e.quarantine.run(ctx, records)
 	go e.followQuarantines(records).run(ctx)
 	go e.sweepConnections(ctx)
 	go e.checkReadiness(ctx)
--- a/node/quarantine_sync.go
+++ b/node/quarantine_sync.go
@@ -22,7 +22,8 @@
 // quarantineSync holds the box's register of works under which targets ended, and exchanges the
 // register with other boxes and with the store. The register is kept in the store because all boxes may
 // end at once, and must not send such work again after they restart. quarantineSync implements
-// gateway.Quarantine.
+// gateway.Quarantine. What follows from observations, and when the store is read and written, is decided by
+// quarantine.Exchange.
 //
 // Lock order: mu is the only lock, and no I/O is done under it.
 type quarantineSync struct {
@@ -36,32 +37,25 @@
 	isolated func() bool      // reports whether this box receives nothing from other halls, except through the store
 	era      func() store.Era // the latest era of the store that this box has observed
 
-	mu         sync.Mutex
-	rand       *rand.Rand
-	register   *quarantine.Register
-	reconciler *quarantine.Reconciler
-	outbox     *quarantine.Outbox
-	wake       chan struct{} // makes run look at the outbox at once
+	mu       sync.Mutex
+	rand     *rand.Rand
+	exchange *quarantine.Exchange
+	register *quarantine.Register // of the exchange
+	wake     chan struct{}        // makes run look for records to write at once
 }
 
-const (
-	// storeReadInterval is the time between two reads of the stored records by a box that has not
-	// read them yet or is isolated, and between a failed call and the next: a third of the time
-	// within which boxes have to receive each other's observations.
-	storeReadInterval = time.Second
-)
-
 // Sources of observations other than other boxes.
 const (
 	sourceOwn   = "own"
 	sourceStore = "store"
 )
 
-func newQuarantineSync(c telemetry.Common, notify func(), fleet func(time.Time) quarantine.Fleet, isolated func() bool, era func() store.Era) *quarantineSync {
-	r, rnd := quarantine.NewRegister(), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+func newQuarantineSync(c telemetry.Common, first bool, notify func(), fleet func(time.Time) quarantine.Fleet, isolated func() bool, era func() store.Era) *quarantineSync {
+	rnd := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	x := quarantine.NewExchange(rnd, clock.TimeOfDay, first)
 	return &quarantineSync{
-		common: c, notify: notify, changed: func() {}, siblings: func(domain.InstanceID) []domain.Target { return nil }, fleet: fleet, isolated: isolated, era: era, register: r, outbox: quarantine.NewOutbox(r, clock.TimeOfDay),
-		rand: rnd, reconciler: quarantine.NewReconciler(rnd), wake: make(chan struct{}, 1),
+		common: c, notify: notify, changed: func() {}, siblings: func(domain.InstanceID) []domain.Target { return nil }, fleet: fleet, isolated: isolated, era: era,
+		rand: rnd, exchange: x, register: x.Register(), wake: make(chan struct{}, 1),
 	}
 }
 
@@ -81,46 +75,51 @@
 
 // TargetEnded implements gateway.Quarantine.
 func (q *quarantineSync) TargetEnded(now time.Time, w call.Work, id domain.InstanceID) {
-	q.observe(now, sourceOwn, quarantine.EndsUnder(now, w, id))
+	q.observeOwn(now, quarantine.EndsUnder(now, w, id))
 }
 
 // WorkServed implements gateway.Quarantine.
 func (q *quarantineSync) WorkServed(now time.Time, w call.Work) {
-	q.observe(now, sourceOwn, quarantine.ServedBy(now, w))
+	q.observeOwn(now, quarantine.ServedBy(now, w))
 }
 
 // PartsServed implements gateway.Quarantine.
 func (q *quarantineSync) PartsServed(now time.Time, w call.Work) {
-	q.observe(now, sourceOwn, quarantine.PartsServedBy(now, w))
+	q.observeOwn(now, quarantine.PartsServedBy(now, w))
 }
 
-// observe adds observations from the source to the register, logs the changes, and notifies other
-// boxes if they need them at once.
-func (q *quarantineSync) observe(now time.Time, source string, list []quarantine.Observation) {
-	quarantined, changed := false, false
-	for _, o := range list {
-		q.mu.Lock()
-		change := q.register.Observe(now, o)
-		q.recordChange(now, o, change, source)
-		switch {
-		case source != sourceOwn:
-		case change == quarantine.Quarantined:
-			q.enqueue(o.Digest, q.outbox.AddWork(now, o.Digest))
-			clock.AfterFunc(now.Add(quarantine.SurveyDelay), func() { q.survey(o) })
-		case change == quarantine.Released:
-			q.enqueue(o.Digest, q.outbox.AddRecord(now, q.outbox.ServedRecord(o)))
-		}
-		q.mu.Unlock()
-		changed = changed || change != quarantine.Unchanged
-		if change == quarantine.Quarantined {
-			quarantined = true
-			q.noteBoxes(now, o.Digest)
-		}
+// observeOwn adds observations of this box.
+func (q *quarantineSync) observeOwn(now time.Time, list []quarantine.Observation) {
+	q.mu.Lock()
+	e := q.exchange.ObserveOwn(now, list)
+	q.mu.Unlock()
+	q.apply(now, sourceOwn, e)
+}
+
+// observeOthers adds observations from another source.
+func (q *quarantineSync) observeOthers(now time.Time, source string, list []quarantine.Observation) {
+	q.mu.Lock()
+	e := q.exchange.ObserveOthers(now, list)
+	q.mu.Unlock()
+	q.apply(now, source, e)
+}
+
+// apply carries out the effects of observations from the source.
+func (q *quarantineSync) apply(now time.Time, source string, e quarantine.Effects) {
+	for _, o := range e.Observed {
+		q.recordChange(now, o, source)
+	}
+	q.wakeWriter(e)
+	for _, o := range e.Surveys {
+		clock.AfterFunc(e.SurveyAt, func() { q.survey(o) })
 	}
-	if quarantined {
+	for _, d := range e.Quarantined {
+		q.noteBoxes(now, d)
+	}
+	if len(e.Quarantined) > 0 {
 		q.changed()
 	}
-	if quarantined || source == sourceOwn && changed {
+	if e.Notify {
 		q.notify()
 	}
 }
@@ -154,19 +153,18 @@
 	}
 }
 
-// recordChange logs and counts the change that an observation made; mu is held.
-func (q *quarantineSync) recordChange(now time.Time, w quarantine.Observation, change quarantine.Change, source string) {
-	attrs := []any{"digest", w.Digest, "target", w.Target, "ended", q.register.EndedTargets(w.Digest), "age", now.Sub(w.At), "source", source}
-	switch change {
+// recordChange logs and counts the change that an observation made.
+func (q *quarantineSync) recordChange(now time.Time, o quarantine.Observed, source string) {
+	attrs := []any{"digest", o.Digest, "target", o.Target, "ended", o.Ended, "age", now.Sub(o.At), "source", source}
+	switch o.Change {
 	case quarantine.Unchanged:
 	case quarantine.Updated:
-		if w.Target != "" {
+		if o.Target != "" {
 			q.common.Log.Warn("target ended under work", attrs...)
 		}
 	case quarantine.Quarantined:
-		until, _ := q.register.QuarantinedUntil(now, w.Digest)
 		q.common.Metrics.Count(telemetry.Quarantines, sourceKind(source), 1)
-		q.common.Log.Warn("work in quarantine", append(attrs, "left", until.Sub(now))...)
+		q.common.Log.Warn("work in quarantine", append(attrs, "left", o.Until.Sub(now))...)
 	case quarantine.Released:
 		q.common.Metrics.Count(telemetry.Quarantines, "released", 1)
 		q.common.Log.Info("work released from quarantine because a target served it", attrs...)
@@ -198,19 +196,20 @@
 	for _, w := range observations {
 		list = append(list, quarantine.ReceivedObservation(now, w.Digest, w.Target, w.Age))
 	}
-	q.observe(now, source, list)
+	q.observeOthers(now, source, list)
 }
 
 // receiveCleared adds the cleared ends that another box sent.
 func (q *quarantineSync) receiveCleared(now time.Time, list []mesh.WorkObservation, source string) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
+	cleared := make([]quarantine.Observation, 0, len(list))
 	for _, w := range list {
-		o := quarantine.Observation{Digest: w.Digest, Target: w.Target, At: now.Add(-w.Age)}
-		if q.register.ObserveCleared(now, o) == quarantine.Released {
-			o.Target = ""
-			q.recordChange(now, o, quarantine.Released, source)
-		}
+		cleared = append(cleared, quarantine.Observation{Digest: w.Digest, Target: w.Target, At: now.Add(-w.Age)})
+	}
+	q.mu.Lock()
+	released := q.exchange.ObserveCleared(now, cleared)
+	q.mu.Unlock()
+	for _, o := range released {
+		q.recordChange(now, o, source)
 	}
 }
 
@@ -234,10 +233,12 @@
 	return out
 }
 
-// enqueue makes run look at the outbox, to which the record of a work was added; mu is held.
-func (q *quarantineSync) enqueue(d call.Digest, added bool) {
-	if !added {
+// wakeWriter makes run write new records, and logs those that are not written.
+func (q *quarantineSync) wakeWriter(e quarantine.Effects) {
+	for _, d := range e.Dropped {
 		q.common.Log.Error("quarantine record not written to the store and dropped, too many are pending", "digest", d)
+	}
+	if !e.Write {
 		return
 	}
 	select {
@@ -247,16 +248,14 @@
 }
 
 // run reads the records of other boxes from the store and writes those of this box, until ctx ends.
-// If first is set, the whole system starts for the first time, and the store has no records to read.
-func (q *quarantineSync) run(ctx context.Context, s store.RecordStore, first bool) {
-	loaded := first
-	ticker := time.NewTicker(storeReadInterval)
+func (q *quarantineSync) run(ctx context.Context, s store.RecordStore) {
+	ticker := time.NewTicker(quarantine.RetryInterval)
 	defer ticker.Stop()
 	for {
-		if compare := q.comparisonDue(); compare || !loaded || q.isolated() {
-			loaded = q.load(ctx, s) || loaded
+		if q.readDue() {
+			q.load(ctx, s)
 		}
-		due := time.NewTimer(q.writePending(ctx, s))
+		due := time.NewTimer(clock.Until(q.writePending(ctx, s)))
 		select {
 		case <-ctx.Done():
 		case <-q.wake:
@@ -270,60 +269,37 @@
 	}
 }
 
-// comparisonDue reports whether the stored records are to be compared with the register, because the
-// store was restored and may have lost records that this box has.
-func (q *quarantineSync) comparisonDue() bool {
-	now, era := clock.Now(), q.era()
+// readDue reports whether the stored records are to be read now.
+func (q *quarantineSync) readDue() bool {
+	era, isolated := q.era(), q.isolated()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.reconciler.ObserveEra(now, era)
-	if !q.reconciler.Due(now) {
-		return false
-	}
-	if len(q.register.ToPersist(now)) == 0 && len(q.register.LiftsToPersist(now, quarantine.NewRegister())) == 0 {
-		q.reconciler.MarkCompared()
-		return false
-	}
-	return true
-}
-
-// compare enqueues the records of this box that the restored store lacks. names has the names of the
-// records in the store, and lifts the lifts that they state.
-func (q *quarantineSync) compare(now time.Time, names map[string]bool, lifts *quarantine.Register) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if !q.reconciler.Due(now) {
-		return
-	}
-	q.reconciler.MarkCompared()
-	for _, r := range q.outbox.Missing(now, names, lifts) {
-		q.common.Log.Warn("restored store lacks quarantine record, writing it again", "digest", r.Digest(), "record", r.Name())
-		q.enqueue(r.Digest(), q.outbox.AddRecord(now, r))
-	}
+	return q.exchange.ReadDue(clock.Now(), era, isolated)
 }
 
-// load adds the observations of the stored records, and reports whether the store answered. It removes
-// expired records from the store: nothing else removes them.
-func (q *quarantineSync) load(ctx context.Context, s store.RecordStore) bool {
+// load adds the observations of the stored records. It removes expired records from the store: nothing else
+// removes them.
+func (q *quarantineSync) load(ctx context.Context, s store.RecordStore) {
 	l, err := s.List(ctx, platform.Quarantines)
 	q.recordCall("list", err)
 	if err != nil {
-		return false
+		return
 	}
 	stored := q.readRecords(l.Records)
 	for _, name := range stored.Expired() {
 		q.recordCall("remove", s.Remove(ctx, platform.Quarantines, name))
 	}
-	names, lifts := map[string]bool{}, quarantine.NewRegister()
+	names := map[string]bool{}
 	for _, r := range l.Records {
 		names[r.Name] = true
 	}
-	now := clock.Now()
-	for _, lift := range stored.Lifts() {
-		lifts.ObserveLift(now, lift)
+	q.mu.Lock()
+	missing, e := q.exchange.MarkRead(clock.Now(), names, stored)
+	q.mu.Unlock()
+	for _, r := range missing {
+		q.common.Log.Warn("restored store lacks quarantine record, writing it again", "digest", r.Digest(), "record", r.Name())
 	}
-	q.compare(now, names, lifts)
-	return true
+	q.wakeWriter(e)
 }
 
 // readRecords adds what the stored records state to the register.
@@ -333,7 +309,7 @@
 	for _, lift := range stored.Lifts() {
 		q.observeLift(now, lift, sourceStore)
 	}
-	q.observe(now, sourceStore, stored.Observations())
+	q.observeOthers(now, sourceStore, stored.Observations())
 	return stored
 }
 
@@ -351,44 +327,36 @@
 	return decoded
 }
 
-// writePending writes the records that are due to the store, until a call fails, and returns the time until the next
-// one is due.
-func (q *quarantineSync) writePending(ctx context.Context, s store.RecordStore) time.Duration {
+// writePending writes the records that are due to the store, until a call fails, and returns when to call it
+// again.
+func (q *quarantineSync) writePending(ctx context.Context, s store.RecordStore) time.Time {
 	for {
-		next, due, wait := q.nextPending()
+		record, due, next := q.nextWrite()
 		if !due {
-			return wait
+			return next
 		}
-		spec, err := json.Marshal(next)
+		spec, err := json.Marshal(record)
 		if err == nil {
-			err = s.Create(ctx, platform.Quarantines, next.Name(), spec)
+			err = s.Create(ctx, platform.Quarantines, record.Name(), spec)
 		}
 		if errors.Is(err, store.ErrExists) {
 			err = nil // another box wrote it, or an earlier call succeeded though it returned an error
 		}
 		q.recordCall("create", err)
 		if err != nil {
-			return storeReadInterval
+			return clock.Now().Add(quarantine.RetryInterval)
 		}
 		q.mu.Lock()
-		q.outbox.Written()
+		q.exchange.Written()
 		q.mu.Unlock()
 	}
 }
 
-// nextPending returns the record that is due, or else the time until the next one is.
-func (q *quarantineSync) nextPending() (r quarantine.Record, due bool, wait time.Duration) {
-	now := clock.Now()
+// nextWrite returns the record that is due, or else when the next one may be.
+func (q *quarantineSync) nextWrite() (quarantine.Record, bool, time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if r, due = q.outbox.Next(now); due {
-		return r, true, 0
-	}
-	wait = storeReadInterval
-	if at, ok := q.outbox.NextDue(); ok {
-		wait = min(wait, at.Sub(now))
-	}
-	return r, false, wait
+	return q.exchange.NextWrite(clock.Now())
 }
 
 // recordCall counts a call to the store, and logs a failed one.
