store/follow: when a watch waits too long and whether the store answers is decided outside node

node/record_follower.go decided when a watch is ended because few boxes are left, that such a watch says nothing about the store, and when the store counts as lost or back. Now Timing.WaitsTooLong, Follower.WatchEnded and Availability do. What is left there: the bounds of the settings and the kinds that differ (followTiming, newRecordFollower, followQuarantines), and the wiring.

Behaviour stays the same.

--- a/node/record_follower.go
+++ b/node/record_follower.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -35,8 +34,8 @@
 	knownPosition func() store.Position        // returns the position up to which this box has the records, from the store or from peers
 	era           func() store.Era             // the latest era of the store that this box has observed
 
-	failing bool        // the store did not answer the last call
-	healthy atomic.Bool // the store answered the last call
+	availability follow.Availability
+	healthy      atomic.Bool // the store answered the last call
 }
 
 // relistSlack is added to the time in which the roster settles after a restore of the store; the
@@ -111,13 +110,13 @@
 	defer cancel()
 	returned := make(chan struct{})
 	defer close(returned)
-	go f.limitWait(returned, cancel, began, w.Wait)
+	go f.limitWait(returned, cancel, began, w)
 	c, err := f.feed.Watch(watchCtx, f.kind, w.Since, w.Wait)
 	if err != nil && watchCtx.Err() != nil && ctx.Err() == nil {
-		c, err = store.Changes{At: w.Since}, nil // limitWait cancelled the watch, which says nothing about the store
-	} else {
-		f.recordCall("watch", began, err)
+		f.follower.WatchEnded(clock.Now()) // limitWait cancelled the watch
+		return
 	}
+	f.recordCall("watch", began, err)
 	now := clock.Now()
 	if f.follower.Watched(now, c.At, err) && len(c.Events) > 0 {
 		f.follower.Changed(now)
@@ -125,15 +124,9 @@
 	}
 }
 
-// waitCheckInterval is the time between two checks of whether a watch waits too long.
-const waitCheckInterval = 250 * time.Millisecond
-
-// limitWait cancels a watch whose wait has become too long for the number of boxes that still follow
-// the store. The wait is long while many boxes follow the store; with few left, no other box would
-// notify this one of changes if the store had silently dropped the watch. A watch with a shorter wait that the
-// store does not answer fails by itself.
-func (f *recordFollower) limitWait(returned <-chan struct{}, cancel context.CancelFunc, began time.Time, wait time.Duration) {
-	ticker := time.NewTicker(waitCheckInterval)
+// limitWait cancels a watch that waits too long.
+func (f *recordFollower) limitWait(returned <-chan struct{}, cancel context.CancelFunc, began time.Time, w follow.Watch) {
+	ticker := time.NewTicker(follow.WaitCheckInterval)
 	defer ticker.Stop()
 	for {
 		select {
@@ -142,7 +135,7 @@
 		case <-ticker.C:
 		}
 		boxes, _ := f.peers()
-		if limit := f.timing.WaitFor(boxes); wait > limit && clock.Since(began) > limit+waitCheckInterval {
+		if f.timing.WaitsTooLong(w, clock.Since(began), boxes) {
 			cancel()
 			return
 		}
@@ -158,17 +151,16 @@
 	} else {
 		f.common.Metrics.Count(telemetry.PlatformCalls, name, 1)
 	}
-	failing := err != nil && !isHistoryLost(err)
-	f.healthy.Store(!failing)
-	f.onCall(!failing)
-	if failing != f.failing {
-		f.failing = failing
-		f.logAvailability(failing, err)
+	answered, changed := f.availability.Record(err)
+	f.healthy.Store(answered)
+	f.onCall(answered)
+	if changed {
+		f.logAvailability(answered, err)
 	}
 }
 
-func (f *recordFollower) logAvailability(failing bool, err error) {
-	if failing {
+func (f *recordFollower) logAvailability(answered bool, err error) {
+	if !answered {
 		f.common.Log.Warn("store lost", "kind", f.kind, "known_to", f.follower.Position(), "err", err)
 		return
 	}
@@ -307,5 +299,3 @@
 		follower: follow.New(timing, rnd), era: func() store.Era { return e.timeline.latest().Era() },
 	}
 }
-
-func isHistoryLost(err error) bool { return errors.Is(err, store.ErrHistoryLost) }
--- a/store/follow/follower.go
+++ b/store/follow/follower.go
@@ -165,6 +165,18 @@
 	return min(max(w, t.Wait), max(t.MaxWait, t.Wait))
 }
 
+// WaitCheckInterval is the time between two checks of whether a watch waits too long.
+const WaitCheckInterval = 250 * time.Millisecond
+
+// WaitsTooLong reports whether a watch that has waited for the given time is to be ended, since its wait has become too
+// long for the number of boxes that still watch. The wait is long while many boxes watch; with few left, no other box
+// would notify this one of changes if the store had silently dropped the watch. A watch with a shorter wait that the
+// store does not answer fails by itself.
+func (t Timing) WaitsTooLong(w Watch, waited time.Duration, boxes int) bool {
+	limit := t.WaitFor(boxes)
+	return w.Wait > limit && waited > limit+WaitCheckInterval
+}
+
 // nextWait returns the wait of the next watch, such that the watches of many boxes end at evenly
 // spread times. A change ends all of them at once, so the first wait after it depends on the box's
 // turn.
@@ -235,6 +247,9 @@
 	}
 }
 
+// WatchEnded records that the box itself ended the watch, which says nothing about the store.
+func (f *Follower) WatchEnded(now time.Time) { f.Watched(now, f.position, nil) }
+
 // loseHistory makes the follower list again: at once, unless it has just listed for the same reason.
 // A store that has already lost the changes since a recent listing is failing, so the follower pauses
 // first.
