--- a/membership/doc.go
+++ b/membership/doc.go
@@ -3,8 +3,9 @@
 //
 // A Roster merges the platform's list of targets, updates of that list from other boxes, the reports
 // of targets about themselves, and the outcomes of attempts into a standing of each target. Boxes
-// is the table of the other entry boxes; HallReporters selects the box to query about each other
-// data hall. None of them does I/O or reads a clock.
+// is the table of the other entry boxes; AdvertRounds decides when they are sent adverts, and from which
+// of them updates are pulled. HallMember decides what a box does for its data hall, and HallReporters which
+// box is queried about each other hall. None of them does I/O or reads a clock.
 //
 // # Usage
 //
--- a/quarantine/doc.go
+++ b/quarantine/doc.go
@@ -20,7 +20,8 @@
 //
 // A Register is a state machine without I/O: it takes observations and the time, and returns
 // changes. Observations of this box, of other boxes and of the platform's store are handled alike,
-// in whatever order they arrive.
+// in whatever order they arrive. An Exchange decides what follows from them: what other boxes are sent, what
+// is read from and written to the store, and when targets are asked.
 //
 // # Usage
 //
