gateway: tests that depended on 50 and 100 ms of real time

Traced: the fake target closed its listener 60 ms after its connection, and the box waits for that for 100 ms; the route's timeout of 50 ms passed before the request was sent, so that not run was the true answer. The listener now closes 20 ms after the first connection that it does not serve, and the timeouts are 400 ms. What is checked is the same.

--- a/gateway/fake_test.go
+++ b/gateway/fake_test.go
@@ -193,31 +193,36 @@
 	}
 }
 
-// endSlowly ends the process as the kernel does if it has many sockets: for a while its listener is open, and the connections
-// that arrive are reset at the end.
+// endSlowly ends the process as the kernel does if it has many sockets: its listener is open until a connection has arrived and
+// for some time after that, and the connections that arrive are reset at the end.
 func (x *target) endSlowly() {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.ending = true
-	time.AfterFunc(60*time.Millisecond, func() {
-		_ = x.l.Close()
-		x.mu.Lock()
-		defer x.mu.Unlock()
-		for _, c := range x.unserved {
-			_ = c.(*net.TCPConn).SetLinger(0) // fails only if the connection is closed already
-			_ = c.Close()
-		}
-	})
 }
 
 // addUnserved reports whether the process is ending, and keeps the connection in that case.
 func (x *target) addUnserved(c net.Conn) bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if x.ending {
-		x.unserved = append(x.unserved, c)
+	if !x.ending {
+		return false
+	}
+	if x.unserved = append(x.unserved, c); len(x.unserved) == 1 {
+		time.AfterFunc(20*time.Millisecond, x.resetUnserved)
+	}
+	return true
+}
+
+// resetUnserved ends the process.
+func (x *target) resetUnserved() {
+	_ = x.l.Close()
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for _, c := range x.unserved {
+		_ = c.(*net.TCPConn).SetLinger(0) // fails only if the connection is closed already
+		_ = c.Close()
 	}
-	return x.ending
 }
 
 // bulkBytes is more than the buffers of two connections hold.
@@ -527,7 +532,7 @@
 		{Name: "repeat", Prefix: "/repeat/", Kind: catalog.Repeatable, Timeout: 20 * time.Second},
 		{Name: "stream", Prefix: "/stream/", Kind: catalog.Stream, Resumable: true, Timeout: 20 * time.Second},
 		{Name: "stream-once", Prefix: "/stream-once/", Kind: catalog.Stream, Timeout: 20 * time.Second},
-		{Name: "short", Prefix: "/short/", Kind: catalog.Repeatable, Timeout: 50 * time.Millisecond},
+		{Name: "short", Prefix: "/short/", Kind: catalog.Repeatable, Timeout: 400 * time.Millisecond},
 		{Name: "brief", Prefix: "/brief/", Kind: catalog.Repeatable, Timeout: 4 * time.Second},
 		{Name: "paced", Prefix: "/paced/", Kind: catalog.Stream, Resumable: true, Timeout: 20 * time.Second, EventGapObjective: time.Nanosecond},
 		{Name: "paced-once", Prefix: "/paced-once/", Kind: catalog.Stream, Timeout: 20 * time.Second, EventGapObjective: time.Nanosecond},
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -183,7 +183,7 @@
 		headers []string
 	}{
 		{"route timeout", "/short/", hang, nil},
-		{"caller deadline", "/once/", hang, []string{"Left: 50ms"}},
+		{"caller deadline", "/once/", hang, []string{"Left: 400ms"}},
 		{"during a short response", "/short/", partialHead + hang, nil},
 	}
 	for _, tc := range tests {
