--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -13,6 +14,7 @@
 	"clovertrail.dev/core/call"
 	"clovertrail.dev/core/clock"
 	"clovertrail.dev/core/fault"
+	"clovertrail.dev/ending"
 	"clovertrail.dev/liveness"
 	"clovertrail.dev/retry"
 	"clovertrail.dev/telemetry"
@@ -29,13 +31,12 @@
 	firstByte    firstByteTimer // cancels the attempt if the response does not begin and another target can be tried
 	overdueTimer *clock.Timer   // reports the target if the response does not begin
 	began        bool           // the response has begun
-	events       int            // events that the target sent
-	lastEventsAt time.Time      // arrival of the last events of the stream
-	gap          time.Duration  // between the last two arrivals of events
-	longestGap   time.Duration  // between two arrivals of events
-	processEnded bool           // the target's process ended during the attempt
-	headReceived bool           // the head of a response to this request has arrived
-	sentAt       time.Time      // when the request was sent
+	arrivals     *ending.Arrivals
+	lastEventsAt time.Time     // arrival of the last events of the stream
+	gap          time.Duration // between the last two arrivals of events
+	processEnded bool          // the target's process ended during the attempt
+	headReceived bool          // the head of a response to this request has arrived
+	sentAt       time.Time     // when the request was sent
 }
 
 var errTargetUnavailable = errors.New("the target asked for rest, named a limit, or is leaving, before the request was sent")
@@ -290,7 +291,7 @@
 	case call.WrongInstance:
 		return retry.Declined{Err: fault.New(fault.StaleIncarnation, "another instance listens at %s", a.lease.Target().Address())}, Replaced
 	case call.Declined:
-		drain(resp)
+		a.exchange.Drain(resp)
 		return retry.Declined{Err: fault.New(fault.Overloaded, "the target responded with status %d and did not run the request", resp.StatusCode).RetryAt(a.callerRetryAt(now))}, Full
 	case call.Unrecognised:
 		return retry.Lost{Err: errors.New("the response did not come from the target")}, Bad
@@ -304,17 +305,27 @@
 
 // forward sends the response on to the caller.
 func (a *attempt) forward(ctx context.Context, resp *http.Response) (retry.Outcome, Verdict) {
-	if a.d.req.route.Kind() == catalog.Stream && resp.StatusCode == http.StatusOK {
+	switch {
+	case a.isStream(resp):
 		return a.forwardStream(ctx, resp)
+	case a.d.headSent:
+		err := fmt.Errorf("the target responded with status %d to a request to continue a stream", resp.StatusCode)
+		return retry.Broken{Err: err, Forwarded: true}, Neutral
+	default:
+		a.checkEnd(ctx, resp)
+		return a.forwardPlain(ctx, resp)
 	}
-	a.checkEnd(ctx, resp)
-	return a.forwardPlain(ctx, resp)
+}
+
+// isStream reports whether the response is a stream. No content continues a stream without a further event.
+func (a *attempt) isStream(resp *http.Response) bool {
+	return a.d.req.route.Kind() == catalog.Stream && (resp.StatusCode == http.StatusOK || a.d.headSent && resp.StatusCode == http.StatusNoContent)
 }
 
 // checkEnd makes the body of a response that ends with its connection fail unless it is complete.
 func (a *attempt) checkEnd(ctx context.Context, resp *http.Response) {
 	if endsWithConnection(resp) {
-		resp.Body = &connectionBody{ReadCloser: resp.Body, ended: func() error { return a.plainEnded(ctx) }}
+		resp.Body = &connectionBody{ReadCloser: resp.Body, ended: func(waited time.Duration) error { return a.plainEnded(ctx, waited) }}
 	}
 }
 
@@ -329,12 +340,6 @@
 	a.lease.ResponseStarted()
 }
 
-// drain reads a short body so that the connection can be reused.
-func drain(resp *http.Response) {
-	const maxBytes = 16 << 10
-	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxBytes)) // an error shows when the connection is reused
-}
-
 // callerRetryAt returns when the caller of a declined request should retry; zero if the target does
 // not state it. If the target's group has stopped and the service has no other target, that is close to
 // the longest time that callers honour. If the target asked for rest, its retry time does not apply to the other targets of
--- a/gateway/delivery.go
+++ b/gateway/delivery.go
@@ -35,6 +35,7 @@
 	headSent     bool   // the response head was sent to the caller
 	status       int    // status sent to the caller
 	after        string // ID of the last event sent to the caller; at first the one that the request names
+	unplaced     bool   // no target can continue after what was sent to the caller: the last event has no ID, or it is no stream
 	events       int
 	firstByteAt  time.Time         // when the response head was sent to the caller
 	lastEventsAt time.Time         // when the last events were sent to the caller
@@ -95,7 +96,7 @@
 		}
 		if errors.Is(context.Cause(ctx), errSlowPeer) {
 			g.logAborted(req, d, fault.New(fault.SlowPeer, "%v", errSlowPeer))
-			panic(http.ErrAbortHandler) // closes the connection without the end of the response
+			abort(w, req.http)
 		}
 		switch c := cmd.(type) {
 		case retry.Try:
@@ -108,7 +109,7 @@
 			return
 		case retry.Abort:
 			g.logAborted(req, d, c.Err)
-			panic(http.ErrAbortHandler) // closes the connection without the end of the response
+			abort(w, req.http)
 		}
 	}
 }
--- a/node/lease.go
+++ b/node/lease.go
@@ -18,7 +18,6 @@
 	option     routing.Option
 	ticket     *routing.Ticket
 	acquiredAt time.Time
-	epoch      uint64 // of the target's group when the target was chosen; 0 without a group
 	// permitted reports whether the target has a limit, and a permit is used for the attempt.
 	permitted bool
 }
@@ -64,16 +63,12 @@
 
 // ResponseOverdue implements gateway.Lease.
 func (l *lease) ResponseOverdue() {
-	l.fleet.with(func(r *membership.Roster, b *routing.Balancer) { l.reportFailure(clock.Now(), r, b) })
+	l.fleet.with(func(r *membership.Roster, b *routing.Balancer) { l.reportFault(clock.Now(), r, b) })
 }
 
-// reportFailure records a failure of the target, unless its whole group has stopped stepping, which is
-// not the fault of one rank. The fleet's lock is held.
-func (l *lease) reportFailure(now time.Time, r *membership.Roster, b *routing.Balancer) {
-	if !b.IsStepping(now, l.option) {
-		return
-	}
-	notify, ejected := r.ReportFailure(now, l.target.ID())
+// reportFault records a fault of the target. The fleet's lock is held.
+func (l *lease) reportFault(now time.Time, r *membership.Roster, b *routing.Balancer) {
+	notify, ejected := r.ReportFault(now, membership.Fault{Target: l.target.ID(), GroupSteps: b.IsStepping(now, l.option)})
 	if notify {
 		l.fleet.onFailure()
 	}
@@ -98,7 +93,7 @@
 func (l *lease) GroupInterrupted(now time.Time) bool {
 	l.fleet.mu.Lock()
 	defer l.fleet.mu.Unlock()
-	return l.fleet.roster.Formation(now, l.target.ID()).Interrupted(l.epoch)
+	return l.fleet.roster.GroupInterrupted(now, l.target.ID(), l.acquiredAt)
 }
 
 // ReportEventGap implements gateway.Lease.
@@ -125,7 +120,7 @@
 			r.Succeeded(now, l.target.ID())
 		case gateway.Bad:
 			r.Failed(now, l.target.ID())
-			l.reportFailure(now, r, b)
+			l.reportFault(now, r, b)
 		case gateway.Full:
 			r.Failed(now, l.target.ID())
 		case gateway.Unreachable, gateway.ProcessEnded:
--- a/soak/recorder.go
+++ b/soak/recorder.go
@@ -32,6 +32,9 @@
 	// routeVersion is the version of the configuration that added the route; 0 if every version has it.
 	routeVersion int
 	crashing     bool // whether targets that are killed serve the request
+	resuming     bool // whether its caller resumes streams
+	outlasts     bool // whether the stream lasts longer than the deadline of its request
+	hurried      bool // whether the deadline leaves little or no time beyond that of the stream
 	late         bool // whether the request is one on a kept connection of lateCallers
 	box          string
 	// boxStart is the start count of the box when the request was sent; unknownStart if the box was
@@ -87,6 +90,12 @@
 	targetCrashes     []time.Time // when targets of crashService were killed
 	crashSummary      string
 	lateSummary       string
+	resumedAfter      map[string]int // the last event after which targets of resumeService were told to go on, by request
+	slowRanks         []span         // times in which the group has a slow rank
+	resumes           resumeCounts
+	endless           map[string]*standin.Target // targets that sent responses without end
+	endlessSummary    string
+	peakMemory        []string // largest resident memory of boxes so far, after each time of such responses
 	// limitSummaries describe the requests sent in each limit period.
 	limitSummaries []string
 }
@@ -95,7 +104,7 @@
 	return &recorder{
 		priorities: p,
 		runs:       map[string][]standin.Run{}, attempts: map[string][]time.Time{}, stops: map[string][]span{}, drainingSince: map[string]time.Time{}, configStoredAt: map[int]time.Time{},
-		leavingReportedAt: map[string]time.Time{}, hallOf: map[string]string{},
+		leavingReportedAt: map[string]time.Time{}, hallOf: map[string]string{}, resumedAfter: map[string]int{}, endless: map[string]*standin.Target{},
 	}
 }
 
@@ -205,10 +214,12 @@
 	rec.checkFatalPrompts(violate)
 	rec.checkSkews(violate)
 	rec.checkRest(violate)
+	rec.checkEndless(violate)
 	rec.checkLeavingReported(violate)
 	rec.checkLimits(violate)
 	rec.checkLateRequests(violate)
 	rec.summarizeCrashes()
+	rec.countResumes()
 	return list
 }
 
@@ -241,7 +252,7 @@
 		return
 	}
 	for _, s := range rec.stops[ex.box] {
-		if ex.sentAt.Before(s.to) && ex.endedAt.After(s.from) && rec.faultFree(ex.box, ex.sentAt, ex.endedAt, scopeBox, scopeTarget) {
+		if ex.sentAt.Before(s.to) && ex.endedAt.After(s.from) && !rec.mayCut(ex) && rec.faultFree(ex.box, ex.sentAt, ex.endedAt, scopeBox, scopeTarget) {
 			violate("planned stop", "request %s to %s failed %v after the stop signal: %v", ex.request.ID, ex.box, ex.endedAt.Sub(s.from), ex.reply.Err)
 		}
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -18,8 +18,9 @@
 	// coolDown is the fault-free time at the end of a run: long enough for the process that was killed
 	// last to be back, and for the last bounds to pass.
 	coolDown = 6 * time.Second
-	// recoveryWindow is the last part of coolDown, in which requests must be served.
-	recoveryWindow = 2 * time.Second
+	// recoveryWindow is the last part of a run, in which requests must be served. It begins settleTime after the last action
+	// has ended at the earliest, when the box that was stopped last is ready again.
+	recoveryWindow, settleTime = 2 * time.Second, time.Second
 	// callerTimeout is the time-out of callers.
 	callerTimeout = 3 * time.Second
 	// callerPause is the pause of a caller between two requests.
@@ -41,13 +42,19 @@
 	LimitSummaries []string
 	// Waited is the number of requests to the group that were served although they had to wait.
 	Waited int
+	// Paused is the number of requests to the group that were under way at a box which was paused while the group stopped.
+	Paused int
 	// PromptSummary describes what became of fatal and sound prompts, and SkewSummaries of the requests while most
 	// connections went to one box.
 	PromptSummary string
 	SkewSummaries []string
 	// CrashSummary describes the responses of targets that were killed, LateSummary the streams that were sent to stopping boxes on
-	// kept connections.
-	CrashSummary, LateSummary string
+	// kept connections, EndlessSummary the responses without end.
+	CrashSummary, LateSummary, EndlessSummary string
+	// ResumeSummary describes the streams of callers that resume; Continued, Resumed, Moved and Outlasting count those that continued an
+	// earlier response, were resumed or moved by boxes, or outlasted their deadlines.
+	ResumeSummary                         string
+	Continued, Resumed, Moved, Outlasting int
 	// OutageSummary describes what became of the requests to the group; empty without outages.
 	OutageSummary string
 	Violations    []Violation
@@ -69,7 +76,7 @@
 	}
 	began := time.Now()
 	end := began.Add(o.Duration)
-	runCtx, cancel := context.WithDeadline(ctx, end)
+	runCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var callers, actors sync.WaitGroup
 	for n := range o.Callers {
@@ -80,14 +87,9 @@
 		callers.Go(func() { e.balancer.run(runCtx) })
 		actors.Go(func() { e.runSkews(end.Add(-coolDown)) })
 	}
-	if o.TargetLimits {
-		actors.Go(func() { e.runTargetLimits(runCtx, end.Add(-coolDown)) })
-	}
-	if o.Restores {
-		actors.Go(func() { e.runRestores(runCtx, end.Add(-coolDown)) })
-	}
-	if o.Evacuations {
-		actors.Go(func() { e.runEvacuations(runCtx, end.Add(-coolDown)) })
+	e.startActors(runCtx, end.Add(-coolDown), &actors)
+	if o.hasGroup() {
+		go e.group.Run(runCtx)
 	}
 	if o.Outages {
 		callers.Go(func() { e.sendGroupRequests(runCtx) })
@@ -106,23 +108,49 @@
 	if o.TargetCrashes {
 		actors.Go(func() { crashErr = e.runTargetCrashes(runCtx, end.Add(-coolDown)) })
 	}
-	if o.TargetRequests {
-		actors.Go(func() { e.runTargetRequests(runCtx, end.Add(-coolDown)) })
+	if o.Resumes {
+		e.startResumes(runCtx, end.Add(-coolDown), &callers, &actors)
 	}
 	rep := Report{Seed: o.Seed}
 	e.runActions(&rep, began, end.Add(-o.endOfActions()), &actors)
 	actors.Wait()
 	repaired := time.Now()
+	end = later(end, repaired.Add(settleTime+recoveryWindow))
+	time.AfterFunc(time.Until(end), cancel)
 	callers.Wait()
 	e.countAttempts()
 	rep.addGroupTotals(e.recorder)
 	rep.Violations, rep.LimitSummaries = e.recorder.violations(), e.recorder.limitSummaries
 	rep.PromptSummary, rep.SkewSummaries = e.recorder.promptSummary, e.recorder.skewSummaries
-	rep.CrashSummary, rep.LateSummary = e.recorder.crashSummary, e.recorder.lateSummary
+	rep.CrashSummary, rep.LateSummary, rep.EndlessSummary = e.recorder.crashSummary, e.recorder.lateSummary, e.recorder.endlessSummary
+	rep.addResumes(e.recorder.resumes)
 	rep.addTotals(e, repaired, end)
 	return rep, errors.Join(crashErr, ctx.Err())
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// startActors starts what acts on targets and the store until the given time.
+func (e *environment) startActors(ctx context.Context, until time.Time, actors *sync.WaitGroup) {
+	o := e.options
+	for _, actor := range []struct {
+		enabled bool
+		run     func(ctx context.Context, until time.Time)
+	}{
+		{o.TargetLimits, e.runTargetLimits}, {o.Restores, e.runRestores}, {o.Evacuations, e.runEvacuations},
+		{o.TargetRequests, e.runTargetRequests}, {o.EndlessResponses, e.runEndlessResponses},
+	} {
+		if actor.enabled {
+			actors.Go(func() { actor.run(ctx, until) })
+		}
+	}
+}
+
 // startFatal starts the callers of requests and prompts that crash targets.
 func (e *environment) startFatal(ctx context.Context, callers *sync.WaitGroup) {
 	if e.options.FatalRequests {
@@ -237,7 +265,7 @@
 const unknownStart = -1
 
 // addTotals counts the requests and those served, and adds a violation if fewer than nine in ten
-// were served in recoveryWindow.
+// of those whose deadlines leave enough time were served in recoveryWindow.
 func (rep *Report) addTotals(e *environment, repaired, end time.Time) {
 	var last, lastServed int
 	from := end.Add(-recoveryWindow)
@@ -247,7 +275,7 @@
 		if ex.reply.Correct {
 			rep.Served++
 		}
-		if ex.sentAt.After(from) {
+		if ex.sentAt.After(from) && !ex.hurried {
 			last++
 			if ex.reply.Correct {
 				lastServed++
--- a/transport/exchange.go
+++ b/transport/exchange.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"clovertrail.dev/core/clock"
+	"clovertrail.dev/core/limit"
 	"clovertrail.dev/liveness"
 )
 
@@ -29,6 +30,10 @@
 // maxResponses limits the responses that are read on a connection until the awaited one.
 const maxResponses = 4
 
+// maxSkippedBytes limits the body of a response that is skipped, which is read within some 35 ms at 1,000 Mbit/s. Longer ones are too
+// rare to be worth a wait.
+const maxSkippedBytes = 4 << 20
+
 // Reused reports whether the connection had served an earlier request.
 func (x *Exchange) Reused() bool { return x.reused }
 
@@ -82,30 +87,40 @@
 		if resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 			return nil, errForeignResponses // no other response can follow
 		}
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		if _, err := io.Copy(io.Discard, limit.NewReader(resp.Body, "the body of a response to another request", maxSkippedBytes)); err != nil {
 			return nil, err
 		}
 	}
 	return nil, errForeignResponses
 }
 
-// readResponse reads one final response and skips the interim responses before it.
+// readResponse reads one final response and skips the interim responses before it. It returns a *limit.Error if their heads are
+// longer than maxHeadBytes.
 func (x *Exchange) readResponse(r *http.Request) (*http.Response, error) {
+	x.conn.head.begin()
 	for {
 		resp, err := http.ReadResponse(x.conn.read, r)
 		if err != nil {
-			return nil, err
+			return nil, x.conn.head.end(err)
 		}
 		if resp.StatusCode >= http.StatusOK {
-			return resp, nil
+			return resp, x.conn.head.end(nil)
 		}
 	}
 }
 
-// drainBody reads a short body so that the connection can be used again.
-func drainBody(r *http.Response) {
-	const maxBytes = 16 << 10
-	_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, maxBytes)) // an error shows when the connection is used again
+const (
+	// maxDrainBytes and maxDrainTime limit the rest of a response that is read only so that its connection can be used again:
+	// what follows its head at once, since a new connection costs little more.
+	maxDrainBytes = 16 << 10
+	maxDrainTime  = 50 * time.Millisecond
+)
+
+// Drain reads the rest of the response if it is short and arrives soon, so that the connection can be used again.
+func (x *Exchange) Drain(r *http.Response) {
+	_ = x.conn.net.SetReadDeadline(time.Now().Add(maxDrainTime))      // fails only on a closed connection
+	_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, maxDrainBytes)) // a rest that was not read shows in complete
+	_ = x.conn.net.SetReadDeadline(time.Time{})
 }
 
 // trackedBody records that the body was read to its end.
