--- a/gateway/continuation_test.go
+++ b/gateway/continuation_test.go
@@ -8,7 +8,7 @@
 )
 
 // TestStreamIsNotContinuedWithoutPosition guards against a stream that begins again in the middle of a response: after an event
-// without an ID no target can tell where to go on.
+// without an ID no target can determine where to go on.
 func TestStreamIsNotContinuedWithoutPosition(t *testing.T) {
 	const plain = "data: a\n\n"
 	again := secondHead + eventChunk(plain+plain) + lastChunk
--- a/membership/hall_member.go
+++ b/membership/hall_member.go
@@ -132,7 +132,7 @@
 	return m.role != Standalone && now.Before(m.hubReliedOnTill)
 }
 
-// ReportsFollowing reports whether the box tells others that it follows the store; storeHealthy states
+// ReportsFollowing reports whether the box reports to others that it follows the store; storeHealthy states
 // that it does so itself and that the store answers. A follower may rely on a hub that has ended since.
 func (m *HallMember) ReportsFollowing(now time.Time, storeHealthy bool) bool {
 	return m.role != Follower && (storeHealthy || m.HubFollowsStore(now))
--- a/membership/hall_member_test.go
+++ b/membership/hall_member_test.go
@@ -71,7 +71,7 @@
 	}
 }
 
-// TestFollowingTheStoreForTheHall covers who relies on a hub to follow the store, and what a box tells others.
+// TestFollowingTheStoreForTheHall covers who relies on a hub to follow the store, and what a box reports to others.
 func TestFollowingTheStoreForTheHall(t *testing.T) {
 	const stale = time.Second // a hub is relied on for less than that
 	for _, tt := range []struct {
--- a/quarantine/exchange.go
+++ b/quarantine/exchange.go
@@ -13,7 +13,7 @@
 // other's observations.
 const RetryInterval = time.Second
 
-// Exchange decides what a box does about works in quarantine: what it tells other boxes, when it reads the stored
+// Exchange decides what a box does about works in quarantine: what it reports to other boxes, when it reads the stored
 // records, what it writes to the store, and when it asks targets whether they ended too.
 //
 // It does no I/O and is not safe for concurrent use.
--- a/retry/outcome.go
+++ b/retry/outcome.go
@@ -36,7 +36,7 @@
 	Err error
 	// Forwarded reports that the caller has a part of the answer.
 	Forwarded bool
-	// Unresumable reports that no target can tell where that part ends, so that none may continue the answer.
+	// Unresumable reports that no target can determine where that part ends, so that none may continue the answer.
 	Unresumable bool
 }
 
--- a/soak/recorder.go
+++ b/soak/recorder.go
@@ -90,7 +90,7 @@
 	targetCrashes     []time.Time // when targets of crashService were killed
 	crashSummary      string
 	lateSummary       string
-	resumedAfter      map[string]int // the last event after which targets of resumeService were told to go on, by request
+	resumedAfter      map[string]int // the last event after which targets of resumeService were asked to continue, by request
 	slowRanks         []span         // times in which the group has a slow rank
 	resumes           resumeCounts
 	endless           map[string]*standin.Target // targets that sent responses without end
--- a/store/follow/paged_listing_test.go
+++ b/store/follow/paged_listing_test.go
@@ -336,7 +336,7 @@
 	})
 }
 
-// TestChangesBetweenPagesReachOtherBoxes guards against a box that tells others, after a listing in pages, that it has
+// TestChangesBetweenPagesReachOtherBoxes guards against a box that reports to others, after a listing in pages, that it has
 // all changes up to one of which it lacks earlier ones.
 func TestChangesBetweenPagesReachOtherBoxes(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
