--- a/review/_standin2/system.go
+++ b/review/_standin2/system.go
@@ -69,13 +69,23 @@
 	_, _ = fmt.Fprintf(s.record, "%8.3f  %s\n", time.Since(s.start).Seconds(), fmt.Sprintf(format, args...))
 }
 
+// lastPort is the port that freeAddress has returned last. The ports lie below those that the system gives to outgoing connections.
+var lastPort = 10000 + os.Getpid()%400*50
+
+// freeAddress returns an address at which nothing listens. It returns each one once.
 func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return ""
+	for range 1000 {
+		lastPort++
+		if lastPort >= 32000 {
+			lastPort = 10000
+		}
+		address := fmt.Sprintf("127.0.0.1:%d", lastPort)
+		if l, err := net.Listen("tcp", address); err == nil {
+			_ = l.Close()
+			return address
+		}
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	return ""
 }
 
 // startBoxes starts entry boxes with the command of the deploy file, one in each hall.
@@ -177,10 +187,15 @@
 	}
 	p := &process{name: "worker " + id}
 	s.mu.Lock()
-	if before, ok := s.workers[id]; ok {
-		options = append(slices.Clone(options), "-address", before.address)
-	}
+	before, ok := s.workers[id]
 	s.mu.Unlock()
+	address := ""
+	if ok {
+		address = before.address
+	} else {
+		address = freeAddress()
+	}
+	options = append(slices.Clone(options), "-address", address)
 	p.cmd = exec.Command(os.Args[0], append([]string{"worker", "-id", id}, options...)...)
 	p.cmd.Stderr = os.Stderr
 	out, err := p.cmd.StdoutPipe()
