node: a process outlives the reader of its log

What callers saw: requests of a box ended with it as soon as nobody read its output any more; an agent ended likewise. Nothing was logged. The platform starts the process again, with the same output.

Cause: Go ends a process on SIGPIPE for descriptors 1 and 2 unless the signal is ignored or received.

Change: the signal is ignored, writes fail, and lines that are lost so are counted under their own reason. A reader that is gone does not come back on a pipe, so nothing is tried again.

Ruled out: a reader that stands still is another fault.

--- /dev/null
+++ b/cmd/clovertrail-node/harness_test.go
@@ -0,0 +1,211 @@
+package main_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// endTimeout bounds the wait for an event that is certain to come.
+const endTimeout = 20 * time.Second
+
+// program is the path of the program under test.
+var program string
+
+func TestMain(m *testing.M) { os.Exit(runTests(m)) }
+
+func runTests(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "clovertrail-node")
+	if err != nil {
+		panic(err)
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	program = filepath.Join(dir, "clovertrail-node")
+	if out, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput(); err != nil {
+		panic(fmt.Sprintf("build of clovertrail-node: %v: %s", err, out))
+	}
+	return m.Run()
+}
+
+// lastPort is the port that was last given out. The ports are below those that the kernel gives to outgoing connections.
+var lastPort atomic.Int32
+
+// unusedAddress returns a loopback address that nothing else uses: its IP belongs to this process.
+func unusedAddress() string {
+	pid := os.Getpid()
+	ip := net.IPv4(127, byte(64+pid>>16), byte(pid>>8), byte(pid))
+	return net.JoinHostPort(ip.String(), strconv.Itoa(10000+int(lastPort.Add(1))))
+}
+
+// node is a process of the program with its settings.
+type node struct {
+	role     string
+	settings map[string]any
+	command  *exec.Cmd
+	ended    chan struct{} // closed when the process has ended
+	log      *os.File
+}
+
+// newNodes returns an entry box and an agent that are not started. Their store and engine do not exist.
+func newNodes(t *testing.T) []*node {
+	t.Helper()
+	entry := map[string]any{"box": "e", "hall": "h", "store": unusedAddress()}
+	for _, name := range entryAddresses {
+		entry[name] = unusedAddress()
+	}
+	agent := map[string]any{"box": "a", "hall": "h", "engine": unusedAddress(), "peers": unusedAddress(), "metrics": unusedAddress()}
+	return []*node{{role: "entry", settings: entry}, {role: "agent", settings: agent}}
+}
+
+// entryAddresses are the settings of an entry box that are addresses on which it listens.
+var entryAddresses = []string{"callers", "ready", "peers", "meeting", "metrics"}
+
+// with sets a setting.
+func (n *node) with(name string, value any) *node {
+	n.settings = maps.Clone(n.settings)
+	n.settings[name] = value
+	return n
+}
+
+// start starts the process with its output in a file.
+func (n *node) start(t *testing.T) {
+	t.Helper()
+	f, err := os.Create(filepath.Join(t.TempDir(), "log"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = f.Close() })
+	n.log = f
+	n.startWithOutput(t, f)
+}
+
+// startWithOutput starts the process with the output.
+func (n *node) startWithOutput(t *testing.T, output *os.File) {
+	t.Helper()
+	raw, err := json.Marshal(n.settings)
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(t.TempDir(), "settings.json")
+	if err := os.WriteFile(path, raw, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	c := exec.Command(program, n.role)
+	c.Env = append(os.Environ(), "CLOVERTRAIL_BOOT="+path)
+	c.Stdout, c.Stderr = output, output
+	if err := c.Start(); err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan struct{})
+	go func() {
+		_ = c.Wait() // ProcessState has the result
+		close(ended)
+	}()
+	n.command, n.ended = c, ended
+	t.Cleanup(func() {
+		_ = c.Process.Kill() // fails if the process has ended
+		<-ended
+	})
+}
+
+// hasEnded reports whether the process has ended.
+func (n *node) hasEnded() bool {
+	select {
+	case <-n.ended:
+		return true
+	default:
+		return false
+	}
+}
+
+// awaitLine waits until the process has logged the text.
+func (n *node) awaitLine(t *testing.T, text string) {
+	t.Helper()
+	n.await(t, "a line with "+strconv.Quote(text), func() bool { return bytes.Contains(n.logged(t), []byte(text)) })
+}
+
+func (n *node) logged(t *testing.T) []byte {
+	t.Helper()
+	out, err := os.ReadFile(n.log.Name())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return out
+}
+
+// await waits until the condition of the running process holds.
+func (n *node) await(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(endTimeout); !holds(); time.Sleep(2 * time.Millisecond) {
+		if n.hasEnded() {
+			t.Fatalf("%s: the process ended (%v) before %s", n.role, n.command.ProcessState, what)
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("%s: no %s within %v", n.role, what, endTimeout)
+		}
+	}
+}
+
+// signal sends the signal to the process, which must run.
+func (n *node) signal(t *testing.T, s syscall.Signal) {
+	t.Helper()
+	if n.hasEnded() {
+		t.Fatalf("%s: the process has ended: %v", n.role, n.command.ProcessState)
+	}
+	if err := n.command.Process.Signal(s); err != nil {
+		t.Fatalf("%s: %v", n.role, err)
+	}
+}
+
+// stop sends the stop signal, and expects that the process ends without an error within the timeout.
+func (n *node) stop(t *testing.T, timeout time.Duration) {
+	t.Helper()
+	n.signal(t, syscall.SIGTERM)
+	select {
+	case <-n.ended:
+		if !n.command.ProcessState.Success() {
+			t.Errorf("%s: the stopped process ended with %v", n.role, n.command.ProcessState)
+		}
+	case <-time.After(timeout):
+		t.Errorf("%s: the process did not end within %v after the stop signal", n.role, timeout)
+	}
+}
+
+// pipe returns a pipe with the smallest buffer.
+func pipe(t *testing.T) (r, w *os.File) {
+	t.Helper()
+	r, w, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		_ = r.Close() // both may be closed already
+		_ = w.Close()
+	})
+	if _, err := unix.FcntlInt(w.Fd(), unix.F_SETPIPE_SZ, os.Getpagesize()); err != nil {
+		t.Fatal(err)
+	}
+	return r, w
+}
+
+// accepts reports whether something accepts connections at the address.
+func accepts(address string) bool {
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		return false
+	}
+	_ = c.Close()
+	return true
+}
--- /dev/null
+++ b/cmd/clovertrail-node/main_test.go
@@ -0,0 +1,29 @@
+package main_test
+
+import (
+	"syscall"
+	"testing"
+	"time"
+)
+
+// stopTime is the time that the default settings give a planned stop.
+const stopTime = 8 * time.Second
+
+// TestProcessOutlivesReaderOfItsLog guards against a process that ends at its next log line since the reader of its output has gone.
+func TestProcessOutlivesReaderOfItsLog(t *testing.T) {
+	for _, n := range newNodes(t) {
+		r, w := pipe(t)
+		n.startWithOutput(t, w)
+		_ = w.Close()
+		if _, err := r.Read(make([]byte, 1)); err != nil { // the process has begun to log
+			t.Fatal(err)
+		}
+		_ = r.Close()
+		n.await(t, "metrics", func() bool { return accepts(n.settings["metrics"].(string)) })
+		for range 5 {
+			n.signal(t, syscall.SIGHUP)             // logs a line
+			time.Sleep(2 * 100 * time.Millisecond) // lines are written every 100 ms
+		}
+		n.stop(t, stopTime)
+	}
+}
--- a/node/process/signals.go
+++ b/node/process/signals.go
@@ -16,8 +16,10 @@
 }
 
 // NotifySignals begins to receive signals. A process calls it before anything else, because signals that
-// arrive earlier end it.
+// arrive earlier end it. From then on a write to a standard output that nobody reads fails, where the runtime would
+// otherwise end the process.
 func NotifySignals() *Signals {
+	signal.Ignore(syscall.SIGPIPE)
 	s := &Signals{
 		stopSignals: make(chan os.Signal, 1), reloadSignals: make(chan os.Signal, 1),
 		stop: make(chan struct{}), changed: make(chan struct{}, 1),
--- a/telemetry/line_writer.go
+++ b/telemetry/line_writer.go
@@ -112,7 +112,9 @@
 	l.mu.Unlock()
 	for len(out) > 0 {
 		n := wholeLines(out)
-		_, _ = l.out.Write(out[:n]) // the log itself is the only place to report an error to
+		if _, err := l.out.Write(out[:n]); err != nil { // the log itself is the only place to report the error to
+			l.metrics.Count(LinesDropped, "output failed", bytes.Count(out[:n], []byte("\n")))
+		}
 		out = out[n:]
 	}
 }
--- a/telemetry/line_writer_test.go
+++ b/telemetry/line_writer_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -152,3 +153,21 @@
 		t.Errorf("wrote %d bytes, want the %d logged ones unchanged", len(got), len(want)+len(long))
 	}
 }
+
+// failingWriter is an output that nobody reads any more.
+type failingWriter struct{}
+
+func (failingWriter) Write([]byte) (int, error) { return 0, syscall.EPIPE }
+
+// TestLinesOfFailedOutputAreCounted guards against log lines that are lost without a trace.
+func TestLinesOfFailedOutputAreCounted(t *testing.T) {
+	m := telemetry.NewMetrics()
+	l := telemetry.NewLineWriter(failingWriter{}, m, 1<<20)
+	for i := range 3 {
+		mustPrint(t, l, fmt.Sprintf("line %d\n", i))
+	}
+	l.Flush()
+	if got := m.Totals(telemetry.LinesDropped)["output failed"]; got != 3 {
+		t.Errorf("%v lines were counted, want 3", got)
+	}
+}
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -38,7 +38,7 @@
 	Permits       Name = "clovertrail_permits_total"              // reason: "issuer", "own part" (fallback share), "none" (request without success)
 	Suspensions   Name = "clovertrail_suspended_seconds_total"    // reason: empty; whole seconds, rounded up
 	Shed          Name = "clovertrail_shed_total"                 // reason: the class of the refused caller, such as "1/3" for the second of three
-	LinesDropped  Name = "clovertrail_log_lines_dropped_total"    // reason: "full"
+	LinesDropped  Name = "clovertrail_log_lines_dropped_total"    // reason: "full" (the limit of the log), "output failed" (for example because nobody reads it)
 )
 
 // The gauges.
