node: a planned stop does not wait for the reader of the log

What callers saw: with a reader of the output that stands still, a box that was stopped had answered all its requests and did not end; the platform killed it at the end of the grace.

Cause: the last thing a process did was to wait until all its log lines were written, without a bound.

--- a/cmd/clovertrail-node/main_test.go
+++ b/cmd/clovertrail-node/main_test.go
@@ -1,6 +1,7 @@
 package main_test
 
 import (
+	"os"
 	"syscall"
 	"testing"
 	"time"
@@ -11,6 +12,7 @@
 
 // TestProcessOutlivesReaderOfItsLog guards against a process that ends at its next log line since the reader of its output has gone.
 func TestProcessOutlivesReaderOfItsLog(t *testing.T) {
+	t.Parallel()
 	for _, n := range newNodes(t) {
 		r, w := pipe(t)
 		n.startWithOutput(t, w)
@@ -27,3 +29,17 @@
 		n.stop(t, stopTime)
 	}
 }
+
+// TestStopDoesNotWaitForReaderOfLog guards against a planned stop that ends in a kill, since the reader of the output stands still.
+func TestStopDoesNotWaitForReaderOfLog(t *testing.T) {
+	t.Parallel()
+	for _, n := range newNodes(t) {
+		_, w := pipe(t)
+		if _, err := w.Write(make([]byte, os.Getpagesize())); err != nil { // the pipe is full
+			t.Fatal(err)
+		}
+		n.startWithOutput(t, w)
+		n.await(t, "metrics", func() bool { return accepts(n.settings["metrics"].(string)) })
+		n.stop(t, stopTime)
+	}
+}
--- a/node/main.go
+++ b/node/main.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"runtime/debug"
+	"time"
 
 	"clovertrail.dev/core/clock"
 	"clovertrail.dev/node/process"
@@ -32,6 +33,9 @@
 	"agent": loadAgent,
 }
 
+// flushTimeout bounds the wait for the output to take the last log lines. It is well within process.StopMargin.
+const flushTimeout = 200 * time.Millisecond
+
 // loadedProcess is a process that is ready to run.
 type loadedProcess struct {
 	process       runner
@@ -64,7 +68,10 @@
 	go clock.NewSuspensionMonitor(clock.ReadMachineOffset).Run(context.Background(), p.onSuspended)
 	err = p.process.Run(signals.Stop())
 	close(ended)
-	<-logged
+	select {
+	case <-logged:
+	case <-time.After(flushTimeout):
+	}
 	return err
 }
 
