node: a process logs its limits at the start and why it ends

The first line has the limits of the machine, the last one the error, and the metrics have the memory and the descriptors of the process. An error that has to be printed waits 200 ms at most for a reader that stands still.

--- a/cmd/clovertrail-node/main.go
+++ b/cmd/clovertrail-node/main.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"os"
+	"time"
 
 	"clovertrail.dev/node"
 )
@@ -22,7 +23,22 @@
 		os.Exit(exitUsage)
 	}
 	if err := node.Main(os.Args[1], os.Getenv(node.SettingsVariable)); err != nil {
-		fmt.Fprintln(os.Stderr, "clovertrail-node:", err)
+		printError(err)
 		os.Exit(exitFailed)
 	}
 }
+
+// printTimeout bounds the wait for a standard error output whose reader stands still.
+const printTimeout = 200 * time.Millisecond
+
+func printError(err error) {
+	printed := make(chan struct{})
+	go func() {
+		_, _ = fmt.Fprintln(os.Stderr, "clovertrail-node:", err) // there is no other output
+		close(printed)
+	}()
+	select {
+	case <-printed:
+	case <-time.After(printTimeout):
+	}
+}
--- a/cmd/clovertrail-node/main_test.go
+++ b/cmd/clovertrail-node/main_test.go
@@ -43,3 +43,15 @@
 		n.stop(t, stopTime)
 	}
 }
+
+// TestLogTellsStartAndLimits guards against processes that end without a line from which the reason can be told: the limits of the
+// machine stand in the first line.
+func TestLogTellsStartAndLimits(t *testing.T) {
+	t.Parallel()
+	for _, n := range newNodes(t) {
+		n.start(t)
+		n.awaitLine(t, "msg=starting box="+n.settings["box"].(string)+" role="+n.role)
+		n.awaitLine(t, "max_descriptors=")
+		n.awaitLine(t, "max_address_space=")
+	}
+}
--- a/node/main.go
+++ b/node/main.go
@@ -63,10 +63,13 @@
 		p.logLines.Run(ended)
 		close(logged)
 	}()
+	p.common.Log.Info("starting", append([]any{"role", role, "settings", file}, process.MachineLimits()...)...)
 	go signals.Run(p.common.Log)
 	go p.watchSettings(signals.Changed())
 	go clock.NewSuspensionMonitor(clock.ReadMachineOffset).Run(context.Background(), p.onSuspended)
-	err = p.process.Run(signals.Stop())
+	if err = p.process.Run(signals.Stop()); err != nil {
+		p.common.Log.Error("process ends by itself, the platform is expected to start it again", "err", err)
+	}
 	close(ended)
 	select {
 	case <-logged:
--- a/telemetry/telemetry_test.go
+++ b/telemetry/telemetry_test.go
@@ -39,3 +39,14 @@
 		t.Errorf("got %q, want a single line with box and address", line)
 	}
 }
+
+// TestMetricsHaveThoseOfProcess guards against ends of a process for its memory or descriptors that no metric announces.
+func TestMetricsHaveThoseOfProcess(t *testing.T) {
+	w := httptest.NewRecorder()
+	telemetry.NewMetrics().Handler().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
+	for _, name := range []string{"process_resident_memory_bytes", "process_open_fds", "process_max_fds"} {
+		if !strings.Contains(w.Body.String(), name+" ") {
+			t.Errorf("%s is missing in\n%s", name, w.Body)
+		}
+	}
+}
