node: a process waits for an address that is taken at its start

What callers saw: a box that was not there, since each of its starts ended at once ("address already in use").

Cause: each address had to be free at the first attempt, that of the metrics too, whose port 9464 is not among those that the platform keeps free. A process that started while the one before it was in its planned stop ended likewise.

Change: what the operating system refuses is tried again each 200 ms; a malformed address still ends the process. Metrics and the second address for other boxes are optional and come when they can. Of the two ways, free ports for metrics of our own choice and waiting, waiting also covers the other addresses and restarts. A box that waits for its address for other boxes is not ready, and refuses callers: its advert would name an address at which something else answers.

This is the hypothesis that fits the users' counts best; it is not shown that it is what they saw.

--- a/cmd/clovertrail-node/harness_test.go
+++ b/cmd/clovertrail-node/harness_test.go
@@ -72,11 +72,15 @@
 // entryAddresses are the settings of an entry box that are addresses on which it listens.
 var entryAddresses = []string{"callers", "ready", "peers", "meeting", "metrics"}
 
-// with sets a setting.
-func (n *node) with(name string, value any) *node {
-	n.settings = maps.Clone(n.settings)
-	n.settings[name] = value
-	return n
+// clone returns a node that is not started, with addresses of its own.
+func (n *node) clone() *node {
+	c := &node{role: n.role, settings: maps.Clone(n.settings)}
+	for _, name := range entryAddresses {
+		if _, ok := c.settings[name]; ok {
+			c.settings[name] = unusedAddress()
+		}
+	}
+	return c
 }
 
 // start starts the process with its output in a file.
--- a/cmd/clovertrail-node/main_test.go
+++ b/cmd/clovertrail-node/main_test.go
@@ -1,6 +1,7 @@
 package main_test
 
 import (
+	"net"
 	"os"
 	"syscall"
 	"testing"
@@ -23,7 +24,7 @@
 		_ = r.Close()
 		n.await(t, "metrics", func() bool { return accepts(n.settings["metrics"].(string)) })
 		for range 5 {
-			n.signal(t, syscall.SIGHUP)             // logs a line
+			n.signal(t, syscall.SIGHUP)            // logs a line
 			time.Sleep(2 * 100 * time.Millisecond) // lines are written every 100 ms
 		}
 		n.stop(t, stopTime)
@@ -55,3 +56,75 @@
 		n.awaitLine(t, "max_address_space=")
 	}
 }
+
+// TestProcessStartsBesideTakenAddresses guards against a process that ends at its start since something else has one of its addresses: another
+// program, or the process before it, which is in its planned stop.
+func TestProcessStartsBesideTakenAddresses(t *testing.T) {
+	t.Parallel()
+	for _, n := range newNodes(t) {
+		for _, name := range append(entryAddresses, "all") {
+			if _, ok := n.settings[name]; !ok && name != "all" {
+				continue // an address of the other role
+			}
+			t.Run(n.role+"/"+name, func(t *testing.T) {
+				t.Parallel()
+				n := n.clone()
+				var taken []net.Listener
+				for _, address := range entryAddresses {
+					if a, ok := n.settings[address]; ok && (address == name || name == "all") {
+						taken = append(taken, listen(t, a.(string)))
+					}
+				}
+				n.start(t)
+				for _, l := range taken {
+					n.awaitLine(t, "address="+l.Addr().String())
+					if err := l.Close(); err != nil {
+						t.Fatal(err)
+					}
+				}
+				n.awaitLine(t, "msg=started")
+				for _, l := range taken {
+					n.await(t, "listener at "+l.Addr().String(), func() bool { return accepts(l.Addr().String()) })
+				}
+				n.stop(t, stopTime)
+			})
+		}
+	}
+}
+
+// TestProcessWithoutOptionalAddressServes guards against a box that does not serve since its metrics or its second address for other
+// boxes stay taken.
+func TestProcessWithoutOptionalAddressServes(t *testing.T) {
+	t.Parallel()
+	for _, n := range newNodes(t) {
+		listen(t, n.settings["metrics"].(string))
+		if meeting, ok := n.settings["meeting"]; ok {
+			listen(t, meeting.(string))
+		}
+		n.start(t)
+		n.awaitLine(t, "msg=started")
+		n.stop(t, stopTime)
+	}
+}
+
+// TestWaitForAddressEndsWithStop guards against a process that is killed in its planned stop since it waits for an address.
+func TestWaitForAddressEndsWithStop(t *testing.T) {
+	t.Parallel()
+	for _, n := range newNodes(t) {
+		listen(t, n.settings["peers"].(string))
+		n.start(t)
+		n.awaitLine(t, "cannot listen")
+		n.stop(t, stopTime)
+	}
+}
+
+// listen listens at the address until the test ends or the listener is closed.
+func listen(t *testing.T, address string) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() }) // fails if it is closed already
+	return l
+}
--- a/node/entry.go
+++ b/node/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -167,11 +168,11 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	failed := make(chan error, 1)
-	callers, err := e.startServers(failed)
-	if err != nil {
-		return err
+	callers, err := e.startServers(ctx, process.NewServers(e.common, e.network, stop, failed))
+	if errors.Is(err, process.ErrStopped) {
+		return nil
 	}
-	if err := e.peering.serve(ctx, failed); err != nil {
+	if err != nil {
 		return err
 	}
 	go e.peering.run(ctx)
@@ -215,20 +216,22 @@
 	}
 }
 
-// startServers starts the servers for callers, for the platform's readiness checks and for metrics. It
-// returns the listener for callers; errors of the servers are sent to failed.
-func (e *Entry) startServers(failed chan<- error) (*gateway.Listener, error) {
-	s := process.NewServers(e.network, failed)
+// startServers starts the servers for callers, for the platform's readiness checks, for other boxes and for metrics. It
+// returns the listener for callers.
+func (e *Entry) startServers(ctx context.Context, s *process.Servers) (*gateway.Listener, error) {
 	limits := catalog.DefaultLimits()
 	callers := gateway.NewListener(&http.Server{
 		Handler: e.gateway, MaxHeaderBytes: limits.HeaderBytes,
 		ReadHeaderTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout,
 	})
-	if err := s.Serve(callers, e.settings().Callers); err != nil {
+	if err := s.ServeMetrics(e.settings().Metrics); err != nil { // first, since it shows why the others wait
+		return nil, err
+	}
+	if err := s.Serve(callers, "callers", e.settings().Callers); err != nil {
 		return nil, err
 	}
-	if err := s.Serve(&http.Server{Handler: e.ready, ReadHeaderTimeout: limits.HeaderTimeout}, e.settings().Ready); err != nil {
+	if err := s.Serve(&http.Server{Handler: e.ready, ReadHeaderTimeout: limits.HeaderTimeout}, "ready", e.settings().Ready); err != nil {
 		return nil, err
 	}
-	return callers, s.ServeMetrics(e.common, e.settings().Metrics)
+	return callers, e.peering.serve(ctx, s)
 }
--- a/node/peering.go
+++ b/node/peering.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"sync"
 	"time"
 
@@ -131,8 +132,9 @@
 	}
 }
 
-// serve serves the calls of other boxes at the addresses of the settings.
-func (p *peering) serve(ctx context.Context, failed chan<- error) error {
+// serve serves the calls of other boxes at the addresses of the settings. The second address is only for boxes that start, so
+// this one does not wait for it.
+func (p *peering) serve(ctx context.Context, s *process.Servers) error {
 	mux := mesh.NewMux()
 	mesh.Handle(mux, mesh.ExchangeAdverts, p.exchangeAdverts)
 	mesh.Handle(mux, mesh.Pull, p.pull)
@@ -140,17 +142,11 @@
 	mesh.Handle(mux, mesh.Permit, p.entry.limiting.permit)
 	mesh.Handle(mux, mesh.SendOrder, p.entry.sendOrder)
 	mesh.Handle(mux, mesh.FanOut, p.entry.fanOut)
-	for _, address := range []string{p.entry.settings().Peers, p.entry.settings().Meeting} {
-		if address == "" {
-			continue
-		}
-		l, err := p.entry.network.Listen(address)
-		if err != nil {
-			return err
-		}
-		go func() { process.ReportFailure(failed, mesh.Serve(ctx, l, mux)) }()
+	srv := process.ServerFunc(func(l net.Listener) error { return mesh.Serve(ctx, l, mux) })
+	if err := s.Serve(srv, "peers", p.entry.settings().Peers); err != nil {
+		return err
 	}
-	return nil
+	return s.ServeOptional(srv, "meeting", p.entry.settings().Meeting)
 }
 
 // run runs rounds of adverts until ctx ends.
--- a/node/process/doc.go
+++ b/node/process/doc.go
@@ -3,6 +3,7 @@
 //
 // # Usage
 //
-//	s := process.NewServers(process.MachineNetwork(), failed)
-//	err := s.ServeMetrics(common, settings.Metrics)
+//	s := process.NewServers(common, process.MachineNetwork(), stop, failed)
+//	err := s.Serve(server, "callers", settings.Callers)
+//	err = s.ServeMetrics(settings.Metrics)
 package process
--- a/node/rank/agent.go
+++ b/node/rank/agent.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -68,13 +70,12 @@
 func (a *Agent) Run(stop <-chan struct{}) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	l, err := a.network.Listen(a.settings().Peers)
-	if err != nil {
-		return err
-	}
 	failed := make(chan error, 1)
-	go func() { process.ReportFailure(failed, mesh.Serve(ctx, l, a.mux())) }()
-	if err := process.NewServers(a.network, failed).ServeMetrics(a.common, a.settings().Metrics); err != nil {
+	err := a.startServers(ctx, process.NewServers(a.common, a.network, stop, failed))
+	if errors.Is(err, process.ErrStopped) {
+		return nil
+	}
+	if err != nil {
 		return err
 	}
 	a.common.Log.Info("started", "hall", a.settings().Hall, "engine", a.settings().Engine, "peers", a.settings().Peers)
@@ -92,6 +93,15 @@
 	return a.stop(g, done, cancel)
 }
 
+// startServers starts the servers for metrics and for other boxes.
+func (a *Agent) startServers(ctx context.Context, s *process.Servers) error {
+	if err := s.ServeMetrics(a.settings().Metrics); err != nil { // first, since it shows why the other waits
+		return err
+	}
+	srv := process.ServerFunc(func(l net.Listener) error { return mesh.Serve(ctx, l, a.mux()) })
+	return s.Serve(srv, "peers", a.settings().Peers)
+}
+
 // stop waits until no map change of this coordinator holds the group, so that the group is not
 // left held. The wait is bounded by the stop time of the settings.
 func (a *Agent) stop(g *groupCoordinator, done <-chan struct{}, cancel context.CancelFunc) error {
