node: a connection that cannot be accepted does not end the process

What callers saw: all requests of a box end with it, after one failure to accept a connection on any of its five ports.

Cause: servers return the errors of Accept that package net does not count as temporary, ENOBUFS, ENOMEM, EPROTO, EPERM and those of a network that is down among them, and the first server that returns ends the process.

Evidence: TestServersOutliveFailedAccepts (twelve errors, HTTP and DRPC) failed before: both servers ended at the first. Not seen with real sockets, where these errors cannot be had at will.

Change: a listener around that of the network accepts again after a pause of 5 ms to 1 s, and logs the first failure and the next success. A socket that cannot be used any more still ends the process, with a line.

--- a/node/process/servers.go
+++ b/node/process/servers.go
@@ -59,7 +59,7 @@
 	}
 	l, err := s.network.Listen(address)
 	if err == nil {
-		go s.run(srv, l)
+		go s.run(srv, s.accepting(l, name, address))
 		return nil
 	}
 	if !isTransient(err) {
@@ -91,7 +91,7 @@
 			if waiting {
 				s.common.Log.Info("listening after a wait", "server", name, "address", address)
 			}
-			return l, nil
+			return s.accepting(l, name, address), nil
 		case !isTransient(err):
 			return nil, err
 		case !waiting:
@@ -106,6 +106,10 @@
 	}
 }
 
+func (s *Servers) accepting(l net.Listener, name, address string) net.Listener {
+	return &retryingListener{Listener: l, log: s.common.Log.With("server", name, "address", address), closed: make(chan struct{})}
+}
+
 func (s *Servers) run(srv Server, l net.Listener) {
 	if err := srv.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
 		ReportFailure(s.failed, err)
