--- a/cmd/clovertrail-node/harness_test.go
+++ b/cmd/clovertrail-node/harness_test.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -213,3 +214,26 @@
 	_ = c.Close()
 	return true
 }
+
+// handles reports whether the program catches or ignores the signal.
+func (n *node) handles(t *testing.T, s syscall.Signal) bool {
+	t.Helper()
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", n.command.Process.Pid))
+	if err != nil {
+		return false // the process has ended, which await reports
+	}
+	for line := range strings.Lines(string(status)) {
+		name, mask, _ := strings.Cut(strings.TrimSpace(line), ":\t")
+		if name != "SigIgn" && name != "SigCgt" {
+			continue
+		}
+		bits, err := strconv.ParseUint(mask, 16, 64)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if bits&(1<<(s-1)) != 0 {
+			return true
+		}
+	}
+	return false
+}
--- a/cmd/clovertrail-node/main_test.go
+++ b/cmd/clovertrail-node/main_test.go
@@ -128,3 +128,21 @@
 	t.Cleanup(func() { _ = l.Close() }) // fails if it is closed already
 	return l
 }
+
+// TestReloadSignalDoesNotEndStart guards against a process that ends since the signal to read its settings again arrives while it starts. It is
+// sent as soon as the process handles the signal in any way.
+func TestReloadSignalDoesNotEndStart(t *testing.T) {
+	t.Parallel()
+	const starts = 10 // with different delays until the signal arrives
+	for _, n := range newNodes(t) {
+		for range starts {
+			n := n.clone()
+			n.start(t)
+			n.await(t, "handler of the signal", func() bool { return n.handles(t, syscall.SIGHUP) })
+			n.signal(t, syscall.SIGHUP)
+			n.awaitLine(t, "msg=started")
+			n.signal(t, syscall.SIGHUP)
+			n.awaitLine(t, "signal=hangup")
+		}
+	}
+}
