settings: a mistake in a field that can be done without does not keep a process from starting

What callers saw: a box that was not there, since each of its starts ended at once.

Cause: the platform fills our templates from its own bounds, which are whole numbers, fractions, true or false, and any field that a template did not yield in our range ended the process: a bound of 0, a grace of half a second, a limit of memory or bandwidth of 0.

Change: a value out of range becomes the nearest one in the range, zero and values of another type the default (zero is written for what is not stated), and each is logged with file, line and field. Required fields, and files that are no JSON, fail as before, and check-settings reports every mistake as before.

--- a/cmd/clovertrail-node/harness_test.go
+++ b/cmd/clovertrail-node/harness_test.go
@@ -22,6 +22,9 @@
 // endTimeout bounds the wait for an event that is certain to come.
 const endTimeout = 20 * time.Second
 
+// stopTime is the time that the default settings give a planned stop.
+const stopTime = 8 * time.Second
+
 // program is the path of the program under test.
 var program string
 
@@ -174,8 +177,8 @@
 	}
 }
 
-// stop sends the stop signal, and expects that the process ends without an error within the timeout.
-func (n *node) stop(t *testing.T, timeout time.Duration) {
+// stop sends the stop signal, and expects that the process ends without an error in the time of a planned stop.
+func (n *node) stop(t *testing.T) {
 	t.Helper()
 	n.signal(t, syscall.SIGTERM)
 	select {
@@ -183,8 +186,8 @@
 		if !n.command.ProcessState.Success() {
 			t.Errorf("%s: the stopped process ended with %v", n.role, n.command.ProcessState)
 		}
-	case <-time.After(timeout):
-		t.Errorf("%s: the process did not end within %v after the stop signal", n.role, timeout)
+	case <-time.After(stopTime):
+		t.Errorf("%s: the process did not end within %v after the stop signal", n.role, stopTime)
 	}
 }
 
--- a/cmd/clovertrail-node/main_test.go
+++ b/cmd/clovertrail-node/main_test.go
@@ -8,9 +8,6 @@
 	"time"
 )
 
-// stopTime is the time that the default settings give a planned stop.
-const stopTime = 8 * time.Second
-
 // TestProcessOutlivesReaderOfItsLog guards against a process that ends at its next log line since the reader of its output has gone.
 func TestProcessOutlivesReaderOfItsLog(t *testing.T) {
 	t.Parallel()
@@ -27,7 +24,7 @@
 			n.signal(t, syscall.SIGHUP)            // logs a line
 			time.Sleep(2 * 100 * time.Millisecond) // lines are written every 100 ms
 		}
-		n.stop(t, stopTime)
+		n.stop(t)
 	}
 }
 
@@ -41,7 +38,7 @@
 		}
 		n.startWithOutput(t, w)
 		n.await(t, "metrics", func() bool { return accepts(n.settings["metrics"].(string)) })
-		n.stop(t, stopTime)
+		n.stop(t)
 	}
 }
 
@@ -86,7 +83,7 @@
 				for _, l := range taken {
 					n.await(t, "listener at "+l.Addr().String(), func() bool { return accepts(l.Addr().String()) })
 				}
-				n.stop(t, stopTime)
+				n.stop(t)
 			})
 		}
 	}
@@ -103,7 +100,7 @@
 		}
 		n.start(t)
 		n.awaitLine(t, "msg=started")
-		n.stop(t, stopTime)
+		n.stop(t)
 	}
 }
 
@@ -114,7 +111,7 @@
 		listen(t, n.settings["peers"].(string))
 		n.start(t)
 		n.awaitLine(t, "cannot listen")
-		n.stop(t, stopTime)
+		n.stop(t)
 	}
 }
 
@@ -146,3 +143,29 @@
 		}
 	}
 }
+
+// TestProcessStartsWithOddSettings guards against a process that ends at its start since the platform states a bound or limit as zero, as a
+// fraction, or as true.
+func TestProcessStartsWithOddSettings(t *testing.T) {
+	t.Parallel()
+	odd := map[string]any{
+		"memory_mb": 0, "link_mbps": 0, "agent_port": 70000,
+		"bounds": map[string]any{
+			"drain": "0ms", "stop": "0.5s", "config_apply": "trues", "evacuate": "ms", "contact": "1e3ms",
+			"retry_share": true, "retry_slack": -1, "retry_window": "0s",
+		},
+	}
+	for _, n := range newNodes(t) {
+		for name, value := range odd {
+			t.Run(n.role+"/"+name, func(t *testing.T) {
+				t.Parallel()
+				n := n.clone()
+				n.settings[name] = value
+				n.start(t)
+				n.awaitLine(t, "setting is invalid")
+				n.awaitLine(t, "msg=started")
+				n.stop(t)
+			})
+		}
+	}
+}
--- a/node/main.go
+++ b/node/main.go
@@ -79,12 +79,12 @@
 }
 
 func loadEntry(path string) (*loadedProcess, error) {
-	f, err := settings.Open(path, process.DefaultEntrySettings)
+	f, ignored, err := settings.OpenLenient(path, process.DefaultEntrySettings)
 	if err != nil {
 		return nil, err
 	}
 	debug.SetMemoryLimit(f.Current().SoftMemoryLimit())
-	p := newLoadedProcess(f.Current().Box)
+	p := newLoadedProcess(f.Current().Box, ignored)
 	e := NewEntry(p.common, process.MachineNetwork(), f.Current)
 	p.onResume = e.CatchUpAfterSuspension
 	p.process, p.watchSettings = e, func(changed <-chan struct{}) { f.Watch(p.common.Log, changed, e.ApplySettings) }
@@ -92,11 +92,11 @@
 }
 
 func loadAgent(path string) (*loadedProcess, error) {
-	f, err := settings.Open(path, process.DefaultAgentSettings)
+	f, ignored, err := settings.OpenLenient(path, process.DefaultAgentSettings)
 	if err != nil {
 		return nil, err
 	}
-	p := newLoadedProcess(f.Current().Box)
+	p := newLoadedProcess(f.Current().Box, ignored)
 	p.process = rank.NewAgent(p.common, process.MachineNetwork(), f.Current)
 	p.watchSettings = func(changed <-chan struct{}) {
 		f.Watch(p.common.Log, changed, func(process.AgentSettings) {}) // the agent reads the current settings at each use
@@ -104,11 +104,15 @@
 	return p, nil
 }
 
-// newLoadedProcess returns a process without a runner that logs to standard output.
-func newLoadedProcess(box string) *loadedProcess {
+// newLoadedProcess returns a process without a runner that logs to standard output. It logs the mistakes in the settings that were
+// ignored.
+func newLoadedProcess(box string, ignored []error) *loadedProcess {
 	m := telemetry.NewMetrics()
 	lines := telemetry.NewLineWriter(os.Stdout, m, telemetry.LineBytesPerSecond)
 	c := telemetry.New(lines, box)
 	c.Metrics = m
+	for _, err := range ignored {
+		c.Log.Error("setting is invalid, using the nearest allowed value or the default", "err", err)
+	}
 	return &loadedProcess{common: c, logLines: lines, onResume: func() {}}
 }
--- a/settings/load.go
+++ b/settings/load.go
@@ -20,11 +20,22 @@
 	if err != nil {
 		return &Error{file: file, line: SyntaxLine(err), text: "invalid JSON with comments: " + err.Error()}
 	}
-	d := decoder{file: file, raw: raw}
-	if err := d.decodeObject(tree, "", reflect.ValueOf(into).Elem()); err != nil {
-		return err
+	d := &decoder{file: file, raw: raw}
+	target := reflect.ValueOf(into).Elem()
+	return d.decode(tree, target, target)
+}
+
+// ParseLenient decodes like Parse, but a mistake in a field that is not required does not fail. The field gets the nearest allowed
+// value if it is a number or duration out of range, and else, or if it is zero, the value of the fallback. The mistakes are
+// returned as ignored.
+func ParseLenient[S any](file string, raw []byte, into *S, fallback S) (ignored []error, err error) {
+	tree, err := hujson.Parse(raw)
+	if err != nil {
+		return nil, &Error{file: file, line: SyntaxLine(err), text: "invalid JSON with comments: " + err.Error()}
 	}
-	return d.checkRequired("", reflect.ValueOf(into).Elem())
+	d := &decoder{file: file, raw: raw, lenient: true}
+	err = d.decode(tree, reflect.ValueOf(into).Elem(), reflect.ValueOf(fallback))
+	return d.ignored, err
 }
 
 // SyntaxLine returns the line number in the text of an error of the hujson parser; 0 if the
@@ -40,17 +51,27 @@
 }
 
 type decoder struct {
-	file string
-	raw  []byte
+	file    string
+	raw     []byte
+	lenient bool
+	ignored []error // mistakes that did not fail; only if lenient
+}
+
+// decode decodes the whole tree. The fallback is used only by a lenient decoder.
+func (d *decoder) decode(tree hujson.Value, into, fallback reflect.Value) error {
+	if err := d.decodeObject(tree, "", into, fallback); err != nil {
+		return err
+	}
+	return d.checkRequired("", into)
 }
 
 // errorAt returns the error for the value of a field, with the line of the value.
-func (d decoder) errorAt(v hujson.Value, field, format string, args ...any) error {
+func (d *decoder) errorAt(v hujson.Value, field, format string, args ...any) error {
 	line := 1 + bytes.Count(d.raw[:v.StartOffset], []byte("\n"))
 	return &Error{file: d.file, line: line, field: field, text: fmt.Sprintf(format, args...)}
 }
 
-func (d decoder) decodeObject(v hujson.Value, path string, into reflect.Value) error {
+func (d *decoder) decodeObject(v hujson.Value, path string, into, fallback reflect.Value) error {
 	o, ok := v.Value.(*hujson.Object)
 	if !ok {
 		return d.errorAt(v, path, "want an object {...}")
@@ -62,28 +83,60 @@
 		full := join(path, name)
 		i, known := fields[name]
 		if !known {
-			return d.errorAt(m.Name, full, "unknown field; allowed here: %s", sortedNames(fields))
+			if err := d.mistake(d.errorAt(m.Name, full, "unknown field; allowed here: %s", sortedNames(fields))); err != nil {
+				return err
+			}
+			continue
 		}
 		if seen[name] {
 			return d.errorAt(m.Name, full, "duplicate field")
 		}
 		seen[name] = true
-		if err := d.decodeValue(m.Value, full, into.Field(i), into.Type().Field(i)); err != nil {
+		if err := d.decodeField(m.Value, full, into.Field(i), fallback.Field(i), into.Type().Field(i)); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func (d decoder) decodeValue(v hujson.Value, path string, into reflect.Value, f reflect.StructField) error {
+// decodeField decodes the value of a field. A lenient decoder replaces a value that is a mistake.
+func (d *decoder) decodeField(v hujson.Value, path string, into, fallback reflect.Value, f reflect.StructField) error {
 	if into.Kind() == reflect.Struct && into.Type() != reflect.TypeFor[time.Time]() {
-		return d.decodeObject(v, path, into)
+		return d.decodeObject(v, path, into, fallback)
 	}
+	decoded := reflect.New(into.Type()).Elem()
+	decoded.Set(into) // null keeps the default
+	err := d.decodeValue(v, path, decoded, f)
+	switch {
+	case err == nil:
+		into.Set(decoded)
+		return nil
+	case f.Tag.Get("required") == "true":
+		return err
+	}
+	if !moveIntoRange(decoded, f.Tag) {
+		decoded = fallback
+	}
+	into.Set(decoded)
+	return d.mistake(err)
+}
+
+// mistake returns the error, unless the decoder is lenient.
+func (d *decoder) mistake(err error) error {
+	if !d.lenient {
+		return err
+	}
+	d.ignored = append(d.ignored, err)
+	return nil
+}
+
+func (d *decoder) decodeValue(v hujson.Value, path string, into reflect.Value, f reflect.StructField) error {
 	standard := v.Clone()
 	standard.Standardize()
 	dec := json.NewDecoder(bytes.NewReader(standard.Pack()))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(into.Addr().Interface()); err != nil {
+		into.SetZero()
 		if hasTypeName(f.Type) {
 			return d.errorAt(v, path, "want %s, got %s", allowedValues(f), bytes.TrimSpace(standard.Pack()))
 		}
@@ -102,7 +155,7 @@
 }
 
 // checkRequired returns an error for the first required field that has no value.
-func (d decoder) checkRequired(path string, v reflect.Value) error {
+func (d *decoder) checkRequired(path string, v reflect.Value) error {
 	for i := range v.NumField() {
 		f := v.Type().Field(i)
 		full := join(path, nameOf(f))
--- a/settings/tag.go
+++ b/settings/tag.go
@@ -63,6 +63,23 @@
 	return !ok || n <= hi
 }
 
+// moveIntoRange replaces a number or duration out of the range of its tags by the nearest one in the range. It returns false for
+// other values, and for zero, which platforms write for what is not stated.
+func moveIntoRange(v reflect.Value, tag reflect.StructTag) bool {
+	n, numeric := toNumber(v)
+	if !numeric || n == 0 {
+		return false
+	}
+	if lo, ok := parseBound(tag.Get("min")); ok {
+		n = max(n, lo)
+	}
+	if hi, ok := parseBound(tag.Get("max")); ok {
+		n = min(n, hi)
+	}
+	v.Set(reflect.ValueOf(n).Convert(v.Type()))
+	return true
+}
+
 func toNumber(v reflect.Value) (float64, bool) {
 	switch v.Kind() {
 	case reflect.Int, reflect.Int64:
