platform: a record with an address or a number out of range is no target

What callers saw: requests that failed at the dial, for a target whose record of another writer names a port above 65535, or none.

Cause: the address was only checked to be there, slots and the size of a group only to be positive.

Numbers that do not fit were refused before, too.

Such a record is no target, and the others hold.

--- a/core/domain/target.go
+++ b/core/domain/target.go
@@ -1,6 +1,11 @@
 package domain
 
-import "time"
+import (
+	"math"
+	"net"
+	"strconv"
+	"time"
+)
 
 // TargetState is the state of a target in the platform's list.
 type TargetState int
@@ -37,6 +42,12 @@
 	Open bool `json:"open"`
 }
 
+// Limits of what a target states of itself: far above any real target, and low enough for sums and products of them.
+const (
+	MaxSlots = 1 << 20
+	MaxRanks = 1 << 16
+)
+
 // Target is a target as the platform lists it.
 type Target struct{ f TargetFields }
 
@@ -67,18 +78,27 @@
 		return Target{}, invalid("service", "missing")
 	case f.Address == "":
 		return Target{}, invalid("address", "missing")
+	case !isAddress(f.Address):
+		return Target{}, invalid("address", "%q is not a host and a port from 1 to %d", f.Address, math.MaxUint16)
 	case f.State != TargetReady && f.State != TargetLeaving:
 		return Target{}, invalid("state", "%d is not a target state", f.State)
-	case f.Slots < 0:
-		return Target{}, invalid("slots", "%d is negative", f.Slots)
+	case f.Slots < 0 || f.Slots > MaxSlots:
+		return Target{}, invalid("slots", "%d is out of range, want 0 to %d", f.Slots, MaxSlots)
 	}
-	if r := f.Rank; r != nil && (r.Number < 0 || r.Number >= r.Size) {
-		return Target{}, invalid("rank", "%d is out of range for a group of %d ranks", r.Number, r.Size)
+	if r := f.Rank; r != nil && (r.Number < 0 || r.Number >= r.Size || r.Size > MaxRanks) {
+		return Target{}, invalid("rank", "%d of %d ranks is out of range, a group has %d at most", r.Number, r.Size, MaxRanks)
 	}
 	f.Slots = max(f.Slots, 1)
 	return Target{f: f}, nil
 }
 
+// isAddress reports whether the address has a host and a port to which a connection can be opened.
+func isAddress(address string) bool {
+	host, port, err := net.SplitHostPort(address)
+	n, portErr := strconv.ParseUint(port, 10, 16)
+	return err == nil && portErr == nil && host != "" && n > 0
+}
+
 // ID returns the instance id of the target.
 func (t Target) ID() InstanceID { return t.f.ID }
 
