shutdown: what a stopping box promises counts from the time at which its signal was sent

What callers saw: streams on kept connections that a stopping box accepted 3.2 to 3.4 s after its stop signal, and cut without an answer; two boxes that were killed 8 s after a signal which they had received 0.6 and 1.85 s late.

Cause: the plan of a stop began as the process handled the signal. While it is not scheduled, the platform's time runs on.

Evidence: TestLateSignalShortensPromises fails if the plan counts from the receipt (three of its five cases accepted).

Change: the process checks four times a second that no signal is pending, so that it knows an earliest time of the signal. Promises count from that; the listener stays open, and responses go on, by the time of the receipt, since a process that is killed cuts them no earlier than one that ends.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -334,8 +334,7 @@
 
 // stopWithin returns the plan of a stop that begins now.
 func stopWithin(d time.Duration) shutdown.Plan {
-	now := clock.Now()
-	return shutdown.NewPlan(now, now.Add(d))
+	return shutdown.NewPlan(shutdown.SignalAt(clock.Now()), d)
 }
 
 func TestStoppingBoxClosesConnections(t *testing.T) {
@@ -386,7 +385,7 @@
 		t.Fatalf("status %d before the stop", got.status)
 	}
 	begin := clock.Now().Add(-4500 * time.Millisecond)
-	r.g.BeginStop(shutdown.NewPlan(begin, begin.Add(7500*time.Millisecond)))
+	r.g.BeginStop(shutdown.NewPlan(shutdown.SignalAt(begin), 7500*time.Millisecond))
 	got := r.request("POST", "/stream-once/", "body", "Left: 8s")
 	if retry, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64); got.status != 503 || err != nil || retry > 0.1 || !got.closes {
 		t.Errorf("status %d, header %v, of a request that may last longer than the stop", got.status, got.header)
--- a/local/boxes.go
+++ b/local/boxes.go
@@ -8,11 +8,13 @@
 	"sync"
 	"time"
 
+	"clovertrail.dev/core/clock"
 	"clovertrail.dev/core/domain"
 	"clovertrail.dev/node"
 	"clovertrail.dev/node/process"
 	"clovertrail.dev/node/rank"
 	"clovertrail.dev/platform/standin"
+	"clovertrail.dev/shutdown"
 )
 
 // managedProcess is a process of package node that can be started, stopped and killed, from
@@ -22,20 +24,20 @@
 type managedProcess struct {
 	mu     sync.Mutex
 	host   *Host
-	stop   chan struct{} // closed to stop the process; nil while it does not run
+	stop   *process.Stop // nil while the process does not run
 	done   chan struct{} // closed when the process has ended
 	starts int
 }
 
 // start runs the process on the host until it is stopped. It does nothing if the process
 // runs already.
-func (p *managedProcess) start(s *System, h *Host, run func(stop <-chan struct{}) error) {
+func (p *managedProcess) start(s *System, h *Host, run func(stop *process.Stop) error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.stop != nil {
 		return
 	}
-	p.host, p.stop, p.done = h, make(chan struct{}), make(chan struct{})
+	p.host, p.stop, p.done = h, process.NewStop(), make(chan struct{})
 	p.starts++
 	stop, done := p.stop, p.done
 	s.processes.Go(func() {
@@ -76,7 +78,7 @@
 	if stop == nil {
 		return
 	}
-	close(stop)
+	stop.Request(shutdown.SignalAt(clock.Now()))
 	<-done
 }
 
@@ -90,7 +92,7 @@
 		return
 	}
 	host.Kill()
-	close(stop) // its goroutines end by themselves, without the network
+	stop.Request(shutdown.SignalAt(clock.Now())) // its goroutines end by themselves, without the network
 }
 
 // EntryBox is an entry box of a System, which can be stopped, killed and started again.
--- a/node/entry.go
+++ b/node/entry.go
@@ -163,12 +163,12 @@
 	return rank.ForwardToEngines(ctx, e.common, e.engines, c)
 }
 
-// Run serves until stop is closed, then completes the requests in flight and returns.
-func (e *Entry) Run(stop <-chan struct{}) error {
+// Run serves until the stop is requested, then completes the requests in flight and returns.
+func (e *Entry) Run(stop *process.Stop) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	failed := make(chan error, 1)
-	callers, err := e.startServers(ctx, process.NewServers(e.common, e.network, stop, failed))
+	callers, err := e.startServers(ctx, process.NewServers(e.common, e.network, stop.Requested(), failed))
 	if errors.Is(err, process.ErrStopped) {
 		return nil
 	}
@@ -190,11 +190,11 @@
 		go newAgentPoller(e).run(ctx)
 	}
 	select {
-	case <-stop:
+	case <-stop.Requested():
 	case err := <-failed:
 		return err
 	}
-	return e.stop(callers)
+	return e.stop(callers, stop.Signal())
 }
 
 // followStore starts to follow the configuration and the targets in the store.
--- a/node/entry_test.go
+++ b/node/entry_test.go
@@ -11,10 +11,12 @@
 	"testing"
 	"time"
 
+	"clovertrail.dev/core/clock"
 	"clovertrail.dev/node"
 	"clovertrail.dev/node/process"
 	"clovertrail.dev/platform/standin"
 	"clovertrail.dev/settings"
+	"clovertrail.dev/shutdown"
 	"clovertrail.dev/telemetry"
 )
 
@@ -98,7 +100,7 @@
 type box struct {
 	rig      *rig
 	settings process.EntrySettings
-	stopping chan struct{} // closed to begin the planned stop
+	stopping *process.Stop
 	once     sync.Once
 	ended    chan error // receives the result of Run
 }
@@ -112,7 +114,7 @@
 	if change != nil {
 		change(&s)
 	}
-	b := &box{rig: r, settings: s, stopping: make(chan struct{}), ended: make(chan error, 1)}
+	b := &box{rig: r, settings: s, stopping: process.NewStop(), ended: make(chan error, 1)}
 	e := node.NewEntry(telemetry.Quiet(), process.MachineNetwork(), func() process.EntrySettings { return s })
 	go func() { b.ended <- e.Run(b.stopping) }()
 	r.t.Cleanup(func() {
@@ -148,7 +150,7 @@
 }
 
 // stop begins the planned stop of the box.
-func (b *box) stop() { b.once.Do(func() { close(b.stopping) }) }
+func (b *box) stop() { b.once.Do(func() { b.stopping.Request(shutdown.SignalAt(clock.Now())) }) }
 
 // request sends a request for the path to the box.
 func (b *box) request(path, key string) standin.Reply {
--- a/node/main.go
+++ b/node/main.go
@@ -23,8 +23,8 @@
 
 // runner is an entry or an agent.
 type runner interface {
-	// Run serves until stop is closed.
-	Run(stop <-chan struct{}) error
+	// Run serves until the stop is requested.
+	Run(stop *process.Stop) error
 }
 
 // loaders maps a role to the function that loads the settings file and builds the process.
--- a/node/process/signals.go
+++ b/node/process/signals.go
@@ -5,6 +5,10 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
+
+	"clovertrail.dev/core/clock"
+	"clovertrail.dev/shutdown"
 )
 
 // Signals receives the signals with which the platform stops a process or announces a changed settings
@@ -12,9 +16,15 @@
 // arrives with it, as when a paused process resumes.
 type Signals struct {
 	stopSignals, reloadSignals chan os.Signal
-	stop, changed              chan struct{}
+	monitor                    *shutdown.SignalMonitor
+	stop                       *Stop
+	changed                    chan struct{}
 }
 
+// signalCheckInterval is the time between two checks that no stop signal is pending. What a stopping box promises is shortened by up to
+// this time.
+const signalCheckInterval = 250 * time.Millisecond
+
 // NotifySignals begins to receive signals. A process calls it before anything else, because signals that
 // arrive earlier end it. From then on a write to a standard output that nobody reads fails, where the runtime would
 // otherwise end the process.
@@ -22,21 +32,23 @@
 	signal.Ignore(syscall.SIGPIPE)
 	s := &Signals{
 		stopSignals: make(chan os.Signal, 1), reloadSignals: make(chan os.Signal, 1),
-		stop: make(chan struct{}), changed: make(chan struct{}, 1),
+		monitor: shutdown.NewSignalMonitor(clock.Now()), stop: NewStop(), changed: make(chan struct{}, 1),
 	}
 	signal.Notify(s.stopSignals, syscall.SIGTERM, syscall.SIGINT)
 	signal.Notify(s.reloadSignals, syscall.SIGHUP)
 	return s
 }
 
-// Stop returns a channel that is closed on the first signal to stop the process.
-func (s *Signals) Stop() <-chan struct{} { return s.stop }
+// Stop returns the stop that the first signal to stop the process requests.
+func (s *Signals) Stop() *Stop { return s.stop }
 
 // Changed returns a channel that receives a value on a signal to read the settings file again.
 func (s *Signals) Changed() <-chan struct{} { return s.changed }
 
 // Run logs and passes on signals for as long as the process runs.
 func (s *Signals) Run(log *slog.Logger) {
+	checks := time.NewTicker(signalCheckInterval)
+	defer checks.Stop()
 	stopping := false
 	for {
 		select {
@@ -44,7 +56,8 @@
 			log.Info("signal", "signal", sig, "stopping", stopping)
 			if !stopping {
 				stopping = true
-				close(s.stop)
+				checks.Stop()
+				s.stop.Request(s.monitor.Receive(clock.Now()))
 			}
 		case sig := <-s.reloadSignals:
 			log.Info("signal", "signal", sig)
@@ -52,6 +65,10 @@
 			case s.changed <- struct{}{}:
 			default: // a reload is already pending
 			}
+		case <-checks.C:
+			if len(s.stopSignals) == 0 {
+				s.monitor.NonePending(clock.Now())
+			}
 		}
 	}
 }
--- a/node/process/signals_test.go
+++ b/node/process/signals_test.go
@@ -34,7 +34,7 @@
 	}
 	signal.Stop(observed) // returns once the last signal is delivered to all receivers
 	go s.Run(slog.New(slog.NewTextHandler(io.Discard, nil)))
-	for name, c := range map[string]<-chan struct{}{"stop": s.Stop(), "reload": s.Changed()} {
+	for name, c := range map[string]<-chan struct{}{"stop": s.Stop().Requested(), "reload": s.Changed()} {
 		select {
 		case <-c:
 		case <-time.After(signalTimeout):
--- a/node/rank/agent.go
+++ b/node/rank/agent.go
@@ -66,12 +66,12 @@
 	}
 }
 
-// Run serves until stop is closed.
-func (a *Agent) Run(stop <-chan struct{}) error {
+// Run serves until the stop is requested.
+func (a *Agent) Run(stop *process.Stop) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	failed := make(chan error, 1)
-	err := a.startServers(ctx, process.NewServers(a.common, a.network, stop, failed))
+	err := a.startServers(ctx, process.NewServers(a.common, a.network, stop.Requested(), failed))
 	if errors.Is(err, process.ErrStopped) {
 		return nil
 	}
@@ -88,7 +88,7 @@
 	select {
 	case err := <-failed:
 		return err
-	case <-stop:
+	case <-stop.Requested():
 	}
 	return a.stop(g, done, cancel)
 }
--- a/node/rank/doc.go
+++ b/node/rank/doc.go
@@ -10,5 +10,5 @@
 // # Usage
 //
 //	a := rank.NewAgent(common, network, func() process.AgentSettings { return s })
-//	err := a.Run(stop) // serves until stop is closed
+//	err := a.Run(stop) // serves until the stop is requested
 package rank
--- a/shutdown/plan.go
+++ b/shutdown/plan.go
@@ -10,9 +10,15 @@
 // Therefore a box accepts by the past until the platform has noticed, when most of its time is left, and by deadlines alone
 // after that.
 //
+// The time of a stop runs from its signal, and a process that was not scheduled receives the signal late. What the box promises counts
+// from the earliest time at which the signal may have been sent; what it does for callers without a promise, such as accepting
+// connections and finishing responses, lasts as long as it can.
+//
 // # Usage
 //
-//	p := shutdown.NewPlan(now, now.Add(7500*time.Millisecond))
+//	m := shutdown.NewSignalMonitor(now)
+//	m.NonePending(now) // several times a second
+//	p := shutdown.NewPlan(m.Receive(now), 7500*time.Millisecond)
 //	p.Accepts(now, shutdown.Request{Deadline: deadline, Longest: 2 * time.Second})
 package shutdown
 
@@ -23,7 +29,12 @@
 const noticeTime = 3 * time.Second
 
 // Plan is the planned stop of a box.
-type Plan struct{ noticedAt, end time.Time }
+type Plan struct {
+	noticedAt, end time.Time // if the signal was sent as it was received
+
+	// The same if the signal was sent as early as possible.
+	earliestNoticedAt, earliestEnd time.Time
+}
 
 // Request describes a request to a box that stops.
 type Request struct {
@@ -34,9 +45,13 @@
 	Longest time.Duration
 }
 
-// NewPlan returns the plan of a stop that begins now and lasts until end at the latest.
-func NewPlan(now, end time.Time) Plan {
-	return Plan{noticedAt: now.Add(min(noticeTime, end.Sub(now)/2)), end: end}
+// NewPlan returns the plan of a stop that lasts for the given time from its signal at most.
+func NewPlan(s Signal, length time.Duration) Plan {
+	notice := min(noticeTime, length/2)
+	return Plan{
+		noticedAt: s.ReceivedAt.Add(notice), end: s.ReceivedAt.Add(length),
+		earliestNoticedAt: s.SentAfter.Add(notice), earliestEnd: s.SentAfter.Add(length),
+	}
 }
 
 // NoticedAt returns when the platform has noticed that the box is not ready. The box accepts new connections until then.
@@ -48,10 +63,10 @@
 // Accepts reports whether a request that arrives now is accepted.
 func (p Plan) Accepts(now time.Time, r Request) bool {
 	switch {
-	case !r.Deadline.After(p.end):
+	case !r.Deadline.After(p.earliestEnd):
 		return true
-	case now.Before(p.noticedAt):
-		return !now.Add(r.Longest).After(p.end)
+	case now.Before(p.earliestNoticedAt):
+		return !now.Add(r.Longest).After(p.earliestEnd)
 	default:
 		return false
 	}
--- a/shutdown/plan_test.go
+++ b/shutdown/plan_test.go
@@ -10,7 +10,7 @@
 // TestAcceptsOnlyWhatEndsInTime guards against requests that a stopping box accepts, by what others took, and cuts off.
 func TestAcceptsOnlyWhatEndsInTime(t *testing.T) {
 	start := time.Unix(0, 0)
-	p := shutdown.NewPlan(start, start.Add(7500*time.Millisecond))
+	p := shutdown.NewPlan(shutdown.SignalAt(start), 7500*time.Millisecond)
 	for _, tc := range []struct {
 		name    string
 		at      time.Duration // since the start of the stop
@@ -39,7 +39,7 @@
 func TestShortStopIsNoticedInTime(t *testing.T) {
 	start := time.Unix(0, 0)
 	for _, tc := range []struct{ length, want time.Duration }{{7500 * time.Millisecond, 3 * time.Second}, {2 * time.Second, time.Second}, {0, 0}} {
-		p := shutdown.NewPlan(start, start.Add(tc.length))
+		p := shutdown.NewPlan(shutdown.SignalAt(start), tc.length)
 		if got := p.NoticedAt().Sub(start); got != tc.want {
 			t.Errorf("stop of %v: connections are accepted for %v, want %v", tc.length, got, tc.want)
 		}
@@ -48,3 +48,38 @@
 		}
 	}
 }
+
+// TestLateSignalShortensPromises guards against requests that a box accepts by the time at which it received its stop signal, and that
+// are cut as the platform kills it, since the signal had been pending while the process was not scheduled.
+func TestLateSignalShortensPromises(t *testing.T) {
+	sent := time.Unix(0, 0)
+	const length, late = 7500 * time.Millisecond, 1800 * time.Millisecond
+	received := sent.Add(late)
+	m := shutdown.NewSignalMonitor(sent.Add(-time.Second))
+	m.NonePending(sent)
+	p := shutdown.NewPlan(m.Receive(received), length)
+	for _, tc := range []struct {
+		name    string
+		at      time.Duration // since the signal was sent
+		left    time.Duration // until the deadline of the request
+		longest time.Duration
+		want    bool
+	}{
+		{"deadline before the end counted from the signal", late, length - late, length, true},
+		{"deadline after it", 3 * time.Second, length - 3*time.Second + time.Millisecond, 0, false},
+		{"before the platform has noticed, recent responses fit", 2900 * time.Millisecond, 8 * time.Second, 4600 * time.Millisecond, true},
+		{"before the platform has noticed, recent responses were too long", 2900 * time.Millisecond, 8 * time.Second, 4700 * time.Millisecond, false},
+		{"the platform may have noticed", 3 * time.Second, 8 * time.Second, 0, false},
+	} {
+		now := sent.Add(tc.at)
+		if got := p.Accepts(now, shutdown.Request{Deadline: now.Add(tc.left), Longest: tc.longest}); got != tc.want {
+			t.Errorf("%s: accepted %v, want %v", tc.name, got, tc.want)
+		}
+	}
+	if got := p.NoticedAt(); !got.Equal(received.Add(3 * time.Second)) {
+		t.Errorf("connections are accepted until %v after the signal was sent, want 3s after it was received", got.Sub(sent))
+	}
+	if got := p.End(); !got.Equal(received.Add(length)) {
+		t.Errorf("responses go on until %v after the signal was sent, want %v after it was received", got.Sub(sent), length)
+	}
+}
