local: requests in calm that come to a stopping box until it has ended

A process that ended by itself lost what it had sent in the network in memory, since that closed the other ends too; a kernel delivers it. The other ends stay open now; kills are as before.

--- a/local/boxes.go
+++ b/local/boxes.go
@@ -45,7 +45,7 @@
 		if err := run(stop); err != nil && !h.isDead() {
 			s.recordFailure(err)
 		}
-		h.Kill() // close the sockets that the ended process left open
+		h.exit()
 	})
 }
 
--- a/local/network.go
+++ b/local/network.go
@@ -170,7 +170,14 @@
 }
 
 // Kill closes the listeners and connections of the host and cuts it from the network for good.
-func (h *Host) Kill() {
+func (h *Host) Kill() { h.close(true) }
+
+// exit closes the listeners of the host and its ends of the connections, and cuts it from the network for good. Others still read what
+// it sent.
+func (h *Host) exit() { h.close(false) }
+
+// close closes the sockets of the host, and the other ends of its connections if otherEnds is set.
+func (h *Host) close(otherEnds bool) {
 	n := h.network
 	n.mu.Lock()
 	h.dead = true
@@ -182,7 +189,7 @@
 		}
 	}
 	for c := range n.conns {
-		if c.from == h || c.to == h {
+		if c.from == h || otherEnds && c.to == h {
 			closers = append(closers, c)
 		}
 	}
--- a/local/scenario_test.go
+++ b/local/scenario_test.go
@@ -70,7 +70,8 @@
 	evacuates   bool              // whether the platform has evacuations of data halls
 	overload    *process.Overload // settings of the entry boxes; nil for the defaults
 
-	retrySlack float64 // of the bounds; 0 for that of a current platform
+	retrySlack float64       // of the bounds; 0 for that of a current platform
+	stop       time.Duration // of the bounds; 0 for that of bounds
 }
 
 // exchange is one request of a caller and its reply.
@@ -231,6 +232,7 @@
 		}
 		limits := bounds()
 		limits.RetrySlack = cmp.Or(sc.retrySlack, limits.RetrySlack)
+		limits.Stop = cmp.Or(settings.Duration(sc.stop), limits.Stop)
 		if sc.evacuates {
 			limits.Evacuate = settings.Duration(evacuationBound)
 		}
