--- a/cmd/clovertrail-node/harness_test.go
+++ b/cmd/clovertrail-node/harness_test.go
@@ -57,6 +57,7 @@
 type node struct {
 	role     string
 	settings map[string]any
+	limits   string // options of the shell's ulimit for the process; empty for those of the test
 	command  *exec.Cmd
 	ended    chan struct{} // closed when the process has ended
 	log      *os.File
@@ -78,7 +79,7 @@
 
 // clone returns a node that is not started, with addresses of its own.
 func (n *node) clone() *node {
-	c := &node{role: n.role, settings: maps.Clone(n.settings)}
+	c := &node{role: n.role, settings: maps.Clone(n.settings), limits: n.limits}
 	for _, name := range entryAddresses {
 		if _, ok := c.settings[name]; ok {
 			c.settings[name] = unusedAddress()
@@ -111,6 +112,9 @@
 		t.Fatal(err)
 	}
 	c := exec.Command(program, n.role)
+	if n.limits != "" {
+		c = exec.Command("sh", "-c", "ulimit "+n.limits+` && exec "$0" "$1"`, program, n.role)
+	}
 	c.Env = append(os.Environ(), "CLOVERTRAIL_BOOT="+path)
 	c.Stdout, c.Stderr = output, output
 	if err := c.Start(); err != nil {
--- a/cmd/clovertrail-node/main_test.go
+++ b/cmd/clovertrail-node/main_test.go
@@ -126,6 +126,30 @@
 	return l
 }
 
+// TestProcessRunsInLimitedAddressSpace guards against a process that ends at its start or later since it cannot create a thread: the
+// machine limits the address space of its processes.
+func TestProcessRunsInLimitedAddressSpace(t *testing.T) {
+	t.Parallel()
+	const starts, connections = 6, 40
+	for _, n := range newNodes(t) {
+		n.limits = "-v 1048576" // kB: what the runtime reserves, and the memory of a box several times
+		for range starts {
+			n := n.clone()
+			n.start(t)
+			n.awaitLine(t, "msg=started")
+			for range connections {
+				c, err := net.Dial("tcp", n.settings["peers"].(string))
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer func() { _ = c.Close() }()
+			}
+			n.signal(t, syscall.SIGHUP)
+			n.awaitLine(t, "signal=hangup")
+		}
+	}
+}
+
 // TestReloadSignalDoesNotEndStart guards against a process that ends since the signal to read its settings again arrives while it starts. It is
 // sent as soon as the process handles the signal in any way.
 func TestReloadSignalDoesNotEndStart(t *testing.T) {
