quarantine: a part of a prompt is found wherever it stands

Cause: only the first 16 parts of a prompt had a digest.

TestFatalPartIsFoundAnywhereInPrompt, parts behind 4, 16 and 300 shared ones and behind 20 that no other prompt has: needs 2, 3, 3 and 8 ends at most.

Change: all parts count, for what is barred and for what was served. What one end adds to the register stays bounded by 16 parts of a prompt: those under which most targets ended, then those not known to have been served, and among equals others for each request, so that a part that several share is met soon. A larger number was ruled out: it moves the hole, and an end costs the register time for each part.

Open: parts in thousands that are all new with each request take as many ends as the chance of one in 16 of them needs.

--- a/core/call/request.go
+++ b/core/call/request.go
@@ -25,17 +25,14 @@
 	Prefixes   []PromptPrefix
 }
 
-// maxSharedPrefixes is the maximum number of shared prefixes of a prompt that are distinguished.
-const maxSharedPrefixes = 16
-
-// SharedPrefixes returns the IDs of the first 16 prefixes that other prompts may have too. The last prefix
-// of a prompt belongs to the request or its session alone.
+// SharedPrefixes returns the IDs of the prefixes that other prompts may have too. The last prefix of a prompt belongs to
+// the request or its session alone.
 func (p *Prompt) SharedPrefixes() []string {
 	if p == nil {
 		return nil
 	}
 	var list []string
-	for _, x := range p.Prefixes[:min(max(len(p.Prefixes)-1, 0), maxSharedPrefixes)] {
+	for _, x := range p.Prefixes[:max(len(p.Prefixes)-1, 0)] {
 		list = append(list, x.ID)
 	}
 	return list
--- a/core/call/work.go
+++ b/core/call/work.go
@@ -1,10 +1,6 @@
 package call
 
-import (
-	"slices"
-
-	"clovertrail.dev/core/domain"
-)
+import "clovertrail.dev/core/domain"
 
 // Work identifies what a request asks of a target: the request as a whole, and the parts of its prompt that other
 // prompts may have too.
@@ -16,9 +12,12 @@
 // NewWork returns the work of a request to a service. The prompt is nil for a request that is not to a model.
 func NewWork(request Digest, svc domain.ServiceName, p *Prompt) Work {
 	w := Work{request: request}
-	for _, id := range p.SharedPrefixes() {
-		if d := DigestOfPart(svc, id); id != "" && !slices.Contains(w.parts, d) {
-			w.parts = append(w.parts, d)
+	list := p.SharedPrefixes()
+	seen := make(map[string]bool, len(list))
+	for _, id := range list {
+		if id != "" && !seen[id] {
+			seen[id] = true
+			w.parts = append(w.parts, DigestOfPart(svc, id))
 		}
 	}
 	return w
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -34,10 +34,18 @@
 	g.deps.Common.Log.Warn("attempt failed", withPrefixes(withLimit(attrs, a.response.Limit), req)...)
 }
 
+// maxLoggedPrefixes is the maximum number of prefixes of a prompt in a log line.
+const maxLoggedPrefixes = 16
+
 // withPrefixes appends the prefixes that the prompt may share with other prompts, if any.
 func withPrefixes(attrs []any, req *inboundRequest) []any {
-	if list := req.Prompt().SharedPrefixes(); len(list) > 0 {
-		return append(attrs, "prefixes", strings.Join(list, ","))
+	list := req.Prompt().SharedPrefixes()
+	if len(list) == 0 {
+		return attrs
+	}
+	attrs = append(attrs, "prefixes", strings.Join(list[:min(len(list), maxLoggedPrefixes)], ","))
+	if more := len(list) - maxLoggedPrefixes; more > 0 {
+		attrs = append(attrs, "more_prefixes", more)
 	}
 	return attrs
 }
--- a/node/quarantine_sync.go
+++ b/node/quarantine_sync.go
@@ -75,7 +75,10 @@
 
 // TargetEnded implements gateway.Quarantine.
 func (q *quarantineSync) TargetEnded(now time.Time, w call.Work, id domain.InstanceID) {
-	q.observeOwn(now, quarantine.EndsUnder(now, w, id))
+	q.mu.Lock()
+	list := q.register.EndsUnder(now, w, id)
+	q.mu.Unlock()
+	q.observeOwn(now, list)
 }
 
 // WorkServed implements gateway.Quarantine.
--- a/quarantine/evidence_test.go
+++ b/quarantine/evidence_test.go
@@ -52,6 +52,58 @@
 	}
 }
 
+// TestFatalPartIsFoundAnywhereInPrompt guards against a part that ends its targets and is never found since many parts come before it in each
+// prompt: sound ones that all prompts share, or ones that no other prompt has.
+func TestFatalPartIsFoundAnywhereInPrompt(t *testing.T) {
+	const maxParts = 300
+	work := func(n int, parts ...string) call.Work {
+		p := &call.Prompt{}
+		for _, id := range append(parts, fmt.Sprint("own-", n)) {
+			p.Prefixes = append(p.Prefixes, call.PromptPrefix{ID: id})
+		}
+		return call.NewWork(call.Digest(fmt.Sprint("request-", n)), "s", p)
+	}
+	for _, tc := range []struct {
+		name   string
+		before int  // parts before the fatal one
+		shared bool // whether all prompts share them
+		most   int  // targets that end until the part is in quarantine
+	}{
+		{"few", 4, true, 2},
+		{"more than are attributed ends", 16, true, 3},
+		{"as many as a head holds", maxParts, true, 3},
+		{"parts of one prompt alone", 20, false, 8},
+	} {
+		r := quarantine.NewRegister()
+		n := 0
+		for ; n <= tc.most; n++ {
+			now := begin.Add(time.Duration(n) * 3 * time.Second)
+			var parts []string
+			for i := range tc.before {
+				id := fmt.Sprint("a", i)
+				if !tc.shared {
+					id = fmt.Sprint("a", i, "of", n)
+				}
+				parts = append(parts, id)
+			}
+			fatal, sound := work(n, append(slices.Clone(parts), "fa7a1")...), work(1000+n, parts...)
+			if _, barred := r.BarredUntil(now, fatal); barred {
+				break
+			}
+			observe(r, r.EndsUnder(now, fatal, domain.InstanceID(fmt.Sprint("t", n)))...)
+			for _, o := range quarantine.ServedBy(now.Add(time.Second), sound) {
+				r.Observe(now.Add(time.Second), o)
+			}
+			if _, barred := r.BarredUntil(now.Add(time.Second), sound); barred {
+				t.Errorf("%s: the sound parts are in quarantine after %d ends", tc.name, n+1)
+			}
+		}
+		if n > tc.most {
+			t.Errorf("%s: the fatal part is not in quarantine after %d ends, want %d at most", tc.name, n, tc.most)
+		}
+	}
+}
+
 // TestOutboxWritesSettledQuarantines guards against records of quarantines that further observations end at once, and against
 // records that pile up while the store does not answer.
 func TestOutboxWritesSettledQuarantines(t *testing.T) {
--- a/quarantine/prompts_test.go
+++ b/quarantine/prompts_test.go
@@ -148,7 +148,7 @@
 			w = w.WithoutParts()
 		}
 		isSuspect := isBegun && p.events == 0 && !known
-		m.observe(p.box, quarantine.EndsUnder(m.now, w, target))
+		m.observe(p.box, p.box.register.EndsUnder(m.now, w, target))
 		p.endTrial(m.now, true)
 		if !isSuspect {
 			m.send(p)
--- a/quarantine/request.go
+++ b/quarantine/request.go
@@ -1,6 +1,9 @@
 package quarantine
 
 import (
+	"cmp"
+	"hash/fnv"
+	"io"
 	"slices"
 	"time"
 
@@ -41,25 +44,77 @@
 // KnowsParts reports whether targets are known to have served each part of the prompt lately, and none to have ended
 // under it since.
 func (r *Register) KnowsParts(w call.Work) bool {
-	return !slices.ContainsFunc(w.Parts(), func(d call.Digest) bool {
-		if x, suspected := r.works[d]; suspected {
-			return x.served.IsZero() || len(x.ended) > 0
+	return !slices.ContainsFunc(w.Parts(), func(d call.Digest) bool { return !r.wasServed(d) || r.EndedTargets(d) > 0 })
+}
+
+// maxSuspectedParts is the maximum number of parts of one prompt to which the end of a target is attributed. It bounds what the end of
+// one target, with its many requests, adds to the register.
+const maxSuspectedParts = 16
+
+// EndsUnder returns the observations that the target ended now while it had the work. Of the parts of a long prompt, they are of the
+// most suspicious.
+func (r *Register) EndsUnder(now time.Time, w call.Work, id domain.InstanceID) []Observation {
+	list := []Observation{{Digest: w.Request(), Target: id, At: now}}
+	for _, d := range r.suspectedParts(w) {
+		list = append(list, Observation{Digest: d, Target: id, At: now})
+	}
+	return list
+}
+
+// suspectedParts returns the parts of the prompt that may have ended a target: first those under which most targets have ended, then
+// those that are not known to have been served. Of parts alike in this, each request selects others, so that one that several
+// requests share is among them soon.
+func (r *Register) suspectedParts(w call.Work) []call.Digest {
+	if len(w.Parts()) <= maxSuspectedParts {
+		return w.Parts()
+	}
+	type part struct {
+		digest call.Digest
+		ends   int
+		served bool
+		order  uint64
+	}
+	parts := make([]part, 0, len(w.Parts()))
+	for _, d := range w.Parts() {
+		h := fnv.New64a()
+		_, _ = io.WriteString(h, string(w.Request()+d)) // never fails
+		parts = append(parts, part{digest: d, ends: r.EndedTargets(d), served: r.wasServed(d), order: h.Sum64()})
+	}
+	slices.SortFunc(parts, func(x, y part) int {
+		switch {
+		case x.ends != y.ends:
+			return cmp.Compare(y.ends, x.ends)
+		case x.served != y.served && x.served:
+			return 1
+		case x.served != y.served:
+			return -1
+		default:
+			return cmp.Compare(x.order, y.order)
 		}
-		return r.served.at(d).IsZero()
 	})
+	var list []call.Digest
+	for _, x := range parts[:maxSuspectedParts] {
+		list = append(list, x.digest)
+	}
+	return list
+}
+
+// wasServed reports whether a target is known to have served the work lately.
+func (r *Register) wasServed(d call.Digest) bool {
+	if x, suspected := r.works[d]; suspected {
+		return !x.served.IsZero()
+	}
+	return !r.served.at(d).IsZero()
 }
 
-// EndsUnder returns the observations that the target ended now while it had the work.
-func EndsUnder(now time.Time, w call.Work, id domain.InstanceID) []Observation {
+// ServedBy returns the observations that the work was served now.
+func ServedBy(now time.Time, w call.Work) []Observation {
 	var list []Observation
 	for _, d := range w.Digests() {
-		list = append(list, Observation{Digest: d, Target: id, At: now})
+		list = append(list, Observation{Digest: d, At: now})
 	}
 	return list
 }
 
-// ServedBy returns the observations that the work was served now.
-func ServedBy(now time.Time, w call.Work) []Observation { return EndsUnder(now, w, "") }
-
 // PartsServedBy returns the observations that a response to a prompt of these parts has gone on.
 func PartsServedBy(now time.Time, w call.Work) []Observation { return ServedBy(now, w)[1:] }
