gateway: a response that ended while the box was paused is not complete without proof

A response without a length or chunks is complete if nothing happened around its end, and the box judged that by what it saw: how long it waited, and whether the process runs after the end. A box that was not scheduled waited for nothing, reads the bytes and the end at once, and asks a process that may have started again under the same id since.

Change: the box notices when a check that is due each 200 ms is late by 250 ms or more, or the machine was suspended. A plain response during which that happened counts as truncated; a stream, unless the box has waited 300 ms for its target since, which shows that it went on. Of the two ways, this and a proof over a connection that is older than the request, the second needs the age of each connection in the checks of processes, and saves only complete responses without a length in the moments after a pause.

Open: a pause below 450 ms, with a target that is back in less.

--- a/ending/doc.go
+++ b/ending/doc.go
@@ -5,7 +5,7 @@
 // process ends, as its group stops and cuts the requests of all ranks, and at the deadline that the target was given. So a
 // response is complete only if nothing casts doubt on it. A complete stream ends with its last event or soon after it, whereas a
 // group stands still for a second and more before it cuts its streams. A box that was not scheduled for that time
-// reads the last events and the end at once, so that an end soon after a long wait is doubted too. What the box knows of the group
+// reads the last events and the end at once, so that an end soon after a long wait, or after a pause of the box, is doubted too. What the box knows of the group
 // is older than the stream and also true of streams that were complete before the group stopped; it counts only for streams that
 // paused for long.
 //
@@ -15,7 +15,7 @@
 // # Usage
 //
 //	arrivals := ending.NewArrivals(sentAt)
-//	arrivals.Waited(d)             // for each read
+//	arrivals.Waited(d, lastPause)  // for each read
 //	arrivals.Arrived(now, events)  // for each read that completes events
 //	s := arrivals.Ended(now)       // at the end of the connection
 //	s.Left = deadline.Sub(now)
--- a/ending/ending.go
+++ b/ending/ending.go
@@ -16,6 +16,9 @@
 	Silence Doubt = "silence"
 	// GroupStopped: the stream paused for long, and the group of the target has stopped since the request was sent.
 	GroupStopped Doubt = "group stopped"
+	// BoxPaused: the box was paused, so that it does not know when the connection ended. The target may have fallen silent, or have
+	// ended and started again, meanwhile.
+	BoxPaused Doubt = "box paused"
 	// Deadline: the response ended at the deadline that the target was given.
 	Deadline Doubt = "deadline"
 )
@@ -39,6 +42,8 @@
 	Waited time.Duration
 	// Left is the time until the deadline that the target was given.
 	Left time.Duration
+	// BoxPaused reports whether the box was paused since the request was sent.
+	BoxPaused bool
 }
 
 // Doubt returns a reason why the response may be incomplete.
@@ -46,6 +51,8 @@
 	switch {
 	case p.Left < deadlineSlack:
 		return Deadline
+	case p.BoxPaused:
+		return BoxPaused
 	case p.Waited > maxSilence:
 		return Silence
 	default:
@@ -67,6 +74,10 @@
 	// the time since the last such wait.
 	Stalled    bool
 	SinceStall time.Duration
+	// BoxPaused reports whether the box was paused since the request was sent, and WaitedSincePause for how long it has waited for
+	// the target since.
+	BoxPaused        bool
+	WaitedSincePause time.Duration
 	// PauseObjective is the longest time between two events that the route allows; 0 if it has no such limit.
 	PauseObjective time.Duration
 	// Continues reports whether the stream continues one of which all events may have been sent before.
@@ -92,6 +103,8 @@
 		return Silence
 	case s.Stalled && s.SinceStall < minSilence:
 		return Silence
+	case s.BoxPaused && s.WaitedSincePause < minSilence:
+		return BoxPaused
 	case s.Paused() && s.GroupInterrupted:
 		return GroupStopped
 	default:
--- a/ending/ending_test.go
+++ b/ending/ending_test.go
@@ -57,7 +57,7 @@
 			a := ending.NewArrivals(now)
 			for _, x := range tc.arrivals {
 				now = now.Add(x.blocked + x.waited)
-				a.Waited(x.waited)
+				a.Waited(x.waited, time.Time{})
 				if x.events > 0 {
 					a.Arrived(now, x.events)
 				}
@@ -92,7 +92,7 @@
 	} {
 		start := time.Unix(1000, 0)
 		a := ending.NewArrivals(start)
-		a.Waited(tc.waited)
+		a.Waited(tc.waited, time.Time{})
 		s := a.Ended(start.Add(tc.waited))
 		s.Continues, s.GroupInterrupted, s.Left = tc.continues, tc.interrupted, time.Minute
 		if got := s.Doubt(); got != tc.want {
--- a/gateway/connection_body.go
+++ b/gateway/connection_body.go
@@ -43,11 +43,20 @@
 	return n, err
 }
 
+// lastPause returns when the last pause of the box ended; zero if there was none. It matters only for a response that ends with its
+// connection.
+func (a *attempt) lastPause(resp *http.Response) time.Time {
+	if !endsWithConnection(resp) {
+		return time.Time{}
+	}
+	return a.d.g.deps.LastPause(clock.Now())
+}
+
 // plainEnded decides whether a response other than a stream is complete that ended with its connection, after the box waited for
 // the end.
 func (a *attempt) plainEnded(ctx context.Context, waited time.Duration) error {
-	p := ending.Plain{Waited: waited, Left: clock.Until(a.d.req.deadline)}
-	return a.connectionEnded(ctx, p.Doubt(), "waited", p.Waited, "left", p.Left)
+	p := ending.Plain{Waited: waited, Left: clock.Until(a.d.req.deadline), BoxPaused: a.d.g.deps.LastPause(clock.Now()).After(a.sentAt)}
+	return a.connectionEnded(ctx, p.Doubt(), "waited", p.Waited, "left", p.Left, "box_paused", p.BoxPaused)
 }
 
 // streamEnded decides whether a stream that ended with its connection, between two events, is complete.
@@ -58,7 +67,7 @@
 	s.Continues = a.try.Resume && a.d.endInDoubt
 	s.GroupInterrupted = s.Paused() && a.lease.GroupInterrupted(now)
 	return a.connectionEnded(ctx, s.Doubt(), "events", s.Events, "last_event", a.d.after, "waited", s.Waited, "longest_wait", s.LongestWait,
-		"longest_pause", s.LongestPause, "stalled", s.Stalled, "continues", s.Continues, "group_interrupted", s.GroupInterrupted, "left", s.Left)
+		"longest_pause", s.LongestPause, "stalled", s.Stalled, "box_paused", s.BoxPaused, "waited_since_pause", s.WaitedSincePause, "continues", s.Continues, "group_interrupted", s.GroupInterrupted, "left", s.Left)
 }
 
 // connectionEnded returns an error unless there is no doubt and the target's process is alive. It logs and counts what the response
--- a/gateway/fake_test.go
+++ b/gateway/fake_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -257,6 +258,9 @@
 	fleet      *fleet
 	quarantine *quarantine
 	server     *httptest.Server
+
+	// pausedAt is the end of the last pause of the gateway's process; nil if there was none.
+	pausedAt atomic.Pointer[time.Time]
 }
 
 func newFixture(t *testing.T, targets ...*target) *fixture {
@@ -275,8 +279,15 @@
 	t.Helper()
 	f := &fleet{targets: targets, began: make(chan struct{}, 1), asked: make(chan struct{}, 1)}
 	q := &quarantine{}
+	r := &fixture{t: t, fleet: f, quarantine: q}
 	g := gateway.New(gateway.Dependencies{
 		Common: telemetry.Quiet(), Headers: testCodec{}, Fleet: f, Quarantine: q, MaxHeldBytes: maxHeldBytes,
+		LastPause: func(time.Time) time.Time {
+			if at := r.pausedAt.Load(); at != nil {
+				return *at
+			}
+			return time.Time{}
+		},
 		Pool:   transport.NewPool(transport.Dial(transport.Timeouts{Connect: time.Second, DeadPeer: time.Second}), transport.DefaultSettings()),
 		Budget: func(domain.ServiceName) retry.Budget { return budget },
 	})
@@ -284,7 +295,8 @@
 	s := httptest.NewServer(g)
 	s.Config.ErrorLog = nil
 	t.Cleanup(s.Close)
-	return &fixture{t: t, g: g, fleet: f, quarantine: q, server: s}
+	r.g, r.server = g, s
+	return r
 }
 
 // routes returns a catalog with a route of each kind, one of them with a short timeout.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -155,6 +155,8 @@
 	Quarantine Quarantine
 	// Budget returns the retry budget of a service.
 	Budget func(domain.ServiceName) retry.Budget
+	// LastPause returns when the process was last scheduled again after a pause; zero if there was none. Nil if that is not known.
+	LastPause func(now time.Time) time.Time
 	// MaxHeldBytes bounds the bodies of requests and the parts of responses that are held at a time; 0
 	// for 64 MiB.
 	MaxHeldBytes int64
@@ -174,6 +176,9 @@
 
 // New returns a gateway without a configuration.
 func New(d Dependencies) *Gateway {
+	if d.LastPause == nil {
+		d.LastPause = func(time.Time) time.Time { return time.Time{} }
+	}
 	return &Gateway{
 		deps: d, random: rand.Float64, responseTimes: newResponseTimes(), deliveries: newDeliveries(),
 		memory: newMemory(cmp.Or(d.MaxHeldBytes, defaultMaxHeldBytes)),
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -36,7 +36,7 @@
 		}
 		waitedSince := clock.Now()
 		n, err := resp.Body.Read(buf[len(buf):cap(buf)])
-		a.arrivals.Waited(clock.Since(waitedSince))
+		a.arrivals.Waited(clock.Since(waitedSince), a.lastPause(resp))
 		buf = buf[:len(buf)+n]
 		batch, orderErr := run.Scan(buf, errors.Is(err, io.EOF))
 		if flushErr := a.forwardEvents(resp, batch, buf[:batch.Length]); flushErr != nil {
--- a/gateway/unframed_test.go
+++ b/gateway/unframed_test.go
@@ -54,10 +54,10 @@
 	text string
 }
 
-// partsTarget sends the parts and then closes the connection; it is alive all the time.
-func partsTarget(t *testing.T, name, head string, parts ...part) *target {
+// partsTarget is a target "a" that sends the parts and then closes the connection; it is alive all the time.
+func partsTarget(t *testing.T, head string, parts ...part) *target {
 	t.Helper()
-	return scriptedServer(t, name, func(c net.Conn, path string) {
+	return scriptedServer(t, "a", func(c net.Conn, path string) {
 		if path == checkPath {
 			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
 			return
@@ -86,7 +86,7 @@
 		{"the last events and the end arrive together after the stall, as in a box that was frozen", []part{{0, event(1)}, {20 * ms, event(2)}, {stall, event(3) + event(4)}}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			a := partsTarget(t, "a", unframedStream, tc.parts...)
+			a := partsTarget(t, unframedStream, tc.parts...)
 			r := newFixture(t, a)
 			r.fleet.interrupted = true
 			got := r.request("POST", "/stream-once/", "p")
@@ -109,7 +109,7 @@
 		{"failure", "/once/", strings.Replace(unframed, "200 OK", "500 Oops", 1), "oo", 502},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			a := partsTarget(t, "a", tc.head, part{0, tc.body}, part{stall, ""})
+			a := partsTarget(t, tc.head, part{0, tc.body}, part{stall, ""})
 			r := newFixture(t, a)
 			r.fleet.interrupted = true
 			got := r.request("POST", tc.path, "p")
@@ -119,7 +119,7 @@
 		})
 	}
 	t.Run("long", func(t *testing.T) {
-		a := partsTarget(t, "a", unframed, part{0, longBody}, part{stall, ""})
+		a := partsTarget(t, unframed, part{0, longBody}, part{stall, ""})
 		r := newFixture(t, a)
 		r.fleet.interrupted = true
 		if got := r.request("POST", "/once/", "p"); !got.broken {
--- a/node/entry.go
+++ b/node/entry.go
@@ -44,6 +44,7 @@
 
 	quarantine *quarantineSync
 	timeline   *timeline
+	pauses     *clock.Pauses
 	limiting   *limiting
 
 	// loggedStandings are the standings as last logged, at standingsLoggedAt. Both are used only by the
@@ -57,6 +58,7 @@
 func NewEntry(c telemetry.Common, n process.Network, settings func() process.EntrySettings) *Entry {
 	s := settings()
 	e := &Entry{common: c, network: n, settings: settings, budgets: newBudgets(s.Bounds), ready: &readiness{}}
+	e.pauses = clock.NewPauses(readinessInterval, clock.ReadMachineOffset)
 	e.fleet = newFleet(c, s)
 	e.fleet.applyOverload(s.Overload)
 	e.pool = newPool(n, c)
@@ -70,7 +72,7 @@
 		func() store.Era { return e.timeline.latest().Era() })
 	e.gateway = gateway.New(gateway.Dependencies{
 		Common: c, Headers: platform.HeaderCodec{}, Fleet: e.fleet, Pool: e.pool, Budget: e.budgets.forService,
-		Quarantine: e.quarantine, MaxHeldBytes: s.MaxHeldBytes(),
+		Quarantine: e.quarantine, LastPause: e.pauses.LastEnd, MaxHeldBytes: s.MaxHeldBytes(),
 	})
 	e.quarantine.changed, e.quarantine.siblings, e.quarantine.ended = e.gateway.QuarantineChanged, e.siblings, e.processEnded
 	e.peering = newPeering(e)
--- a/node/readiness.go
+++ b/node/readiness.go
@@ -67,10 +67,11 @@
 	e.peering.notify()
 }
 
-// checkReadiness updates the readiness and logs changed standings until ctx ends.
+// checkReadiness updates the readiness, logs changed standings and finds pauses of this box until ctx ends.
 func (e *Entry) checkReadiness(ctx context.Context) {
 	for ctx.Err() == nil {
 		now := clock.Now()
+		e.pauses.Check(now)
 		isolated := (e.peering.isolated(now) || e.fleet.otherHallsSilent(now)) && e.fleet.lacksTargets(now)
 		if before := e.ready.isolated.Swap(isolated); before != isolated {
 			e.common.Log.Warn("cut off without targets", "stranded", isolated, "before", before)
