node: servers for metrics and readiness limit heads and idle connections

Heads of up to 1 MB each were held for those who ask for metrics or readiness, and idle connections stayed open for good. TestServersBoundHeads failed before (64 KB: status 200).

--- a/node/entry.go
+++ b/node/entry.go
@@ -221,18 +221,14 @@
 // startServers starts the servers for callers, for the platform's readiness checks, for other boxes and for metrics. It
 // returns the listener for callers.
 func (e *Entry) startServers(ctx context.Context, s *process.Servers) (*gateway.Listener, error) {
-	limits := catalog.DefaultLimits()
-	callers := gateway.NewListener(&http.Server{
-		Handler: e.gateway, MaxHeaderBytes: limits.HeaderBytes,
-		ReadHeaderTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout,
-	})
+	callers := gateway.NewListener(process.HTTPServer(e.gateway))
 	if err := s.ServeMetrics(e.settings().Metrics); err != nil { // first, since it shows why the others wait
 		return nil, err
 	}
 	if err := s.Serve(callers, "callers", e.settings().Callers); err != nil {
 		return nil, err
 	}
-	if err := s.Serve(&http.Server{Handler: e.ready, ReadHeaderTimeout: limits.HeaderTimeout}, "ready", e.settings().Ready); err != nil {
+	if err := s.Serve(process.HTTPServer(e.ready), "ready", e.settings().Ready); err != nil {
 		return nil, err
 	}
 	return callers, e.peering.serve(ctx, s)
--- a/node/process/servers.go
+++ b/node/process/servers.go
@@ -77,8 +77,14 @@
 
 // ServeMetrics starts a server of counters and histograms at the address, as ServeOptional does.
 func (s *Servers) ServeMetrics(address string) error {
-	srv := &http.Server{Handler: s.common.Metrics.Handler(), ReadHeaderTimeout: catalog.DefaultLimits().HeaderTimeout}
-	return s.ServeOptional(srv, "metrics", address)
+	return s.ServeOptional(HTTPServer(s.common.Metrics.Handler()), "metrics", address)
+}
+
+// HTTPServer returns a server that limits what a connection may hold: the length of a head, the time until it is complete, and the time
+// without a request.
+func HTTPServer(h http.Handler) *http.Server {
+	l := catalog.DefaultLimits()
+	return &http.Server{Handler: h, MaxHeaderBytes: l.HeaderBytes, ReadHeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout}
 }
 
 // listen returns a listener at the address as soon as that is possible.
--- a/node/process/servers_test.go
+++ b/node/process/servers_test.go
@@ -4,7 +4,9 @@
 	"errors"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
+	"strings"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -100,3 +102,26 @@
 		}
 	})
 }
+
+// TestServersBoundHeads guards against memory that grows with the heads of those who ask for metrics or readiness.
+func TestServersBoundHeads(t *testing.T) {
+	s := httptest.NewUnstartedServer(nil)
+	s.Config = process.HTTPServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	s.Start()
+	defer s.Close()
+	for size, want := range map[int]int{1 << 10: http.StatusOK, 64 << 10: http.StatusRequestHeaderFieldsTooLarge} {
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, s.URL, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Header.Set("X", strings.Repeat("x", size))
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = resp.Body.Close()
+		if resp.StatusCode != want {
+			t.Errorf("head of %d bytes: status %d, want %d", size, resp.StatusCode, want)
+		}
+	}
+}
