transport: whether a request was sent is known after its connection is used again

What callers could see: a request that ran and is sent a second time, if its work came into quarantine in the moment between the end of its response and the end of its attempt.

Cause: the mark that a byte had left belonged to the connection, which the end of an exchange clears and gives to another request. The attempt asks for it after that, without a lock.

TestSentHoldsAfterConnectionIsReused failed before (false after a complete exchange; data race).

Change: the mark belongs to the exchange.

--- a/transport/exchange.go
+++ b/transport/exchange.go
@@ -19,6 +19,7 @@
 	pool        *Pool
 	conn        *conn
 	reused      bool
+	sent        bool // a byte of the request may have left
 	response    *http.Response
 	complete    bool // the response body was read to its end
 	sentAt      liveness.Moment
@@ -38,7 +39,7 @@
 func (x *Exchange) Reused() bool { return x.reused }
 
 // Sent reports whether a byte of the request may have left this box.
-func (x *Exchange) Sent() bool { return x.conn.sent }
+func (x *Exchange) Sent() bool { return x.sent }
 
 // CloseWhenDone closes the connection when ctx ends, so that the target stops processing the request.
 func (x *Exchange) CloseWhenDone(ctx context.Context) {
@@ -51,19 +52,18 @@
 // Send writes the request with its body.
 func (x *Exchange) Send(r *http.Request) error {
 	x.sentAt = x.pool.Now()
-	w := &sentTracker{conn: x.conn}
-	return r.Write(w)
+	return r.Write(&sentTracker{exchange: x})
 }
 
-// sentTracker writes to a connection and records whether a byte may have left.
-type sentTracker struct{ conn *conn }
+// sentTracker writes to the connection of an exchange and records whether a byte may have left.
+type sentTracker struct{ exchange *Exchange }
 
 func (w *sentTracker) Write(b []byte) (int, error) {
-	sentBefore := w.conn.sent // by an earlier write of the same request
-	w.conn.sent = true
-	n, err := w.conn.net.Write(b)
+	sentBefore := w.exchange.sent // by an earlier write of the same request
+	w.exchange.sent = true
+	n, err := w.exchange.conn.net.Write(b)
 	if n == 0 && err != nil && closedBeforeWrite(err) {
-		w.conn.sent = sentBefore
+		w.exchange.sent = sentBefore
 	}
 	return n, err
 }
@@ -156,6 +156,5 @@
 		x.conn.close()
 		return
 	}
-	x.conn.sent = false
 	x.pool.put(x.conn, clock.Now().Add(idle))
 }
--- a/transport/pool.go
+++ b/transport/pool.go
@@ -64,7 +64,6 @@
 	head      headReader    // of net
 	read      *bufio.Reader // of head
 	idleUntil time.Time     // while idle: until when the connection may be used again
-	sent      bool          // a byte of the current request may have left
 }
 
 // NewPool returns an empty pool.
--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -10,6 +10,7 @@
 	"net/url"
 	"os"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -222,6 +223,47 @@
 	y.Close()
 }
 
+// TestSentHoldsAfterConnectionIsReused guards against a request that is sent again although it ran, and against a race: whether a request was sent
+// is asked after its exchange has ended, when its connection may carry another request.
+func TestSentHoldsAfterConnectionIsReused(t *testing.T) {
+	pool := newPool()
+	server := newScriptedServer(t, func(_ int, w net.Conn, _ *http.Request) bool {
+		write(w, "HTTP/1.1 200 OK\nId: 1\nContent-Length: 0\n\n")
+		return true
+	})
+	exchange := func() *transport.Exchange {
+		x, err := pool.Open(t.Context(), server.address(), transport.ReuseIdle)
+		if err != nil {
+			t.Fatal(err)
+		}
+		req := request()
+		if err := x.Send(req); err != nil {
+			t.Fatal(err)
+		}
+		resp, err := x.Receive(req, func(*http.Response) bool { return true })
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+		x.Close()
+		return x
+	}
+	first := exchange()
+	if !first.Sent() {
+		t.Error("Sent is false after a complete exchange")
+	}
+	var other sync.WaitGroup
+	other.Go(func() {
+		if !exchange().Reused() {
+			t.Error("the connection was not used again")
+		}
+	})
+	if !first.Sent() {
+		t.Error("Sent is false while the connection carries another request")
+	}
+	other.Wait()
+}
+
 // scriptedConn is a connection on which each write ends as the next of the results states.
 type scriptedConn struct {
 	net.Conn
