soak: a fault that a process logs is a violation

Lines of a race, a panic or a fatal error count now, also if the process is restarted or stopped before anybody looks.

--- a/soak/box.go
+++ b/soak/box.go
@@ -8,6 +8,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -198,3 +200,22 @@
 		<-exited
 	}
 }
+
+// faultMarks are the beginnings of lines that a process writes because of a fault of its own.
+var faultMarks = []string{"WARNING: DATA RACE", "panic: ", "fatal error: "}
+
+// collectLoggedFaults records the faults of their own that processes have logged.
+func (e *environment) collectLoggedFaults() error {
+	for _, b := range slices.Concat(e.boxes, e.agents) {
+		out, err := os.ReadFile(filepath.Join(e.options.Dir, b.name+".log"))
+		if err != nil {
+			return err
+		}
+		for line := range strings.Lines(string(out)) {
+			if slices.ContainsFunc(faultMarks, func(mark string) bool { return strings.HasPrefix(line, mark) }) {
+				e.recorder.loggedFaults = append(e.recorder.loggedFaults, b.name+" logged "+strings.TrimSpace(line))
+			}
+		}
+	}
+	return nil
+}
--- a/soak/recorder.go
+++ b/soak/recorder.go
@@ -71,6 +71,8 @@
 	overdueStops []span
 	// unexpectedExits are the exits of processes that no signal of the run had ended.
 	unexpectedExits []string
+	// loggedFaults are the faults of their own that processes wrote to their logs, such as a data race.
+	loggedFaults []string
 	// drainingSince has the times at which the store accepted the draining state, by target.
 	drainingSince map[string]time.Time
 	// configStoredAt has the times at which the store accepted a configuration, by version.
@@ -258,11 +260,14 @@
 	}
 }
 
-// checkProcesses reports processes that ended by themselves, and those that a planned stop did not end in time.
+// checkProcesses reports processes that ended by themselves or logged a fault of their own, and those that a planned stop did not end in time.
 func (rec *recorder) checkProcesses(violate violationFunc) {
 	for _, exit := range rec.unexpectedExits {
 		violate("processes", "%s ended by itself", exit)
 	}
+	for _, line := range rec.loggedFaults {
+		violate("processes", "%s", line)
+	}
 	for _, s := range rec.overdueStops {
 		if rec.faultFree(s.box, s.from, s.to, scopeBox) {
 			violate("planned stop", "%s did not end within %v after the stop signal", s.box, s.to.Sub(s.from))
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -119,13 +119,14 @@
 	time.AfterFunc(time.Until(end), cancel)
 	callers.Wait()
 	e.countAttempts()
+	logErr := e.collectLoggedFaults()
 	rep.addGroupTotals(e.recorder)
 	rep.Violations, rep.LimitSummaries = e.recorder.violations(), e.recorder.limitSummaries
 	rep.PromptSummary, rep.SkewSummaries = e.recorder.promptSummary, e.recorder.skewSummaries
 	rep.CrashSummary, rep.LateSummary, rep.EndlessSummary = e.recorder.crashSummary, e.recorder.lateSummary, e.recorder.endlessSummary
 	rep.addResumes(e.recorder.resumes)
 	rep.addTotals(e, repaired, end)
-	return rep, errors.Join(crashErr, ctx.Err())
+	return rep, errors.Join(crashErr, logErr, ctx.Err())
 }
 
 func later(a, b time.Time) time.Time {
