gateway: the limits of the configuration apply to callers' connections

What callers saw: heads and rests of connections were limited by the defaults, 16 KB, 3 s and 15 s, whatever the configuration stated; the three fields were read and had no effect. Callers that keep a connection for longer than 15 s, as a configuration may allow, met closed ones.

Change: the connections of callers apply the limits in force to each wait and each head, so that a change holds on kept connections at once, also for one that rests already. net/http keeps one set of limits for the life of a server. Heads are limited to 64 KB whatever is stated.

--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -9,6 +9,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"clovertrail.dev/catalog"
 )
 
 const (
@@ -21,6 +23,8 @@
 	finalReadTimeout = 50 * time.Millisecond
 	// finalAcceptTimeout limits the last wait for a connection.
 	finalAcceptTimeout = 20 * time.Millisecond
+	// MaxHeadBytes is the longest head that a Listener can be told to accept. Half of the connections of a box may hold one each.
+	MaxHeadBytes = 64 << 10
 )
 
 // Listener accepts callers' connections over HTTP and drains them at a planned stop.
@@ -39,7 +43,8 @@
 	stop      chan struct{} // closed by Stop
 	serveDone chan struct{} // closed when Serve returns; all accepted connections are tracked by then
 
-	acceptUntil atomic.Pointer[time.Time] // deadline of the last wait for a connection; nil before the stop
+	acceptUntil atomic.Pointer[time.Time]      // deadline of the last wait for a connection; nil before the stop
+	limits      atomic.Pointer[catalog.Limits] // of what callers may send and how long they may rest
 
 	mu        sync.Mutex
 	conns     map[*trackedConn]http.ConnState
@@ -47,16 +52,34 @@
 	drainOnce sync.Once     // guards the closing of drained
 }
 
-// NewListener returns a Listener for the server. It sets the server's ConnState.
+// NewListener returns a Listener for the server with the default limits. It sets the server's ConnState and its limits of a head and of
+// the time between requests, which the Listener applies itself.
 func NewListener(s *http.Server) *Listener {
 	l := &Listener{
 		server: s, stop: make(chan struct{}), serveDone: make(chan struct{}),
 		conns: map[*trackedConn]http.ConnState{}, drained: make(chan struct{}),
 	}
+	l.SetLimits(catalog.DefaultLimits())
 	s.ConnState = l.trackState
+	s.MaxHeaderBytes, s.ReadHeaderTimeout, s.IdleTimeout = MaxHeadBytes, time.Hour, time.Hour // the times tell trackedConn when each begins
 	return l
 }
 
+// SetLimits limits the heads of requests and the time that connections may rest, from now on and on open connections too.
+func (l *Listener) SetLimits(limits catalog.Limits) {
+	before := l.limits.Swap(&limits)
+	if before == nil || before.IdleTimeout == limits.IdleTimeout {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c, s := range l.conns {
+		if s == http.StateIdle && !c.receivedSinceIdle.Load() && !l.stopping() {
+			_ = c.Conn.SetReadDeadline(c.idleSince.Add(limits.IdleTimeout)) // fails only on a closed connection
+		}
+	}
+}
+
 // Serve accepts connections until Stop, after which it returns nil. It must be called once.
 func (l *Listener) Serve(inner net.Listener) error {
 	defer close(l.serveDone)
@@ -116,10 +139,15 @@
 	if !ok {
 		return // accepted by another listener of the server
 	}
+	c.state.Store(int32(s))
 	if s == http.StateIdle {
 		c.receivedSinceIdle.Store(false)
+		c.headBytes.Store(0)
 	}
 	l.mu.Lock()
+	if s == http.StateIdle {
+		c.idleSince = time.Now()
+	}
 	if s == http.StateClosed || s == http.StateHijacked {
 		delete(l.conns, c)
 	} else {
@@ -207,57 +235,3 @@
 	_ = t.backlog.close() // where that is not possible, a connection may still open before the listener is closed
 	return t.backlog.isEmpty()
 }
-
-// trackedConn is a connection that, when its Listener stops, is read once more before the wait
-// for a request ends.
-type trackedConn struct {
-	net.Conn
-	owner             *Listener
-	finalReadDone     atomic.Bool // the final read has begun
-	receivedSinceIdle atomic.Bool // bytes arrived since the connection became idle
-}
-
-// SetLinger sets what Close does with data that was not sent, as that of a net.TCPConn.
-func (c *trackedConn) SetLinger(seconds int) error {
-	if l, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
-		return l.SetLinger(seconds)
-	}
-	return errors.ErrUnsupported
-}
-
-// Read implements net.Conn.
-func (c *trackedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if n > 0 {
-		c.receivedSinceIdle.Store(true)
-	}
-	if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || !c.owner.stopping() || !c.owner.awaitsRequest(c) || c.finalReadDone.Swap(true) {
-		return n, err
-	}
-	if err := c.Conn.SetReadDeadline(time.Now().Add(finalReadTimeout)); err != nil {
-		return 0, err
-	}
-	return c.Conn.Read(p)
-}
-
-// SetReadDeadline implements net.Conn. The server calls it before it waits for the next
-// request. While the Listener stops, that wait is limited to finalReadTimeout.
-func (c *trackedConn) SetReadDeadline(t time.Time) error {
-	if c.owner.stopping() && c.owner.state(c) == http.StateIdle && !c.receivedSinceIdle.Load() {
-		t = time.Now().Add(finalReadTimeout)
-	}
-	return c.Conn.SetReadDeadline(t)
-}
-
-// awaitsRequest reports whether the connection waits for a request, or for the rest of one: every
-// request that was read completely has been answered.
-func (l *Listener) awaitsRequest(c *trackedConn) bool {
-	s := l.state(c)
-	return s == http.StateIdle || s == http.StateNew
-}
-
-func (l *Listener) state(c *trackedConn) http.ConnState {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.conns[c]
-}
--- a/node/entry.go
+++ b/node/entry.go
@@ -36,6 +36,7 @@
 	budgets    *budgets
 	pool       *transport.Pool
 	gateway    *gateway.Gateway
+	callers    *gateway.Listener
 	ready      *readiness
 	mesh       *mesh.Client
 	engines    *http.Client // for orders that are forwarded to engines
@@ -74,6 +75,7 @@
 		Common: c, Headers: platform.HeaderCodec{}, Fleet: e.fleet, Pool: e.pool, Budget: e.budgets.forService,
 		Quarantine: e.quarantine, LastPause: e.pauses.LastEnd, MaxHeldBytes: s.MaxHeldBytes(),
 	})
+	e.callers = gateway.NewListener(process.HTTPServer(e.gateway))
 	e.quarantine.changed, e.quarantine.siblings, e.quarantine.ended = e.gateway.QuarantineChanged, e.siblings, e.processEnded
 	e.peering = newPeering(e)
 	e.fleet.onFailure, e.fleet.onEjected, e.fleet.witnesses = e.peering.notify, e.onTargetEjected, e.witnesses
@@ -151,6 +153,7 @@
 // applyConfiguration puts the configuration in force.
 func (e *Entry) applyConfiguration(c *catalog.Catalog) {
 	e.gateway.Configure(c)
+	e.callers.SetLimits(c.Limits())
 	e.fleet.configure(c)
 	e.ready.configured.Store(true)
 }
@@ -170,7 +173,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	failed := make(chan error, 1)
-	callers, err := e.startServers(ctx, process.NewServers(e.common, e.network, stop.Requested(), failed))
+	err := e.startServers(ctx, process.NewServers(e.common, e.network, stop.Requested(), failed))
 	if errors.Is(err, process.ErrStopped) {
 		return nil
 	}
@@ -196,7 +199,7 @@
 	case err := <-failed:
 		return err
 	}
-	return e.stop(callers, stop.Signal())
+	return e.stop(stop.Signal())
 }
 
 // followStore starts to follow the configuration and the targets in the store.
@@ -218,18 +221,16 @@
 	}
 }
 
-// startServers starts the servers for callers, for the platform's readiness checks, for other boxes and for metrics. It
-// returns the listener for callers.
-func (e *Entry) startServers(ctx context.Context, s *process.Servers) (*gateway.Listener, error) {
-	callers := gateway.NewListener(process.HTTPServer(e.gateway))
+// startServers starts the servers for callers, for the platform's readiness checks, for other boxes and for metrics.
+func (e *Entry) startServers(ctx context.Context, s *process.Servers) error {
 	if err := s.ServeMetrics(e.settings().Metrics); err != nil { // first, since it shows why the others wait
-		return nil, err
+		return err
 	}
-	if err := s.Serve(callers, "callers", e.settings().Callers); err != nil {
-		return nil, err
+	if err := s.Serve(e.callers, "callers", e.settings().Callers); err != nil {
+		return err
 	}
 	if err := s.Serve(process.HTTPServer(e.ready), "ready", e.settings().Ready); err != nil {
-		return nil, err
+		return err
 	}
-	return callers, e.peering.serve(ctx, s)
+	return e.peering.serve(ctx, s)
 }
--- a/node/stop.go
+++ b/node/stop.go
@@ -4,7 +4,6 @@
 	"context"
 
 	"clovertrail.dev/core/clock"
-	"clovertrail.dev/gateway"
 	"clovertrail.dev/node/process"
 	"clovertrail.dev/shutdown"
 )
@@ -12,7 +11,7 @@
 // stop is a planned stop. The box reports that it is not ready, and goes on serving new callers until
 // the platform has noticed. Then it accepts no new connections, closes the idle ones, and returns once
 // no request is in flight, or shortly before the platform kills the process.
-func (e *Entry) stop(callers *gateway.Listener, signal shutdown.Signal) error {
+func (e *Entry) stop(signal shutdown.Signal) error {
 	plan := shutdown.NewPlan(signal, e.settings().Bounds.Stop.Std()-process.StopMargin)
 	e.ready.leaving.Store(true)
 	e.gateway.BeginStop(plan)
@@ -22,7 +21,7 @@
 	ctx, cancel := clock.WithDeadline(context.Background(), plan.End())
 	defer cancel()
 	clock.SleepUntil(ctx, plan.NoticedAt())
-	err := callers.Stop(ctx)
+	err := e.callers.Stop(ctx)
 	e.common.Log.Info("stopped", "in_flight", e.gateway.InFlight(), "after", clock.Since(signal.ReceivedAt))
 	return err
 }
