mesh: an invalid target in the list of a peer does not hide the others

What callers could see: a box whose calls the store rejects follows no target any more while a peer lists one that the box takes for invalid, as the peer of an earlier version does with an odd record of the store.

Cause: the first invalid target rejected the whole list.

Evidence: TestInvalidTargetOfPeerHidesNoOther failed before (no update).

Change: such a target is unusable, as that of the store is, and the line names it.

--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -140,6 +140,26 @@
 	}
 }
 
+// TestInvalidTargetOfPeerHidesNoOther guards against a box that no longer follows the targets, since the list of a peer has one that it takes
+// for invalid, for example because the peer runs an earlier version.
+func TestInvalidTargetOfPeerHidesNoOther(t *testing.T) {
+	p := &mesh.PullReply{At: pos(10)}
+	for _, address := range []string{"10.0.0.1:80", "10.0.0.2:70000", "10.0.0.3:80"} {
+		p.Targets = append(p.Targets, mesh.TargetUpdate{ID: domain.InstanceID("i-" + address[7:8]), At: pos(9), Target: &domain.TargetFields{
+			ID: domain.InstanceID("i-" + address[7:8]), Service: "s", Address: address, Hall: "near", State: domain.TargetReady, Slots: 4,
+		}})
+	}
+	got, err := p.TargetUpdates(now)
+	if err == nil || len(got) != 3 {
+		t.Fatalf("%d updates, error %v, want three and an error", len(got), err)
+	}
+	for i, u := range got {
+		if odd := i == 1; u.Unusable != odd || (u.Target == nil) != odd {
+			t.Errorf("update %+v, want it unusable: %v", u, odd)
+		}
+	}
+}
+
 // now is the time at which messages are sent and received.
 var now = time.Unix(1_800_000_000, 0)
 
--- a/mesh/messages.go
+++ b/mesh/messages.go
@@ -1,6 +1,8 @@
 package mesh
 
 import (
+	"errors"
+	"fmt"
 	"time"
 
 	"clovertrail.dev/catalog"
@@ -218,8 +220,10 @@
 	return list
 }
 
-// TargetUpdates decodes and validates the updates of targets that were received at now.
+// TargetUpdates decodes and validates the updates of targets that were received at now. Targets that are invalid are unusable, and the
+// errors state why.
 func (p *PullReply) TargetUpdates(now time.Time) ([]membership.TargetUpdate, error) {
+	var invalid []error
 	list := make([]membership.TargetUpdate, 0, len(p.Targets))
 	for _, t := range p.Targets {
 		u := membership.TargetUpdate{ID: t.ID, At: t.At, Unusable: t.Unusable}
@@ -229,14 +233,16 @@
 				f.ColdUntil = now.Add(t.ColdFor)
 			}
 			target, err := domain.NewTarget(f)
-			if err != nil {
-				return nil, err
+			if err == nil {
+				u.Target = &target
+			} else {
+				u.Unusable = true
+				invalid = append(invalid, fmt.Errorf("target %s: %w", t.ID, err))
 			}
-			u.Target = &target
 		}
 		list = append(list, u)
 	}
-	return list, nil
+	return list, errors.Join(invalid...)
 }
 
 // HallQuery requests the status of the targets of an entry box's data hall.
--- a/node/peering.go
+++ b/node/peering.go
@@ -288,8 +288,7 @@
 	}
 	updates, err := got.TargetUpdates(clock.Now())
 	if err != nil {
-		p.entry.common.Log.Error("list of targets from peer rejected, keeping the present one", "peer", c.Box, "err", err)
-		return
+		p.entry.common.Log.Error("list from peer has invalid targets, not using them", "peer", c.Box, "err", err)
 	}
 	p.entry.view.applyFromPeer(membership.ListForPeer{At: got.At, Updates: updates, ChangesOnly: got.ChangesOnly}, source)
 }
