--- a/node/record_follower.go
+++ b/node/record_follower.go
@@ -7,26 +7,25 @@
 	"time"
 
 	"clovertrail.dev/core/clock"
-	"clovertrail.dev/core/domain"
 	"clovertrail.dev/membership"
 	"clovertrail.dev/node/process"
 	"clovertrail.dev/platform"
-	"clovertrail.dev/routing"
 	"clovertrail.dev/store"
 	"clovertrail.dev/store/follow"
 	"clovertrail.dev/telemetry"
 )
 
-// recordFollower follows one kind of record in the store and passes listings and changes on.
+// recordFollower follows one kind of record in the store and passes listings and changes on. Package follow decides when it lists,
+// watches and pauses.
 type recordFollower struct {
-	common    telemetry.Common
-	feed      store.Feed
-	kind      store.Kind
-	timing    follow.Timing
-	follower  *follow.Follower
-	onList    func(store.Listing)
-	onChanges func(store.Changes)
-	onCall    func(answered bool) // called after each call
+	common   telemetry.Common
+	feed     store.Feed
+	kind     store.Kind
+	timing   follow.Timing
+	follower *follow.Follower
+	// apply applies the records of a listing, which are all of the kind, or the changes up to the position.
+	apply  func(at store.Position, events []store.Event, listing bool)
+	onCall func(answered bool) // called after each call; may be nil
 
 	peers         func() (boxes, position int) // returns how many boxes follow the store and notify each other of changes, and the position of this box among them
 	delegated     func() bool                  // reports whether another box follows the store for this one
@@ -99,9 +98,13 @@
 	l, err := f.feed.List(ctx, f.kind)
 	f.recordCall("list", began, err)
 	f.follower.Listed(clock.Now(), l.At, err)
-	if err == nil {
-		f.onList(l)
+	if err != nil {
+		return
+	}
+	if l.Nameless > 0 {
+		f.common.Log.Error("store listed records without a name, ignoring them", "kind", f.kind, "records", l.Nameless, "at", l.At)
 	}
+	f.apply(l.At, l.Events(), true)
 }
 
 func (f *recordFollower) watch(ctx context.Context, w follow.Watch) {
@@ -120,7 +123,7 @@
 	now := clock.Now()
 	if f.follower.Watched(now, c.At, err) && len(c.Events) > 0 {
 		f.follower.Changed(now)
-		f.onChanges(c)
+		f.apply(c.At, c.Events, false)
 	}
 }
 
@@ -153,7 +156,9 @@
 	}
 	answered, changed := f.availability.Record(err)
 	f.healthy.Store(answered)
-	f.onCall(answered)
+	if f.onCall != nil {
+		f.onCall(answered)
+	}
 	if changed {
 		f.logAvailability(answered, err)
 	}
@@ -167,119 +172,6 @@
 	f.common.Log.Info("store answers again", "kind", f.kind, "away", clock.Since(f.follower.FailingSince()))
 }
 
-// followConfiguration returns the follower of the operator's configuration.
-func (e *Entry) followConfiguration(feed store.Feed) *recordFollower {
-	apply := func(r store.Record) {
-		if r.Name == platform.ConfigurationName {
-			e.view.applyConfiguration(r.Spec, r.At, "store")
-		}
-	}
-	f := e.newRecordFollower(feed, platform.Configurations)
-	f.onList = func(l store.Listing) {
-		for _, r := range l.Records {
-			apply(r)
-		}
-	}
-	f.onChanges = func(c store.Changes) {
-		for _, ev := range c.Events {
-			if !ev.Removed {
-				apply(ev.Record)
-			}
-		}
-	}
-	f.onCall = func(bool) {}
-	f.knownPosition = func() store.Position {
-		_, edition := e.view.document()
-		return edition.At
-	}
-	return f
-}
-
-// followTargets returns the follower of the list of targets.
-func (e *Entry) followTargets(feed store.Feed) *recordFollower {
-	f := e.newRecordFollower(feed, platform.Targets)
-	f.onList = func(l store.Listing) {
-		events := make([]store.Event, 0, len(l.Records))
-		for _, r := range l.Records {
-			events = append(events, store.Event{Record: r})
-		}
-		if l.Nameless > 0 {
-			e.common.Log.Error("store listed records without a name, ignoring them", "kind", platform.Targets, "records", l.Nameless, "at", l.At)
-		}
-		e.view.applyTargets(l.At, e.view.decodeTargets(events), "store")
-	}
-	f.onChanges = func(c store.Changes) {
-		e.view.applyChanges(c.At, e.view.decodeTargets(c.Events), "store")
-	}
-	f.knownPosition = func() (at store.Position) {
-		e.fleet.with(func(r *membership.Roster, _ *routing.Balancer) { at = r.At() })
-		return at
-	}
-	f.onCall = func(answered bool) {
-		e.fleet.with(func(r *membership.Roster, _ *routing.Balancer) {
-			if answered {
-				r.StoreAvailable(clock.Now())
-			} else {
-				r.StoreUnavailable(clock.Now())
-			}
-		})
-	}
-	return f
-}
-
-// followEvacuations returns the follower of the operators' evacuations of data halls. The name of a record
-// is that of the hall; nothing else of it matters.
-func (e *Entry) followEvacuations(feed store.Feed) *recordFollower {
-	f := e.newRecordFollower(feed, platform.Evacuations)
-	f.onList = func(l store.Listing) {
-		var list []membership.EvacuationUpdate
-		for _, r := range l.Records {
-			list = append(list, evacuationUpdate(store.Event{Record: r}))
-		}
-		if l.Nameless > 0 {
-			e.common.Log.Error("store listed records without a name, ignoring them", "kind", platform.Evacuations, "records", l.Nameless, "at", l.At)
-		}
-		e.view.applyEvacuations(l.At, list, "store")
-	}
-	f.onChanges = func(c store.Changes) {
-		var list []membership.EvacuationUpdate
-		for _, ev := range c.Events {
-			list = append(list, evacuationUpdate(ev))
-		}
-		e.view.applyEvacuationChanges(c.At, list, "store")
-	}
-	f.onCall = func(bool) {}
-	f.knownPosition = func() (at store.Position) {
-		e.fleet.with(func(r *membership.Roster, _ *routing.Balancer) { at = r.Evacuations().At() })
-		return at
-	}
-	return f
-}
-
-func evacuationUpdate(ev store.Event) membership.EvacuationUpdate {
-	return membership.EvacuationUpdate{Hall: domain.HallName(ev.Record.Name), At: ev.Record.At, Active: !ev.Removed}
-}
-
-// followQuarantines returns the follower of the records of works in quarantine, by which operators lift
-// quarantines. A box follows them only while a work is in quarantine.
-func (e *Entry) followQuarantines(feed store.Feed) *recordFollower {
-	f := e.newRecordFollower(feed, platform.Quarantines)
-	f.onList = func(l store.Listing) { e.quarantine.readRecords(l.Records) }
-	f.onChanges = func(c store.Changes) {
-		var list []store.Record
-		for _, ev := range c.Events {
-			if !ev.Removed {
-				list = append(list, ev.Record)
-			}
-		}
-		e.quarantine.readRecords(list)
-	}
-	f.onCall = func(bool) {}
-	f.knownPosition = func() store.Position { return store.Position{} } // no box knows whether it has all records
-	f.delegated = func() bool { return !e.quarantine.holdsAny(clock.Now()) || e.hallPoller.hubFollowsStore() }
-	return f
-}
-
 // newRecordFollower returns a follower of the kind; the caller sets its remaining functions.
 func (e *Entry) newRecordFollower(feed store.Feed, kind store.Kind) *recordFollower {
 	rnd := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
--- a/store/feed.go
+++ b/store/feed.go
@@ -65,6 +65,15 @@
 	Nameless int
 }
 
+// Events returns the records as events that add them.
+func (l Listing) Events() []Event {
+	list := make([]Event, 0, len(l.Records))
+	for _, r := range l.Records {
+		list = append(list, Event{Record: r})
+	}
+	return list
+}
+
 // Event is a change of one record. The record has no Spec if it was removed.
 type Event struct {
 	Record  Record
