node: a process waits for a settings file that is being written

What callers saw: a box that was not there, if the platform wrote its settings file as it started.

Cause: a file that cannot be read or is no JSON ended the start at once.

Evidence: TestProcessWaitsForSettingsFile (an empty file and half of one, both roles) failed before, status 1.

Change: such a file is read again each 100 ms for 3 s, or until a stop signal. A file that is whole but lacks a required field still ends the process at once.

--- a/cmd/clovertrail-node/harness_test.go
+++ b/cmd/clovertrail-node/harness_test.go
@@ -90,6 +90,13 @@
 
 // start starts the process with its output in a file.
 func (n *node) start(t *testing.T) {
+	t.Helper()
+	n.createLog(t)
+	n.startWithOutput(t, n.log)
+}
+
+// createLog creates the file for the output of the process.
+func (n *node) createLog(t *testing.T) {
 	t.Helper()
 	f, err := os.Create(filepath.Join(t.TempDir(), "log"))
 	if err != nil {
@@ -97,20 +104,31 @@
 	}
 	t.Cleanup(func() { _ = f.Close() })
 	n.log = f
-	n.startWithOutput(t, f)
 }
 
-// startWithOutput starts the process with the output.
-func (n *node) startWithOutput(t *testing.T, output *os.File) {
+// writeSettings writes the settings to the file.
+func (n *node) writeSettings(t *testing.T, path string) {
 	t.Helper()
 	raw, err := json.Marshal(n.settings)
 	if err != nil {
 		t.Fatal(err)
 	}
-	path := filepath.Join(t.TempDir(), "settings.json")
 	if err := os.WriteFile(path, raw, 0o600); err != nil {
 		t.Fatal(err)
 	}
+}
+
+// startWithOutput starts the process with the output.
+func (n *node) startWithOutput(t *testing.T, output *os.File) {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "settings.json")
+	n.writeSettings(t, path)
+	n.startWithSettings(t, path, output)
+}
+
+// startWithSettings starts the process with the settings file and the output.
+func (n *node) startWithSettings(t *testing.T, path string, output *os.File) {
+	t.Helper()
 	c := exec.Command(program, n.role)
 	if n.limits != "" {
 		c = exec.Command("sh", "-c", "ulimit "+n.limits+` && exec "$0" "$1"`, program, n.role)
--- a/cmd/clovertrail-node/main_test.go
+++ b/cmd/clovertrail-node/main_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"os"
+	"path/filepath"
 	"syscall"
 	"testing"
 	"time"
@@ -168,6 +169,28 @@
 	}
 }
 
+// TestProcessWaitsForSettingsFile guards against a process that ends at its start since the platform is still writing its settings file.
+func TestProcessWaitsForSettingsFile(t *testing.T) {
+	t.Parallel()
+	for name, part := range map[string]string{"empty": "", "half": `{"box": "a", "ha`} {
+		for _, n := range newNodes(t) {
+			path := filepath.Join(t.TempDir(), "settings.json")
+			if err := os.WriteFile(path, []byte(part), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			n.createLog(t)
+			n.startWithSettings(t, path, n.log)
+			n.await(t, "handler of signals", func() bool { return n.handles(t, syscall.SIGTERM) })
+			time.Sleep(200 * time.Millisecond) // for a first attempt to read the file
+			if n.hasEnded() {
+				t.Fatalf("%s, %s file: the process ended: %v", n.role, name, n.command.ProcessState)
+			}
+			n.writeSettings(t, path)
+			n.awaitLine(t, "msg=started")
+		}
+	}
+}
+
 // TestProcessStartsWithOddSettings guards against a process that ends at its start since the platform states a bound or limit as zero, as a
 // fraction, or as true.
 func TestProcessStartsWithOddSettings(t *testing.T) {
--- a/node/main.go
+++ b/node/main.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"runtime/debug"
@@ -28,7 +29,7 @@
 }
 
 // loaders maps a role to the function that loads the settings file and builds the process.
-var loaders = map[string]func(path string) (*loadedProcess, error){
+var loaders = map[string]func(path string, s *process.Signals) (*loadedProcess, error){
 	"entry": loadEntry,
 	"agent": loadAgent,
 }
@@ -53,7 +54,7 @@
 	if !ok {
 		return fmt.Errorf("unknown role %q, want entry or agent", role)
 	}
-	p, err := load(file)
+	p, err := load(file, signals)
 	if err != nil {
 		return err
 	}
@@ -78,8 +79,25 @@
 	return err
 }
 
-func loadEntry(path string) (*loadedProcess, error) {
-	f, ignored, err := settings.OpenLenient(path, process.DefaultEntrySettings)
+// Times of the wait for a settings file that the platform is writing as the process starts.
+const (
+	settingsTimeout       = 3 * time.Second
+	settingsRetryInterval = 100 * time.Millisecond
+)
+
+// openSettings opens the settings file. It waits for one that is missing or incomplete, until a stop signal arrives.
+func openSettings[S any](path string, defaults func() S, signals *process.Signals) (f *settings.File[S], ignored []error, err error) {
+	for deadline := time.Now().Add(settingsTimeout); ; time.Sleep(settingsRetryInterval) {
+		f, ignored, err = settings.OpenLenient(path, defaults)
+		var e *settings.Error
+		if !errors.As(err, &e) || !e.Incomplete() || signals.StopPending() || time.Now().After(deadline) {
+			return f, ignored, err
+		}
+	}
+}
+
+func loadEntry(path string, s *process.Signals) (*loadedProcess, error) {
+	f, ignored, err := openSettings(path, process.DefaultEntrySettings, s)
 	if err != nil {
 		return nil, err
 	}
@@ -91,8 +109,8 @@
 	return p, nil
 }
 
-func loadAgent(path string) (*loadedProcess, error) {
-	f, ignored, err := settings.OpenLenient(path, process.DefaultAgentSettings)
+func loadAgent(path string, s *process.Signals) (*loadedProcess, error) {
+	f, ignored, err := openSettings(path, process.DefaultAgentSettings, s)
 	if err != nil {
 		return nil, err
 	}
--- a/node/process/signals.go
+++ b/node/process/signals.go
@@ -42,6 +42,9 @@
 // Stop returns the stop that the first signal to stop the process requests.
 func (s *Signals) Stop() *Stop { return s.stop }
 
+// StopPending reports whether a signal to stop the process has arrived that Run has not handled.
+func (s *Signals) StopPending() bool { return len(s.stopSignals) > 0 }
+
 // Changed returns a channel that receives a value on a signal to read the settings file again.
 func (s *Signals) Changed() <-chan struct{} { return s.changed }
 
--- a/settings/error.go
+++ b/settings/error.go
@@ -12,6 +12,8 @@
 	line  int
 	field string
 	text  string
+
+	incomplete bool
 }
 
 // File returns the name of the settings file.
@@ -23,6 +25,9 @@
 // Field returns the path of the field, such as "limits.body_bytes".
 func (e *Error) Field() string { return e.field }
 
+// Incomplete reports whether the file could not be read or is not JSON, as while it is being written.
+func (e *Error) Incomplete() bool { return e.incomplete }
+
 // Error returns the mistake on one line, in the form file:line: field: text.
 func (e *Error) Error() string {
 	var b strings.Builder
--- a/settings/file.go
+++ b/settings/file.go
@@ -43,7 +43,7 @@
 func (f *File[S]) open() (ignored []error, err error) {
 	raw, err := os.ReadFile(f.path)
 	if err != nil {
-		return nil, &Error{file: f.path, text: err.Error()}
+		return nil, &Error{file: f.path, text: err.Error(), incomplete: true}
 	}
 	s, ignored, err := f.parse(raw, f.defaults())
 	if err != nil {
@@ -102,7 +102,7 @@
 func (f *File[S]) Reload() ([]string, error) {
 	raw, err := os.ReadFile(f.path)
 	if err != nil {
-		return nil, &Error{file: f.path, text: err.Error()}
+		return nil, &Error{file: f.path, text: err.Error(), incomplete: true}
 	}
 	if bytes.Equal(raw, f.raw) {
 		return nil, nil
--- a/settings/load.go
+++ b/settings/load.go
@@ -18,7 +18,7 @@
 func Parse(file string, raw []byte, into any) error {
 	tree, err := hujson.Parse(raw)
 	if err != nil {
-		return &Error{file: file, line: SyntaxLine(err), text: "invalid JSON with comments: " + err.Error()}
+		return &Error{file: file, line: SyntaxLine(err), text: "invalid JSON with comments: " + err.Error(), incomplete: true}
 	}
 	d := &decoder{file: file, raw: raw}
 	target := reflect.ValueOf(into).Elem()
@@ -31,7 +31,7 @@
 func ParseLenient[S any](file string, raw []byte, into *S, fallback S) (ignored []error, err error) {
 	tree, err := hujson.Parse(raw)
 	if err != nil {
-		return nil, &Error{file: file, line: SyntaxLine(err), text: "invalid JSON with comments: " + err.Error()}
+		return nil, &Error{file: file, line: SyntaxLine(err), text: "invalid JSON with comments: " + err.Error(), incomplete: true}
 	}
 	d := &decoder{file: file, raw: raw, lenient: true}
 	err = d.decode(tree, reflect.ValueOf(into).Elem(), reflect.ValueOf(fallback))
