--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -23,7 +23,7 @@
 	finalReadTimeout = 50 * time.Millisecond
 	// finalAcceptTimeout limits the last wait for a connection.
 	finalAcceptTimeout = 20 * time.Millisecond
-	// MaxHeadBytes is the longest head that a Listener can be told to accept. Half of the connections of a box may hold one each.
+	// MaxHeadBytes is the longest head that a Listener can be told to accept.
 	MaxHeadBytes = 64 << 10
 )
 
