shutdown: a check after a pause does not show that no stop signal was sent

Cause: after a pause the check that no signal is pending may run before the signal that was sent in the pause has passed from the kernel to the process, and the stop then counted from the end of the pause.

Change: a check that comes after twice the interval or later proves nothing, nor does one that follows it at once: the next is a whole interval later.

--- a/cmd/clovertrail-node/harness_test.go
+++ b/cmd/clovertrail-node/harness_test.go
@@ -262,3 +262,16 @@
 	}
 	return false
 }
+
+// loggedTime returns the time that follows the key in the log.
+func (n *node) loggedTime(t *testing.T, key string) time.Time {
+	t.Helper()
+	_, rest, _ := strings.Cut(string(n.logged(t)), key)
+	value, _, _ := strings.Cut(rest, "\n")
+	value, _, _ = strings.Cut(value, " ")
+	at, err := time.Parse(time.RFC3339Nano, value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return at
+}
--- a/cmd/clovertrail-node/main_test.go
+++ b/cmd/clovertrail-node/main_test.go
@@ -216,3 +216,29 @@
 		}
 	}
 }
+
+// TestStopCountsFromSignalOfPausedProcess guards against a box that counts the time of its planned stop from when it is scheduled again, while
+// that of the platform runs from the signal, which came during a pause.
+func TestStopCountsFromSignalOfPausedProcess(t *testing.T) {
+	t.Parallel()
+	const processes = 8 // which of the check and the signal comes first after a pause is a matter of chance
+	entry := newNodes(t)[0]
+	for range processes {
+		n := entry.clone()
+		t.Run("", func(t *testing.T) {
+			t.Parallel()
+			n.start(t)
+			n.awaitLine(t, "msg=started")
+			time.Sleep(500 * time.Millisecond) // some checks that no signal is pending
+			n.signal(t, syscall.SIGSTOP)
+			sent := time.Now()
+			n.signal(t, syscall.SIGTERM)
+			time.Sleep(time.Second)
+			n.signal(t, syscall.SIGCONT)
+			n.awaitLine(t, "signal_sent_after=")
+			if got := n.loggedTime(t, "signal_sent_after="); got.After(sent) {
+				t.Errorf("the stop counts from %v after its signal, which was sent while the process was paused", got.Sub(sent))
+			}
+		})
+	}
+}
--- a/node/process/signals.go
+++ b/node/process/signals.go
@@ -21,8 +21,8 @@
 	changed                    chan struct{}
 }
 
-// signalCheckInterval is the time between two checks that no stop signal is pending. What a stopping box promises is shortened by up to
-// this time.
+// signalCheckInterval is the time between two checks that no stop signal is pending. The time for which a stopping box accepts requests
+// is shortened by up to this.
 const signalCheckInterval = 250 * time.Millisecond
 
 // NotifySignals begins to receive signals. A process calls it before anything else, because signals that
@@ -32,7 +32,7 @@
 	signal.Ignore(syscall.SIGPIPE)
 	s := &Signals{
 		stopSignals: make(chan os.Signal, 1), reloadSignals: make(chan os.Signal, 1),
-		monitor: shutdown.NewSignalMonitor(clock.Now()), stop: NewStop(), changed: make(chan struct{}, 1),
+		monitor: shutdown.NewSignalMonitor(clock.Now(), signalCheckInterval), stop: NewStop(), changed: make(chan struct{}, 1),
 	}
 	signal.Notify(s.stopSignals, syscall.SIGTERM, syscall.SIGINT)
 	signal.Notify(s.reloadSignals, syscall.SIGHUP)
@@ -50,8 +50,8 @@
 
 // Run logs and passes on signals for as long as the process runs.
 func (s *Signals) Run(log *slog.Logger) {
-	checks := time.NewTicker(signalCheckInterval)
-	defer checks.Stop()
+	check := time.NewTimer(signalCheckInterval) // a ticker would shorten the time after a late check
+	defer check.Stop()
 	stopping := false
 	for {
 		select {
@@ -59,7 +59,7 @@
 			log.Info("signal", "signal", sig, "stopping", stopping)
 			if !stopping {
 				stopping = true
-				checks.Stop()
+				check.Stop()
 				s.stop.Request(s.monitor.Receive(clock.Now()))
 			}
 		case sig := <-s.reloadSignals:
@@ -68,10 +68,11 @@
 			case s.changed <- struct{}{}:
 			default: // a reload is already pending
 			}
-		case <-checks.C:
+		case <-check.C:
 			if len(s.stopSignals) == 0 {
 				s.monitor.NonePending(clock.Now())
 			}
+			check.Reset(signalCheckInterval)
 		}
 	}
 }
--- a/shutdown/plan.go
+++ b/shutdown/plan.go
@@ -10,14 +10,14 @@
 // Therefore a box accepts by the past until the platform has noticed, when most of its time is left, and by deadlines alone
 // after that.
 //
-// The time of a stop runs from its signal, and a process that was not scheduled receives the signal late. What the box promises counts
-// from the earliest time at which the signal may have been sent; what it does for callers without a promise, such as accepting
-// connections and finishing responses, lasts as long as it can.
+// The time of a stop runs from its signal, and a process that was not scheduled receives the signal late. Whether a request
+// is accepted is therefore decided from the earliest time at which the signal may have been sent; connections are accepted, and responses go
+// on, until the time that follows from the receipt.
 //
 // # Usage
 //
-//	m := shutdown.NewSignalMonitor(now)
-//	m.NonePending(now) // several times a second
+//	m := shutdown.NewSignalMonitor(now, interval)
+//	m.NonePending(now) // at the interval
 //	p := shutdown.NewPlan(m.Receive(now), 7500*time.Millisecond)
 //	p.Accepts(now, shutdown.Request{Deadline: deadline, Longest: 2 * time.Second})
 package shutdown
--- a/shutdown/plan_test.go
+++ b/shutdown/plan_test.go
@@ -53,9 +53,9 @@
 // are cut as the platform kills it, since the signal had been pending while the process was not scheduled.
 func TestLateSignalShortensPromises(t *testing.T) {
 	sent := time.Unix(0, 0)
-	const length, late = 7500 * time.Millisecond, 1800 * time.Millisecond
+	const interval, length, late = 250 * time.Millisecond, 7500 * time.Millisecond, 1800 * time.Millisecond
 	received := sent.Add(late)
-	m := shutdown.NewSignalMonitor(sent.Add(-time.Second))
+	m := shutdown.NewSignalMonitor(sent.Add(-interval), interval)
 	m.NonePending(sent)
 	p := shutdown.NewPlan(m.Receive(received), length)
 	for _, tc := range []struct {
@@ -83,3 +83,30 @@
 		t.Errorf("responses go on until %v after the signal was sent, want %v after it was received", got.Sub(sent), length)
 	}
 }
+
+// TestLateCheckProvesNothing guards against a stop that counts from the end of a pause, as the check that was due in it comes before the
+// signal that was sent in it.
+func TestLateCheckProvesNothing(t *testing.T) {
+	const interval = 250 * time.Millisecond
+	start := time.Unix(0, 0)
+	for _, tc := range []struct {
+		name   string
+		checks []time.Duration // since the start, the last one is the receipt
+		want   time.Duration
+	}{
+		{"received between checks", []time.Duration{interval, 2 * interval, 2*interval + 100*time.Millisecond}, 2 * interval},
+		{"checks a little late", []time.Duration{400 * time.Millisecond, 800 * time.Millisecond, 900 * time.Millisecond}, 800 * time.Millisecond},
+		{"check after a pause", []time.Duration{interval, 1500 * time.Millisecond, 1501 * time.Millisecond}, interval},
+		{"received in the next pause", []time.Duration{interval, 1500 * time.Millisecond, 1750 * time.Millisecond, 4 * time.Second}, 1750 * time.Millisecond},
+		{"two pauses", []time.Duration{interval, 1500 * time.Millisecond, 3 * time.Second, 3001 * time.Millisecond}, interval},
+	} {
+		m := shutdown.NewSignalMonitor(start, interval)
+		last := len(tc.checks) - 1
+		for _, at := range tc.checks[:last] {
+			m.NonePending(start.Add(at))
+		}
+		if got := m.Receive(start.Add(tc.checks[last])).SentAfter.Sub(start); got != tc.want {
+			t.Errorf("%s: sent after %v, want %v", tc.name, got, tc.want)
+		}
+	}
+}
