node: a stop ends the wait for a settings file without an error

A process that was told to stop while it waited for its settings file ended with status 1, as if it had failed. That signals are received shows in the mask of ignored ones, which is set last, so that the tests need no guess.

--- a/cmd/clovertrail-node/harness_test.go
+++ b/cmd/clovertrail-node/harness_test.go
@@ -242,14 +242,26 @@
 
 // handles reports whether the program catches or ignores the signal.
 func (n *node) handles(t *testing.T, s syscall.Signal) bool {
+	t.Helper()
+	return n.inMask(t, "SigIgn", s) || n.inMask(t, "SigCgt", s)
+}
+
+// receivesSignals reports whether the program receives stop signals, after which it ignores the signal of a broken pipe.
+func (n *node) receivesSignals(t *testing.T) bool {
+	t.Helper()
+	return n.inMask(t, "SigIgn", syscall.SIGPIPE)
+}
+
+// inMask reports whether the signal is in the mask of the process.
+func (n *node) inMask(t *testing.T, name string, s syscall.Signal) bool {
 	t.Helper()
 	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", n.command.Process.Pid))
 	if err != nil {
 		return false // the process has ended, which await reports
 	}
 	for line := range strings.Lines(string(status)) {
-		name, mask, _ := strings.Cut(strings.TrimSpace(line), ":\t")
-		if name != "SigIgn" && name != "SigCgt" {
+		found, mask, _ := strings.Cut(strings.TrimSpace(line), ":\t")
+		if found != name {
 			continue
 		}
 		bits, err := strconv.ParseUint(mask, 16, 64)
--- a/cmd/clovertrail-node/main_test.go
+++ b/cmd/clovertrail-node/main_test.go
@@ -180,7 +180,7 @@
 			}
 			n.createLog(t)
 			n.startWithSettings(t, path, n.log)
-			n.await(t, "handler of signals", func() bool { return n.handles(t, syscall.SIGTERM) })
+			n.await(t, "handler of signals", func() bool { return n.receivesSignals(t) })
 			time.Sleep(200 * time.Millisecond) // for a first attempt to read the file
 			if n.hasEnded() {
 				t.Fatalf("%s, %s file: the process ended: %v", n.role, name, n.command.ProcessState)
@@ -191,6 +191,17 @@
 	}
 }
 
+// TestStopEndsWaitForSettingsFile guards against a stop that counts as a failure, and is delayed, since the process waits for its settings file.
+func TestStopEndsWaitForSettingsFile(t *testing.T) {
+	t.Parallel()
+	for _, n := range newNodes(t) {
+		n.createLog(t)
+		n.startWithSettings(t, filepath.Join(t.TempDir(), "missing.json"), n.log)
+		n.await(t, "handler of signals", func() bool { return n.receivesSignals(t) })
+		n.stop(t)
+	}
+}
+
 // TestProcessStartsWithOddSettings guards against a process that ends at its start since the platform states a bound or limit as zero, as a
 // fraction, or as true.
 func TestProcessStartsWithOddSettings(t *testing.T) {
--- a/node/main.go
+++ b/node/main.go
@@ -55,6 +55,9 @@
 		return fmt.Errorf("unknown role %q, want entry or agent", role)
 	}
 	p, err := load(file, signals)
+	if err != nil && signals.StopPending() {
+		return nil // the wait for the settings file ended with a planned stop
+	}
 	if err != nil {
 		return err
 	}
--- a/node/process/signals.go
+++ b/node/process/signals.go
@@ -29,13 +29,13 @@
 // arrive earlier end it. From then on a write to a standard output that nobody reads fails, where the runtime would
 // otherwise end the process.
 func NotifySignals() *Signals {
-	signal.Ignore(syscall.SIGPIPE)
 	s := &Signals{
 		stopSignals: make(chan os.Signal, 1), reloadSignals: make(chan os.Signal, 1),
 		monitor: shutdown.NewSignalMonitor(clock.Now(), signalCheckInterval), stop: NewStop(), changed: make(chan struct{}, 1),
 	}
 	signal.Notify(s.stopSignals, syscall.SIGTERM, syscall.SIGINT)
 	signal.Notify(s.reloadSignals, syscall.SIGHUP)
+	signal.Ignore(syscall.SIGPIPE)
 	return s
 }
 
