clock: a suspension before the process started is none of its pauses

A box whose machine had been suspended once, and that could not read its clocks exactly at its first check, took the whole offset for a pause at the next: TestPausesAreFound has the case, which failed before by reading (the offset began at zero). Pauses are logged now, since they explain responses that are broken off with the reason `box paused`.

--- a/core/clock/pauses.go
+++ b/core/clock/pauses.go
@@ -16,10 +16,11 @@
 	interval   time.Duration
 	readOffset OffsetReader
 
-	mu        sync.Mutex
-	checkedAt time.Time     // of the last check; zero before the first
-	offset    time.Duration // at the last check
-	endedAt   time.Time     // of the last pause; zero for none
+	mu          sync.Mutex
+	checkedAt   time.Time     // of the last check; zero before the first
+	offset      time.Duration // at the last check that could read it
+	offsetKnown bool          // there was such a check
+	endedAt     time.Time     // of the last pause; zero for none
 }
 
 // NewPauses returns Pauses that are checked at the interval. They read the offset of the clocks with r, which shows suspensions.
@@ -27,18 +28,20 @@
 	return &Pauses{interval: interval, readOffset: r}
 }
 
-// Check records that the process runs now. It is called at the interval.
-func (p *Pauses) Check(now time.Time) {
+// Check records that the process runs now, and reports whether a pause has ended since the last check. It is called at the interval.
+func (p *Pauses) Check(now time.Time) (paused bool) {
 	offset, known := p.currentOffset()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.pausedSinceCheck(now, offset, known) {
+	paused = p.pausedSinceCheck(now, offset, known)
+	if paused {
 		p.endedAt = now
 	}
 	p.checkedAt = now
 	if known {
-		p.offset = offset
+		p.offset, p.offsetKnown = offset, true
 	}
+	return paused
 }
 
 // LastEnd returns when the last pause ended, which is now if the process has not been checked since; zero if there was none.
@@ -57,7 +60,7 @@
 	if p.checkedAt.IsZero() {
 		return false
 	}
-	return now.Sub(p.checkedAt) >= p.interval+minPause || known && offset-p.offset >= minSuspension
+	return now.Sub(p.checkedAt) >= p.interval+minPause || known && p.offsetKnown && offset-p.offset >= minSuspension
 }
 
 // currentOffset reads the offset of the clocks; known is false if that is not possible or not exact.
--- a/core/clock/pauses_test.go
+++ b/core/clock/pauses_test.go
@@ -24,6 +24,10 @@
 	}
 	never := time.Time{}
 	expect("before the first check", never)
+	offset, offsetErr = time.Hour, errors.New("no clock") // of suspensions before the process started
+	p.Check(now)
+	offsetErr = nil
+	expect("clocks could not be read before", never)
 	p.Check(now)
 	now = now.Add(interval + 200*time.Millisecond)
 	expect("late by 200 ms", never)
@@ -32,11 +36,15 @@
 	now = now.Add(2 * time.Second)
 	expect("not checked since the pause", now)
 	now = now.Add(time.Millisecond)
-	p.Check(now)
+	if !p.Check(now) {
+		t.Error("the check after a pause does not report it")
+	}
 	ended := now
 	now = now.Add(interval)
 	expect("checked since the pause", ended)
-	p.Check(now)
+	if p.Check(now) {
+		t.Error("a check in time reports a pause")
+	}
 	offset += 3 * time.Second // the monotonic clock stands still in a suspension
 	now = now.Add(time.Millisecond)
 	expect("not checked since the suspension", now)
--- a/node/readiness.go
+++ b/node/readiness.go
@@ -69,9 +69,13 @@
 
 // checkReadiness updates the readiness, logs changed standings and finds pauses of this box until ctx ends.
 func (e *Entry) checkReadiness(ctx context.Context) {
+	checkedAt := clock.Now()
 	for ctx.Err() == nil {
 		now := clock.Now()
-		e.pauses.Check(now)
+		if e.pauses.Check(now) {
+			e.common.Log.Warn("process was not scheduled for long, ends of connections since then are in doubt", "since", clock.Since(checkedAt))
+		}
+		checkedAt = now
 		isolated := (e.peering.isolated(now) || e.fleet.otherHallsSilent(now)) && e.fleet.lacksTargets(now)
 		if before := e.ready.isolated.Swap(isolated); before != isolated {
 			e.common.Log.Warn("cut off without targets", "stranded", isolated, "before", before)
