--- a/core/domain/target.go
+++ b/core/domain/target.go
@@ -44,8 +44,8 @@
 
 // Limits of what a target states of itself: far above any real target, and low enough for sums and products of them.
 const (
-	MaxSlots = 1 << 20
-	MaxRanks = 1 << 16
+	maxSlots = 1 << 20
+	maxRanks = 1 << 16
 )
 
 // Target is a target as the platform lists it.
@@ -82,11 +82,11 @@
 		return Target{}, invalid("address", "%q is not a host and a port from 1 to %d", f.Address, math.MaxUint16)
 	case f.State != TargetReady && f.State != TargetLeaving:
 		return Target{}, invalid("state", "%d is not a target state", f.State)
-	case f.Slots < 0 || f.Slots > MaxSlots:
-		return Target{}, invalid("slots", "%d is out of range, want 0 to %d", f.Slots, MaxSlots)
+	case f.Slots < 0 || f.Slots > maxSlots:
+		return Target{}, invalid("slots", "%d is out of range, want 0 to %d", f.Slots, maxSlots)
 	}
-	if r := f.Rank; r != nil && (r.Number < 0 || r.Number >= r.Size || r.Size > MaxRanks) {
-		return Target{}, invalid("rank", "%d of %d ranks is out of range, a group has %d at most", r.Number, r.Size, MaxRanks)
+	if r := f.Rank; r != nil && (r.Number < 0 || r.Number >= r.Size || r.Size > maxRanks) {
+		return Target{}, invalid("rank", "%d of %d ranks is out of range, a group has %d at most", r.Number, r.Size, maxRanks)
 	}
 	f.Slots = max(f.Slots, 1)
 	return Target{f: f}, nil
