node: targets of the store and of peers take one path into the view

Three functions of the view differed in the method of the roster that they called. No change of behaviour; tests of membership, store and node pass unchanged.

--- a/membership/list_changes.go
+++ b/membership/list_changes.go
@@ -17,33 +17,36 @@
 	r.CaughtUp(now, newest)
 }
 
-// ListForPeer is what a box that is behind receives of the list of targets.
-type ListForPeer struct {
+// TargetList is the list of targets as of a position, from the store or from another box.
+type TargetList struct {
 	At          store.Position
 	Updates     []TargetUpdate
-	ChangesOnly bool // the updates are the changes since the position of the other box, not the complete list
+	ChangesOnly bool // the updates are the changes since a position that the receiver has, not the complete list
 }
 
 // ListSince returns what a box lacks that has all changes up to the position; false if it lacks nothing.
 // acceptsChanges states that the box can be sent changes only.
-func (r *Roster) ListSince(at store.Position, acceptsChanges bool) (ListForPeer, bool) {
+func (r *Roster) ListSince(at store.Position, acceptsChanges bool) (TargetList, bool) {
 	if !r.Newest().After(at) {
-		return ListForPeer{}, false
+		return TargetList{}, false
 	}
 	if changes, known := r.ChangesSince(at); known && acceptsChanges {
-		return ListForPeer{At: r.Newest(), Updates: changes, ChangesOnly: true}, true
+		return TargetList{At: r.Newest(), Updates: changes, ChangesOnly: true}, true
 	}
-	return ListForPeer{At: r.Newest(), Updates: r.All()}, true
+	return TargetList{At: r.Newest(), Updates: r.All()}, true
 }
 
-// ApplyFromPeer applies what another box sent, and returns the updates that were not outdated.
-func (r *Roster) ApplyFromPeer(now time.Time, l ListForPeer) []TargetUpdate {
-	var applied []TargetUpdate
+// Apply applies a list of the store, and returns the updates that were not outdated.
+func (r *Roster) Apply(now time.Time, l TargetList) []TargetUpdate {
 	if l.ChangesOnly {
-		applied = r.ApplyChanges(now, l.At, l.Updates)
-	} else {
-		applied = r.ApplyList(now, l.At, l.Updates)
+		return r.ApplyChanges(now, l.At, l.Updates)
 	}
+	return r.ApplyList(now, l.At, l.Updates)
+}
+
+// ApplyFromPeer applies what another box sent, and returns the updates that were not outdated.
+func (r *Roster) ApplyFromPeer(now time.Time, l TargetList) []TargetUpdate {
+	applied := r.Apply(now, l)
 	r.CaughtUpFromPeer(now, l.At)
 	return applied
 }
--- a/node/followed_records.go
+++ b/node/followed_records.go
@@ -30,12 +30,7 @@
 func (e *Entry) followTargets(feed store.Feed) *recordFollower {
 	f := e.newRecordFollower(feed, platform.Targets)
 	f.apply = func(at store.Position, events []store.Event, listing bool) {
-		updates := e.view.decodeTargets(events)
-		if listing {
-			e.view.applyTargets(at, updates, "store")
-		} else {
-			e.view.applyChanges(at, updates, "store")
-		}
+		e.view.applyTargets(membership.TargetList{At: at, Updates: e.view.decodeTargets(events), ChangesOnly: !listing})
 	}
 	f.knownPosition = func() (at store.Position) {
 		e.fleet.with(func(r *membership.Roster, _ *routing.Balancer) { at = r.At() })
--- a/node/peering.go
+++ b/node/peering.go
@@ -290,7 +290,7 @@
 	if err != nil {
 		p.entry.common.Log.Error("list from peer has invalid targets, not using them", "peer", c.Box, "err", err)
 	}
-	p.entry.view.applyFromPeer(membership.ListForPeer{At: got.At, Updates: updates, ChangesOnly: got.ChangesOnly}, source)
+	p.entry.view.applyFromPeer(membership.TargetList{At: got.At, Updates: updates, ChangesOnly: got.ChangesOnly}, source)
 }
 
 // pull implements mesh.Pull.
--- a/node/view.go
+++ b/node/view.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"sync"
+	"time"
 
 	"clovertrail.dev/catalog"
 	"clovertrail.dev/core/clock"
@@ -57,47 +58,27 @@
 	return v.holder.Raw(), v.holder.Edition()
 }
 
-// applyTargets applies a complete list of targets from the source.
-func (v *view) applyTargets(at store.Position, list []membership.TargetUpdate, source string) {
-	now := clock.Now()
-	var applied []membership.TargetUpdate
-	var known store.Position
-	v.fleet.with(func(r *membership.Roster, _ *routing.Balancer) {
-		known = r.At()
-		applied = r.ApplyList(now, at, list)
-	})
-	v.logIgnored(at, known, source)
-	v.fleet.forget(now)
-	v.reportUpdates(applied, source)
+// applyTargets applies targets that the store listed, or that changed there.
+func (v *view) applyTargets(l membership.TargetList) {
+	v.apply((*membership.Roster).Apply, l, "store")
 }
 
-// logIgnored logs that a list was ignored, if it is older than what is known.
-func (v *view) logIgnored(at, known store.Position, source string) {
-	if known.After(at) {
-		v.common.Log.Warn("list of targets ignored, a later one is known", "at", at, "source", source, "known", known)
-	}
-}
-
-// applyChanges applies changes of the list of targets from the source.
-func (v *view) applyChanges(at store.Position, updates []membership.TargetUpdate, source string) {
-	now := clock.Now()
-	var applied []membership.TargetUpdate
-	v.fleet.with(func(r *membership.Roster, _ *routing.Balancer) { applied = r.ApplyChanges(now, at, updates) })
-	v.fleet.forget(now)
-	v.reportUpdates(applied, source)
+// applyFromPeer applies what another box sent of the list of targets.
+func (v *view) applyFromPeer(l membership.TargetList, source string) {
+	v.apply((*membership.Roster).ApplyFromPeer, l, source)
 }
 
-// applyFromPeer applies what another box sent of the list of targets.
-func (v *view) applyFromPeer(l membership.ListForPeer, source string) {
+// apply applies the list from the source by a method of the roster.
+func (v *view) apply(method func(*membership.Roster, time.Time, membership.TargetList) []membership.TargetUpdate, l membership.TargetList, source string) {
 	now := clock.Now()
 	var applied []membership.TargetUpdate
 	var known store.Position
 	v.fleet.with(func(r *membership.Roster, _ *routing.Balancer) {
 		known = r.At()
-		applied = r.ApplyFromPeer(now, l)
+		applied = method(r, now, l)
 	})
-	if !l.ChangesOnly {
-		v.logIgnored(l.At, known, source)
+	if !l.ChangesOnly && known.After(l.At) {
+		v.common.Log.Warn("list of targets ignored, a later one is known", "at", l.At, "source", source, "known", known)
 	}
 	v.fleet.forget(now)
 	v.reportUpdates(applied, source)
