--- a/cmd/clovertrail-node/harness_test.go
+++ b/cmd/clovertrail-node/harness_test.go
@@ -57,7 +57,7 @@
 type node struct {
 	role     string
 	settings map[string]any
-	limits   string // options of the shell's ulimit for the process; empty for those of the test
+	limits   string // options of ulimit for the process; empty to inherit the limits of the test
 	command  *exec.Cmd
 	ended    chan struct{} // closed when the process has ended
 	log      *os.File
--- a/cmd/clovertrail-node/main_test.go
+++ b/cmd/clovertrail-node/main_test.go
@@ -228,8 +228,8 @@
 	}
 }
 
-// TestStopCountsFromSignalOfPausedProcess guards against a box that counts the time of its planned stop from when it is scheduled again, while
-// that of the platform runs from the signal, which came during a pause.
+// TestStopCountsFromSignalOfPausedProcess guards against a box that counts the time of its planned stop from the end of a pause, although the stop
+// signal was sent during the pause.
 func TestStopCountsFromSignalOfPausedProcess(t *testing.T) {
 	t.Parallel()
 	const processes = 8 // which of the check and the signal comes first after a pause is a matter of chance
--- a/core/limit/nesting.go
+++ b/core/limit/nesting.go
@@ -23,7 +23,7 @@
 	return &NestingReader{from: from, maxDepth: maxDepth}
 }
 
-// readBytes is how much is read at once.
+// readBytes is the size of one read.
 const readBytes = 4 << 10
 
 // Read implements io.Reader.
--- a/ending/ending.go
+++ b/ending/ending.go
@@ -16,8 +16,8 @@
 	Silence Doubt = "silence"
 	// GroupStopped: the stream paused for long, and the group of the target has stopped since the request was sent.
 	GroupStopped Doubt = "group stopped"
-	// BoxPaused: the box was paused, so that it does not know when the connection ended. The target may have fallen silent, or have
-	// ended and started again, meanwhile.
+	// BoxPaused: the box was paused, and the connection may have ended at any time since. The target may have fallen silent, or have
+	// ended and started again, before the box ran on.
 	BoxPaused Doubt = "box paused"
 	// Deadline: the response ended at the deadline that the target was given.
 	Deadline Doubt = "deadline"
--- a/gateway/tracked_conn.go
+++ b/gateway/tracked_conn.go
@@ -67,7 +67,7 @@
 	return s == http.StateIdle || s == http.StateNew
 }
 
-// headTooLong counts received bytes, and reports whether those of a head are too many.
+// headTooLong counts received bytes, and reports whether a head exceeds the limit.
 func (c *trackedConn) headTooLong(n int) bool {
 	if !c.awaitsRequest() {
 		return false
--- a/local/scenario_test.go
+++ b/local/scenario_test.go
@@ -70,8 +70,9 @@
 	evacuates   bool              // whether the platform has evacuations of data halls
 	overload    *process.Overload // settings of the entry boxes; nil for the defaults
 
-	retrySlack float64       // of the bounds; 0 for that of a current platform
-	stop       time.Duration // of the bounds; 0 for that of bounds
+	retrySlack float64 // of the bounds; 0 for that of a current platform
+
+	stop time.Duration // of the bounds; 0 for the default of bounds
 }
 
 // exchange is one request of a caller and its reply.
--- a/node/followed_records.go
+++ b/node/followed_records.go
@@ -49,7 +49,7 @@
 }
 
 // followEvacuations returns the follower of the operators' evacuations of data halls. The name of a record
-// is that of the hall; nothing else of it matters.
+// is the name of the hall; its content does not matter.
 func (e *Entry) followEvacuations(feed store.Feed) *recordFollower {
 	f := e.newRecordFollower(feed, platform.Evacuations)
 	f.apply = func(at store.Position, events []store.Event, listing bool) {
@@ -83,7 +83,7 @@
 		}
 		e.quarantine.readRecords(list)
 	}
-	f.knownPosition = func() store.Position { return store.Position{} } // no box knows whether it has all records
+	f.knownPosition = func() store.Position { return store.Position{} } // a box cannot tell whether it has all records
 	f.delegated = func() bool { return !e.quarantine.holdsAny(clock.Now()) || e.hallPoller.hubFollowsStore() }
 	return f
 }
--- a/node/process/retrying_listener.go
+++ b/node/process/retrying_listener.go
@@ -15,8 +15,8 @@
 	maxAcceptPause = time.Second
 )
 
-// retryingListener accepts again after errors of the operating system, such as those of a connection that ended before it was accepted,
-// or of exhausted descriptors or memory. Servers would end, and the process with them. Accept is called by one goroutine.
+// retryingListener accepts again after errors of the operating system, for example after a connection ended before it was accepted,
+// or while descriptors or memory are exhausted. Servers would end, and the process with them. Accept is called by one goroutine.
 type retryingListener struct {
 	net.Listener
 	log    *slog.Logger
@@ -57,7 +57,7 @@
 	return l.Listener.Close()
 }
 
-// SetDeadline sets the deadline of Accept, as that of a net.TCPListener.
+// SetDeadline sets the deadline of Accept, as net.TCPListener does.
 func (l *retryingListener) SetDeadline(t time.Time) error {
 	if d, ok := l.Listener.(interface{ SetDeadline(time.Time) error }); ok {
 		return d.SetDeadline(t)
--- a/node/process/transient.go
+++ b/node/process/transient.go
@@ -6,7 +6,7 @@
 	"syscall"
 )
 
-// permanentErrors are those of a socket that cannot be used any more.
+// permanentErrors mean that a socket cannot be used any more.
 var permanentErrors = []syscall.Errno{syscall.EBADF, syscall.EINVAL, syscall.ENOTSOCK, syscall.EFAULT}
 
 // isTransient reports whether the error of the operating system may pass without a change of the process or its settings.
--- a/quarantine/evidence_test.go
+++ b/quarantine/evidence_test.go
@@ -55,7 +55,7 @@
 // TestFatalPartIsFoundAnywhereInPrompt guards against a part that ends its targets and is never found since many parts come before it in each
 // prompt: sound ones that all prompts share, or ones that no other prompt has.
 func TestFatalPartIsFoundAnywhereInPrompt(t *testing.T) {
-	const maxParts = 300
+	const maxParts = 1400 // with ids of eight digits, in a head of 16 KB
 	work := func(n int, parts ...string) call.Work {
 		p := &call.Prompt{}
 		for _, id := range append(parts, fmt.Sprint("own-", n)) {
--- a/shutdown/signal.go
+++ b/shutdown/signal.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// Signal says when the platform sent the signal to stop. A process on a busy machine receives it only once it is scheduled, while the
+// Signal holds when the platform sent the signal to stop. A process on a busy machine receives it only once it is scheduled, while the
 // time until the platform kills it passes.
 type Signal struct {
 	// SentAfter is the last time at which the signal is known not to have been sent.
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -107,7 +107,7 @@
 // Write writes all metrics in the Prometheus text format.
 func (m *Metrics) Write(w io.Writer) { m.set.WritePrometheus(w) }
 
-// Handler serves the metrics for scraping, with those of the process: its memory, descriptors and processor time.
+// Handler serves the metrics for scraping, including memory, descriptors and processor time of the process.
 func (m *Metrics) Handler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
