transport: a response is not complete if its connection was lost during the upload

What callers saw: a part of a response as a complete 200. The target responded to a long upload without a length, and reset the connection while the upload was still being sent. Plain responses, failures, streams and streams that continue others.

Cause: the kernel reports the error of a connection once. The failed write received it, the attempt goes on to read on purpose (an early refusal may follow), and the read meets an ordinary end.

Change: an exchange keeps the error with which a write found the connection lost. A body that only the end of the connection ends fails with it in place of io.EOF; so all readers of bodies treat it as a reset that they met themselves. EPIPE shows that the whole response was received, and is left out.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -324,7 +324,7 @@
 
 // checkEnd makes the body of a response that ends with its connection fail unless it is complete.
 func (a *attempt) checkEnd(ctx context.Context, resp *http.Response) {
-	if endsWithConnection(resp) {
+	if transport.EndsWithConnection(resp) {
 		resp.Body = &connectionBody{ReadCloser: resp.Body, ended: func(waited time.Duration) error { return a.plainEnded(ctx, waited) }}
 	}
 }
--- a/gateway/connection_body.go
+++ b/gateway/connection_body.go
@@ -11,6 +11,7 @@
 	"clovertrail.dev/ending"
 	"clovertrail.dev/liveness"
 	"clovertrail.dev/telemetry"
+	"clovertrail.dev/transport"
 )
 
 // errMayBeTruncated reports that a response ended with its connection and that nothing shows that it is complete.
@@ -19,12 +20,6 @@
 // errCutAtDeadline reports the same of a response that ended at the deadline of its request.
 var errCutAtDeadline = errors.New("the response ended with its connection at the deadline and may be truncated")
 
-// endsWithConnection reports whether the body of the response has neither a length nor chunks, so that only the end of the
-// connection shows its end.
-func endsWithConnection(r *http.Response) bool {
-	return r.ContentLength < 0 && len(r.TransferEncoding) == 0 && r.Request.Method != http.MethodHead
-}
-
 // connectionBody is the body of a response that ends with its connection.
 type connectionBody struct {
 	io.ReadCloser
@@ -46,7 +41,7 @@
 // lastPause returns when the last pause of the box ended; zero if there was none. It matters only for a response that ends with its
 // connection.
 func (a *attempt) lastPause(resp *http.Response) time.Time {
-	if !endsWithConnection(resp) {
+	if !transport.EndsWithConnection(resp) {
 		return time.Time{}
 	}
 	return a.d.g.deps.LastPause(clock.Now())
--- a/gateway/fake_test.go
+++ b/gateway/fake_test.go
@@ -301,6 +301,14 @@
 
 // routes returns a catalog with a route of each kind, one of them with a short timeout.
 func routes(t *testing.T) *catalog.Catalog {
+	t.Helper()
+	limits := catalog.DefaultLimits()
+	limits.BodyBytes = 100
+	return routesWithLimits(t, limits)
+}
+
+// routesWithLimits returns the same with other limits of what callers send.
+func routesWithLimits(t *testing.T, limits catalog.Limits) *catalog.Catalog {
 	t.Helper()
 	fields := []catalog.RouteFields{
 		{Name: "once", Prefix: "/once/", Kind: catalog.Once, Timeout: 20 * time.Second},
@@ -315,8 +323,7 @@
 		{Name: "impatient-stream", Prefix: "/impatient-stream/", Kind: catalog.Stream, Resumable: true, Timeout: 20 * time.Second, LatencyObjective: 10 * time.Millisecond},
 		{Name: "locked", Prefix: "/locked/", Kind: catalog.Repeatable, Timeout: 20 * time.Second},
 	}
-	d := catalog.Document{Version: 3, Services: []catalog.Service{{Name: "s", HealthPath: checkPath}}, Limits: catalog.DefaultLimits(), Organisations: []catalog.Organisation{{Name: "league", Keys: []string{"k"}}}}
-	d.Limits.BodyBytes = 100
+	d := catalog.Document{Version: 3, Services: []catalog.Service{{Name: "s", HealthPath: checkPath}}, Limits: limits, Organisations: []catalog.Organisation{{Name: "league", Keys: []string{"k"}}}}
 	for _, f := range fields {
 		f.Host, f.MaxAttempts, f.Public = "h", 2, f.Name != "locked"
 		f.Backends = []catalog.Backend{{Service: "s", Weight: 1}}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -12,6 +12,7 @@
 	"clovertrail.dev/ending"
 	"clovertrail.dev/eventstream"
 	"clovertrail.dev/retry"
+	"clovertrail.dev/transport"
 )
 
 // maxEventBytes limits the size of one event of a stream; the largest are some hundred bytes.
@@ -77,7 +78,7 @@
 // checkStreamEnd returns an error unless the stream, which ended between two events, is complete. A continuation without an event
 // completes only a stream of which all events may have been sent before.
 func (a *attempt) checkStreamEnd(ctx context.Context, resp *http.Response) error {
-	if endsWithConnection(resp) {
+	if transport.EndsWithConnection(resp) {
 		if err := a.streamEnded(ctx); err != nil {
 			a.d.endInDoubt = a.d.endInDoubt || a.arrivals.Events() > 0
 			return err
--- a/transport/exchange.go
+++ b/transport/exchange.go
@@ -19,7 +19,8 @@
 	pool        *Pool
 	conn        *conn
 	reused      bool
-	sent        bool // a byte of the request may have left
+	sent        bool  // a byte of the request may have left
+	lost        error // with which a write found the connection lost; nil if none did
 	response    *http.Response
 	complete    bool // the response body was read to its end
 	sentAt      liveness.Moment
@@ -55,7 +56,7 @@
 	return r.Write(&sentTracker{exchange: x})
 }
 
-// sentTracker writes to the connection of an exchange and records whether a byte may have left.
+// sentTracker writes to the connection of an exchange and records whether a byte may have left, and whether the connection was lost.
 type sentTracker struct{ exchange *Exchange }
 
 func (w *sentTracker) Write(b []byte) (int, error) {
@@ -65,6 +66,9 @@
 	if n == 0 && err != nil && closedBeforeWrite(err) {
 		w.exchange.sent = sentBefore
 	}
+	if lostConnection(err) {
+		w.exchange.lost = err
+	}
 	return n, err
 }
 
@@ -72,7 +76,8 @@
 func closedBeforeWrite(err error) bool { return errors.Is(err, net.ErrClosed) }
 
 // Receive reads responses until isOwn accepts one. Responses before it belong to earlier requests and
-// are skipped.
+// are skipped. The body of the response ends with io.EOF only if its length, its last chunk or an ordinary end of the connection
+// shows that it is complete.
 func (x *Exchange) Receive(r *http.Request, isOwn func(*http.Response) bool) (*http.Response, error) {
 	for range maxResponses {
 		resp, err := x.readResponse(r)
@@ -84,7 +89,7 @@
 			resp.Body = &trackedBody{ReadCloser: resp.Body, exchange: x}
 			return resp, nil
 		}
-		if resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		if resp.Close || EndsWithConnection(resp) {
 			return nil, errForeignResponses // no other response can follow
 		}
 		if _, err := io.Copy(io.Discard, limit.NewReader(resp.Body, "the body of a response to another request", maxSkippedBytes)); err != nil {
@@ -123,24 +128,6 @@
 	_ = x.conn.net.SetReadDeadline(time.Time{})
 }
 
-// trackedBody records that the body was read to its end.
-type trackedBody struct {
-	io.ReadCloser
-	exchange *Exchange
-}
-
-func (b *trackedBody) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
-	if errors.Is(err, io.EOF) {
-		b.exchange.complete = true
-	}
-	return n, err
-}
-
-// Close does nothing, since Exchange.Close releases the connection. The Close method of a net/http body
-// would first read the rest of the body, which may take long on a stream.
-func (b *trackedBody) Close() error { return nil }
-
 // Buffered returns the number of bytes of the response that were received but not yet read.
 func (x *Exchange) Buffered() int { return x.conn.read.Buffered() }
 
