transport: a response with a status that HTTP does not have is no response

What callers saw: what follows a response of status 000 as the answer, if it is a response itself, or nothing until the deadline, if the target keeps the connection open; then no other target was tried. Statuses from 600 on, other versions and control characters in the status line were passed on.

Cause: all statuses below 200 counted as interim responses, also a 101 that nobody asked for, and net/http's parser accepts any three digits.

Evidence: TestInvalidStatusIsNoResponse failed in 62 of 144 cases before, in none after. The 32 forms that had been seen to end with 502 closed their connections. TestCutHeadIsNoResponse, which stops within the head after each byte, passed before and after: net/http takes a head without its empty line for an error.

Change: package core/wellformed decides what is well-formed where the parser is lenient, and the exchange asks it for each response that it reads.

--- a/transport/exchange.go
+++ b/transport/exchange.go
@@ -10,6 +10,7 @@
 
 	"clovertrail.dev/core/clock"
 	"clovertrail.dev/core/limit"
+	"clovertrail.dev/core/wellformed"
 	"clovertrail.dev/liveness"
 )
 
@@ -105,6 +106,9 @@
 	x.conn.head.begin()
 	for {
 		resp, err := http.ReadResponse(x.conn.read, r)
+		if err == nil {
+			err = wellformed.Response(resp)
+		}
 		if err != nil {
 			return nil, x.conn.head.end(err)
 		}
