transport: a response with an invalid name of a field is no response

What callers saw: responses of targets in trouble whose heads had names with blanks, without the field that was meant. If that is a field that frames the body, as "Transfer-Encoding : chunked", a body that is not the target's as a complete 200.

Cause: net/http's parser keeps names with blanks, and nothing finds such a field by its name. So too in trailers.

Control characters, bytes above 0x7f, empty names and lines without a colon were rejected before, and stay in the tests.

Change: wellformed.Fields requires names to be tokens. The exchange checks all heads with it, and the trailers at the end of the body.

--- a/core/wellformed/response.go
+++ b/core/wellformed/response.go
@@ -29,8 +29,23 @@
 	case strings.ContainsFunc(r.Status, isControl):
 		return Error.New("status line with a control character: %.80q", r.Status)
 	default:
-		return nil
+		return Fields(r.Header)
 	}
 }
 
+// Fields returns an error of class Error if the name of a field is not a token (RFC 9110, section 5.1).
+func Fields(h http.Header) error {
+	for name := range h {
+		if name == "" || strings.ContainsFunc(name, isNoTokenCharacter) {
+			return Error.New("name of a field: %.80q", name)
+		}
+	}
+	return nil
+}
+
 func isControl(c rune) bool { return c < ' ' && c != '\t' || c == '\x7f' }
+
+func isNoTokenCharacter(c rune) bool {
+	letterOrDigit := 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z' || '0' <= c && c <= '9'
+	return !letterOrDigit && !strings.ContainsRune("!#$%&'*+-.^_`|~", c)
+}
--- a/core/wellformed/response_test.go
+++ b/core/wellformed/response_test.go
@@ -40,6 +40,10 @@
 		{"HTTP/1.1 200 OK\r\nX-1.a!#$%&'*+^_`|~: \t a \x80\"(\t", true},
 		{"HTTP/1.1 200 OK\r\nX:", true},
 		{"HTTP/1.1 200 OK\r\nX: 1\r\n folded", true},
+		{"HTTP/1.1 200 OK\r\nX Y: 1", false},
+		{"HTTP/1.1 200 OK\r\nX : 1", false},
+		{"HTTP/1.1 200 OK\r\nA: 1\r\nContent-Length : 5\r\nB: 2", false},
+		{"HTTP/1.1 103 Early Hints\r\nX : 1", false},
 	} {
 		t.Run(fmt.Sprintf("%q", tc.head), func(t *testing.T) {
 			r, err := http.ReadResponse(bufio.NewReader(strings.NewReader(tc.head+"\r\n\r\n")), nil)
@@ -52,3 +56,15 @@
 		})
 	}
 }
+
+// TestFields guards against names that a parser may let pass.
+func TestFields(t *testing.T) {
+	for _, name := range []string{"", " ", "X Y", "X ", "X\t", "X\x00", "X\x7f", "X\x80", "X\xff", "Ä", "X:", "X(", "X@", "X\r\nY"} {
+		if err := wellformed.Fields(http.Header{"A": nil, name: {"1"}}); err == nil {
+			t.Errorf("%q passes as a name", name)
+		}
+	}
+	if err := wellformed.Fields(http.Header{"A": nil, "x_y-1.z": {"1"}}); err != nil {
+		t.Error(err)
+	}
+}
--- a/gateway/malformed_test.go
+++ b/gateway/malformed_test.go
@@ -73,6 +73,36 @@
 	}
 }
 
+// TestInvalidFieldNameIsNoResponse guards against responses with a field whose name HTTP does not allow. Such a field may be lost, and
+// it may be the one that states the end of the body, or that the target did not run the request.
+func TestInvalidFieldNameIsNoResponse(t *testing.T) {
+	const begin, interim = "HTTP/1.1 200 OK\nSigned: 1\nId: 1\n", "HTTP/1.1 103 Early Hints\n"
+	for _, field := range []string{
+		"X Y: 1", "X : 1", "Content-Length : 5", "Content-Length\t: 5", "Transfer-Encoding : chunked", "Not-Run : 1", "Leaving : 1", "X\x01Y: 1", "X\x7fY: 1", "X\x80Y: 1",
+		"X\rY: 1", "X(Y: 1", "X\"Y: 1", ": 1", "no colon",
+	} {
+		for framing, rest := range framings {
+			t.Run(fmt.Sprintf("%q, %s", field, framing), func(t *testing.T) {
+				checkMalformed(t, begin+field+"\n"+rest)
+				checkMalformed(t, strings.Replace(begin, "Signed", field+"\nSigned", 1)+rest)
+			})
+		}
+		t.Run(fmt.Sprintf("%q, in an interim response", field), func(t *testing.T) {
+			checkMalformed(t, interim+field+"\n\n"+ok)
+		})
+	}
+}
+
+// TestInvalidTrailerIsNoEnd guards against chunked responses that pass as whole with trailers that HTTP does not allow.
+func TestInvalidTrailerIsNoEnd(t *testing.T) {
+	for _, trailer := range []string{"X Y: 1", "X : 1", "X\x01Y: 1", ": 1", "no colon"} {
+		a := newTarget(t, "a", "HTTP/1.1 200 OK\nSigned: 1\nId: 1\nTransfer-Encoding: chunked\n\n5\nhello\n0\n"+trailer+"\n\n"+hangUp)
+		if got := newFixture(t, a).request("POST", "/once/", "body"); got.status != 502 {
+			t.Errorf("%q: status %d, broken %v, body %q", trailer, got.status, got.broken, got.body)
+		}
+	}
+}
+
 // TestCutHeadIsNoResponse guards against a response that passes as whole although its target stopped within its head and closed.
 func TestCutHeadIsNoResponse(t *testing.T) {
 	for name, head := range map[string]string{
--- a/transport/body.go
+++ b/transport/body.go
@@ -6,6 +6,8 @@
 	"io"
 	"net/http"
 	"syscall"
+
+	"clovertrail.dev/core/wellformed"
 )
 
 // EndsWithConnection reports whether the body of the response has neither a length nor chunks, so that only the end of the
@@ -14,7 +16,7 @@
 	return r.ContentLength < 0 && len(r.TransferEncoding) == 0 && r.Request.Method != http.MethodHead
 }
 
-// trackedBody is the body of a response. It records that the body was read to its end.
+// trackedBody is the body of a response. It records that the body was read to its end, and checks the trailers there.
 type trackedBody struct {
 	io.ReadCloser
 	exchange *Exchange
@@ -29,6 +31,9 @@
 	if lost := b.exchange.lost; lost != nil && EndsWithConnection(b.exchange.response) {
 		return n, fmt.Errorf("the connection was lost while the request was sent, and the response may be truncated: %w", lost)
 	}
+	if malformed := wellformed.Fields(b.exchange.response.Trailer); malformed != nil {
+		return n, malformed
+	}
 	b.exchange.complete = true
 	return n, err
 }
