--- a/cli/box_status.go
+++ b/cli/box_status.go
@@ -11,6 +11,7 @@
 	ucli "github.com/urfave/cli/v3"
 
 	"clovertrail.dev/cli/boxmetrics"
+	"clovertrail.dev/core/wellformed"
 )
 
 // boxTimeout limits the time to read the metrics of all boxes, which are read at the same time. A box under
@@ -68,7 +69,7 @@
 	if err != nil {
 		return boxReading{err: err}
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := wellformed.Do(http.DefaultClient, request)
 	if err != nil {
 		return boxReading{err: err}
 	}
--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -203,6 +204,43 @@
 	}
 }
 
+// TestBrokenMetricsOfBoxes guards against a box whose metrics are malformed or cut, and that is shown as one in order.
+func TestBrokenMetricsOfBoxes(t *testing.T) {
+	m, text := telemetry.NewMetrics(), bytes.Buffer{}
+	m.Set(telemetry.Queued, "s", 0)
+	m.Write(&text)
+	storeServer := httptest.NewServer(standin.NewStore())
+	t.Cleanup(storeServer.Close)
+	chunk := fmt.Sprintf("%x\r\n%s\r\n", text.Len(), text.String())
+	for name, response := range map[string]string{
+		"sound":                   "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk + "0\r\n\r\n",
+		"cut between two chunks":  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk,
+		"cut in a line":           fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", text.Len(), text.String()[:text.Len()-5]),
+		"cut behind a line":       fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", text.Len()+1, text.String()),
+		"cut in the head":         "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n",
+		"invalid name of a field": "HTTP/1.1 200 OK\r\nX Y: 1\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk + "0\r\n\r\n",
+		"invalid status":          "HTTP/1.1 000 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk + "0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				c, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				_, _ = c.Write([]byte(response))
+				_ = c.Close()
+			}))
+			defer server.Close()
+			var out, errOut bytes.Buffer
+			args := []string{"clovertrail", "status", "--store", strings.TrimPrefix(storeServer.URL, "http://"), "--box", strings.TrimPrefix(server.URL, "http://")}
+			if code := cli.Run(t.Context(), args, &out, &errOut); (code == cli.ExitDone) != (name == "sound") {
+				t.Errorf("exit code %d, output %q, errors %q", code, out.String(), errOut.String())
+			}
+		})
+	}
+}
+
 // TestStatusOfBoxes guards against a box without metrics that is passed over in silence, or that hides the others.
 func TestStatusOfBoxes(t *testing.T) {
 	serve := func(h http.Handler) string {
--- /dev/null
+++ b/core/wellformed/client.go
@@ -0,0 +1,16 @@
+package wellformed
+
+import "net/http"
+
+// Do sends a request as Client.Do does, and returns an error of class Error if the response is not well-formed.
+func Do(c *http.Client, r *http.Request) (*http.Response, error) {
+	resp, err := c.Do(r)
+	if err != nil {
+		return nil, err
+	}
+	if err := Response(resp); err != nil {
+		_ = resp.Body.Close() // nothing of it is used
+		return nil, err
+	}
+	return resp, nil
+}
--- a/core/wellformed/doc.go
+++ b/core/wellformed/doc.go
@@ -11,5 +11,5 @@
 //		err = wellformed.Response(resp) // of class Error; nothing of the response may be used
 //	}
 //
-// At the end of a chunked body, Fields checks resp.Trailer.
+// At the end of a chunked body, Fields checks resp.Trailer. Requests that are sent by an http.Client are sent with Do.
 package wellformed
--- a/transport/process_check_test.go
+++ b/transport/process_check_test.go
@@ -89,6 +89,22 @@
 		"responds with a head without end": {func(context.Context, string) (net.Conn, error) {
 			return respond("HTTP/1.1 200 OK\r\n" + strings.Repeat("Data: x\r\n", 100<<10)), nil
 		}, liveness.Unproven},
+		"responds with a status that HTTP does not have": {func(context.Context, string) (net.Conn, error) {
+			return respond("HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n"), nil
+		}, liveness.Unproven},
+		"responds with an invalid name of a field": {func(context.Context, string) (net.Conn, error) {
+			return respond("HTTP/1.1 200 OK\r\nX Y: 1\r\nContent-Length: 0\r\n\r\n"), nil
+		}, liveness.Unproven},
+		"responds with a head that is cut": {func(context.Context, string) (net.Conn, error) {
+			c, process := net.Pipe()
+			go func() {
+				defer func() { _ = process.Close() }()
+				if _, err := http.ReadRequest(bufio.NewReader(process)); err == nil {
+					_, _ = io.WriteString(process, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n")
+				}
+			}()
+			return c, nil
+		}, liveness.Unproven},
 		"rejects": {func(context.Context, string) (net.Conn, error) {
 			return respond("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"), nil
 		}, liveness.Alive},
