platform: redirects of engines and of the store are not followed

What callers saw: nothing known. Found by asking of each reader whether the response is the target's own.

Cause: net/http's client follows redirects by itself. An order to an engine that responded with a redirect became a GET to another server, whose 200 counted as "carried out"; reports and pages of another server counted as those of the engine or the store, and requests that create records were sent to it.

A redirect of TestBrokenMetricsOfBoxes was shown as a box in order.

Change: wellformed.Do follows no redirect, and the status is one that no call expects. Redirects of targets to callers are passed on, as before.

--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -204,13 +204,14 @@
 	}
 }
 
-// TestBrokenMetricsOfBoxes guards against a box whose metrics are malformed or cut, and that is shown as one in order.
+// TestBrokenMetricsOfBoxes guards against a box whose metrics are malformed, cut, or those of another server, and that is shown as one in order.
 func TestBrokenMetricsOfBoxes(t *testing.T) {
 	m, text := telemetry.NewMetrics(), bytes.Buffer{}
 	m.Set(telemetry.Queued, "s", 0)
 	m.Write(&text)
-	storeServer := httptest.NewServer(standin.NewStore())
+	storeServer, boxServer := httptest.NewServer(standin.NewStore()), httptest.NewServer(m.Handler())
 	t.Cleanup(storeServer.Close)
+	t.Cleanup(boxServer.Close)
 	chunk := fmt.Sprintf("%x\r\n%s\r\n", text.Len(), text.String())
 	for name, response := range map[string]string{
 		"sound":                   "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk + "0\r\n\r\n",
@@ -219,6 +220,7 @@
 		"cut behind a line":       fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", text.Len()+1, text.String()),
 		"cut in the head":         "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n",
 		"invalid name of a field": "HTTP/1.1 200 OK\r\nX Y: 1\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk + "0\r\n\r\n",
+		"redirect":                "HTTP/1.1 302 Found\r\nLocation: " + boxServer.URL + "\r\nContent-Length: 0\r\n\r\n",
 		"invalid status":          "HTTP/1.1 000 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk + "0\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/core/wellformed/client.go
+++ b/core/wellformed/client.go
@@ -2,9 +2,12 @@
 
 import "net/http"
 
-// Do sends a request as Client.Do does, and returns an error of class Error if the response is not well-formed.
+// Do sends a request as Client.Do does, but follows no redirect, so that the response is that of the server that r names. It returns an
+// error of class Error if the response is not well-formed.
 func Do(c *http.Client, r *http.Request) (*http.Response, error) {
-	resp, err := c.Do(r)
+	direct := *c
+	direct.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	resp, err := direct.Do(r)
 	if err != nil {
 		return nil, err
 	}
