transport: a response of HTTP/1.0 with a transfer encoding is malformed

What callers saw: nothing known. They would have got the lines that frame the chunks as a part of the body, in a complete 200.

Cause: HTTP/1.0 has no transfer encodings, and net/http ignores and removes the field in such a response.

Evidence: TestFaultyFramingIsNoResponse: five of twelve heads passed before, all of HTTP/1.0, and none after. TestFramingOfOldVersion (sound responses of HTTP/1.0) passed before and after. FuzzReceive for 30 s: nothing.

Change: the reader of heads looks for the field in the bytes of a head.

--- a/gateway/malformed_test.go
+++ b/gateway/malformed_test.go
@@ -93,6 +93,46 @@
 	}
 }
 
+// TestFaultyFramingIsNoResponse guards against bodies that are not those of the target, since its head does not say how they end.
+func TestFaultyFramingIsNoResponse(t *testing.T) {
+	const old, current, chunks = "HTTP/1.0 200 OK\nSigned: 1\nId: 1\n", "HTTP/1.1 200 OK\nSigned: 1\nId: 1\n", "\n5\nhello\n0\n\n" + hangUp
+	for _, response := range []string{
+		old + "Transfer-Encoding: chunked\n" + chunks,
+		old + "transfer-encoding:chunked\n" + chunks,
+		old + "Transfer-Encoding: chunked\nContent-Length: 5\n\nhello",
+		"HTTP/1.0 200 OK\nTRANSFER-ENCODING:\n chunked\nSigned: 1\nId: 1\nLong: " + strings.Repeat("x", 5000) + "\n" + chunks,
+		"HTTP/1.1 103 Early Hints\nX: 1\n\n" + old + "Transfer-Encoding: gzip\n" + chunks,
+		current + "Transfer-Encoding: gzip, chunked\n" + chunks,
+		current + "Transfer-Encoding: identity\n" + chunks,
+		current + "Transfer-Encoding: chunked\nTransfer-Encoding: chunked\n" + chunks,
+		current + "Content-Length: 5\nContent-Length: 6\n\nhello" + hangUp,
+		current + "Content-Length: 5, 5\n\nhello" + hangUp,
+		current + "Content-Length: +5\n\nhello" + hangUp,
+		current + "Content-Length:\n\nhello" + hangUp,
+	} {
+		t.Run(fmt.Sprintf("%.110q", response), func(t *testing.T) { checkMalformed(t, response) })
+	}
+}
+
+// TestFramingOfOldVersion guards against sound responses of HTTP/1.0 that are lost.
+func TestFramingOfOldVersion(t *testing.T) {
+	const old = "HTTP/1.0 200 OK\nSigned: 1\nId: 1\n"
+	for _, response := range []string{
+		old + "Content-Length: 5\n\nhello", old + "\nhello" + hangUp, old + "X-Transfer-Encoding: chunked\n\nhello" + hangUp, old + "X:\n transfer-encoding: x\n\nhello" + hangUp,
+		"HTTP/1.0 200 OK\nSigned: 1\nId: 1\n\n" + "hello" + hangUp,
+	} {
+		got := newFixture(t, newTarget(t, "a", response)).request("POST", "/once/", "body")
+		if got.status != 200 || got.broken || got.body != "hello" {
+			t.Errorf("%q: status %d, broken %v, body %q", response, got.status, got.broken, got.body)
+		}
+	}
+	body := "5\ntransfer-encoding: chunked\n\n"
+	a := newTarget(t, "a", old+"\n"+marked(body)+hangUp)
+	if got := newFixture(t, a).request("POST", "/once/", "body"); got.status != 200 || got.body != body {
+		t.Errorf("a field in the body: status %d, body %q", got.status, got.body)
+	}
+}
+
 // TestInvalidTrailerIsNoEnd guards against chunked responses that pass as whole with trailers that HTTP does not allow.
 func TestInvalidTrailerIsNoEnd(t *testing.T) {
 	for _, trailer := range []string{"X Y: 1", "X : 1", "X\x01Y: 1", ": 1", "no colon"} {
--- a/transport/exchange.go
+++ b/transport/exchange.go
@@ -105,10 +105,7 @@
 func (x *Exchange) readResponse(r *http.Request) (*http.Response, error) {
 	x.conn.head.begin()
 	for {
-		resp, err := http.ReadResponse(x.conn.read, r)
-		if err == nil {
-			err = wellformed.Response(resp)
-		}
+		resp, err := x.conn.readHead(r)
 		if err != nil {
 			return nil, x.conn.head.end(err)
 		}
@@ -118,6 +115,22 @@
 	}
 }
 
+// readHead reads the head of a response, which may be an interim one. It returns an error of class wellformed.Error if net/http accepts
+// the head although it is malformed.
+func (c *conn) readHead(r *http.Request) (*http.Response, error) {
+	buffered, _ := c.read.Peek(c.read.Buffered()) // never fails
+	c.head.nextHead(buffered)
+	resp, err := http.ReadResponse(c.read, r)
+	switch {
+	case err != nil:
+		return nil, err
+	case c.head.encoding.found && !resp.ProtoAtLeast(1, 1):
+		return nil, wellformed.Error.New("field Transfer-Encoding in a response of %s", resp.Proto)
+	default:
+		return resp, wellformed.Response(resp)
+	}
+}
+
 const (
 	// maxDrainBytes and maxDrainTime limit the rest of a response that is read only so that its connection can be used again:
 	// what follows its head at once, since a new connection costs little more.
--- a/transport/fuzz_test.go
+++ b/transport/fuzz_test.go
@@ -31,6 +31,9 @@
 	f.Add([]byte("HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n" + strings.Repeat("T: 1\r\n", 1000)))
 	f.Add([]byte("HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n2;" + strings.Repeat("x", 8<<10)))
 	f.Add([]byte("HTTP/1.1 200 OK\r\n" + strings.Repeat("a:\r\n", 20<<10) + "\r\n"))
+	f.Add([]byte("HTTP/1.1 000 OK\r\n\r\n" + ok))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length : 2\r\n\r\nok"))
+	f.Add([]byte("HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.0 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"))
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		receive := func(split splitFunc) (string, error) {
 			pool := transport.NewPool(func(context.Context, string) (net.Conn, error) {
--- a/transport/head_reader.go
+++ b/transport/head_reader.go
@@ -22,13 +22,20 @@
 type headReader struct {
 	from     io.Reader
 	limited  bool
-	left     int  // bytes that may still be read while limited
-	exceeded bool // more than that was to be read
+	left     int             // bytes that may still be read while limited
+	exceeded bool            // more than that was to be read
+	encoding encodingScanner // of the head that is read
 }
 
 // begin limits what is read from now on.
 func (r *headReader) begin() { r.limited, r.left, r.exceeded = true, maxHeadBytes, false }
 
+// nextHead begins a head, of which some bytes have been read already.
+func (r *headReader) nextHead(begin []byte) {
+	r.encoding = encodingScanner{}
+	r.encoding.scan(begin)
+}
+
 // end removes the limit once a head has been read, or reading it has failed with err. It returns the error of the limit in
 // place of err if that is the cause: the parser of heads reports a line that is cut off as malformed.
 func (r *headReader) end(err error) error {
@@ -56,5 +63,6 @@
 	}
 	n, err := r.from.Read(p[:min(len(p), r.left)])
 	r.left -= n
+	r.encoding.scan(p[:n])
 	return n, err
 }
