--- a/core/wellformed/doc.go
+++ b/core/wellformed/doc.go
@@ -1,8 +1,7 @@
 // Package wellformed checks that responses are well-formed HTTP, where the parser of net/http is lenient.
 //
-// The parser accepts any status of three digits, and names of fields with blanks. Such a response comes from a server in trouble, and
-// what it states is not what it says: "Content-Length : 5" states no length, so that the end of the body is another one, and a status
-// below 100 makes the body pass for the next response.
+// The parser accepts any status of three digits, and names of fields with blanks. Servers in trouble send such responses, and their
+// bodies seem to be others: "Content-Length : 5" states no length, and what follows a status below 100 passes for the next response.
 //
 // # Usage
 //
