follow: the first watch after a failure is short

After a restore of the store, an acknowledged configuration was not in force at two of four boxes within its bound (404 on its route): TestConfigurationAppliesAfterRestore, "one version lost".

Cause: after a failure, a box watched for the whole wait at once, from its position of before. If the store was restored meanwhile and had assigned that revision again, it responded only at the end of the wait, and only the response states the era. So the box listed late.

Change: while the last call failed, a watch waits 100 ms at most.

--- a/local/restore_test.go
+++ b/local/restore_test.go
@@ -1,6 +1,7 @@
 package local_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"testing"
@@ -14,6 +15,7 @@
 type restoreCase struct {
 	name          string
 	lostVersions  int                       // versions acknowledged after the backup was taken
+	calm          time.Duration             // how long nothing changes before the outage; 0 for a second
 	outage        time.Duration             // how long the store is unavailable before the restore; the test waits as long after it
 	laterChanges  int                       // changes after the restore and before the one that is checked
 	times         int                       // restores in a row; 0 for one
@@ -47,6 +49,7 @@
 var restoreCases = []restoreCase{
 	{name: "one version lost", lostVersions: 1, outage: time.Second},
 	{name: "eight versions lost", lostVersions: 8, outage: 2500 * time.Millisecond},
+	{name: "the change that is checked has the revision after which all boxes watch", lostVersions: 1, calm: 2 * time.Second, outage: 800 * time.Millisecond},
 	{name: "nothing lost", outage: time.Second},
 	{name: "without an outage", lostVersions: 4},
 	{name: "revisions exceed those before the restore", lostVersions: 3, relists: true},
@@ -137,7 +140,7 @@
 	for range c.lostVersions {
 		version = c.configure(s, h)
 	}
-	time.Sleep(time.Second)
+	time.Sleep(cmp.Or(c.calm, time.Second))
 	for _, e := range s.Entries() {
 		if version > 0 {
 			served[e.StartID()] = version
--- a/store/follow/doc.go
+++ b/store/follow/doc.go
@@ -3,9 +3,9 @@
 //
 // A Follower lists once, then watches from the revision of the listing. A watch is short enough that
 // one which was silently lost is noticed in time. After a failure it retries with growing, jittered
-// pauses; only a lost history makes it list again. It reports the time of the last success and the
-// time since which the store has been failing: its state is current after a success, and until a set
-// time after the last one.
+// pauses, and watches only briefly, to learn whether the store was restored; only a lost history makes
+// it list again. It reports the time of the last success and the time since which the store has been
+// failing: its state is current after a success, and until a set time after the last one.
 //
 // A Follower is a state machine without I/O.
 //
--- a/store/follow/follower.go
+++ b/store/follow/follower.go
@@ -106,6 +106,9 @@
 		return List{}
 	default:
 		w := Watch{Since: f.position, Wait: f.nextWait()}
+		if f.failures > 0 {
+			w.Wait = min(w.Wait, waitAfterFailure)
+		}
 		if !f.relistAt.IsZero() {
 			w.Wait = min(w.Wait, f.relistAt.Sub(now))
 		}
@@ -153,6 +156,10 @@
 	f.index = min(max(index, 0), f.boxes-1)
 }
 
+// waitAfterFailure limits the wait of a watch after a failure. The store may have been restored meanwhile and have assigned the revision
+// of the position again; only its response shows that, which it sends at the end of the wait.
+const waitAfterFailure = 100 * time.Millisecond
+
 // boxesPerWatch is the number of boxes whose watches together replace the watch of a box without
 // peers. It is more than one, since some of the boxes may be cut off from the others.
 const boxesPerWatch = 4
--- a/store/follow/follower_test.go
+++ b/store/follow/follower_test.go
@@ -49,6 +49,26 @@
 	}
 }
 
+// TestWatchAfterFailureIsShort guards against a box that overlooks for a whole watch that the store was restored while it could not
+// be reached: a store that has assigned the revision of the position again does not respond before the end of the watch.
+func TestWatchAfterFailureIsShort(t *testing.T) {
+	const longest = 250 * time.Millisecond
+	for _, boxes := range []int{1, 30} {
+		f := newFollower()
+		f.SetPeers(boxes, 0)
+		f.Listed(start, pos(40), nil)
+		f.Watched(start, store.Position{}, store.ErrUnavailable)
+		now := f.Next(start).(follow.Sleep).Until
+		if w, ok := f.Next(now).(follow.Watch); !ok || w.Since != pos(40) || w.Wait <= 0 || w.Wait > longest {
+			t.Errorf("%d boxes, after a failure: %+v, want a watch of at most %v", boxes, f.Next(now), longest)
+		}
+		f.Watched(now, pos(40), nil)
+		if w, ok := f.Next(now).(follow.Watch); !ok || w.Wait < timing.Wait/2 {
+			t.Errorf("%d boxes, after a response: %+v", boxes, f.Next(now))
+		}
+	}
+}
+
 func TestBackoffGrowsUntilSuccess(t *testing.T) {
 	f := newFollower()
 	f.Listed(start, pos(40), nil)
